--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,563 @@
+// The decision module of gulltrestle: every decision, table and tuned value of a router stands here.
+//
+// How to call it: router.h holds the interface. A front makes a Router from its Terms and a seed and calls round(now,
+// feed, writer) once for all that came in. The feed calls taken(), ended(), listed() and the like, which only note
+// what was learnt and answer what is settled by it; then the round places what waits, in order of value for work.
+// The front wakes the router when Writer::wakeAfter asked for it.
+//
+// The ordinary path (docs/design.md): a read has a target; among the replicas whose known position has reached it, one
+// is drawn at random, weight falling with smoothed latency x (1 + own in flight). With none, the read is held while
+// the group is probed, then goes to the primary. Writes and fresh reads go to the known primary.
+
+#include "routing/router.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <numeric>
+#include <random>
+
+namespace gulltrestle {
+
+namespace {
+
+template <typename T>
+void keepLast(std::deque<T>& samples, T sample, std::size_t most) {
+  samples.push_back(std::move(sample));
+  if (samples.size() > most) samples.pop_front();
+}
+
+struct Out {  // a submission that is still out
+  TxnId txn;
+  unsigned number;
+  std::size_t type;
+  Instant sentAt;
+};
+
+struct Answer {
+  Instant at;
+  double slowness;  // its latency as a multiple of what is usual for its txn type
+};
+
+struct Sent {
+  Instant at;
+  double work;
+};
+
+struct Member {
+  NodeId id;
+  GroupId group = 0;
+  Health health = Health::gone;
+  bool seenDraining = false;
+  bool listedPrimary = false;
+  bool sameZone = true;
+  Instant startedAt;
+  Instant position;    // all commits up to here are known to be applied
+  Instant primaryAt;   // the last moment at which it is known to have been the primary
+  Instant replicaAt;   // and a replica
+  Instant heardAt;
+  Instant probedAt;
+  bool probeOut = false;
+  Instant triedAt;     // the last submission while it was judged unwell
+  std::deque<Answer> answers;
+  std::deque<bool> successes;
+  std::deque<Sent> sent;  // within the time in which a cold node falls over
+  std::vector<Out> outs;
+};
+
+struct Live {  // a txn that is owed its final answer
+  Txn txn;
+  Instant takenAt;
+  Instant slaBy;
+  Instant answerBy;
+  Instant target;  // session reads: what the answering member must have applied
+  unsigned submissions = 0;
+  unsigned out = 0;
+  Instant lastSentAt;
+  Instant mayHaveRunAt;  // when the first submission that may have run was sent; never: none may have
+  std::vector<const Member*> tried;
+  bool streaming = false;
+};
+
+}  // namespace
+
+struct Router::State {
+  Terms terms;
+  std::knuth_b chance;
+  Instant now;
+  Writer* writer = nullptr;
+  std::map<NodeId, Member> members;
+  std::map<GroupId, std::vector<Member*>> groups;
+  std::map<TxnId, Live> live;
+  std::vector<std::deque<Span>> latencies;  // a row a txn type: the last few, over all members
+  std::map<SessionId, Instant> commits;     // the last write of a session that was committed through here
+  std::deque<std::pair<SessionId, Instant>> commitOrder;
+  Instant commitFloor;                      // the newest commit among the sessions no longer remembered
+  std::map<GroupId, Instant> usedAt;        // when a txn for the group last came in
+  Instant wakeAt;
+  Instant askListAt;
+  bool following = false;
+
+  const TxnType& typeOf(const Live& txn) const { return terms.types[txn.txn.type]; }
+
+  // ---- what is usual
+
+  // The latency usual for a txn type: the median of its last few. 80 ms before the first: a database txn.
+  Span usual(std::size_t type) const {
+    const auto& samples = latencies[type];
+    if (samples.empty()) return Span::millis(80);
+    std::vector<Span> sorted(samples.begin(), samples.end());
+    std::nth_element(sorted.begin(), sorted.begin() + static_cast<long>(sorted.size() / 2), sorted.end());
+    return std::max(sorted[sorted.size() / 2], Span::millis(1));
+  }
+
+  // How long a submission may be out before its silence counts against the node: six times the usual, as service
+  // times spread widely; 200 ms at least, so that a few quick answers don't make it nervous.
+  Span patience(std::size_t type) const { return std::max(usual(type) * 6, Span::millis(200)); }
+
+  double smoothed(const Member& m) const {
+    if (m.answers.empty()) return 1;
+    double sum = 0;
+    for (const auto& answer : m.answers) sum += answer.slowness;
+    return std::max(sum / static_cast<double>(m.answers.size()), 0.1);
+  }
+
+  // ---- which members may be used
+
+  bool leaving(const Member& m) const {
+    if (terms.onlyDrainingBinds) return m.seenDraining;
+    return m.health != Health::live;
+  }
+
+  // A hung node looks idle: it takes submissions and answers none. Guards against every kind of silence (hang, cut
+  // link, a machine that is gone before the list says so). May hurt when all of a node's few txns are long at once.
+  bool silent(const Member& m) const {
+    if (m.outs.empty()) return false;
+    const Out& oldest = m.outs.front();
+    const Span wait = patience(oldest.type);
+    return now - oldest.sentAt > wait && now - m.heardAt > wait;
+  }
+
+  // Judged by the successes among its last few outcomes: half must be, once there are three.
+  bool well(const Member& m) const {
+    if (silent(m)) return false;
+    const auto good = static_cast<std::size_t>(std::count(m.successes.begin(), m.successes.end(), true));
+    return m.successes.size() < 3 || good * 2 >= m.successes.size();
+  }
+
+  // An unwell node gets one repeatable txn now and then, to learn whether it is back.
+  bool trialDue(const Member& m) const { return now - m.triedAt > Span::millis(500); }
+
+  double warmth(const Member& m) const {
+    if (m.startedAt == Instant() || now - m.startedAt >= terms.coldTime) return 1;
+    return terms.coldShare + (1 - terms.coldShare) * std::max(0.0, (now - m.startedAt) / terms.coldTime);
+  }
+
+  double sentLately(const Member& m) const {
+    double work = 0;
+    for (const auto& sent : m.sent)
+      if (now - sent.at < terms.fallTime) work += sent.work;
+    return work;
+  }
+
+  // A cold node gets its warm share of what this router sends a warm node on average. Summed over all routers, however
+  // unequal, that is its share of an average load, well below the multiple at which it falls over.
+  bool coldRoom(const Member& m, std::size_t type) const {
+    const double share = warmth(m);
+    if (share >= 1) return true;
+    double warmWork = 0;
+    int warm = 0;
+    for (const auto& [id, other] : members)
+      if (!leaving(other) && warmth(other) >= 1) warmWork += sentLately(other), ++warm;
+    const double sent = sentLately(m);
+    return sent == 0 ? usual(type) < terms.fallTime * 0.1
+                     : warm > 0 && sent + usual(type).inSeconds() <= share * warmWork / warm;
+  }
+
+  // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured. Half of
+  // the SLA time keeps the answer within it even if the queue doubles; three at least lets a rate be measured at all.
+  double inFlightBound(const Member& m, Span sla) const {
+    const double floor = 3;
+    if (m.answers.size() < 4) return floor;
+    const Span over = std::max(now - m.answers.front().at, Span::millis(1));
+    return std::max(floor, static_cast<double>(m.answers.size()) / over.inSeconds() * (sla * 0.5).inSeconds());
+  }
+
+  bool room(const Member& m, const Live& txn, double part) const {
+    return static_cast<double>(m.outs.size()) < part * inFlightBound(m, typeOf(txn).slaTime) &&
+           coldRoom(m, txn.txn.type);
+  }
+
+  bool usable(const Member& m, const Live& txn, double part = 1) const {
+    if (leaving(m) || !room(m, txn, part)) return false;
+    if (well(m)) return true;
+    return trialDue(m) && typeOf(txn).effect == Effect::repeatable && typeOf(txn).level != ReadLevel::fresh;
+  }
+
+  // ---- the primary
+
+  bool knownPrimary(const Member& m) const { return m.primaryAt > m.replicaAt; }
+
+  // The member last known to be primary. Without any, the list's word, which is late.
+  Member* primaryOf(GroupId group) {
+    Member* best = nullptr;
+    for (Member* m : groups[group])
+      if (knownPrimary(*m) && (!best || m->primaryAt > best->primaryAt)) best = m;
+    if (best) return best;
+    for (Member* m : groups[group])
+      if (m->listedPrimary && m->replicaAt == Instant() && !leaving(*m)) return m;
+    return nullptr;
+  }
+
+  // ---- placing
+
+  bool eligible(const Member& m, const Live& txn) const {
+    switch (typeOf(txn).level) {
+      case ReadLevel::any: return true;
+      case ReadLevel::bounded: return m.position >= now - typeOf(txn).bound;
+      case ReadLevel::session: return m.position >= txn.target;
+      default: return false;
+    }
+  }
+
+  bool wasTried(const Member& m, const Live& txn) const {
+    return std::find(txn.tried.begin(), txn.tried.end(), &m) != txn.tried.end();
+  }
+
+  Member* draw(const Live& txn, const Member* primary) {
+    std::vector<Member*> able;
+    std::vector<double> weights;
+    for (const bool again : {false, true}) {
+      for (Member* m : groups[txn.txn.group]) {
+        if (m == primary || (wasTried(*m, txn) && !again) || !eligible(*m, txn) || !usable(*m, txn)) continue;
+        able.push_back(m);
+        const double zone = m->sameZone ? 1 : std::max(0.0, 1 - terms.crossZonePrice * 10);
+        weights.push_back(warmth(*m) * zone / (smoothed(*m) * (1 + static_cast<double>(m->outs.size()))));
+      }
+      if (!able.empty()) break;
+    }
+    if (able.empty()) return nullptr;
+    double left = std::uniform_real_distribution<double>(
+        0, std::accumulate(weights.begin(), weights.end(), 0.0))(chance);
+    std::size_t i = 0;
+    while (i + 1 < able.size() && left >= weights[i]) left -= weights[i++];
+    return able[i];
+  }
+
+  Member* place(const Live& txn) {
+    Member* primary = primaryOf(txn.txn.group);
+    const auto level = typeOf(txn).level;
+    if (level == ReadLevel::write || level == ReadLevel::fresh)
+      return primary && usable(*primary, txn) && well(*primary) ? primary : nullptr;
+    if (Member* replica = draw(txn, primary)) return replica;
+    // Held for half of the SLA time, as the design has it; then the primary, which keeps room for its writes.
+    if (now - txn.takenAt < typeOf(txn).slaTime * 0.5 || !primary || wasTried(*primary, txn)) return nullptr;
+    return usable(*primary, txn, 0.6) ? primary : nullptr;
+  }
+
+  void submit(Live& txn, Member& m) {
+    if (!well(m)) m.triedAt = now;
+    m.outs.push_back({txn.txn.id, txn.submissions, txn.txn.type, now});
+    m.sent.push_back({now, usual(txn.txn.type).inSeconds()});
+    while (now - m.sent.front().at >= terms.fallTime) m.sent.pop_front();
+    ++txn.submissions;
+    ++txn.out;
+    txn.lastSentAt = now;
+    txn.tried.push_back(&m);
+    writer->submit(txn.txn.id, m.id, txn.answerBy);
+  }
+
+  // ---- final answers
+
+  bool mayDecline(const Live& txn) const {
+    if (typeOf(txn).effect == Effect::repeatable) return true;
+    if (txn.out == 0 && txn.mayHaveRunAt == Instant()) return true;
+    return typeOf(txn).effect == Effect::referenced && typeOf(txn).dropsRepeatsAnywhere;
+  }
+
+  void giveUp(const Live& txn) {
+    if (mayDecline(txn)) {
+      writer->decline(txn.txn.id, terms.comeBackAllowed ? terms.longestComeBack * 0.5 : Span());
+    } else {
+      writer->rollBack(txn.txn.id);
+    }
+    callOffAll(txn);
+  }
+
+  void callOffAll(const Live& txn) {
+    if (!terms.cancelAllowed || typeOf(txn).effect != Effect::repeatable || txn.out == 0) return;
+    for (const auto& [id, m] : members)
+      for (const Out& out : m.outs)
+        if (out.txn == txn.txn.id) writer->callOff(out.txn, out.number);
+  }
+
+  // Whether a txn that is not out may be sent (again).
+  bool maySend(const Live& txn) const {
+    if (txn.submissions >= terms.mostSubmissions) return false;
+    if (txn.mayHaveRunAt == Instant()) return true;
+    if (typeOf(txn).effect == Effect::onceOnly) return false;
+    return typeOf(txn).effect == Effect::repeatable || now - txn.mayHaveRunAt < typeOf(txn).referenceWindow;
+  }
+
+  // Held with no chance left to earn anything: sent now, it would answer too late.
+  bool hopeless(const Live& txn) const {
+    if (!maySend(txn)) return true;
+    const Instant last = typeOf(txn).lateShare > 0 ? txn.answerBy : txn.slaBy;
+    return now + usual(txn.txn.type) * 0.5 >= last;
+  }
+
+  // ---- probes
+
+  void probe(Member& m) {
+    if (!terms.probesAllowed || m.probeOut || leaving(m)) return;
+    m.probeOut = true;
+    m.probedAt = now;
+    writer->probe(m.id);
+  }
+
+  void probeGroups(const std::map<GroupId, bool>& wantsPosition, const std::map<GroupId, bool>& wantsPrimary) {
+    Span smallest = Span::seconds(2);
+    for (const auto& type : terms.types)
+      if (type.level == ReadLevel::bounded) smallest = std::min(smallest, type.bound);
+    for (auto& [id, group] : groups) {
+      const bool used = now - usedAt[id] < smallest;
+      for (Member* m : group) {
+        const Span since = now - m->probedAt;
+        if ((wantsPosition.contains(id) && since >= Span::millis(100)) ||
+            (wantsPrimary.contains(id) && since >= Span::millis(150)) ||
+            (used && !terms.positionsInAnswers && !terms.reportsInAnswers && since >= smallest * 0.25))
+          probe(*m);
+      }
+    }
+  }
+
+  // ---- the round
+
+  void decide() {
+    std::vector<Live*> waiting;
+    for (auto& [id, txn] : live)
+      if (!txn.streaming) waiting.push_back(&txn);
+    // Most value for work first, so that what is shed when there is not room for all is the least.
+    const auto density = [this](const Live& txn) {
+      const double part = now < txn.slaBy ? 1 : typeOf(txn).lateShare;
+      return typeOf(txn).value * part / usual(txn.txn.type).inSeconds();
+    };
+    std::vector<std::pair<double, Live*>> order;
+    for (Live* txn : waiting) order.emplace_back(density(*txn), txn);
+    std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+      return a.first != b.first ? a.first > b.first : a.second->takenAt < b.second->takenAt;
+    });
+    std::map<GroupId, bool> wantsPosition, wantsPrimary;
+    bool held = false;
+    for (auto& [value, txn] : order) {
+      const auto id = txn->txn.id;
+      // The last rounds before expiry: the final answer must be there in time.
+      if (now + terms.roundLength * 2 >= txn->answerBy || (txn->out == 0 && hopeless(*txn))) {
+        giveUp(*txn);
+        live.erase(id);
+        continue;
+      }
+      // A read whose node has been silent for long gets a second copy elsewhere, once.
+      const bool copy = txn->out == 1 && terms.secondCopies && typeOf(*txn).effect == Effect::repeatable &&
+                        now - txn->lastSentAt > patience(txn->txn.type) && txn->submissions == 1 && !hopeless(*txn);
+      if (txn->out > 0 && !copy) continue;
+      if (Member* to = place(*txn)) {
+        if (!copy || !wasTried(*to, *txn)) submit(*txn, *to);
+        continue;
+      }
+      if (copy) continue;
+      held = true;
+      const auto level = typeOf(*txn).level;
+      const Member* primary = primaryOf(txn->txn.group);
+      if (level == ReadLevel::session || level == ReadLevel::bounded) wantsPosition[txn->txn.group] = true;
+      if (!primary || !well(*primary) || leaving(*primary)) wantsPrimary[txn->txn.group] = true;
+    }
+    probeGroups(wantsPosition, wantsPrimary);
+    // Anything held is looked at every round; what is out, often enough to answer in time.
+    const Span next = held ? terms.roundLength : terms.roundLength * 4;
+    if (!live.empty() && (wakeAt <= now || wakeAt > now + next)) {
+      wakeAt = now + next;
+      writer->wakeAfter(next);
+    }
+  }
+
+  void followList() {
+    if (!terms.listMustBeAsked || following || now < askListAt) return;
+    following = true;
+    writer->followList();
+  }
+
+  // ---- what was learnt
+
+  void learn(Member& m, const Standing& said, Instant at) {
+    if (said.role == Role::primary) m.primaryAt = std::max(m.primaryAt, at);
+    if (said.role == Role::replica) m.replicaAt = std::max(m.replicaAt, at);
+    if (said.position) m.position = std::max(m.position, *said.position);
+  }
+
+  // A report's age is not told, but its position dates it: a primary's is the time of the report, a replica's is not
+  // later. Older reports than what is known already say nothing of the role.
+  void learnReport(Member& m, const Standing& report) {
+    if (!report.position) return;
+    learn(m, report, std::min(*report.position, now));
+  }
+
+  void remember(SessionId session, Instant commit) {
+    // Sessions read soon after they write: as many as come in minutes are enough.
+    const std::size_t most = 20000;
+    auto& last = commits[session];
+    last = std::max(last, commit);
+    commitOrder.emplace_back(session, commit);
+    if (commitOrder.size() <= most) return;
+    const auto [oldest, at] = commitOrder.front();
+    commitOrder.pop_front();
+    commitFloor = std::max(commitFloor, at);
+    if (const auto found = commits.find(oldest); found != commits.end() && found->second <= at) commits.erase(found);
+  }
+
+  Instant targetOf(const Txn& txn) const {
+    const auto found = txn.session ? commits.find(*txn.session) : commits.end();
+    const Instant own = found != commits.end() ? found->second : terms.sessionAgeCarried ? Instant() : commitFloor;
+    if (!terms.sessionAgeCarried || !txn.writeAge) return own;
+    if (*txn.writeAge == Span()) return Instant();
+    const Instant carried = now - *txn.writeAge + Span::millis(1);
+    // The position our own write returned, if that was the session's last one; else what the carried age says.
+    return own + terms.roundLength >= carried ? std::min(own, carried) : carried;
+  }
+};
+
+Router::Router(Terms terms, std::uint64_t seed) : state_(std::make_unique<State>()) {
+  state_->terms = std::move(terms);
+  state_->latencies.resize(state_->terms.types.size());
+  state_->chance.seed(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32)));
+}
+Router::~Router() = default;
+Router::Router(Router&&) noexcept = default;
+Router& Router::operator=(Router&&) noexcept = default;
+
+void Router::round(Instant now, Feed& feed, Writer& writer) {
+  state_->now = now;
+  state_->writer = &writer;
+  feed.deliver(*this);
+  state_->followList();
+  state_->decide();
+}
+
+void Router::listed(ListKind kind, const std::vector<ListEntry>& entries) {
+  auto& s = *state_;
+  if (kind != ListKind::changes)
+    for (auto& [id, m] : s.members) m.health = Health::gone;
+  for (const auto& entry : entries) {
+    auto [at, isNew] = s.members.try_emplace(entry.node);
+    Member& m = at->second;
+    if (isNew) {
+      m.id = entry.node;
+      m.group = entry.group;
+      s.groups[entry.group].push_back(&m);
+    }
+    m.sameZone = entry.sameZone;
+    m.health = entry.health;
+    if (entry.health == Health::draining) m.seenDraining = true;
+    if (entry.startedAt > m.startedAt) {
+      if (!isNew) {  // it started again: cold, and a replica until it says otherwise
+        m.successes.clear();
+        m.answers.clear();
+        m.replicaAt = std::max(m.replicaAt, entry.startedAt);
+      }
+      m.seenDraining = entry.health == Health::draining;
+      m.startedAt = entry.startedAt;
+    }
+    m.listedPrimary = entry.primary;
+  }
+}
+
+void Router::listFailed() {
+  auto& s = *state_;
+  s.following = false;
+  s.askListAt = s.now + Span::seconds(1);  // the list is one service for all routers: no storm on a failed call
+}
+
+void Router::taken(const Txn& txn) {
+  auto& s = *state_;
+  const auto& type = s.terms.types[txn.type];
+  Live taken;
+  taken.txn = txn;
+  taken.takenAt = s.now;
+  taken.answerBy = s.now + txn.patience;
+  const Span sla = type.slaTime + (txn.work ? *txn.work * type.slaStretch : Span());
+  taken.slaBy = s.now + std::min(sla, type.expiry);
+  if (type.level == ReadLevel::session) taken.target = s.targetOf(txn);
+  s.usedAt[txn.group] = s.now;
+  s.live.emplace(txn.id, std::move(taken));
+}
+
+void Router::clientLeft(TxnId id) {
+  auto& s = *state_;
+  const auto found = s.live.find(id);
+  if (found == s.live.end()) return;
+  s.callOffAll(found->second);
+  s.live.erase(found);
+}
+
+void Router::streamStarted(TxnId id) {
+  const auto found = state_->live.find(id);
+  if (found != state_->live.end()) found->second.streaming = true;
+}
+
+void Router::ended(TxnId id, unsigned submission, const NodeId& node, End how, bool txnOver, Span latency,
+                   const Standing& answer, const Standing& report) {
+  auto& s = *state_;
+  const auto found = s.live.find(id);
+  const auto at = s.members.find(node);
+  Out out{id, submission, 0, s.now};
+  if (at != s.members.end()) {
+    Member& m = at->second;
+    for (auto o = m.outs.begin(); o != m.outs.end(); ++o)
+      if (o->txn == id && o->number == submission) {
+        out = *o;
+        m.outs.erase(o);
+        break;
+      }
+    const bool answered = how == End::committed || how == End::error || how == End::turnedAway || how == End::notHere;
+    if (answered) m.heardAt = s.now;
+    Standing said = answer;
+    // A write's commit is rounded up to the next millisecond; what is known to be applied must be rounded down.
+    if (said.position && how == End::committed) {
+      if (s.terms.types[out.type].level == ReadLevel::write) said.position = *said.position - Span::millis(1);
+    }
+    s.learn(m, said, s.now);
+    s.learnReport(m, report);
+    if (how == End::committed) {
+      const Span usual = s.usual(out.type);
+      keepLast(s.latencies[out.type], latency, 32);
+      keepLast(m.answers, Answer{s.now, latency / usual}, 16);
+    }
+    if (how != End::calledOff && how != End::notSent && how != End::notHere)
+      keepLast(m.successes, how == End::committed, 8);
+  }
+  if (found == s.live.end()) return;
+  Live& txn = found->second;
+  if (txn.out > 0) --txn.out;
+  const bool ran = how == End::error || how == End::noAnswer || how == End::connectionLost || how == End::calledOff;
+  if (ran && txn.mayHaveRunAt == Instant()) txn.mayHaveRunAt = out.sentAt;
+  if (how == End::committed) {
+    const auto level = s.typeOf(txn).level;
+    if (level == ReadLevel::write && txn.txn.session && answer.position) s.remember(*txn.txn.session, *answer.position);
+  }
+  if (txnOver || how == End::committed) {
+    s.callOffAll(txn);
+    s.live.erase(found);
+  }
+}
+
+void Router::probed(const NodeId& node, End how, const Standing& report) {
+  auto& s = *state_;
+  const auto at = s.members.find(node);
+  if (at == s.members.end()) return;
+  at->second.probeOut = false;
+  if (how == End::committed) s.learnReport(at->second, report);
+}
+
+void Router::woken() {}
+
+}  // namespace gulltrestle
--- /dev/null
+++ b/src/routing/router.h
@@ -0,0 +1,156 @@
+// The interface of the decision module. A front (today the bench's wire, later a socket service or an external
+// processor) makes one Router for each router process and calls round() whenever something has come in. It holds
+// no decision: those all stand in router.cpp.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace gulltrestle {
+
+// Ids are kept as the front gives them and mean nothing beyond being equal or not.
+using TxnId = std::uint64_t;
+using NodeId = std::string;
+using GroupId = std::uint64_t;
+using SessionId = std::uint64_t;
+
+enum class Effect { repeatable, referenced, onceOnly };
+enum class ReadLevel { any, bounded, session, fresh, write };
+
+// What the start settings say of one txn type.
+struct TxnType {
+  Effect effect = Effect::repeatable;
+  ReadLevel level = ReadLevel::any;
+  Span bound;                  // how old the data of a bounded read may be when it is sent
+  Span slaTime;                // full value when answered within this
+  double slaStretch = 0;       // the SLA time grows by this many times the expected work
+  Span expiry;                 // the client's whole wait, over all its tries
+  double value = 1;
+  double lateShare = 0;        // part of the value that is left after the SLA time
+  bool dropsRepeatsAnywhere = true;  // referenced: every node drops repeats, or only the txn's own group
+  Span referenceWindow;        // referenced: how long a repeat is known
+};
+
+// What the front says when a router starts: the rules' figures and what is allowed here.
+struct Terms {
+  std::vector<TxnType> types;
+  Span roundLength;
+  unsigned routers = 1;
+  Span drainGrace;
+  double coldShare = 1;        // a node starts at this share of its capacity or above
+  Span coldTime;               // and is warm after this
+  double fallMultiple = 1;     // sent more than this many times its present capacity
+  Span fallTime;               // for this long, a cold node falls over
+  bool onlyDrainingBinds = false;  // a node that is gone without having been listed as draining may be sent to
+  bool probesAllowed = false;
+  bool secondCopies = false;
+  bool cancelAllowed = false;
+  bool comeBackAllowed = false;
+  Span longestComeBack;
+  unsigned mostSubmissions = 1;
+  double crossZonePrice = 0;   // what a submission into another zone costs, as a part of the value of a txn
+  bool positionsInAnswers = false;
+  bool reportsInAnswers = false;
+  bool sessionAgeCarried = false;  // reads carry the age of their session's last write; else it is remembered here
+  bool listMustBeAsked = false;
+  Span askWithin;
+};
+
+struct Txn {
+  TxnId id = 0;
+  std::size_t type = 0;        // row in Terms::types
+  GroupId group = 0;
+  std::optional<SessionId> session;
+  std::optional<Span> writeAge;    // how long ago the session's last write was committed; zero: it has none
+  Span patience;               // how long until the client gives up this try
+  std::optional<Span> work;    // expected, rough
+};
+
+enum class Health { live, draining, gone };
+
+struct ListEntry {
+  NodeId node;
+  GroupId group = 0;
+  Health health = Health::live;
+  bool primary = false;
+  bool sameZone = true;        // it stands in this router's own zone
+  Instant startedAt;           // never: long ago
+};
+
+enum class ListKind { changes, whole, disk };
+
+// How a submission or a probe ended.
+enum class End {
+  committed,
+  error,           // may have run
+  turnedAway,      // never ran: full, or draining
+  noAnswer,        // may have run
+  noConnection,    // never ran
+  connectionLost,  // may have run
+  calledOff,       // may have run
+  notSent,         // never ran: it was not sent at all
+  notHere,         // never ran: a write at a node that is no primary, or a read where data is too old
+};
+
+enum class Role { unknown, primary, replica };
+
+// What a node said of itself, in an answer or in a report.
+struct Standing {
+  Role role = Role::unknown;
+  std::optional<Instant> position;  // all commits up to here are applied; of a write, its commit rounded up
+};
+
+class Router;
+
+// All that came in since the last round. deliver() makes the calls on the router, in arrival order.
+class Feed {
+ public:
+  virtual ~Feed() = default;
+  virtual void deliver(Router& router) = 0;
+};
+
+// Takes the decisions of a round, in order.
+class Writer {
+ public:
+  virtual ~Writer() = default;
+  virtual void submit(TxnId txn, const NodeId& node, Instant cutAt) = 0;
+  virtual void callOff(TxnId txn, unsigned submission) = 0;
+  virtual void decline(TxnId txn, Span comeBackAfter) = 0;
+  virtual void rollBack(TxnId txn) = 0;
+  virtual void probe(const NodeId& node) = 0;
+  virtual void wakeAfter(Span after) = 0;
+  virtual void followList() = 0;
+};
+
+class Router {
+ public:
+  Router(Terms terms, std::uint64_t seed);
+  ~Router();
+  Router(Router&&) noexcept;
+  Router& operator=(Router&&) noexcept;
+
+  // One round: takes what the feed delivers, then decides.
+  void round(Instant now, Feed& feed, Writer& writer);
+
+  // Called by a Feed from within round().
+  void listed(ListKind kind, const std::vector<ListEntry>& entries);
+  void listFailed();
+  void taken(const Txn& txn);
+  void clientLeft(TxnId txn);
+  void streamStarted(TxnId txn);
+  void ended(TxnId txn, unsigned submission, const NodeId& node, End how, bool txnOver, Span latency,
+             const Standing& answer, const Standing& report);
+  void probed(const NodeId& node, End how, const Standing& report);
+  void woken();
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace gulltrestle
--- /dev/null
+++ b/src/wire/drill.cpp
@@ -0,0 +1,407 @@
+#include "wire/drill.h"
+
+#include <array>
+#include <cmath>
+#include <deque>
+#include <istream>
+#include <map>
+#include <memory>
+#include <ostream>
+
+#include "routing/router.h"
+#include "wire/line.h"
+
+namespace gulltrestle::wire {
+
+namespace {
+
+// Finds `word` in a table of wire words; the position is the enumerator's.
+template <typename E, std::size_t N>
+E choice(std::string_view field, std::string_view word, const std::array<std::string_view, N>& words) {
+  for (std::size_t i = 0; i < N; ++i)
+    if (words[i] == word) return static_cast<E>(i);
+  throw BadLine(field, "'" + std::string(word) + "' is not known");
+}
+
+constexpr std::array<std::string_view, 3> kEffects{"idempotent", "deduplicated", "at_most_once"};
+constexpr std::array<std::string_view, 5> kLevels{"loose", "recent", "own_writes", "latest", "update"};
+constexpr std::array<std::string_view, 3> kHealths{"live", "quiescing", "dead"};
+constexpr std::array<std::string_view, 4> kForms{"diff", "snapshot", "disk", "error"};
+constexpr std::array<std::string_view, 9> kEnds{"served",          "server_error", "turned_away",
+                                                "no_answer",       "no_connection", "connection_lost",
+                                                "called_off",      "not_sent",     "not_stored"};
+
+Span micros(std::uint64_t n) { return Span::micros(static_cast<std::int64_t>(n)); }
+
+std::vector<std::string_view> split(std::string_view text, char at) {
+  std::vector<std::string_view> parts;
+  for (std::size_t from = 0; from <= text.size();) {
+    const auto to = std::min(text.find(at, from), text.size());
+    parts.push_back(text.substr(from, to - from));
+    from = to + 1;
+  }
+  return parts;
+}
+
+// A group is a number on the wire; it is kept whole.
+GroupId groupOf(const Line& line, std::string_view name) {
+  const double n = toNumber(name, line.text(name));
+  if (n < 0 || n != std::floor(n) || n > 9e15) throw BadLine(name, "is not a group");
+  return static_cast<GroupId>(n);
+}
+
+TxnType readType(const Line& line, std::size_t row, const std::vector<std::string_view>& levels,
+                 const std::vector<std::string_view>& bounds) {
+  const std::string prefix = "lanes." + std::to_string(row) + ".";
+  TxnType type;
+  type.effect = choice<Effect>(prefix + "effect", line.text(prefix + "effect"), kEffects);
+  if (row >= levels.size()) throw BadLine("specifics.readLevel", "has too few values");
+  type.level = choice<ReadLevel>("specifics.readLevel", levels[row], kLevels);
+  if (row < bounds.size()) type.bound = micros(toWhole("specifics.lagAllowed", bounds[row]));
+  type.slaTime = micros(line.whole(prefix + "objective"));
+  type.slaStretch = line.number(prefix + "aimStretch", 0);
+  type.expiry = micros(line.whole(prefix + "deadline"));
+  type.value = line.number(prefix + "worth", 1);
+  type.lateShare = line.number(prefix + "lateShare", 0);
+  type.dropsRepeatsAnywhere = line.find(prefix + "group").value_or("all") == "all";
+  type.referenceWindow = micros(line.whole(prefix + "window", 0));
+  return type;
+}
+
+Terms readTerms(const Line& line) {
+  Terms terms;
+  const auto levels = split(line.text("specifics.readLevel"), ',');
+  const auto bounds = split(line.find("specifics.lagAllowed").value_or("0"), ',');
+  const auto count = line.whole("lanes.count");
+  if (count > line.parts().size()) throw BadLine("lanes.count", "is larger than the line");
+  for (std::size_t row = 0; row < count; ++row) terms.types.push_back(readType(line, row, levels, bounds));
+  terms.roundLength = micros(line.whole("round"));
+  terms.routers = static_cast<unsigned>(line.whole("balancers", 1));
+  terms.drainGrace = micros(line.whole("rules.drainGrace", 0));
+  terms.coldShare = line.number("rules.coldFrom", 1);
+  terms.coldTime = micros(line.whole("rules.cold", 0));
+  terms.fallMultiple = line.number("rules.overloadFactor", 1);
+  terms.fallTime = micros(line.whole("rules.fall", 0));
+  terms.onlyDrainingBinds = line.flag("rules.softRemoval");
+  terms.probesAllowed = line.flag("limits.probes");
+  terms.secondCopies = line.flag("limits.secondCopies");
+  terms.cancelAllowed = line.flag("limits.cancel");
+  terms.comeBackAllowed = line.flag("limits.retryAfter");
+  terms.longestComeBack = micros(line.whole("limits.maxRetryAfter", 0));
+  terms.mostSubmissions = static_cast<unsigned>(line.whole("limits.maxAttempts", 1));
+  terms.crossZonePrice = line.number("penalties.crossZone", 0);
+  terms.positionsInAnswers = line.flag("specifics.answersStamped");
+  terms.reportsInAnswers = line.find("report.via").value_or("off") == "inline";
+  terms.sessionAgeCarried = line.find("specifics.sessionMarks").value_or("client") == "client";
+  terms.listMustBeAsked = line.find("discovery").value_or("pushed") == "on_request";
+  terms.askWithin = micros(line.whole("rules.askWithin", 0));
+  return terms;
+}
+
+struct Sheet {
+  std::vector<ListEntry> entries;
+  std::vector<std::string> zones;
+};
+
+// A line held until its router's turn, with the list it refers to as that stood when the line came.
+struct Arrived {
+  std::size_t number;
+  Line line;
+  std::shared_ptr<const Sheet> sheet;
+};
+
+// One router and what the wire says about reading its lines.
+class Instance {
+ public:
+  explicit Instance(const Line& start)
+      : router_(readTerms(start), start.whole("prng")),
+        zone_(start.find("zone").value_or("")),
+        baseTime_(Instant::atMicros(static_cast<std::int64_t>(start.whole("specifics.baseTime", 0)))) {
+    for (std::size_t row = 0; row < start.whole("lanes.count"); ++row)
+      types_.emplace(start.text("lanes." + std::to_string(row) + ".name"), row);
+  }
+
+  Router& router() { return router_; }
+
+  void deliver(Router& to, const Arrived& arrived) const {
+    const Line& line = arrived.line;
+    const auto tag = line.tag();
+    if (tag == "INCOMING") {
+      to.taken(readTxn(line));
+    } else if (tag == "FINISHED") {
+      to.ended(line.whole("rid"), static_cast<unsigned>(line.whole("sendNo")), NodeId(line.text("node")),
+               endOf(line), line.flag("last"), micros(line.whole("latency", 0)), stand(line), usage(line));
+    } else if (tag == "PROBE_DONE") {
+      to.probed(NodeId(line.text("node")), endOf(line), usage(line));
+    } else if (tag == "DUE") {
+      line.whole("name");
+      to.woken();
+    } else if (tag == "CANCELLED_BY_CLIENT") {
+      to.clientLeft(line.whole("rid"));
+    } else if (tag == "FLOWING") {
+      to.streamStarted(line.whole("rid"));
+    } else if (tag == "MEMBERS") {
+      deliverList(to, arrived);
+    }
+  }
+
+ private:
+  static End endOf(const Line& line) { return choice<End>("stateCode", line.text("stateCode"), kEnds); }
+
+  Txn readTxn(const Line& line) const {
+    Txn txn;
+    txn.id = line.whole("rid");
+    const auto type = types_.find(line.text("grade"));
+    if (type == types_.end()) throw BadLine("grade", "'" + type_name(line) + "' is not in the settings");
+    txn.type = type->second;
+    txn.group = groupOf(line, "cluster");
+    if (line.find("session")) txn.session = line.whole("session");
+    if (line.find("tokenMs")) txn.writeAge = Span::micros(std::llround(std::ceil(line.number("tokenMs", 0) * 1000)));
+    txn.patience = micros(line.whole("patienceLeft"));
+    if (line.find("work")) txn.work = micros(line.whole("work"));
+    return txn;
+  }
+  static std::string type_name(const Line& line) { return std::string(line.text("grade")); }
+
+  Standing stand(const Line& line) const {
+    Standing said;
+    const auto note = line.whole("stand", 0);
+    said.role = roleOf(note % 4);
+    if (note / 4 > 0) said.position = baseTime_ + Span::millis(static_cast<std::int64_t>(note / 4));
+    return said;
+  }
+
+  Standing usage(const Line& line) const {
+    Standing said;
+    const auto report = line.find("usage");
+    if (!report || report->empty() || *report == "-") return said;
+    for (const auto pair : split(*report, ',')) {
+      const auto colon = pair.find(':');
+      if (colon == std::string_view::npos) throw BadLine("usage", "has a part without a value");
+      const auto name = pair.substr(0, colon);
+      if (name == "x0") said.position = baseTime_ + Span::seconds(toNumber("usage", pair.substr(colon + 1)));
+      if (name == "x1") said.role = toNumber("usage", pair.substr(colon + 1)) == 1 ? Role::primary : Role::replica;
+    }
+    return said;
+  }
+
+  static Role roleOf(std::uint64_t n) { return n == 1 ? Role::primary : n == 2 ? Role::replica : Role::unknown; }
+
+  void deliverList(Router& to, const Arrived& arrived) const {
+    const auto form = arrived.line.text("form");
+    choice<int>("form", form, kForms);
+    if (form == "error") return to.listFailed();
+    if (!arrived.sheet) throw BadLine("sheet", "was never given");
+    auto entries = arrived.sheet->entries;
+    for (std::size_t i = 0; i < entries.size(); ++i) entries[i].sameZone = arrived.sheet->zones[i] == zone_;
+    to.listed(form == "diff" ? ListKind::changes : form == "disk" ? ListKind::disk : ListKind::whole, entries);
+  }
+
+  Router router_;
+  std::map<std::string, std::size_t, std::less<>> types_;
+  std::string zone_;
+  Instant baseTime_;
+};
+
+class Output final : public Writer {
+ public:
+  Output(std::string& text, std::uint64_t instance) : text_(text), instance_(" i=" + std::to_string(instance)) {}
+
+  void submit(TxnId txn, const NodeId& node, Instant cutAt) override {
+    line("ASSIGN", " rid=", txn, " node=", node, " cutAt=", cutAt.inMicros());
+  }
+  void callOff(TxnId txn, unsigned submission) override { line("ABANDON", " rid=", txn, " sendNo=", submission); }
+  void decline(TxnId txn, Span comeBackAfter) override {
+    if (comeBackAfter > Span()) line("REJECT", " rid=", txn, " notBeforeFor=", comeBackAfter.inMicros());
+    else line("REJECT", " rid=", txn);
+  }
+  void rollBack(TxnId txn) override { line("RESPOND_ERROR", " rid=", txn); }
+  void probe(const NodeId& node) override { line("SAMPLE", " node=", node); }
+  void wakeAfter(Span after) override { line("REMIND", " after=", after.inMicros(), " name=", 0); }
+  void followList() override { line("SUBSCRIBE", " active=", 1); }
+
+ private:
+  template <typename... Parts>
+  void line(std::string_view tag, const Parts&... parts) {
+    text_ += tag;
+    text_ += instance_;
+    (add(parts), ...);
+    text_ += '\n';
+  }
+  void add(std::string_view part) { text_ += part; }
+  template <typename N>
+    requires std::is_integral_v<N>
+  void add(N n) { text_ += std::to_string(n); }
+
+  std::string& text_;
+  std::string instance_;
+};
+
+class Drill {
+ public:
+  Drill(std::istream& input, std::ostream& output) : input_(input), output_(output) {}
+
+  // Plays one batch; false at the end of the input.
+  bool batch() {
+    text_.clear();
+    arrived_.clear();
+    order_.clear();
+    number_ = 0;
+    std::string first;
+    if (!std::getline(input_, first)) return false;
+    const Line& start = keep(std::move(first));
+    if (start.tag() != "SYNC") throw BadLine("SYNC", "is not how this line starts");
+    frame_ = start.whole("frame");
+    const auto now = Instant::atMicros(static_cast<std::int64_t>(start.whole("moment")));
+    read();
+    std::string reply;
+    for (const auto instance : order_) play(now, instance, reply);
+    reply += "END frame=" + std::to_string(frame_) + "\n";
+    output_ << reply << std::flush;
+    return true;
+  }
+
+  std::uint64_t frame() const { return frame_; }
+  std::size_t number() const { return number_; }
+
+ private:
+  class Deliver final : public Feed {
+   public:
+    Deliver(Drill& drill, const Instance& instance, std::size_t from, std::size_t to,
+            const std::vector<Arrived>& lines)
+        : drill_(drill), instance_(instance), from_(from), to_(to), lines_(lines) {}
+    void deliver(Router& router) override {
+      for (std::size_t i = from_; i < to_; ++i) {
+        drill_.number_ = lines_[i].number;
+        instance_.deliver(router, lines_[i]);
+      }
+    }
+
+   private:
+    Drill& drill_;
+    const Instance& instance_;
+    std::size_t from_, to_;
+    const std::vector<Arrived>& lines_;
+  };
+
+  const Line& keep(std::string text) {
+    ++number_;
+    if (!text.empty() && text.back() == '\r') text.pop_back();
+    text_.push_back(std::move(text));
+    last_ = Line(text_.back());
+    return last_;
+  }
+
+  const Line& next() {
+    std::string text;
+    if (!std::getline(input_, text)) {
+      ++number_;
+      throw BadLine("OVER_TO_YOU", "is missing: the input ended inside a batch");
+    }
+    return keep(std::move(text));
+  }
+
+  void read() {
+    for (const Line* line = &next(); line->tag() != "OVER_TO_YOU"; line = &next()) {
+      if (line->tag() == "DIRECTORY") {
+        readSheet(*line);
+      } else if (known(line->tag())) {
+        const auto instance = line->whole("i");
+        auto& lines = arrived_[instance];
+        if (lines.empty()) order_.push_back(instance);
+        std::shared_ptr<const Sheet> sheet;
+        if (line->tag() == "MEMBERS" && line->find("form") != "error") {
+          const auto number = line->whole("sheet");
+          if (number >= sheets_.size()) throw BadLine("sheet", "is out of range");
+          sheet = sheets_[number];
+        }
+        lines.push_back({number_, *line, std::move(sheet)});
+      }
+    }
+  }
+
+  static bool known(std::string_view tag) {
+    for (const std::string_view word : {"POWER_ON", "INCOMING", "CANCELLED_BY_CLIENT", "KILL", "DUE", "PROBE_DONE",
+                                        "MESSAGE", "FLOWING", "FINISHED", "MEMBERS"})
+      if (tag == word) return true;
+    return false;
+  }
+
+  void readSheet(const Line& head) {
+    const auto number = head.whole("sheet");
+    if (number >= sheets_.size()) throw BadLine("sheet", "is out of range");
+    const auto count = head.whole("entries");
+    auto sheet = std::make_shared<Sheet>();
+    for (std::uint64_t i = 0; i < count; ++i) {
+      const Line& line = next();
+      if (line.tag() != "NODE") throw BadLine("entries", "counts more entries than follow");
+      ListEntry entry;
+      entry.node = line.text("node");
+      entry.group = groupOf(line, "shard");
+      entry.health = choice<Health>("health", line.text("health"), kHealths);
+      entry.primary = line.number("head", 0) == 1;
+      entry.startedAt = Instant::atMicros(static_cast<std::int64_t>(line.whole("startedAt", 0)));
+      sheet->entries.push_back(std::move(entry));
+      sheet->zones.emplace_back(line.find("campus").value_or(""));
+    }
+    sheets_[number] = std::move(sheet);
+  }
+
+  // A kill and a new start may stand in one batch: the lines between them are one round each.
+  void play(Instant now, std::uint64_t id, std::string& reply) {
+    const auto& lines = arrived_.at(id);
+    Output writer(reply, id);
+    for (std::size_t from = 0; from < lines.size();) {
+      const auto& first = lines[from];
+      number_ = first.number;
+      if (first.line.tag() == "KILL") {
+        if (instances_.erase(id) == 0) throw BadLine("i", "names a router that is not running");
+        ++from;
+        continue;
+      }
+      if (first.line.tag() == "POWER_ON") {
+        instances_.erase(id);
+        instances_.emplace(id, Instance(first.line));
+        ++from;
+      }
+      auto to = from;
+      while (to < lines.size() && lines[to].line.tag() != "KILL" && lines[to].line.tag() != "POWER_ON") ++to;
+      const auto found = instances_.find(id);
+      if (found == instances_.end()) throw BadLine("i", "names a router that is not running");
+      Deliver feed(*this, found->second, from, to, lines);
+      // What a router that is killed later in this batch decides would be void.
+      const auto length = reply.size();
+      found->second.router().round(now, feed, writer);
+      if (to < lines.size()) reply.resize(length);
+      from = to;
+    }
+  }
+
+  std::istream& input_;
+  std::ostream& output_;
+  std::uint64_t frame_ = 0;
+  std::size_t number_ = 0;
+  std::deque<std::string> text_;
+  Line last_{""};
+  std::map<std::uint64_t, std::vector<Arrived>> arrived_;
+  std::vector<std::uint64_t> order_;
+  std::array<std::shared_ptr<const Sheet>, 16> sheets_;
+  std::map<std::uint64_t, Instance> instances_;
+};
+
+}  // namespace
+
+int drill(std::istream& input, std::ostream& output, std::ostream& errors) {
+  Drill drill(input, output);
+  try {
+    while (drill.batch()) {
+    }
+    return 0;
+  } catch (const BadLine& bad) {
+    errors << "gulltrestle_drill: frame " << drill.frame() << ", line " << drill.number() << ", " << bad.what()
+           << std::endl;
+    return 1;
+  }
+}
+
+}  // namespace gulltrestle::wire
--- /dev/null
+++ b/tests/decisions.cpp
@@ -0,0 +1,166 @@
+// One small case a rule, an effect kind and a guard. Run as `decisions CASE`: prints the case's trace.
+#include <map>
+
+#include "trace.h"
+
+using namespace gulltrestle;
+using namespace gulltrestle::trace;
+
+namespace {
+
+const TxnType kAny = type(ReadLevel::any), kBounded = type(ReadLevel::bounded), kSession = type(ReadLevel::session),
+              kWrite = type(ReadLevel::write, Effect::onceOnly),
+              kReferencedWrite = type(ReadLevel::write, Effect::referenced);
+
+// Three members, p the primary; the disk list says so and each has reported once.
+void start(Bench& b, std::int64_t position = -50) {
+  b.at(0, [&](Router& r) { r.listed(ListKind::disk, {b.entry("p", true), b.entry("a"), b.entry("b")}); });
+  b.at(5, [&](Router& r) {
+    r.probed("p", End::committed, b.standing(Role::primary, 0));
+    r.probed("a", End::committed, b.standing(Role::replica, position));
+    r.probed("b", End::committed, b.standing(Role::replica, position));
+  });
+}
+
+// The txn's submission ends where it was sent.
+void end(Bench& b, Router& r, TxnId txn, End how, Role role = Role::replica, unsigned number = 0) {
+  r.ended(txn, number, b.nodeOf(txn), how, how == End::committed, ms(50), {role, std::nullopt}, {});
+}
+
+void ordinaryPath() {
+  Bench b(usualTerms({kAny, kBounded, kSession, kWrite}));
+  start(b);
+  b.say("an any read and a bounded read are drawn among the replicas; the write goes to the primary");
+  b.at(10, [&](Router& r) { r.taken(b.txn(1, 0)), r.taken(b.txn(2, 1)), r.taken(b.txn(3, 3)); });
+  b.at(60, [&](Router& r) { end(b, r, 1, End::committed), end(b, r, 2, End::committed); });
+  b.say("a session read whose write is older than what both replicas have applied goes to a replica");
+  b.at(100, [&](Router& r) { r.taken(b.sessionRead(4, 2, 200)); });
+  b.say("one that is owed a newer write is held while the group is probed, until a replica has it");
+  b.at(110, [&](Router& r) { r.taken(b.sessionRead(5, 2, 20)); });
+  b.at(130, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, 100)); });
+  b.say("none ever has it: held for half of the SLA time, then the primary");
+  b.at(200, [&](Router& r) { r.taken(b.sessionRead(6, 2, 20)); });
+  b.run(205, 410);
+}
+
+void staleRead() {
+  Bench b(usualTerms({kBounded, kSession}));
+  b.say("after a restart with the disk list alone no position is known: reads wait for a probe");
+  b.at(0, [&](Router& r) {
+    r.listed(ListKind::disk, {b.entry("p", true), b.entry("a"), b.entry("b")});
+    r.taken(b.txn(1, 0)), r.taken(b.sessionRead(2, 1, 300)), r.taken(b.sessionRead(3, 1, 0));
+  });
+  b.say("a is 1.2 s behind, too far for the bound; b is not");
+  b.at(5, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, -1200)); });
+  b.at(10, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, -100)); });
+}
+
+void onceOnly() {
+  Bench b(usualTerms({kWrite}));
+  start(b);
+  b.say("turned away unseen: sent again. Lost while out: it may have run, so it is rolled back at once");
+  b.at(10, [&](Router& r) { r.taken(b.txn(1)); });
+  b.at(20, [&](Router& r) { end(b, r, 1, End::turnedAway, Role::primary); });
+  b.at(30, [&](Router& r) { end(b, r, 1, End::connectionLost, Role::unknown, 1); });
+  b.say("no answer by the expiry: rolled back, never declined");
+  b.at(40, [&](Router& r) { r.taken(b.txn(2, 0, 100)); });
+  b.run(45, 140);
+}
+
+void repeatable() {
+  Bench b(usualTerms({kAny}));
+  start(b);
+  b.quietProbes = true;
+  b.say("lost while out: sent again to the other replica; the committed answer ends it");
+  b.at(10, [&](Router& r) { r.taken(b.txn(1)); });
+  b.at(20, [&](Router& r) { end(b, r, 1, End::connectionLost); });
+  b.at(70, [&](Router& r) { end(b, r, 1, End::committed, Role::replica, 1); });
+  b.say("expiry while out: declined in time, and its submission called off");
+  b.at(80, [&](Router& r) { r.taken(b.txn(2, 0, 100)); });
+  b.run(85, 180);
+}
+
+void referenced() {
+  auto terms = usualTerms({kReferencedWrite});
+  terms.types[0].dropsRepeatsAnywhere = false;
+  Bench b(terms);
+  start(b);
+  b.quietProbes = true;
+  b.say("may have run: sent again within its group while the repeat is known, then rolled back");
+  b.at(10, [&](Router& r) { r.taken(b.txn(1)); });
+  b.at(20, [&](Router& r) { end(b, r, 1, End::error, Role::primary); });
+  b.at(1015, [&](Router& r) { end(b, r, 1, End::error, Role::primary, 1); });
+}
+
+void drains() {
+  Bench b(usualTerms({kAny}));
+  start(b);
+  b.quietProbes = true;
+  b.say("a drains and b is gone: nothing goes to them; the held read is sent when b is back");
+  b.at(10, [&](Router& r) {
+    r.listed(ListKind::changes, {b.entry("a", false, Health::draining), b.entry("b", false, Health::gone)});
+    r.taken(b.txn(1));
+  });
+  b.run(15, 100);
+  b.at(105, [&](Router& r) { r.listed(ListKind::changes, {b.entry("b")}); });
+}
+
+void coldNode() {
+  Bench b(usualTerms({kAny}));
+  start(b);
+  b.quietProbes = true;
+  b.say("b has just started again: of 40 reads, each answered at once, it gets a small share");
+  b.at(10, [&](Router& r) {
+    auto cold = b.entry("b");
+    cold.startedAt = b.instant(9);
+    r.listed(ListKind::changes, {cold});
+  });
+  for (TxnId id = 1; id <= 40; ++id) {
+    b.at(static_cast<std::int64_t>(id) * 10 + 10, [&](Router& r) { r.taken(b.txn(id)); });
+    b.at(static_cast<std::int64_t>(id) * 10 + 15, [&](Router& r) {
+      end(b, r, id, End::committed);
+    });
+  }
+}
+
+void newPrimary() {
+  Bench b(usualTerms({kWrite}));
+  start(b);
+  b.say("p says it is a replica now: the write is held, the group probed, and sent to the new primary");
+  b.at(300, [&](Router& r) { r.taken(b.txn(1)); });
+  b.at(305, [&](Router& r) { end(b, r, 1, End::notHere); });
+  b.at(310, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, 200)); });
+  b.at(320, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::primary, 310)); });
+  b.say("an old report of p, from when it was primary, changes nothing");
+  b.at(330, [&](Router& r) {
+    r.probed("p", End::committed, b.standing(Role::primary, 250));
+    r.taken(b.txn(2));
+  });
+}
+
+void hungNode() {
+  Bench b(usualTerms({kWrite, kAny}));
+  start(b);
+  b.quietProbes = true;
+  b.say("p takes a write and answers nothing: later writes are held; half-hung reads get a second copy");
+  b.at(10, [&](Router& r) { r.taken(b.txn(1, 0)), r.taken(b.txn(2, 1)); });
+  b.run(15, 490);
+  b.at(500, [&](Router& r) { r.taken(b.txn(3, 0)); });
+  b.run(505, 600);
+  b.say("b is found to be the new primary");
+  b.at(605, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::primary, 600)); });
+}
+
+const std::map<std::string, void (*)()> kCases{
+    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead},   {"once-only", onceOnly},
+    {"repeatable", repeatable},      {"referenced", referenced},  {"drains", drains},
+    {"cold-node", coldNode},         {"new-primary", newPrimary}, {"hung-node", hungNode},
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto found = argc == 2 ? kCases.find(argv[1]) : kCases.end();
+  if (found == kCases.end()) return std::cerr << "usage: decisions CASE\n", 2;
+  found->second();
+}
--- /dev/null
+++ b/tests/trace.h
@@ -0,0 +1,118 @@
+// The one helper of the tests: a router on a clock of its own, whose calls and decisions are printed as a trace.
+#pragma once
+
+#include <functional>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <string>
+
+#include "routing/router.h"
+
+namespace gulltrestle::trace {
+
+inline Span ms(std::int64_t n) { return Span::millis(n); }
+
+inline Terms usualTerms(std::vector<TxnType> types) {
+  Terms terms;
+  terms.types = std::move(types);
+  terms.roundLength = ms(5);
+  terms.routers = 2;
+  terms.drainGrace = ms(500);
+  terms.coldShare = 0.2;
+  terms.coldTime = ms(10000);
+  terms.fallMultiple = 2.5;
+  terms.fallTime = ms(2000);
+  terms.probesAllowed = terms.secondCopies = terms.cancelAllowed = terms.comeBackAllowed = true;
+  terms.longestComeBack = ms(400);
+  terms.mostSubmissions = 4;
+  terms.sessionAgeCarried = true;
+  return terms;
+}
+
+inline TxnType type(ReadLevel level, Effect effect = Effect::repeatable) {
+  TxnType made;
+  made.level = level;
+  made.effect = effect;
+  made.bound = ms(1000);
+  made.slaTime = ms(400);
+  made.expiry = ms(2000);
+  made.lateShare = level == ReadLevel::write ? 0.5 : 0;
+  made.referenceWindow = ms(1000);
+  return made;
+}
+
+class Bench final : private Feed, private Writer {
+ public:
+  explicit Bench(Terms terms, std::uint64_t seed = 7) : router_(std::move(terms), seed) {}
+
+  void say(const std::string& text) { std::cout << "-- " << text << "\n"; }
+  bool quietProbes = false;  // leave periodic probes out of the trace
+
+  // Plays one round at `at` ms in which `calls` come in.
+  void at(std::int64_t at, std::function<void(Router&)> calls = [](Router&) {}) {
+    now_ = Instant() + ms(1000000 + at);
+    calls_ = std::move(calls);
+    out_.str("");
+    router_.round(now_, *this, *this);
+    if (!out_.str().empty()) std::cout << at << " ms:" << out_.str() << "\n";
+  }
+  // Rounds with nothing but the clock, every 5 ms.
+  void run(std::int64_t from, std::int64_t to) {
+    for (auto t = from; t <= to; t += 5) at(t);
+  }
+
+  // Where the txn was last submitted.
+  const NodeId& nodeOf(TxnId txn) const { return nodes_.at(txn); }
+  Instant instant(std::int64_t at) const { return Instant() + ms(1000000 + at); }
+
+  ListEntry entry(const std::string& node, bool primary = false, Health health = Health::live) const {
+    ListEntry made;
+    made.node = node;
+    made.group = 1;
+    made.health = health;
+    made.primary = primary;
+    return made;
+  }
+  Standing standing(Role role, std::int64_t position) const { return {role, instant(position)}; }
+
+  Txn txn(TxnId id, std::size_t type = 0, std::int64_t patience = 2000) const {
+    Txn made;
+    made.id = id;
+    made.type = type;
+    made.group = 1;
+    made.patience = ms(patience);
+    return made;
+  }
+  Txn sessionRead(TxnId id, std::size_t type, std::int64_t age, SessionId session = 9) const {
+    Txn made = txn(id, type);
+    made.session = session;
+    made.writeAge = ms(age);
+    return made;
+  }
+
+ private:
+  void deliver(Router& router) override { calls_(router); }
+  void submit(TxnId txn, const NodeId& node, Instant cutAt) override {
+    nodes_[txn] = node;
+    out_ << " submit " << txn << " to " << node << " until " << (cutAt - instant(0)).inMicros() / 1000 << ";";
+  }
+  void callOff(TxnId txn, unsigned submission) override { out_ << " call off " << txn << "/" << submission << ";"; }
+  void decline(TxnId txn, Span after) override {
+    out_ << " decline " << txn << ", come back after " << after.inMicros() / 1000 << ";";
+  }
+  void rollBack(TxnId txn) override { out_ << " roll back " << txn << ";"; }
+  void probe(const NodeId& node) override {
+    if (!quietProbes) out_ << " probe " << node << ";";
+  }
+  void wakeAfter(Span) override {}
+  void followList() override { out_ << " follow the list;"; }
+
+  Router router_;
+  Instant now_;
+  std::map<TxnId, NodeId> nodes_;
+  std::function<void(Router&)> calls_;
+  std::ostringstream out_;
+};
+
+}  // namespace gulltrestle::trace
