Count what is called off late as a failure; space trials over all routers

Symptom: service falls at 0:10 and never comes back; a third of the replicas take reads for 30 s and answer none in time, some fresh in their position. Cause: their queues were full of work nobody waited for; each read was called off when its txn was given up or answered elsewhere, which counted as no outcome, so the nodes stayed in the draw. Told from a hang by their positions, which moved on; from lag by any reads failing there too. Change: called off after three times the usual latency is a failure; trials are four a second over all routers; a good trial wipes the record. Covers hung, thrashing and overfull nodes alike; may hurt where a node's few txns are long by chance.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -153,8 +153,9 @@
     return m.successes.size() < 3 || good * 2 >= m.successes.size();
   }
 
-  // An unwell node gets one repeatable txn now and then, to learn whether it is back.
-  bool trialDue(const Member& m) const { return now - m.triedAt > Span::millis(500); }
+  // An unwell node gets one repeatable txn now and then, to learn whether it is back. Four a second over all routers:
+  // a node that only works off a queue nobody waits for must not be kept busy by trials.
+  bool trialDue(const Member& m) const { return now - m.triedAt > Span::millis(250) * terms.routers; }
 
   double warmth(const Member& m) const {
     if (m.startedAt == Instant() || now - m.startedAt >= terms.coldTime) return 1;
@@ -543,7 +544,11 @@
       keepLast(s.latencies[out.type], latency, 32);
       keepLast(m.answers, Answer{s.now, latency / usual}, 16);
     }
-    if (how != End::calledOff && how != End::notSent && how != End::notHere)
+    // Called off after a long wait is no answer either: else a node that answers nothing, or only what nobody waits
+    // for any more, is never found out, as its txns are answered elsewhere or given up first.
+    const bool calledOffLate = how == End::calledOff && s.now - out.sentAt > s.usual(out.type) * 3;
+    if (how == End::committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
+    if (calledOffLate || (how != End::calledOff && how != End::notSent && how != End::notHere))
       keepLast(m.successes, how == End::committed, 8);
   }
   if (found == s.live.end()) return;
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -151,10 +151,28 @@
   b.at(605, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::primary, 600)); });
 }
 
+void deadWork() {
+  Bench b(usualTerms({kAny}));
+  start(b);
+  b.quietProbes = true;
+  b.say("a answers only what nobody waits for any more: once its reads were called off late it is drawn no more");
+  for (TxnId id = 1; id <= 12; ++id) {
+    const auto from = static_cast<std::int64_t>(id) * 500;
+    b.at(from, [&](Router& r) { r.taken(b.txn(id, 0, 400)); });
+    if (b.nodeOf(id) == "b") {
+      b.at(from + 50, [&](Router& r) { end(b, r, id, End::committed); });
+    } else {
+      b.run(from + 395, from + 395);
+      b.at(from + 400, [&](Router& r) { end(b, r, id, End::calledOff); });
+    }
+  }
+}
+
 const std::map<std::string, void (*)()> kCases{
     {"ordinary-path", ordinaryPath}, {"stale-read", staleRead},   {"once-only", onceOnly},
     {"repeatable", repeatable},      {"referenced", referenced},  {"drains", drains},
     {"cold-node", coldNode},         {"new-primary", newPrimary}, {"hung-node", hungNode},
+    {"dead-work", deadWork},
 };
 
 }  // namespace
