Share the least in flight over the routers

Symptom: writes took 0.7 s in the median at primaries while reads were few. Cause: each of 17 routers kept up to three submissions at a primary that serves some 80 a second; told from slow nodes by all primaries being alike. Change: the floor of the bound in flight is six over all routers, one at least. Covers any fleet of many small routers; may hurt a router that alone carries nearly all traffic right after its start.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -184,9 +184,10 @@
   }
 
   // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured. Half of
-  // the SLA time keeps the answer within it even if the queue doubles; three at least lets a rate be measured at all.
+  // the SLA time keeps the answer within it even if the queue doubles. Six over all routers at least, so that a rate
+  // can be measured at all and yet many small routers together do not fill a queue.
   double inFlightBound(const Member& m, Span sla) const {
-    const double floor = 3;
+    const double floor = std::max(1.0, 6.0 / terms.routers);
     if (m.answers.size() < 4) return floor;
     const Span over = std::max(now - m.answers.front().at, Span::millis(1));
     return std::max(floor, static_cast<double>(m.answers.size()) / over.inSeconds() * (sla * 0.5).inSeconds());
