Bound what is in flight by the shortest SLA time for all txn types

Symptom: over a quarter of answers late while submissions took 0.16 s in the median. Cause: txns with a long SLA time were let queue deeper, and those with a short one then stood behind them; told from slow nodes by all nodes being alike. Change: one bound, from half of the shortest SLA time. Covers any mix of txn types at one queue; may hurt a table with one tiny SLA time.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -183,19 +183,21 @@
                      : warm > 0 && sent + usual(type).inSeconds() <= share * warmWork / warm;
   }
 
-  // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured. Half of
-  // the SLA time keeps the answer within it even if the queue doubles. Six over all routers at least, so that a rate
-  // can be measured at all and yet many small routers together do not fill a queue.
-  double inFlightBound(const Member& m, Span sla) const {
+  // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured. The time
+  // is half of the shortest SLA time, as all txn types wait in one queue: so the answer is in time even if the queue
+  // doubles. Six over all routers at least, so that a rate can be measured at all and yet many small routers together
+  // do not fill a queue.
+  double inFlightBound(const Member& m) const {
     const double floor = std::max(1.0, 6.0 / terms.routers);
     if (m.answers.size() < 4) return floor;
+    Span shortest = terms.types.front().slaTime;
+    for (const auto& type : terms.types) shortest = std::min(shortest, type.slaTime);
     const Span over = std::max(now - m.answers.front().at, Span::millis(1));
-    return std::max(floor, static_cast<double>(m.answers.size()) / over.inSeconds() * (sla * 0.5).inSeconds());
+    return std::max(floor, static_cast<double>(m.answers.size()) / over.inSeconds() * (shortest * 0.5).inSeconds());
   }
 
   bool room(const Member& m, const Live& txn, double part) const {
-    return static_cast<double>(m.outs.size()) < part * inFlightBound(m, typeOf(txn).slaTime) &&
-           coldRoom(m, txn.txn.type);
+    return static_cast<double>(m.outs.size()) < part * inFlightBound(m) && coldRoom(m, txn.txn.type);
   }
 
   bool usable(const Member& m, const Live& txn, double part = 1) const {
