--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -184,8 +184,8 @@
   }
 
   // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured. The time
-  // is half of the shortest SLA time, as all txn types wait in one queue: so the answer is in time even if the queue
-  // doubles. Six over all routers at least, so that a rate can be measured at all and yet many small routers together
+  // is a third of the shortest SLA time, as all txn types wait in one queue: the answer is then in time even if the
+  // queue doubles and the work is long. Six over all routers at least, so that a rate can be measured at all and yet many small routers together
   // do not fill a queue.
   double inFlightBound(const Member& m) const {
     const double floor = std::max(1.0, 6.0 / terms.routers);
@@ -193,7 +193,7 @@
     Span shortest = terms.types.front().slaTime;
     for (const auto& type : terms.types) shortest = std::min(shortest, type.slaTime);
     const Span over = std::max(now - m.answers.front().at, Span::millis(1));
-    return std::max(floor, static_cast<double>(m.answers.size()) / over.inSeconds() * (shortest * 0.5).inSeconds());
+    return std::max(floor, static_cast<double>(m.answers.size()) / over.inSeconds() * (shortest * 0.35).inSeconds());
   }
 
   bool room(const Member& m, const Live& txn, double part) const {
