Stage probes for held reads by two, renew positions at half of the bound

Every member was probed for every held read and every quarter of the bound; the first two answers mostly settle it.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -96,6 +96,7 @@
   std::deque<std::pair<SessionId, Instant>> commitOrder;
   Instant commitFloor;                      // the newest commit among the sessions no longer remembered
   std::map<GroupId, Instant> usedAt;        // when a txn for the group last came in
+  std::map<GroupId, Instant> askedAt;       // when its replicas were last probed for held reads
   Instant wakeAt;
   Instant askListAt;
   bool following = false;
@@ -354,18 +355,34 @@
     writer->probe(m.id);
   }
 
+  // Held reads share probes: the two replicas thought to be furthest are asked first, the next two 25 ms later if that
+  // was not enough, each replica once in 100 ms, about as often as nodes renew their reports.
+  void probeForPosition(std::vector<Member*> group, const Member* primary) {
+    std::erase_if(group, [&](const Member* m) {
+      return m == primary || leaving(*m) || !well(*m) || now - m->probedAt < Span::millis(100);
+    });
+    std::stable_sort(group.begin(), group.end(),
+                     [](const Member* a, const Member* b) { return a->position > b->position; });
+    for (std::size_t i = 0; i < group.size() && i < 2; ++i) probe(*group[i]);
+  }
+
   void probeGroups(const std::map<GroupId, bool>& wantsPosition, const std::map<GroupId, bool>& wantsPrimary) {
     Span smallest = Span::seconds(2);
     for (const auto& type : terms.types)
       if (type.level == ReadLevel::bounded) smallest = std::min(smallest, type.bound);
+    const bool toldUnasked = terms.positionsInAnswers || terms.reportsInAnswers;
     for (auto& [id, group] : groups) {
-      const bool used = now - usedAt[id] < smallest;
+      const bool used = usedAt.contains(id) && now - usedAt[id] < smallest;
+      const Member* primary = primaryOf(id);
       for (Member* m : group) {
         const Span since = now - m->probedAt;
-        if ((wantsPosition.contains(id) && since >= Span::millis(100)) ||
-            (wantsPrimary.contains(id) && since >= Span::millis(150)) ||
-            (used && !terms.positionsInAnswers && !terms.reportsInAnswers && since >= smallest * 0.25))
-          probe(*m);
+        // In use, a replica's position is kept within the bound: asked for once it has used up half of that.
+        const bool renew = used && !toldUnasked && m != primary && now - m->position >= smallest * 0.5;
+        if ((wantsPrimary.contains(id) && since >= Span::millis(150)) || (renew && since >= smallest * 0.25)) probe(*m);
+      }
+      if (wantsPosition.contains(id) && now - askedAt[id] >= Span::millis(25)) {
+        askedAt[id] = now;
+        probeForPosition(group, primary);
       }
     }
   }
