Ask a guarded replica when the primary has no room; learn positions from its answers

Symptom: from one moment on over half of the reads declined and the primary six times busier than the mean, though no node was slow. Cause: reports came seconds late, so no replica was known to be within the bound and all reads went to the primary; told from real lag by the replicas answering guarded reads when asked. Change (an exception to the ordinary path, only where nodes guard themselves): after the hold, when the primary has no room, a replica is drawn whatever its known position; and a guarded answer proves the position that its read needed. Covers any want of news; may hurt when replicas really are behind, by a wait at each.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -33,6 +33,7 @@
   unsigned number;
   std::size_t type;
   Instant sentAt;
+  Instant target;  // the position its answer needs; never: any
 };
 
 struct Answer {
@@ -248,25 +249,21 @@
 
   // ---- placing
 
-  bool eligible(const Member& m, const Live& txn) const {
-    switch (typeOf(txn).level) {
-      case ReadLevel::any: return true;
-      case ReadLevel::bounded: return m.position >= now - typeOf(txn).bound;
-      case ReadLevel::session: return m.position >= txn.target;
-      default: return false;
-    }
+  Instant targetNow(const Live& txn) const {
+    if (typeOf(txn).level == ReadLevel::bounded) return now - typeOf(txn).bound;
+    return typeOf(txn).level == ReadLevel::session ? txn.target : Instant();
   }
 
   bool wasTried(const Member& m, const Live& txn) const {
     return std::find(txn.tried.begin(), txn.tried.end(), &m) != txn.tried.end();
   }
 
-  Member* draw(const Live& txn, const Member* primary) {
+  Member* draw(const Live& txn, const Member* primary, Instant target) {
     std::vector<Member*> able;
     std::vector<double> weights;
     for (const bool again : {false, true}) {
       for (Member* m : groups[txn.txn.group]) {
-        if (m == primary || (wasTried(*m, txn) && !again) || !eligible(*m, txn) || !usable(*m, txn)) continue;
+        if (m == primary || (wasTried(*m, txn) && !again) || m->position < target || !usable(*m, txn)) continue;
         able.push_back(m);
         const double zone = m->sameZone ? 1 : std::max(0.0, 1 - terms.crossZonePrice * 10);
         weights.push_back(warmth(*m) * zone / (smoothed(*m) * (1 + static_cast<double>(m->outs.size()))));
@@ -286,15 +283,19 @@
     const auto level = typeOf(txn).level;
     if (level == ReadLevel::write || level == ReadLevel::fresh)
       return primary && usable(*primary, txn) && well(*primary) ? primary : nullptr;
-    if (Member* replica = draw(txn, primary)) return replica;
+    if (Member* replica = draw(txn, primary, targetNow(txn))) return replica;
     // Held for half of the SLA time, as the design has it; then the primary, which keeps room for its writes.
-    if (now - txn.takenAt < typeOf(txn).slaTime * 0.5 || !primary || wasTried(*primary, txn)) return nullptr;
-    return usable(*primary, txn, 0.6) ? primary : nullptr;
+    if (now - txn.takenAt < typeOf(txn).slaTime * 0.5) return nullptr;
+    if (primary && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
+    // The primary has no room either. Where nodes turn away what they are too far behind for, a replica whose position is
+    // only not known may be asked all the same. Guards against news of positions that come late, seldom or not at all;
+    // may hurt when the replicas really are behind, by a short wait at each.
+    return terms.nodesGuard ? draw(txn, primary, Instant()) : nullptr;
   }
 
   void submit(Live& txn, Member& m) {
     if (!well(m)) m.triedAt = now;
-    m.outs.push_back({txn.txn.id, txn.submissions, txn.txn.type, now});
+    m.outs.push_back({txn.txn.id, txn.submissions, txn.txn.type, now, targetNow(txn)});
     m.sent.push_back({now, usual(txn.txn.type).inSeconds()});
     while (now - m.sent.front().at >= terms.fallTime) m.sent.pop_front();
     ++txn.submissions;
@@ -565,7 +566,7 @@
   auto& s = *state_;
   const auto found = s.live.find(id);
   const auto at = s.members.find(node);
-  Out out{id, submission, 0, s.now};
+  Out out{id, submission, 0, s.now, {}};
   if (at != s.members.end()) {
     Member& m = at->second;
     for (auto o = m.outs.begin(); o != m.outs.end(); ++o)
@@ -583,6 +584,8 @@
     }
     s.learn(m, said, s.now);
     s.learnReport(m, report);
+    // A node that guards itself and answers a read has what the read needed.
+    if (how == End::committed && s.terms.nodesGuard) m.position = std::max(m.position, out.target);
     if (how == End::committed) {
       const Span usual = s.usual(out.type);
       keepLast(s.latencies[out.type], latency, 32);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -56,6 +56,7 @@
   double crossZonePrice = 0;   // what a submission into another zone costs, as a part of the value of a txn
   bool positionsInAnswers = false;
   bool reportsInAnswers = false;
+  bool nodesGuard = false;     // a node turns away untouched a read that it is too far behind for
   bool sessionAgeCarried = false;  // reads carry the age of their session's last write; else it is remembered here
   bool listMustBeAsked = false;
   Span askWithin;
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -92,6 +92,7 @@
   terms.crossZonePrice = line.number("penalties.crossZone", 0);
   terms.positionsInAnswers = line.flag("specifics.answersStamped");
   terms.reportsInAnswers = line.find("report.via").value_or("off") == "inline";
+  terms.nodesGuard = line.find("specifics.guards").value_or("off") != "off";
   terms.sessionAgeCarried = line.find("specifics.sessionMarks").value_or("client") == "client";
   terms.listMustBeAsked = line.find("discovery").value_or("pushed") == "on_request";
   terms.askWithin = micros(line.whole("rules.askWithin", 0));
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -181,11 +181,32 @@
   b.at(2200, [&](Router& r) { r.taken(b.txn(21, 0, 400)), r.taken(b.txn(22, 0, 1000)); });
 }
 
+void lateNews() {
+  auto terms = usualTerms({kSession, kWrite});
+  terms.nodesGuard = true;
+  Bench b(terms);
+  start(b, -5000);
+  b.quietProbes = true;
+  b.say("no news of positions, the primary full, but nodes guard themselves: after the hold a replica is asked");
+  b.at(10, [&](Router& r) {
+    for (TxnId id = 1; id <= 3; ++id) r.taken(b.txn(id, 1));
+    r.taken(b.sessionRead(4, 0, 100));
+  });
+  b.run(15, 215);
+  b.say("its answer tells what it has: the next read that needs no more is drawn at once");
+  b.at(250, [&](Router& r) { end(b, r, 4, End::committed), r.taken(b.sessionRead(5, 0, 345)); });
+  b.say("one that is turned away is asked of another");
+  b.at(260, [&](Router& r) { r.taken(b.sessionRead(6, 0, 10)); });
+  b.run(265, 465);
+  b.at(480, [&](Router& r) { end(b, r, 6, End::notHere); });
+}
+
 const std::map<std::string, void (*)()> kCases{
     {"ordinary-path", ordinaryPath}, {"stale-read", staleRead},   {"once-only", onceOnly},
     {"repeatable", repeatable},      {"referenced", referenced},  {"drains", drains},
     {"cold-node", coldNode},         {"new-primary", newPrimary}, {"hung-node", hungNode},
     {"dead-work", deadWork},         {"later-tries", laterTries},
+    {"late-news", lateNews},
 };
 
 }  // namespace
