--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,13 +1,14 @@
 // The decision module of gulltrestle: every decision, table and tuned value of a router stands here.
 //
-// How to call it: router.h holds the interface. A front makes a Router from its Terms and a seed and calls round(now,
-// feed, writer) once for all that came in. The feed calls taken(), ended(), listed() and the like, which only note
-// what was learnt and answer what is settled by it; then the round places what waits, in order of value for work.
-// The front wakes the router when Writer::wakeAfter asked for it.
+// How to call it: router.h holds the interface. A front makes a Router from its Terms and a seed and calls
+// round(now, feed, writer) once for all that came in. The feed calls taken(), ended(), listed() and the like,
+// which only note what was learnt and answer what is settled by it; then the round places what waits, in
+// order of value for work. The front wakes the router when Writer::wakeAfter asked for it.
 //
-// The ordinary path (docs/design.md): a read has a target; among the replicas whose known position has reached it, one
-// is drawn at random, weight falling with smoothed latency x (1 + own in flight). With none, the read is held while
-// the group is probed, then goes to the primary. Writes and fresh reads go to the known primary.
+// The ordinary path (docs/design.md): a read has a target; among the replicas whose known position has
+// reached it, one is drawn at random, weight falling with smoothed latency x (1 + own in flight). With none,
+// the read is held while the group is probed, then goes to the primary. Writes and fresh reads go to the
+// known primary.
 
 #include "routing/router.h"
 
@@ -54,15 +55,15 @@
   bool listedPrimary = false;
   bool sameZone = true;
   Instant startedAt;
-  Instant position;    // all commits up to here are known to be applied
-  Span lag;            // how far that was behind when it was told
-  Instant primaryAt;   // the last moment at which it is known to have been the primary
-  Instant replicaAt;   // and a replica
+  Instant position;   // all commits up to here are known to be applied
+  Span lag;           // how far that was behind when it was told
+  Instant primaryAt;  // the last moment at which it is known to have been the primary
+  Instant replicaAt;  // and a replica
   Instant heardAt;
   Instant probedAt;
   bool probeOut = false;
-  Instant behindAt;    // when it last turned a read away for being too far behind
-  Instant triedAt;     // the last submission while it was judged unwell
+  Instant behindAt;  // when it last turned a read away for being too far behind
+  Instant triedAt;   // the last submission while it was judged unwell
   std::deque<Answer> answers;
   std::deque<bool> successes;
   std::deque<Sent> sent;  // within the time in which a cold node falls over
@@ -97,9 +98,9 @@
   std::deque<double> patienceShares;        // the patience of the last few tries as shares of their expiry
   std::map<SessionId, Instant> commits;     // the last write of a session that was committed through here
   std::deque<std::pair<SessionId, Instant>> commitOrder;
-  Instant commitFloor;                      // the newest commit among the sessions no longer remembered
-  std::map<GroupId, Instant> usedAt;        // when a txn for the group last came in
-  std::map<GroupId, Instant> askedAt;       // when its replicas were last probed for held reads
+  Instant commitFloor;                 // the newest commit among the sessions no longer remembered
+  std::map<GroupId, Instant> usedAt;   // when a txn for the group last came in
+  std::map<GroupId, Instant> askedAt;  // when its replicas were last probed for held reads
   Instant wakeAt;
   Instant askListAt;
   bool following = false;
@@ -117,23 +118,25 @@
     return std::max(sorted[sorted.size() / 2], Span::millis(1));
   }
 
-  // How long a submission may be out before its silence counts against the node: six times the usual, as service
-  // times spread widely; 200 ms at least, so that a few quick answers don't make it nervous.
+  // How long a submission may be out before its silence counts against the node: six times the usual, as
+  // service times spread widely; 200 ms at least, so that a few quick answers don't make it nervous.
   Span patience(std::size_t type) const { return std::max(usual(type) * 6, Span::millis(200)); }
 
   // The chance that a submission sent now is answered within `left`: the part of the last few that were.
   double chanceWithin(std::size_t type, Span left) const {
     const auto& samples = latencies[type];
     if (samples.size() < 8) return left > usual(type) ? 1 : 0;
-    const auto quick = std::count_if(samples.begin(), samples.end(), [left](Span took) { return took <= left; });
+    const auto quick =
+        std::count_if(samples.begin(), samples.end(), [left](Span took) { return took <= left; });
     return static_cast<double>(quick) / static_cast<double>(samples.size());
   }
 
-  // How long the client of a txn has waited in earlier tries. Its SLA time runs from the first, and a try that comes when
-  // that is past earns nothing: in an overload these crowd out the ones that still can. First tries of all txn types are
-  // given up after one and the same share of the expiry, so among the last few that share stands out (a quarter of them
-  // within 2% of it); a later try has what the expiry leaves, which dates it. Where no share stands out, clients differ
-  // by themselves and nothing is dated. May hurt the few whose patience is their own.
+  // How long the client of a txn has waited in earlier tries. Its SLA time runs from the first, and a try
+  // that comes when that is past earns nothing: in an overload these crowd out the ones that still can. First
+  // tries of all txn types are given up after one and the same share of the expiry, so among the last few
+  // that share stands out (a quarter of them within 2% of it); a later try has what the expiry leaves, which
+  // dates it. Where no share stands out, clients differ by themselves and nothing is dated. May hurt the few
+  // whose patience is their own.
   Span waitedBefore(const Txn& txn) {
     const Span expiry = terms.types[txn.type].expiry;
     const double share = txn.patience / expiry;
@@ -165,8 +168,9 @@
     return m.health != Health::live;
   }
 
-  // A hung node looks idle: it takes submissions and answers none. Guards against every kind of silence (hang, cut
-  // link, a machine that is gone before the list says so). May hurt when all of a node's few txns are long at once.
+  // A hung node looks idle: it takes submissions and answers none. Guards against every kind of silence
+  // (hang, cut link, a machine that is gone before the list says so). May hurt when all of a node's few txns
+  // are long at once.
   bool silent(const Member& m) const {
     if (m.outs.empty()) return false;
     const Out& oldest = m.outs.front();
@@ -181,8 +185,8 @@
     return m.successes.size() < 3 || good * 2 >= m.successes.size();
   }
 
-  // An unwell node gets one repeatable txn now and then, to learn whether it is back. Four a second over all routers:
-  // a node that only works off a queue nobody waits for must not be kept busy by trials.
+  // An unwell node gets one repeatable txn now and then, to learn whether it is back. Four a second over all
+  // routers: a node that only works off a queue nobody waits for must not be kept busy by trials.
   bool trialDue(const Member& m) const { return now - m.triedAt > Span::millis(250) * terms.routers; }
 
   double warmth(const Member& m) const {
@@ -197,8 +201,9 @@
     return work;
   }
 
-  // A cold node gets its warm share of what this router sends a warm node on average. Summed over all routers, however
-  // unequal, that is its share of an average load, well below the multiple at which it falls over.
+  // A cold node gets its warm share of what this router sends a warm node on average. Summed over all
+  // routers, however unequal, that is its share of an average load, well below the multiple at which it falls
+  // over.
   bool coldRoom(const Member& m, std::size_t type) const {
     const double share = warmth(m);
     if (share >= 1) return true;
@@ -211,20 +216,22 @@
                      : warm > 0 && sent + usual(type).inSeconds() <= share * warmWork / warm;
   }
 
-  // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured. The time
-  // is a third of the shortest SLA time, as all txn types wait in one queue: the answer is then in time even if the
-  // queue doubles and the work is long. Six over all routers at least, so that a rate can be measured at all and yet many small routers together
-  // do not fill a queue.
+  // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured.
+  // The time is a third of the shortest SLA time, as all txn types wait in one queue: the answer is then in
+  // time even if the queue doubles and the work is long. Six over all routers at least, so that a rate can be
+  // measured at all and yet many small routers together do not fill a queue.
   double inFlightBound(const Member& m) const {
     const double floor = std::max(1.0, 6.0 / terms.routers);
     if (m.answers.size() < 4) return floor;
     Span shortest = terms.types.front().slaTime;
     for (const auto& type : terms.types) shortest = std::min(shortest, type.slaTime);
     const Span over = std::max(now - m.answers.front().at, Span::millis(1));
-    return std::max(floor, static_cast<double>(m.answers.size()) / over.inSeconds() * (shortest * 0.35).inSeconds());
+    return std::max(floor,
+                    static_cast<double>(m.answers.size()) / over.inSeconds() * (shortest * 0.35).inSeconds());
   }
 
-  // The shortest of the bounds; 2 s where no txn type has one: sessions read within a second or so of their write.
+  // The shortest of the bounds; 2 s where no txn type has one: sessions read within a second or so of their
+  // write.
   Span shortestBound() const {
     Span shortest = Span::seconds(2);
     for (const auto& type : terms.types)
@@ -232,10 +239,10 @@
     return shortest;
   }
 
-  // A replica that is crowded applies the log more slowly, and once it is too far behind for the reads that need it fresh,
-  // those crowd the others and the primary. One that is behind by more than a third of the bound, but not
-  // yet past it, gets half at once, to stay useful; past that it can only serve any reads, and does. May hurt when only the
-  // news is late, by room that stays empty in an overload.
+  // A replica that is crowded applies the log more slowly, and once it is too far behind for the reads that
+  // need it fresh, those crowd the others and the primary. One that is behind by more than a third of the
+  // bound, but not yet past it, gets half at once, to stay useful; past that it can only serve any reads, and
+  // does. May hurt when only the news is late, by room that stays empty in an overload.
   double easing(const Member& m) const {
     return m.lag > shortestBound() * 0.33 && m.lag < shortestBound() * 1.2 ? 0.5 : 1;
   }
@@ -277,8 +284,9 @@
     return std::find(txn.tried.begin(), txn.tried.end(), &m) != txn.tried.end();
   }
 
-  // Draws among the replicas known to have reached the target; if unsure, also among those that may have. One that has
-  // turned a read away is not asked on suspicion for half a second: it catches up no faster than that.
+  // Draws among the replicas known to have reached the target; if unsure, also among those that may have. One
+  // that has turned a read away is not asked on suspicion for half a second: it catches up no faster than
+  // that.
   Member* draw(const Live& txn, const Member* primary, bool unsure) {
     const Instant target = targetNow(txn);
     std::vector<Member*> able;
@@ -310,9 +318,9 @@
     // Held for half of the SLA time, as the design has it; then the primary, which keeps room for its writes.
     if (now - txn.takenAt < typeOf(txn).slaTime * 0.5) return nullptr;
     if (primary && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
-    // The primary has no room either. Where nodes turn away what they are too far behind for, a replica whose position is
-    // only not known may be asked all the same. Guards against news of positions that come late, seldom or not at all;
-    // may hurt when the replicas really are behind, by a short wait at each.
+    // The primary has no room either. Where nodes turn away what they are too far behind for, a replica whose
+    // position is only not known may be asked all the same. Guards against news of positions that come late,
+    // seldom or not at all; may hurt when the replicas really are behind, by a short wait at each.
     return terms.nodesGuard ? draw(txn, primary, true) : nullptr;
   }
 
@@ -367,7 +375,8 @@
     return inTime + std::max(0.0, late) * typeOf(txn).lateShare;
   }
 
-  // Held with hardly a chance left to earn anything. A tenth: what is sent at worse odds is mostly wasted work.
+  // Held with hardly a chance left to earn anything. A tenth: what is sent at worse odds is mostly wasted
+  // work.
   bool hopeless(const Live& txn) const { return !maySend(txn) || hope(txn) < 0.1; }
 
   // ---- probes
@@ -379,8 +388,8 @@
     writer->probe(m.id);
   }
 
-  // Held reads share probes: the two replicas thought to be furthest are asked first, the next two 25 ms later if that
-  // was not enough, each replica once in 100 ms, about as often as nodes renew their reports.
+  // Held reads share probes: the two replicas thought to be furthest are asked first, the next two 25 ms
+  // later if that was not enough, each replica once in 100 ms, about as often as nodes renew their reports.
   void probeForPosition(std::vector<Member*> group, const Member* primary) {
     std::erase_if(group, [&](const Member* m) {
       return m == primary || leaving(*m) || !well(*m) || now - m->probedAt < Span::millis(100);
@@ -390,7 +399,8 @@
     for (std::size_t i = 0; i < group.size() && i < 2; ++i) probe(*group[i]);
   }
 
-  void probeGroups(const std::map<GroupId, bool>& wantsPosition, const std::map<GroupId, bool>& wantsPrimary) {
+  void probeGroups(const std::map<GroupId, bool>& wantsPosition,
+                   const std::map<GroupId, bool>& wantsPrimary) {
     const Span smallest = shortestBound();
     const bool toldUnasked = terms.positionsInAnswers || terms.reportsInAnswers;
     for (auto& [id, group] : groups) {
@@ -400,7 +410,8 @@
         const Span since = now - m->probedAt;
         // In use, a replica's position is kept within the bound: asked for once it has used up half of that.
         const bool renew = used && !toldUnasked && m != primary && now - m->position >= smallest * 0.5;
-        if ((wantsPrimary.contains(id) && since >= Span::millis(150)) || (renew && since >= smallest * 0.25)) probe(*m);
+        if ((wantsPrimary.contains(id) && since >= Span::millis(150)) || (renew && since >= smallest * 0.25))
+          probe(*m);
       }
       if (wantsPosition.contains(id) && now - askedAt[id] >= Span::millis(25)) {
         askedAt[id] = now;
@@ -415,8 +426,8 @@
     std::vector<Live*> waiting;
     for (auto& [id, txn] : live)
       if (!txn.streaming) waiting.push_back(&txn);
-    // Most value to be expected for work first: what is shed when there is not room for all is the least. As odds
-    // fall with the wait, the newest of a type come first, and an overload makes few answers late.
+    // Most value to be expected for work first: what is shed when there is not room for all is the least. As
+    // odds fall with the wait, the newest of a type come first, and an overload makes few answers late.
     const auto density = [this](const Live& txn) {
       return typeOf(txn).value * hope(txn) / usual(txn.txn.type).inSeconds();
     };
@@ -437,7 +448,8 @@
       }
       // A read whose node has been silent for long gets a second copy elsewhere, once.
       const bool copy = txn->out == 1 && terms.secondCopies && typeOf(*txn).effect == Effect::repeatable &&
-                        now - txn->lastSentAt > patience(txn->txn.type) && txn->submissions == 1 && !hopeless(*txn);
+                        now - txn->lastSentAt > patience(txn->txn.type) && txn->submissions == 1 &&
+                        !hopeless(*txn);
       if (txn->out > 0 && !copy) continue;
       if (Member* to = place(*txn)) {
         if (!copy || !wasTried(*to, *txn)) submit(*txn, *to);
@@ -476,8 +488,8 @@
     }
   }
 
-  // A report's age is not told, but its position dates it: a primary's is the time of the report, a replica's is not
-  // later. Older reports than what is known already say nothing of the role.
+  // A report's age is not told, but its position dates it: a primary's is the time of the report, a replica's
+  // is not later. Older reports than what is known already say nothing of the role.
   void learnReport(Member& m, const Standing& report) {
     if (!report.position) return;
     learn(m, report, std::min(*report.position, now));
@@ -493,16 +505,20 @@
     const auto [oldest, at] = commitOrder.front();
     commitOrder.pop_front();
     commitFloor = std::max(commitFloor, at);
-    if (const auto found = commits.find(oldest); found != commits.end() && found->second <= at) commits.erase(found);
+    if (const auto found = commits.find(oldest); found != commits.end() && found->second <= at)
+      commits.erase(found);
   }
 
   Instant targetOf(const Txn& txn) const {
     const auto found = txn.session ? commits.find(*txn.session) : commits.end();
-    const Instant own = found != commits.end() ? found->second : terms.sessionAgeCarried ? Instant() : commitFloor;
+    const Instant own = found != commits.end()    ? found->second
+                        : terms.sessionAgeCarried ? Instant()
+                                                  : commitFloor;
     if (!terms.sessionAgeCarried || !txn.writeAge) return own;
     if (*txn.writeAge == Span()) return Instant();
     const Instant carried = now - *txn.writeAge + Span::millis(1);
-    // The position our own write returned, if that was the session's last one; else what the carried age says.
+    // The position our own write returned, if that was the session's last one; else what the carried age
+    // says.
     return own + terms.roundLength >= carried ? std::min(own, carried) : carried;
   }
 };
@@ -555,7 +571,8 @@
 void Router::listFailed() {
   auto& s = *state_;
   s.following = false;
-  s.askListAt = s.now + Span::seconds(1);  // the list is one service for all routers: no storm on a failed call
+  s.askListAt =
+      s.now + Span::seconds(1);  // the list is one service for all routers: no storm on a failed call
 }
 
 void Router::taken(const Txn& txn) {
@@ -599,10 +616,12 @@
         m.outs.erase(o);
         break;
       }
-    const bool answered = how == End::committed || how == End::error || how == End::turnedAway || how == End::notHere;
+    const bool answered =
+        how == End::committed || how == End::error || how == End::turnedAway || how == End::notHere;
     if (answered) m.heardAt = s.now;
     Standing said = answer;
-    // A write's commit is rounded up to the next millisecond; what is known to be applied must be rounded down.
+    // A write's commit is rounded up to the next millisecond; what is known to be applied must be rounded
+    // down.
     if (said.position && how == End::committed) {
       if (s.terms.types[out.type].level == ReadLevel::write) said.position = *said.position - Span::millis(1);
     }
@@ -616,8 +635,8 @@
       keepLast(s.latencies[out.type], latency, 32);
       keepLast(m.answers, Answer{s.now, latency / usual}, 16);
     }
-    // Called off after a long wait is no answer either: else a node that answers nothing, or only what nobody waits
-    // for any more, is never found out, as its txns are answered elsewhere or given up first.
+    // Called off after a long wait is no answer either: else a node that answers nothing, or only what nobody
+    // waits for any more, is never found out, as its txns are answered elsewhere or given up first.
     const bool calledOffLate = how == End::calledOff && s.now - out.sentAt > s.usual(out.type) * 3;
     if (how == End::committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
     if (calledOffLate || (how != End::calledOff && how != End::notSent && how != End::notHere))
@@ -626,11 +645,13 @@
   if (found == s.live.end()) return;
   Live& txn = found->second;
   if (txn.out > 0) --txn.out;
-  const bool ran = how == End::error || how == End::noAnswer || how == End::connectionLost || how == End::calledOff;
+  const bool ran =
+      how == End::error || how == End::noAnswer || how == End::connectionLost || how == End::calledOff;
   if (ran && txn.mayHaveRunAt == Instant()) txn.mayHaveRunAt = out.sentAt;
   if (how == End::committed) {
     const auto level = s.typeOf(txn).level;
-    if (level == ReadLevel::write && txn.txn.session && answer.position) s.remember(*txn.txn.session, *answer.position);
+    if (level == ReadLevel::write && txn.txn.session && answer.position)
+      s.remember(*txn.txn.session, *answer.position);
   }
   if (txnOver || how == End::committed) {
     s.callOffAll(txn);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -1,6 +1,6 @@
-// The interface of the decision module. A front (today the bench's wire, later a socket service or an external
-// processor) makes one Router for each router process and calls round() whenever something has come in. It holds
-// no decision: those all stand in router.cpp.
+// The interface of the decision module. A front (today the bench's wire, later a socket service or an
+// external processor) makes one Router for each router process and calls round() whenever something has come
+// in. It holds no decision: those all stand in router.cpp.
 #pragma once
 
 #include <cstdint>
@@ -26,14 +26,14 @@
 struct TxnType {
   Effect effect = Effect::repeatable;
   ReadLevel level = ReadLevel::any;
-  Span bound;                  // how old the data of a bounded read may be when it is sent
-  Span slaTime;                // full value when answered within this
-  double slaStretch = 0;       // the SLA time grows by this many times the expected work
-  Span expiry;                 // the client's whole wait, over all its tries
+  Span bound;             // how old the data of a bounded read may be when it is sent
+  Span slaTime;           // full value when answered within this
+  double slaStretch = 0;  // the SLA time grows by this many times the expected work
+  Span expiry;            // the client's whole wait, over all its tries
   double value = 1;
-  double lateShare = 0;        // part of the value that is left after the SLA time
+  double lateShare = 0;              // part of the value that is left after the SLA time
   bool dropsRepeatsAnywhere = true;  // referenced: every node drops repeats, or only the txn's own group
-  Span referenceWindow;        // referenced: how long a repeat is known
+  Span referenceWindow;              // referenced: how long a repeat is known
 };
 
 // What the front says when a router starts: the rules' figures and what is allowed here.
@@ -42,34 +42,36 @@
   Span roundLength;
   unsigned routers = 1;
   Span drainGrace;
-  double coldShare = 1;        // a node starts at this share of its capacity or above
-  Span coldTime;               // and is warm after this
-  double fallMultiple = 1;     // sent more than this many times its present capacity
-  Span fallTime;               // for this long, a cold node falls over
-  bool onlyDrainingBinds = false;  // a node that is gone without having been listed as draining may be sent to
+  double coldShare = 1;     // a node starts at this share of its capacity or above
+  Span coldTime;            // and is warm after this
+  double fallMultiple = 1;  // sent more than this many times its present capacity
+  Span fallTime;            // for this long, a cold node falls over
+  bool onlyDrainingBinds =
+      false;  // a node that is gone without having been listed as draining may be sent to
   bool probesAllowed = false;
   bool secondCopies = false;
   bool cancelAllowed = false;
   bool comeBackAllowed = false;
   Span longestComeBack;
   unsigned mostSubmissions = 1;
-  double crossZonePrice = 0;   // what a submission into another zone costs, as a part of the value of a txn
+  double crossZonePrice = 0;  // what a submission into another zone costs, as a part of the value of a txn
   bool positionsInAnswers = false;
   bool reportsInAnswers = false;
-  bool nodesGuard = false;     // a node turns away untouched a read that it is too far behind for
-  bool sessionAgeCarried = false;  // reads carry the age of their session's last write; else it is remembered here
+  bool nodesGuard = false;  // a node turns away untouched a read that it is too far behind for
+  bool sessionAgeCarried =
+      false;  // reads carry the age of their session's last write; else it is remembered here
   bool listMustBeAsked = false;
   Span askWithin;
 };
 
 struct Txn {
   TxnId id = 0;
-  std::size_t type = 0;        // row in Terms::types
+  std::size_t type = 0;  // row in Terms::types
   GroupId group = 0;
   std::optional<SessionId> session;
-  std::optional<Span> writeAge;    // how long ago the session's last write was committed; zero: it has none
-  Span patience;               // how long until the client gives up this try
-  std::optional<Span> work;    // expected, rough
+  std::optional<Span> writeAge;  // how long ago the session's last write was committed; zero: it has none
+  Span patience;                 // how long until the client gives up this try
+  std::optional<Span> work;      // expected, rough
 };
 
 enum class Health { live, draining, gone };
@@ -79,8 +81,8 @@
   GroupId group = 0;
   Health health = Health::live;
   bool primary = false;
-  bool sameZone = true;        // it stands in this router's own zone
-  Instant startedAt;           // never: long ago
+  bool sameZone = true;  // it stands in this router's own zone
+  Instant startedAt;     // never: long ago
 };
 
 enum class ListKind { changes, whole, disk };
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -27,9 +27,9 @@
 constexpr std::array<std::string_view, 5> kLevels{"loose", "recent", "own_writes", "latest", "update"};
 constexpr std::array<std::string_view, 3> kHealths{"live", "quiescing", "dead"};
 constexpr std::array<std::string_view, 4> kForms{"diff", "snapshot", "disk", "error"};
-constexpr std::array<std::string_view, 9> kEnds{"served",          "server_error", "turned_away",
-                                                "no_answer",       "no_connection", "connection_lost",
-                                                "called_off",      "not_sent",     "not_stored"};
+constexpr std::array<std::string_view, 9> kEnds{"served",     "server_error",  "turned_away",
+                                                "no_answer",  "no_connection", "connection_lost",
+                                                "called_off", "not_sent",      "not_stored"};
 
 Span micros(std::uint64_t n) { return Span::micros(static_cast<std::int64_t>(n)); }
 
@@ -157,7 +157,8 @@
     txn.type = type->second;
     txn.group = groupOf(line, "cluster");
     if (line.find("session")) txn.session = line.whole("session");
-    if (line.find("tokenMs")) txn.writeAge = Span::micros(std::llround(std::ceil(line.number("tokenMs", 0) * 1000)));
+    if (line.find("tokenMs"))
+      txn.writeAge = Span::micros(std::llround(std::ceil(line.number("tokenMs", 0) * 1000)));
     txn.patience = micros(line.whole("patienceLeft"));
     if (line.find("work")) txn.work = micros(line.whole("work"));
     return txn;
@@ -181,12 +182,15 @@
       if (colon == std::string_view::npos) throw BadLine("usage", "has a part without a value");
       const auto name = pair.substr(0, colon);
       if (name == "x0") said.position = baseTime_ + Span::seconds(toNumber("usage", pair.substr(colon + 1)));
-      if (name == "x1") said.role = toNumber("usage", pair.substr(colon + 1)) == 1 ? Role::primary : Role::replica;
+      if (name == "x1")
+        said.role = toNumber("usage", pair.substr(colon + 1)) == 1 ? Role::primary : Role::replica;
     }
     return said;
   }
 
-  static Role roleOf(std::uint64_t n) { return n == 1 ? Role::primary : n == 2 ? Role::replica : Role::unknown; }
+  static Role roleOf(std::uint64_t n) {
+    return n == 1 ? Role::primary : n == 2 ? Role::replica : Role::unknown;
+  }
 
   void deliverList(Router& to, const Arrived& arrived) const {
     const auto form = arrived.line.text("form");
@@ -195,7 +199,10 @@
     if (!arrived.sheet) throw BadLine("sheet", "was never given");
     auto entries = arrived.sheet->entries;
     for (std::size_t i = 0; i < entries.size(); ++i) entries[i].sameZone = arrived.sheet->zones[i] == zone_;
-    to.listed(form == "diff" ? ListKind::changes : form == "disk" ? ListKind::disk : ListKind::whole, entries);
+    to.listed(form == "diff"   ? ListKind::changes
+              : form == "disk" ? ListKind::disk
+                               : ListKind::whole,
+              entries);
   }
 
   Router router_;
@@ -206,15 +213,20 @@
 
 class Output final : public Writer {
  public:
-  Output(std::string& text, std::uint64_t instance) : text_(text), instance_(" i=" + std::to_string(instance)) {}
+  Output(std::string& text, std::uint64_t instance)
+      : text_(text), instance_(" i=" + std::to_string(instance)) {}
 
   void submit(TxnId txn, const NodeId& node, Instant cutAt) override {
     line("ASSIGN", " rid=", txn, " node=", node, " cutAt=", cutAt.inMicros());
   }
-  void callOff(TxnId txn, unsigned submission) override { line("ABANDON", " rid=", txn, " sendNo=", submission); }
+  void callOff(TxnId txn, unsigned submission) override {
+    line("ABANDON", " rid=", txn, " sendNo=", submission);
+  }
   void decline(TxnId txn, Span comeBackAfter) override {
-    if (comeBackAfter > Span()) line("REJECT", " rid=", txn, " notBeforeFor=", comeBackAfter.inMicros());
-    else line("REJECT", " rid=", txn);
+    if (comeBackAfter > Span())
+      line("REJECT", " rid=", txn, " notBeforeFor=", comeBackAfter.inMicros());
+    else
+      line("REJECT", " rid=", txn);
   }
   void rollBack(TxnId txn) override { line("RESPOND_ERROR", " rid=", txn); }
   void probe(const NodeId& node) override { line("SAMPLE", " node=", node); }
@@ -231,7 +243,7 @@
   }
   void add(std::string_view part) { text_ += part; }
   template <typename N>
-    requires std::is_integral_v<N>
+  requires std::is_integral_v<N>
   void add(N n) { text_ += std::to_string(n); }
 
   std::string& text_;
@@ -322,8 +334,8 @@
   }
 
   static bool known(std::string_view tag) {
-    for (const std::string_view word : {"POWER_ON", "INCOMING", "CANCELLED_BY_CLIENT", "KILL", "DUE", "PROBE_DONE",
-                                        "MESSAGE", "FLOWING", "FINISHED", "MEMBERS"})
+    for (const std::string_view word : {"POWER_ON", "INCOMING", "CANCELLED_BY_CLIENT", "KILL", "DUE",
+                                        "PROBE_DONE", "MESSAGE", "FLOWING", "FINISHED", "MEMBERS"})
       if (tag == word) return true;
     return false;
   }
@@ -395,12 +407,11 @@
 int drill(std::istream& input, std::ostream& output, std::ostream& errors) {
   Drill drill(input, output);
   try {
-    while (drill.batch()) {
-    }
+    while (drill.batch()) {}
     return 0;
   } catch (const BadLine& bad) {
-    errors << "gulltrestle_drill: frame " << drill.frame() << ", line " << drill.number() << ", " << bad.what()
-           << std::endl;
+    errors << "gulltrestle_drill: frame " << drill.frame() << ", line " << drill.number() << ", "
+           << bad.what() << std::endl;
     return 1;
   }
 }
--- a/src/wire/drill.h
+++ b/src/wire/drill.h
@@ -1,13 +1,13 @@
-// The adapter for the bench's wire: hosts many routers side by side, turns each line straight into calls on its
-// router and each decision straight into a line. It decides nothing, and the routers share nothing.
+// The adapter for the bench's wire: hosts many routers side by side, turns each line straight into calls on
+// its router and each decision straight into a line. It decides nothing, and the routers share nothing.
 #pragma once
 
 #include <iosfwd>
 
 namespace gulltrestle::wire {
 
-// Plays batches until the input ends. Returns the exit code: 0 at an end between batches; else 1, after one line on
-// `errors` that names the frame, the line within it and the field.
+// Plays batches until the input ends. Returns the exit code: 0 at an end between batches; else 1, after one
+// line on `errors` that names the frame, the line within it and the field.
 int drill(std::istream& input, std::ostream& output, std::ostream& errors);
 
 }  // namespace gulltrestle::wire
--- a/src/wire/line.h
+++ b/src/wire/line.h
@@ -1,4 +1,5 @@
-// One line of the wire: a tag and its name=value parts, with typed access that says what is wrong with a field.
+// One line of the wire: a tag and its name=value parts, with typed access that says what is wrong with a
+// field.
 #pragma once
 
 #include <cstdint>
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-const TxnType kAny = type(ReadLevel::any), kBounded = type(ReadLevel::bounded), kSession = type(ReadLevel::session),
-              kWrite = type(ReadLevel::write, Effect::onceOnly),
+const TxnType kAny = type(ReadLevel::any), kBounded = type(ReadLevel::bounded),
+              kSession = type(ReadLevel::session), kWrite = type(ReadLevel::write, Effect::onceOnly),
               kReferencedWrite = type(ReadLevel::write, Effect::referenced);
 
 // Three members, p the primary; the disk list says so and each has reported once.
@@ -117,9 +117,7 @@
   });
   for (TxnId id = 1; id <= 40; ++id) {
     b.at(static_cast<std::int64_t>(id) * 10 + 10, [&](Router& r) { r.taken(b.txn(id)); });
-    b.at(static_cast<std::int64_t>(id) * 10 + 15, [&](Router& r) {
-      end(b, r, id, End::committed);
-    });
+    b.at(static_cast<std::int64_t>(id) * 10 + 15, [&](Router& r) { end(b, r, id, End::committed); });
   }
 }
 
@@ -155,7 +153,9 @@
   Bench b(usualTerms({kAny}));
   start(b);
   b.quietProbes = true;
-  b.say("a answers only what nobody waits for any more: once its reads were called off late it is drawn no more");
+  b.say(
+      "a answers only what nobody waits for any more: once its reads were called off late it is drawn no "
+      "more");
   for (TxnId id = 1; id <= 12; ++id) {
     const auto from = static_cast<std::int64_t>(id) * 500;
     b.at(from, [&](Router& r) { r.taken(b.txn(id, 0, 400)); });
@@ -172,7 +172,9 @@
   Bench b(usualTerms({kAny}));
   start(b);
   b.quietProbes = true;
-  b.say("first tries all come with 1 s of patience; from what they see, one with 400 ms has waited 1.6 s elsewhere");
+  b.say(
+      "first tries all come with 1 s of patience; from what they see, one with 400 ms has waited 1.6 s "
+      "elsewhere");
   for (TxnId id = 1; id <= 20; ++id) {
     const auto from = static_cast<std::int64_t>(id) * 100;
     b.at(from, [&](Router& r) { r.taken(b.txn(id, 0, 1000)); });
@@ -187,7 +189,9 @@
   Bench b(terms);
   start(b, -5000);
   b.quietProbes = true;
-  b.say("no news of positions, the primary full, but nodes guard themselves: after the hold a replica is asked");
+  b.say(
+      "no news of positions, the primary full, but nodes guard themselves: after the hold a replica is "
+      "asked");
   b.at(10, [&](Router& r) {
     for (TxnId id = 1; id <= 3; ++id) r.taken(b.txn(id, 1));
     r.taken(b.sessionRead(4, 0, 100));
@@ -205,7 +209,9 @@
   Bench b(usualTerms({kAny, kBounded}));
   start(b);
   b.quietProbes = true;
-  b.say("b is told to be 0.6 s behind, well on its way to the bound of 1 s: it gets half of what a gets at once");
+  b.say(
+      "b is told to be 0.6 s behind, well on its way to the bound of 1 s: it gets half of what a gets at "
+      "once");
   b.at(600, [&](Router& r) {
     r.probed("b", End::committed, b.standing(Role::replica, 0));
     for (TxnId id = 1; id <= 8; ++id) r.taken(b.txn(id, 0));
@@ -213,11 +219,19 @@
 }
 
 const std::map<std::string, void (*)()> kCases{
-    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead},   {"once-only", onceOnly},
-    {"repeatable", repeatable},      {"referenced", referenced},  {"drains", drains},
-    {"cold-node", coldNode},         {"new-primary", newPrimary}, {"hung-node", hungNode},
-    {"dead-work", deadWork},         {"later-tries", laterTries},
-    {"late-news", lateNews},         {"crowded-replica", crowdedReplica},
+    {"ordinary-path", ordinaryPath},
+    {"stale-read", staleRead},
+    {"once-only", onceOnly},
+    {"repeatable", repeatable},
+    {"referenced", referenced},
+    {"drains", drains},
+    {"cold-node", coldNode},
+    {"new-primary", newPrimary},
+    {"hung-node", hungNode},
+    {"dead-work", deadWork},
+    {"later-tries", laterTries},
+    {"late-news", lateNews},
+    {"crowded-replica", crowdedReplica},
 };
 
 }  // namespace
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -1,4 +1,5 @@
-// The one helper of the tests: a router on a clock of its own, whose calls and decisions are printed as a trace.
+// The one helper of the tests: a router on a clock of its own, whose calls and decisions are printed as a
+// trace.
 #pragma once
 
 #include <functional>
@@ -50,7 +51,8 @@
   bool quietProbes = false;  // leave periodic probes out of the trace
 
   // Plays one round at `at` ms in which `calls` come in.
-  void at(std::int64_t at, std::function<void(Router&)> calls = [](Router&) {}) {
+  void at(
+      std::int64_t at, std::function<void(Router&)> calls = [](Router&) {}) {
     now_ = Instant() + ms(1000000 + at);
     calls_ = std::move(calls);
     out_.str("");
@@ -97,7 +99,9 @@
     nodes_[txn] = node;
     out_ << " submit " << txn << " to " << node << " until " << (cutAt - instant(0)).inMicros() / 1000 << ";";
   }
-  void callOff(TxnId txn, unsigned submission) override { out_ << " call off " << txn << "/" << submission << ";"; }
+  void callOff(TxnId txn, unsigned submission) override {
+    out_ << " call off " << txn << "/" << submission << ";";
+  }
   void decline(TxnId txn, Span after) override {
     out_ << " decline " << txn << ", come back after " << after.inMicros() / 1000 << ";";
   }
