--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -275,8 +275,9 @@
 
   // ---- placing
 
+  // A bounded read's target moves on while it travels: one round is left in hand.
   Instant targetNow(const Live& txn) const {
-    if (typeOf(txn).level == ReadLevel::bounded) return now - typeOf(txn).bound;
+    if (typeOf(txn).level == ReadLevel::bounded) return now - typeOf(txn).bound + terms.roundLength;
     return typeOf(txn).level == ReadLevel::session ? txn.target : Instant();
   }
 
