Draw long any reads mostly to the replica that is furthest behind

Symptom: session and bounded reads held or declined while replicas are half idle; positions of single replicas stand still for half a second and more. Cause: while a replica works on a long report it applies nothing, and the reports were spread over all. Change: types of four times the usual latency go mostly to the replica furthest behind. Covers long reads that only crowd, too; may hurt by filling one replica, which the bound in flight prevents.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -285,6 +285,18 @@
     return std::find(txn.tried.begin(), txn.tried.end(), &m) != txn.tried.end();
   }
 
+  // An any read far longer than the others is best put where it keeps nothing fresh from being applied: on the
+  // replica that is furthest behind as it is. Acts on types of four times the usual latency over all types. Covers
+  // long reads that hold up the log and those that only crowd; may hurt by filling one replica, which its bound in
+  // flight prevents.
+  bool isLong(std::size_t type) const {
+    if (terms.types[type].level != ReadLevel::any) return false;
+    std::vector<Span> each;
+    for (std::size_t other = 0; other < terms.types.size(); ++other) each.push_back(usual(other));
+    std::sort(each.begin(), each.end());
+    return usual(type) >= each[each.size() / 2] * 4;
+  }
+
   // Draws among the replicas known to have reached the target; if unsure, also among those that may have. One
   // that has turned a read away is not asked on suspicion for half a second: it catches up no faster than
   // that.
@@ -303,6 +315,11 @@
       if (!able.empty()) break;
     }
     if (able.empty()) return nullptr;
+    if (isLong(txn.txn.type)) {
+      const auto furthestBehind = std::min_element(
+          able.begin(), able.end(), [](const Member* a, const Member* b) { return a->position < b->position; });
+      weights[static_cast<std::size_t>(furthestBehind - able.begin())] *= 8;  // nearly always, yet still drawn
+    }
     double left = std::uniform_real_distribution<double>(
         0, std::accumulate(weights.begin(), weights.end(), 0.0))(chance);
     std::size_t i = 0;
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -218,20 +218,29 @@
   });
 }
 
+void longReads() {
+  auto report = type(ReadLevel::any);
+  report.slaTime = ms(3000);
+  Bench b(usualTerms({report, kBounded, kBounded}));
+  start(b);
+  b.quietProbes = true;
+  b.say("long any reads go nearly all to b, which is furthest behind; bounded reads go to both");
+  b.at(10, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, 0)); });
+  for (TxnId id = 1; id <= 24; ++id) {
+    const auto from = static_cast<std::int64_t>(id) * 30;
+    b.at(from, [&](Router& r) { r.taken(b.txn(id, id % 2)); });
+    b.at(from + 10, [&](Router& r) {
+      r.ended(id, 0, b.nodeOf(id), End::committed, true, ms(id % 2 ? 50 : 500), {Role::replica, {}}, {});
+    });
+  }
+}
+
 const std::map<std::string, void (*)()> kCases{
-    {"ordinary-path", ordinaryPath},
-    {"stale-read", staleRead},
-    {"once-only", onceOnly},
-    {"repeatable", repeatable},
-    {"referenced", referenced},
-    {"drains", drains},
-    {"cold-node", coldNode},
-    {"new-primary", newPrimary},
-    {"hung-node", hungNode},
-    {"dead-work", deadWork},
-    {"later-tries", laterTries},
-    {"late-news", lateNews},
-    {"crowded-replica", crowdedReplica},
+    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead},           {"once-only", onceOnly},
+    {"repeatable", repeatable},      {"referenced", referenced},          {"drains", drains},
+    {"cold-node", coldNode},         {"new-primary", newPrimary},         {"hung-node", hungNode},
+    {"dead-work", deadWork},         {"later-tries", laterTries},         {"late-news", lateNews},
+    {"long-reads", longReads},       {"crowded-replica", crowdedReplica},
 };
 
 }  // namespace
