Any reads leave half the room of the replica that is furthest ahead

Symptom: yard-board 34% in time and served by one node while all are busy. Cause: any reads and reports filled every replica, none applied the log in time, all fell out of the bound and stayed there; told from struck replicas by its starting with the traffic, on all at once. Change: the replica furthest ahead takes any reads only up to half its room. Covers every overload with mixed needs; may hurt a group whose reads are all any reads, by the half that stays empty.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -304,9 +304,16 @@
     const Instant target = targetNow(txn);
     std::vector<Member*> able;
     std::vector<double> weights;
+    // Any reads leave half the room of the replica furthest ahead, for reads that need it to stay there: in an
+    // overload they would else crowd every replica until none applies the log in time.
+    const Member* ahead = nullptr;
+    if (typeOf(txn).level == ReadLevel::any)
+      for (const Member* m : groups[txn.txn.group])
+        if (m != primary && !leaving(*m) && well(*m) && (!ahead || m->position > ahead->position)) ahead = m;
     for (const bool again : {false, true}) {
       for (Member* m : groups[txn.txn.group]) {
-        if (m == primary || (wasTried(*m, txn) && !again) || !usable(*m, txn)) continue;
+        if (m == primary || (wasTried(*m, txn) && !again)) continue;
+        if (!usable(*m, txn, m == ahead ? 0.5 : 1)) continue;
         if (m->position < target && (!unsure || now - m->behindAt < Span::millis(500))) continue;
         able.push_back(m);
         const double zone = m->sameZone ? 1 : std::max(0.0, 1 - terms.crossZonePrice * 10);
