Leave out what is measured in a late round; let old latencies lose their say

Symptom: after each pause half of all txns declined for seconds while nodes are idle. Cause: answers that waited in the held-up router counted as slow nodes, made every txn look hopeless, and with nothing sent no new sample came; told from slow nodes by all types and nodes turning slow in the same round. Change: a round later than the wake that was asked for measures nothing; latencies are figured once a round; the chance to be in time starts from hope. Covers pauses of process or machine and any end of an overload; may hurt by trusting nodes a little longer after a pause.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -42,6 +42,17 @@
   double slowness;  // its latency as a multiple of what is usual for its txn type
 };
 
+struct Took {
+  Instant at;
+  Span latency;
+};
+
+struct Figures {
+  Instant at;
+  std::vector<Span> recent;  // sorted
+  Span usual;
+};
+
 struct Sent {
   Instant at;
   double work;
@@ -94,7 +105,8 @@
   std::map<NodeId, Member> members;
   std::map<GroupId, std::vector<Member*>> groups;
   std::map<TxnId, Live> live;
-  std::vector<std::deque<Span>> latencies;  // a row a txn type: the last few, over all members
+  std::vector<std::deque<Took>> latencies;  // a row a txn type: the last few, over all members
+  mutable std::vector<Figures> figuresNow;  // a row a txn type, of this round
   std::deque<double> patienceShares;        // the patience of the last few tries as shares of their expiry
   std::map<SessionId, Instant> commits;     // the last write of a session that was committed through here
   std::deque<std::pair<SessionId, Instant>> commitOrder;
@@ -102,6 +114,8 @@
   std::map<GroupId, Instant> usedAt;   // when a txn for the group last came in
   std::map<GroupId, Instant> askedAt;  // when its replicas were last probed for held reads
   Instant wakeAt;
+  bool wakePending = false;
+  bool stalled = false;  // this round comes late
   Instant askListAt;
   bool following = false;
 
@@ -109,26 +123,45 @@
 
   // ---- what is usual
 
-  // The latency usual for a txn type: the median of its last few. 80 ms before the first: a database txn.
-  Span usual(std::size_t type) const {
+  // What the last few latencies of a txn type say, worked out once a round. Only those of the last 2 s count,
+  // as what is given up for old latencies brings no new ones: an overload or a stall that is over must not be
+  // held against what comes now. Usual is their median; the lower quarter of all where none is recent. 80 ms
+  // before the first: a database txn.
+  const Figures& figures(std::size_t type) const {
+    Figures& known = figuresNow[type];
+    if (known.at == now) return known;
+    known.at = now;
+    known.recent.clear();
     const auto& samples = latencies[type];
-    if (samples.empty()) return Span::millis(80);
-    std::vector<Span> sorted(samples.begin(), samples.end());
-    std::nth_element(sorted.begin(), sorted.begin() + static_cast<long>(sorted.size() / 2), sorted.end());
-    return std::max(sorted[sorted.size() / 2], Span::millis(1));
+    const bool starved = samples.empty() || now - samples.back().at > Span::seconds(2);
+    std::vector<Span> all;
+    for (std::size_t i = 0; i < samples.size(); ++i) {
+      all.push_back(samples[i].latency);
+      if (!starved && (i + 8 >= samples.size() || now - samples[i].at < Span::seconds(2)))
+        known.recent.push_back(samples[i].latency);
+    }
+    std::sort(known.recent.begin(), known.recent.end());
+    std::sort(all.begin(), all.end());
+    known.usual = !known.recent.empty() ? known.recent[known.recent.size() / 2]
+                  : !all.empty()        ? all[all.size() / 4]
+                                        : Span::millis(80);
+    known.usual = std::max(known.usual, Span::millis(1));
+    return known;
   }
 
+  Span usual(std::size_t type) const { return figures(type).usual; }
+
   // How long a submission may be out before its silence counts against the node: six times the usual, as
   // service times spread widely; 200 ms at least, so that a few quick answers don't make it nervous.
   Span patience(std::size_t type) const { return std::max(usual(type) * 6, Span::millis(200)); }
 
-  // The chance that a submission sent now is answered within `left`: the part of the last few that were.
+  // The chance that a submission sent now is answered within `left`: the part of the last few that were, and
+  // one more that was, so that few or no samples leave hope.
   double chanceWithin(std::size_t type, Span left) const {
-    const auto& samples = latencies[type];
-    if (samples.size() < 8) return left > usual(type) ? 1 : 0;
-    const auto quick =
-        std::count_if(samples.begin(), samples.end(), [left](Span took) { return took <= left; });
-    return static_cast<double>(quick) / static_cast<double>(samples.size());
+    if (left <= Span()) return 0;
+    const auto& recent = figures(type).recent;
+    const auto quick = std::upper_bound(recent.begin(), recent.end(), left) - recent.begin();
+    return static_cast<double>(quick + 1) / static_cast<double>(recent.size() + 1);
   }
 
   // How long the client of a txn has waited in earlier tries. Its SLA time runs from the first, and a try
@@ -285,10 +318,10 @@
     return std::find(txn.tried.begin(), txn.tried.end(), &m) != txn.tried.end();
   }
 
-  // An any read far longer than the others is best put where it keeps nothing fresh from being applied: on the
-  // replica that is furthest behind as it is. Acts on types of four times the usual latency over all types. Covers
-  // long reads that hold up the log and those that only crowd; may hurt by filling one replica, which its bound in
-  // flight prevents.
+  // An any read far longer than the others is best put where it keeps nothing fresh from being applied: on
+  // the replica that is furthest behind as it is. Acts on types of four times the usual latency over all
+  // types. Covers long reads that hold up the log and those that only crowd; may hurt by filling one replica,
+  // which its bound in flight prevents.
   bool isLong(std::size_t type) const {
     if (terms.types[type].level != ReadLevel::any) return false;
     std::vector<Span> each;
@@ -304,8 +337,8 @@
     const Instant target = targetNow(txn);
     std::vector<Member*> able;
     std::vector<double> weights;
-    // Any reads leave half the room of the replica furthest ahead, for reads that need it to stay there: in an
-    // overload they would else crowd every replica until none applies the log in time.
+    // Any reads leave half the room of the replica furthest ahead, for reads that need it to stay there: in
+    // an overload they would else crowd every replica until none applies the log in time.
     const Member* ahead = nullptr;
     if (typeOf(txn).level == ReadLevel::any)
       for (const Member* m : groups[txn.txn.group])
@@ -323,9 +356,11 @@
     }
     if (able.empty()) return nullptr;
     if (isLong(txn.txn.type)) {
-      const auto furthestBehind = std::min_element(
-          able.begin(), able.end(), [](const Member* a, const Member* b) { return a->position < b->position; });
-      weights[static_cast<std::size_t>(furthestBehind - able.begin())] *= 8;  // nearly always, yet still drawn
+      const auto furthestBehind =
+          std::min_element(able.begin(), able.end(),
+                           [](const Member* a, const Member* b) { return a->position < b->position; });
+      weights[static_cast<std::size_t>(furthestBehind - able.begin())] *=
+          8;  // nearly always, yet still drawn
     }
     double left = std::uniform_real_distribution<double>(
         0, std::accumulate(weights.begin(), weights.end(), 0.0))(chance);
@@ -492,6 +527,7 @@
     const Span next = held ? terms.roundLength : terms.roundLength * 4;
     if (!live.empty() && (wakeAt <= now || wakeAt > now + next)) {
       wakeAt = now + next;
+      wakePending = true;
       writer->wakeAfter(next);
     }
   }
@@ -551,6 +587,7 @@
 Router::Router(Terms terms, std::uint64_t seed) : state_(std::make_unique<State>()) {
   state_->terms = std::move(terms);
   state_->latencies.resize(state_->terms.types.size());
+  state_->figuresNow.resize(state_->terms.types.size());
   state_->chance.seed(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32)));
 }
 Router::~Router() = default;
@@ -560,6 +597,13 @@
 void Router::round(Instant now, Feed& feed, Writer& writer) {
   state_->now = now;
   state_->writer = &writer;
+  // A round that comes long after the wake that was asked for: the router itself has been held up. What it
+  // measures in it is its own delay; of the nodes it says nothing. Guards against pauses of the process or
+  // its machine.
+  state_->stalled =
+      state_->wakeAt != Instant() && state_->wakePending && now - state_->wakeAt > Span::millis(50);
+  if (state_->stalled)
+    for (auto& [id, m] : state_->members) m.heardAt = now;
   feed.deliver(*this);
   state_->followList();
   state_->decide();
@@ -655,17 +699,18 @@
     // A node that guards itself and answers a read has what the read needed.
     if (how == End::notHere && s.terms.types[out.type].level != ReadLevel::write) m.behindAt = s.now;
     if (how == End::committed && s.terms.nodesGuard) m.position = std::max(m.position, out.target);
-    if (how == End::committed) {
+    if (how == End::committed && !s.stalled) {
       const Span usual = s.usual(out.type);
-      keepLast(s.latencies[out.type], latency, 32);
+      keepLast(s.latencies[out.type], Took{s.now, latency}, 32);
       keepLast(m.answers, Answer{s.now, latency / usual}, 16);
     }
     // Called off after a long wait is no answer either: else a node that answers nothing, or only what nobody
     // waits for any more, is never found out, as its txns are answered elsewhere or given up first.
     const bool calledOffLate = how == End::calledOff && s.now - out.sentAt > s.usual(out.type) * 3;
     if (how == End::committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
-    if (calledOffLate || (how != End::calledOff && how != End::notSent && how != End::notHere))
-      keepLast(m.successes, how == End::committed, 8);
+    const bool judged =
+        calledOffLate || (how != End::calledOff && how != End::notSent && how != End::notHere);
+    if (judged && (!s.stalled || how == End::committed)) keepLast(m.successes, how == End::committed, 8);
   }
   if (found == s.live.end()) return;
   Live& txn = found->second;
@@ -692,6 +737,8 @@
   if (how == End::committed) s.learnReport(at->second, report);
 }
 
-void Router::woken() {}
+void Router::woken() {
+  if (state_->now >= state_->wakeAt) state_->wakePending = false;
+}
 
 }  // namespace gulltrestle
