--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -123,32 +123,27 @@
 
   // ---- what is usual
 
-  // What the last few latencies of a txn type say, worked out once a round. Only those of the last 2 s count,
-  // as what is given up for old latencies brings no new ones: an overload or a stall that is over must not be
-  // held against what comes now. Usual is their median; the lower quarter of all where none is recent. 80 ms
+  // What the last few latencies of a txn type say, worked out once a round. They lose their say when the
+  // newest is 2 s old, as what is given up for them brings no new ones: an overload or a stall that is over
+  // must not be held against what comes now. Usual is their median; the lower quarter of old ones. 80 ms
   // before the first: a database txn.
   const Figures& figures(std::size_t type) const {
     Figures& known = figuresNow[type];
     if (known.at == now) return known;
     known.at = now;
     known.recent.clear();
-    const auto& samples = latencies[type];
-    const bool starved = samples.empty() || now - samples.back().at > Span::seconds(2);
-    std::vector<Span> all;
-    for (std::size_t i = 0; i < samples.size(); ++i) {
-      all.push_back(samples[i].latency);
-      if (!starved && (i + 8 >= samples.size() || now - samples[i].at < Span::seconds(2)))
-        known.recent.push_back(samples[i].latency);
-    }
+    for (const Took& took : latencies[type]) known.recent.push_back(took.latency);
     std::sort(known.recent.begin(), known.recent.end());
-    std::sort(all.begin(), all.end());
-    known.usual = !known.recent.empty() ? known.recent[known.recent.size() / 2]
-                  : !all.empty()        ? all[all.size() / 4]
-                                        : Span::millis(80);
+    const auto count = known.recent.size();
+    const bool old = count > 0 && outdated(type);
+    known.usual = count == 0 ? Span::millis(80) : known.recent[old ? count / 4 : count / 2];
     known.usual = std::max(known.usual, Span::millis(1));
+    if (old) known.recent.clear();
     return known;
   }
 
+  bool outdated(std::size_t type) const { return now - latencies[type].back().at > Span::seconds(2); }
+
   Span usual(std::size_t type) const { return figures(type).usual; }
 
   // How long a submission may be out before its silence counts against the node: six times the usual, as
@@ -701,6 +696,7 @@
     if (how == End::committed && s.terms.nodesGuard) m.position = std::max(m.position, out.target);
     if (how == End::committed && !s.stalled) {
       const Span usual = s.usual(out.type);
+      if (!s.latencies[out.type].empty() && s.outdated(out.type)) s.latencies[out.type].clear();
       keepLast(s.latencies[out.type], Took{s.now, latency}, 32);
       keepLast(m.answers, Answer{s.now, latency / usual}, 16);
     }
