--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -432,7 +432,7 @@
 
   // Held with hardly a chance left to earn anything. A tenth: what is sent at worse odds is mostly wasted
   // work.
-  bool hopeless(const Live& txn) const { return !maySend(txn) || hope(txn) < 0.1; }
+  bool hopeless(const Live& txn) const { return !maySend(txn) || hope(txn) < 0.2; }
 
   // ---- probes
 
