--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -290,11 +290,11 @@
 
   bool knownPrimary(const Member& m) const { return m.primaryAt > m.replicaAt; }
 
-  // The member last known to be primary. Without any, the list's word, which is late.
+  // The member last known to be primary and not leaving. Without any, the list's word, which is late.
   Member* primaryOf(GroupId group) {
     Member* best = nullptr;
     for (Member* m : groups[group])
-      if (knownPrimary(*m) && (!best || m->primaryAt > best->primaryAt)) best = m;
+      if (knownPrimary(*m) && !leaving(*m) && (!best || m->primaryAt > best->primaryAt)) best = m;
     if (best) return best;
     for (Member* m : groups[group])
       if (m->listedPrimary && m->replicaAt == Instant() && !leaving(*m)) return m;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -41,11 +41,9 @@
   std::vector<TxnType> types;
   Span roundLength;
   unsigned routers = 1;
-  Span drainGrace;
-  double coldShare = 1;     // a node starts at this share of its capacity or above
-  Span coldTime;            // and is warm after this
-  double fallMultiple = 1;  // sent more than this many times its present capacity
-  Span fallTime;            // for this long, a cold node falls over
+  double coldShare = 1;  // a node starts at this share of its capacity or above
+  Span coldTime;         // and is warm after this
+  Span fallTime;         // sent too much for this long, a cold node falls over
   bool onlyDrainingBinds =
       false;  // a node that is gone without having been listed as draining may be sent to
   bool probesAllowed = false;
@@ -61,7 +59,6 @@
   bool sessionAgeCarried =
       false;  // reads carry the age of their session's last write; else it is remembered here
   bool listMustBeAsked = false;
-  Span askWithin;
 };
 
 struct Txn {
