Hold a read for a third of the SLA time before the primary

A read sent on after half of its SLA time leaves the primary too little of it. The hold's length is open in the design.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -385,8 +385,8 @@
     if (level == ReadLevel::write || level == ReadLevel::fresh)
       return primary && usable(*primary, txn) && well(*primary) ? primary : nullptr;
     if (Member* replica = draw(txn, primary, false)) return replica;
-    // Held for half of the SLA time, as the design has it; then the primary, which keeps room for its writes.
-    if (now - txn.takenAt < typeOf(txn).slaTime * 0.5) return nullptr;
+    // Held for a third of the SLA time, so that the primary has time to answer; it keeps room for its writes.
+    if (now - txn.takenAt < typeOf(txn).slaTime * 0.35) return nullptr;
     if (primary && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
     // The primary has no room either. Where nodes turn away what they are too far behind for, a replica whose
     // position is only not known may be asked all the same. Guards against news of positions that come late,
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -38,7 +38,7 @@
   b.say("one that is owed a newer write is held while the group is probed, until a replica has it");
   b.at(110, [&](Router& r) { r.taken(b.sessionRead(5, 2, 20)); });
   b.at(130, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, 100)); });
-  b.say("none ever has it: held for half of the SLA time, then the primary");
+  b.say("none ever has it: held for a third of the SLA time, then the primary");
   b.at(200, [&](Router& r) { r.taken(b.sessionRead(6, 2, 20)); });
   b.run(205, 410);
 }
