Ask again for the list when idle; remember a commit of unknown position as now

Read from top to bottom: a router without txns never asked again after a failed call for the list, as nothing woke it, and a committed write whose answer names no position was not remembered.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -71,7 +71,6 @@
   Instant behindAt;            // when it last turned a read away for being too far behind
   Instant triedAt;             // the last submission while it was judged unwell
   std::deque<Sample> answers;  // latencies as multiples of what is usual for the txn type
-
   std::deque<bool> successes;
   std::deque<Sample> sent;  // within the time in which a cold node falls over
   std::vector<Out> outs;
@@ -446,7 +445,7 @@
     return inTime + std::max(0.0, late) * typeOf(txn).lateShare;
   }
 
-  // Held with hardly a chance left to earn anything. A tenth: what is sent at worse odds is mostly wasted
+  // Held with hardly a chance left to earn anything. A fifth: what is sent at worse odds is mostly wasted
   // work.
   bool hopeless(const Live& txn) const { return !maySend(txn) || hope(txn) < 0.2; }
 
@@ -647,8 +646,9 @@
 void Router::listFailed() {
   auto& s = *state_;
   s.following = false;
-  s.askListAt =
-      s.now + Span::seconds(1);  // the list is one service for all routers: no storm on a failed call
+  if (!s.terms.listMustBeAsked) return;
+  s.askListAt = s.now + Span::seconds(1);  // one service for all routers: no storm on a failed call
+  s.writer->wakeAfter(Span::seconds(1));
 }
 
 void Router::taken(const Txn& txn) {
@@ -726,8 +726,8 @@
   if (ran && txn.mayHaveRunAt == Instant()) txn.mayHaveRunAt = out.sentAt;
   if (how == End::committed) {
     const auto level = s.typeOf(txn).level;
-    if (level == ReadLevel::write && txn.txn.session && answer.position)
-      s.remember(*txn.txn.session, *answer.position);
+    if (level == ReadLevel::write && txn.txn.session)
+      s.remember(*txn.txn.session, answer.position.value_or(s.now));
   }
   if (txnOver || how == End::committed) {
     s.callOffAll(txn);
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -280,24 +280,44 @@
   b.run(455, 500);
 }
 
+void askedList() {
+  auto terms = usualTerms({kAny, kSession, kWrite});
+  terms.listMustBeAsked = true;
+  terms.sessionAgeCarried = false;
+  Bench b(terms);
+  b.say("the list must be asked for: followed from the start, and again a second after a call failed");
+  start(b);
+  b.at(100, [&](Router& r) { r.listFailed(); });
+  b.at(1000);
+  b.at(1100);
+  b.say("session marks are remembered here: after its write, a session's read waits until a replica has it");
+  b.at(1200, [&](Router& r) {
+    auto write = b.txn(1, 2);
+    write.session = 9;
+    r.taken(write);
+  });
+  b.at(1250, [&](Router& r) {
+    r.ended(1, 0, "p", End::committed, true, ms(50), b.standing(Role::primary, 1240), {});
+    auto read = b.txn(2, 1);
+    read.session = 9;
+    r.taken(read);
+    read.id = 3, read.session = 8;
+    r.taken(read);
+  });
+  b.at(1300, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, 1239)); });
+  b.at(1310, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, 1240)); });
+}
+
 const std::map<std::string, void (*)()> kCases{
-    {"ordinary-path", ordinaryPath},
-    {"stale-read", staleRead},
-    {"once-only", onceOnly},
-    {"repeatable", repeatable},
-    {"referenced", referenced},
-    {"drains", drains},
-    {"cold-node", coldNode},
-    {"new-primary", newPrimary},
-    {"hung-node", hungNode},
-    {"dead-work", deadWork},
-    {"later-tries", laterTries},
-    {"late-news", lateNews},
-    {"long-reads", longReads},
-    {"next-try", nextTry},
-    {"stall", stall},
-    {"old-latencies", oldLatencies},
-    {"crowded-replica", crowdedReplica},
+    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead},
+    {"once-only", onceOnly},         {"repeatable", repeatable},
+    {"referenced", referenced},      {"drains", drains},
+    {"cold-node", coldNode},         {"new-primary", newPrimary},
+    {"hung-node", hungNode},         {"dead-work", deadWork},
+    {"later-tries", laterTries},     {"late-news", lateNews},
+    {"long-reads", longReads},       {"next-try", nextTry},
+    {"asked-list", askedList},       {"stall", stall},
+    {"old-latencies", oldLatencies}, {"crowded-replica", crowdedReplica},
 };
 
 }  // namespace
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -107,7 +107,9 @@
   void probe(const NodeId& node) override {
     if (!quietProbes) out_ << " probe " << node << ";";
   }
-  void wakeAfter(Span) override {}
+  void wakeAfter(Span after) override {
+    if (after >= ms(1000)) out_ << " wake after " << after.inMicros() / 1000 << ";";
+  }
   void followList() override { out_ << " follow the list;"; }
 
   Router router_;
