--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -50,8 +50,8 @@
     r.listed(ListKind::disk, {b.entry("p", true), b.entry("a"), b.entry("b")});
     r.taken(b.txn(1, 0)), r.taken(b.sessionRead(2, 1, 300)), r.taken(b.sessionRead(3, 1, 0));
   });
-  b.say("a is 1.2 s behind, too far for the bound; b is not");
-  b.at(5, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, -1200)); });
+  b.say("a is at the very edge of the bound, with no round in hand; b is well within");
+  b.at(5, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, -994)); });
   b.at(10, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, -100)); });
 }
 
@@ -157,7 +157,7 @@
       "a answers only what nobody waits for any more: once its reads were called off late it is drawn no "
       "more");
   for (TxnId id = 1; id <= 9; ++id) {
-    const auto from = static_cast<std::int64_t>(id) * 500;
+    const auto from = static_cast<std::int64_t>(id) * 405;
     b.at(from, [&](Router& r) { r.taken(b.txn(id, 0, 400)); });
     if (b.nodeOf(id) == "b") {
       b.at(from + 50, [&](Router& r) { end(b, r, id, End::committed); });
@@ -203,6 +203,11 @@
   b.at(260, [&](Router& r) { r.taken(b.sessionRead(6, 0, 10)); });
   b.run(265, 465);
   b.at(480, [&](Router& r) { end(b, r, 6, End::notHere); });
+  b.say("which rests for half a second meanwhile");
+  b.at(490, [&](Router& r) {
+    for (TxnId id = 7; id <= 8; ++id) r.taken(b.sessionRead(id, 0, 10));
+  });
+  b.run(495, 700);
 }
 
 void crowdedReplica() {
@@ -308,16 +313,38 @@
   b.at(1310, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, 1240)); });
 }
 
+void secondCopy() {
+  auto slow = kAny;
+  slow.slaTime = ms(2000);
+  Bench b(usualTerms({slow}));
+  start(b);
+  b.quietProbes = true;
+  b.say("a read that has been out for six times the usual gets one copy elsewhere; the loser is called off");
+  b.at(10, [&](Router& r) { r.taken(b.txn(1, 0, 3000)); });
+  b.run(15, 700);
+  b.at(750, [&](Router& r) { end(b, r, 1, End::committed, Role::replica, 1); });
+}
+
 const std::map<std::string, void (*)()> kCases{
-    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead},
-    {"once-only", onceOnly},         {"repeatable", repeatable},
-    {"referenced", referenced},      {"drains", drains},
-    {"cold-node", coldNode},         {"new-primary", newPrimary},
-    {"hung-node", hungNode},         {"dead-work", deadWork},
-    {"later-tries", laterTries},     {"late-news", lateNews},
-    {"long-reads", longReads},       {"next-try", nextTry},
-    {"asked-list", askedList},       {"stall", stall},
-    {"old-latencies", oldLatencies}, {"crowded-replica", crowdedReplica},
+    {"ordinary-path", ordinaryPath},
+    {"stale-read", staleRead},
+    {"once-only", onceOnly},
+    {"repeatable", repeatable},
+    {"referenced", referenced},
+    {"drains", drains},
+    {"cold-node", coldNode},
+    {"new-primary", newPrimary},
+    {"hung-node", hungNode},
+    {"dead-work", deadWork},
+    {"later-tries", laterTries},
+    {"late-news", lateNews},
+    {"long-reads", longReads},
+    {"next-try", nextTry},
+    {"asked-list", askedList},
+    {"second-copy", secondCopy},
+    {"stall", stall},
+    {"old-latencies", oldLatencies},
+    {"crowded-replica", crowdedReplica},
 };
 
 }  // namespace
