Hold an error against a node only where another commits the same txn

Cause: worthless txns that err at any node counted as failures of the nodes, until every one was judged unwell and reads were declined. Told from nodes that err by sending what erred to a second node: it erred there too. Covers whatever such txns have in common, or nothing, and faults in data that all nodes hold; may hurt where most nodes err at random.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -72,6 +72,7 @@
   Instant triedAt;             // the last submission while it was judged unwell
   std::deque<Sample> answers;  // latencies as multiples of what is usual for the txn type
   std::deque<bool> successes;
+  unsigned errorsInARow = 0;
   std::deque<Sample> sent;  // within the time in which a cold node falls over
   std::vector<Out> outs;
 };
@@ -88,6 +89,7 @@
   Instant lastSentAt;
   Instant mayHaveRunAt;  // when the first submission that may have run was sent; never: none may have
   std::vector<const Member*> tried;
+  Member* erredAt = nullptr;  // where it got an error, while it is not known whose the error is
   bool streaming = false;
 };
 
@@ -111,6 +113,7 @@
   std::vector<std::deque<Took>> latencies;  // a row a txn type: the last few, over all members
   mutable std::vector<Figures> figuresNow;  // a row a txn type, of this round
   std::deque<GivenUp> givenUp;              // the last few
+  std::deque<bool> secondLuck;              // of the last few txns that erred at a node: another committed them
   std::deque<double> patienceShares;        // the patience of the last few tries as shares of their expiry
   std::map<SessionId, Instant> commits;     // the last write of a session that was committed through here
   std::deque<std::pair<SessionId, Instant>> commitOrder;
@@ -430,6 +433,32 @@
         if (out.txn == txn.txn.id) writer->callOff(out.txn, out.number);
   }
 
+  // Whether errors are the txns' own: they err again wherever they are sent next. Guards against txns that can
+  // only err, whatever they have in common; covers a fault in the data that all nodes of a group hold. May
+  // hurt when most nodes err at random, where another try would help: one in eight is still made to find out,
+  // and one after each error of a node that erred three times in a row.
+  bool errorsStick() const {
+    const auto lucky = std::count(secondLuck.begin(), secondLuck.end(), true);
+    return secondLuck.size() >= 4 && static_cast<std::size_t>(lucky) * 4 <= secondLuck.size();
+  }
+
+  // An error is held against a node once another has committed the same txn; where no other may be asked,
+  // unless errors are known to be the txns' own and it is not the eighth in a row.
+  void erred(Member& m, Live* txn) {
+    const bool sticks = errorsStick();
+    ++m.errorsInARow;
+    if (txn && txn->erredAt) {
+      if (txn->erredAt != &m) keepLast(secondLuck, false, 8);
+      txn->submissions = terms.mostSubmissions;
+    } else if (txn && typeOf(*txn).effect != Effect::onceOnly) {
+      txn->erredAt = &m;
+      if (sticks && m.errorsInARow < 3 && std::uniform_int_distribution<>(0, 7)(chance) > 0)
+        txn->submissions = terms.mostSubmissions;
+    } else if (!sticks || m.errorsInARow >= 8) {
+      keepLast(m.successes, false, 8);
+    }
+  }
+
   // Whether a txn that is not out may be sent (again).
   bool maySend(const Live& txn) const {
     if (txn.submissions >= terms.mostSubmissions) return false;
@@ -714,9 +743,11 @@
     // waits for any more, is never found out, as its txns are answered elsewhere or given up first.
     const bool calledOffLate = how == End::calledOff && s.now - out.sentAt > s.usual(out.type) * 3;
     if (how == End::committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
-    const bool judged =
-        calledOffLate || (how != End::calledOff && how != End::notSent && how != End::notHere);
+    const bool judged = calledOffLate || (how != End::calledOff && how != End::notSent &&
+                                          how != End::notHere && how != End::error);
     if (judged && (!s.stalled || how == End::committed)) keepLast(m.successes, how == End::committed, 8);
+    if (how == End::committed) m.errorsInARow = 0;
+    if (how == End::error) s.erred(m, found == s.live.end() ? nullptr : &found->second);
   }
   if (found == s.live.end()) return;
   Live& txn = found->second;
@@ -728,6 +759,10 @@
     const auto level = s.typeOf(txn).level;
     if (level == ReadLevel::write && txn.txn.session)
       s.remember(*txn.txn.session, answer.position.value_or(s.now));
+    if (txn.erredAt && txn.erredAt->id != node) {
+      keepLast(s.secondLuck, true, 8);
+      keepLast(txn.erredAt->successes, false, 8);
+    }
   }
   if (txnOver || how == End::committed) {
     s.callOffAll(txn);
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -326,6 +326,28 @@
   b.at(750, [&](Router& r) { end(b, r, 1, End::committed, Role::replica, 1); });
 }
 
+void worthless() {
+  Bench b(usualTerms({kAny}));
+  start(b);
+  b.quietProbes = true;
+  TxnId id = 0;
+  std::int64_t now = 0;
+  // One txn, which errs at the nodes named.
+  const auto play = [&](const std::string& errsAt) {
+    b.at(now += 10, [&](Router& r) { r.taken(b.txn(++id)); });
+    for (NodeId last; b.nodeOf(id) != last;) {
+      const unsigned number = last.empty() ? 0 : 1;
+      last = b.nodeOf(id);
+      const bool errs = errsAt.find(last) != std::string::npos;
+      b.at(now += 10, [&](Router& r) { end(b, r, id, errs ? End::error : End::committed, {}, number); });
+    }
+  };
+  b.say("every other txn errs wherever it goes: given up after a second node, soon after one; none is blamed");
+  while (id < 16) play(id % 2 ? "" : "a b");
+  b.say("then a alone errs: what errs there is committed by b, and a is drawn no more but for trials");
+  while (id < 32) play("a");
+}
+
 const std::map<std::string, void (*)()> kCases{
     {"ordinary-path", ordinaryPath},
     {"stale-read", staleRead},
@@ -346,6 +368,7 @@
     {"stall", stall},
     {"old-latencies", oldLatencies},
     {"crowded-replica", crowdedReplica},
+    {"worthless", worthless},
 };
 
 }  // namespace
