Renew positions only where many txns share the probe; chance decides whom to probe

Cause: at 130 to 180 routers most have a few txns a second, and each renewed the position of every replica of every group it used: 2 to 8 probes a txn. All of them, knowing nothing, also asked the same two replicas first. Renewal now needs four txns a member; looking for a primary is shared by over 40 routers. Covers every kind of probe at scale; may hurt a router with few txns by one round trip a read.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -77,6 +77,12 @@
   std::vector<Out> outs;
 };
 
+struct Group {
+  std::vector<Member*> members;
+  Instant askedAt;     // when its replicas were last probed for held reads
+  unsigned taken = 0;  // txns since its positions were last renewed
+};
+
 struct Live {  // a txn that is owed its final answer
   Txn txn;
   Instant takenAt;
@@ -108,7 +114,7 @@
   Instant now;
   Writer* writer = nullptr;
   std::map<NodeId, Member> members;
-  std::map<GroupId, std::vector<Member*>> groups;
+  std::map<GroupId, Group> groups;
   std::map<TxnId, Live> live;
   std::vector<std::deque<Took>> latencies;  // a row a txn type: the last few, over all members
   mutable std::vector<Figures> figuresNow;  // a row a txn type, of this round
@@ -118,8 +124,6 @@
   std::map<SessionId, Instant> commits;     // the last write of a session that was committed through here
   std::deque<std::pair<SessionId, Instant>> commitOrder;
   Instant commitFloor;                 // the newest commit among the sessions no longer remembered
-  std::map<GroupId, Instant> usedAt;   // when a txn for the group last came in
-  std::map<GroupId, Instant> askedAt;  // when its replicas were last probed for held reads
   Instant wakeAt;
   bool wakePending = false;
   bool stalled = false;  // this round comes late
@@ -310,10 +314,10 @@
   // The member last known to be primary and not leaving. Without any, the list's word, which is late.
   Member* primaryOf(GroupId group) {
     Member* best = nullptr;
-    for (Member* m : groups[group])
+    for (Member* m : groups[group].members)
       if (m->primaryAt > m->replicaAt && !leaving(*m) && (!best || m->primaryAt > best->primaryAt)) best = m;
     if (best) return best;
-    for (Member* m : groups[group])
+    for (Member* m : groups[group].members)
       if (m->listedPrimary && m->replicaAt == Instant() && !leaving(*m)) return m;
     return nullptr;
   }
@@ -353,10 +357,10 @@
     // an overload they would else crowd every replica until none applies the log in time.
     const Member* ahead = nullptr;
     if (typeOf(txn).level == ReadLevel::any)
-      for (const Member* m : groups[txn.txn.group])
+      for (const Member* m : groups[txn.txn.group].members)
         if (m != primary && !leaving(*m) && well(*m) && (!ahead || m->position > ahead->position)) ahead = m;
     for (const bool again : {false, true}) {
-      for (Member* m : groups[txn.txn.group]) {
+      for (Member* m : groups[txn.txn.group].members) {
         if (m == primary || (wasTried(*m, txn) && !again)) continue;
         if (!usable(*m, txn, m == ahead ? 0.5 : 1)) continue;
         if (m->position < target && (!unsure || now - m->behindAt < Span::millis(500))) continue;
@@ -489,32 +493,38 @@
 
   // Held reads share probes: the two replicas thought to be furthest are asked first, the next two 25 ms
   // later if that was not enough, each replica once in 100 ms, about as often as nodes renew their reports.
-  void probeForPosition(std::vector<Member*> group, const Member* primary) {
-    std::erase_if(group, [&](const Member* m) {
+  // What was known a second ago puts none before the others, and chance decides: else all routers, which know
+  // as little, would ask the same two and crowd them.
+  void probeForPosition(std::vector<Member*> asked, const Member* primary) {
+    std::erase_if(asked, [&](const Member* m) {
       return m == primary || leaving(*m) || !well(*m) || now - m->probedAt < Span::millis(100);
     });
-    std::stable_sort(group.begin(), group.end(),
-                     [](const Member* a, const Member* b) { return a->position > b->position; });
-    for (std::size_t i = 0; i < group.size() && i < 2; ++i) probe(*group[i]);
+    std::shuffle(asked.begin(), asked.end(), chance);
+    const auto lately = [&](const Member* m) { return std::max(m->position, now - Span::seconds(1)); };
+    std::stable_sort(asked.begin(), asked.end(),
+                     [&](const Member* a, const Member* b) { return lately(a) > lately(b); });
+    for (std::size_t i = 0; i < asked.size() && i < 2; ++i) probe(*asked[i]);
   }
 
   void probeGroups(const std::map<GroupId, bool>& wantsPosition,
                    const std::map<GroupId, bool>& wantsPrimary) {
     const Span smallest = shortestBound();
     const bool toldUnasked = terms.positionsInAnswers || terms.reportsInAnswers;
+    // Each member once in 150 ms while its group's primary is looked for, for up to 40 routers; more share.
+    const Span lookAgain = Span::millis(150) * std::max(1.0, terms.routers / 40.0);
     for (auto& [id, group] : groups) {
-      const bool used = usedAt.contains(id) && now - usedAt[id] < smallest;
+      // Replicas' positions are kept within the bound, asked for once half of that is used up, while it costs
+      // less than a probe for four txns: a router with few asks when a read needs it.
+      const bool renew = !toldUnasked && group.taken >= group.members.size() * 4;
       const Member* primary = primaryOf(id);
-      for (Member* m : group) {
-        const Span since = now - m->probedAt;
-        // In use, a replica's position is kept within the bound: asked for once it has used up half of that.
-        const bool renew = used && !toldUnasked && m != primary && now - m->position >= smallest * 0.5;
-        if ((wantsPrimary.contains(id) && since >= Span::millis(150)) || (renew && since >= smallest * 0.25))
-          probe(*m);
-      }
-      if (wantsPosition.contains(id) && now - askedAt[id] >= Span::millis(25)) {
-        askedAt[id] = now;
-        probeForPosition(group, primary);
+      for (Member* m : group.members)
+        if ((wantsPrimary.contains(id) && now - m->probedAt >= lookAgain) ||
+            (renew && m != primary && now - m->position >= smallest * 0.5 &&
+             now - m->probedAt >= smallest * 0.25))
+          probe(*m), group.taken = 0;
+      if (wantsPosition.contains(id) && now - group.askedAt >= Span::millis(25)) {
+        group.askedAt = now;
+        probeForPosition(group.members, primary);
       }
     }
   }
@@ -654,7 +664,7 @@
     if (isNew) {
       m.id = entry.node;
       m.group = entry.group;
-      s.groups[entry.group].push_back(&m);
+      s.groups[entry.group].members.push_back(&m);
     }
     m.sameZone = entry.sameZone;
     m.health = entry.health;
@@ -691,7 +701,7 @@
   taken.firstAt = s.now - std::max(s.waitedBefore(txn), s.waitedHere(txn));
   taken.slaBy = taken.firstAt + std::min(sla, type.expiry);
   if (type.level == ReadLevel::session) taken.target = s.targetOf(txn);
-  s.usedAt[txn.group] = s.now;
+  ++s.groups[txn.group].taken;
   s.live.emplace(txn.id, std::move(taken));
 }
 
