Weigh what members tell of txns in hand beside own in flight

Own in flight is next to nothing at one of 150 routers. What a member told on a probe, fading into the mean of all that told within 2 s, now counts where it is more. Covers crowded, slow and hung members wherever reports tell txns in hand; may hurt when reports are late by seconds.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -68,6 +68,8 @@
   Instant heardAt;
   Instant probedAt;
   bool probeOut = false;
+  Instant toldAt;       // when it last told how many txns it has in hand
+  double inHand = 0;
   Instant behindAt;            // when it last turned a read away for being too far behind
   Instant triedAt;             // the last submission while it was judged unwell
   std::deque<Sample> answers;  // latencies as multiples of what is usual for the txn type
@@ -118,6 +120,8 @@
   std::map<TxnId, Live> live;
   std::vector<std::deque<Took>> latencies;  // a row a txn type: the last few, over all members
   mutable std::vector<Figures> figuresNow;  // a row a txn type, of this round
+  mutable Instant meanAt;                   // and the mean of what members told of txns in hand
+  mutable double meanInHand = 0;
   std::deque<GivenUp> givenUp;              // the last few
   std::deque<bool> secondLuck;              // of the last few txns that erred at a node: another committed them
   std::deque<double> patienceShares;        // the patience of the last few tries as shares of their expiry
@@ -205,6 +209,22 @@
     return waited;
   }
 
+  // Txns in flight to a member. Own ones are next to nothing at a router that is one of many, so what members
+  // tell counts where it is more; it turns into the mean of what all told lately within 2 s, as long as a
+  // queue takes to come or go. One that told nothing lately has that mean: not asked is not idle.
+  double load(const Member& m) const {
+    const auto fresh = [&](const Member& o) {
+      return o.toldAt == Instant() ? 0.0 : std::max(0.0, 1 - (now - o.toldAt) / Span::seconds(2));
+    };
+    if (meanAt != now) {
+      meanAt = now;
+      double sum = 0, weight = 0;
+      for (const auto& [id, o] : members) sum += fresh(o) * o.inHand, weight += fresh(o);
+      meanInHand = weight > 0 ? sum / weight : 0;
+    }
+    return std::max(meanInHand + (m.inHand - meanInHand) * fresh(m), static_cast<double>(m.outs.size()));
+  }
+
   double smoothed(const Member& m) const {
     if (m.answers.empty()) return 1;
     double sum = 0;
@@ -366,7 +386,7 @@
         if (m->position < target && (!unsure || now - m->behindAt < Span::millis(500))) continue;
         able.push_back(m);
         const double zone = m->sameZone ? 1 : std::max(0.0, 1 - terms.crossZonePrice * 10);
-        weights.push_back(warmth(*m) * zone / (smoothed(*m) * (1 + static_cast<double>(m->outs.size()))));
+        weights.push_back(warmth(*m) * zone / (smoothed(*m) * (1 + load(*m))));
       }
       if (!able.empty()) break;
     }
@@ -586,6 +606,7 @@
   // ---- what was learnt
 
   void learn(Member& m, const Standing& said, Instant at) {
+    if (said.inHand) m.inHand = *said.inHand, m.toldAt = now;
     if (said.role == Role::primary) m.primaryAt = std::max(m.primaryAt, at);
     if (said.role == Role::replica) m.replicaAt = std::max(m.replicaAt, at);
     if (said.position && *said.position >= m.position) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -103,6 +103,7 @@
 struct Standing {
   Role role = Role::unknown;
   std::optional<Instant> position;  // all commits up to here are applied; of a write, its commit rounded up
+  std::optional<double> inHand = {};  // txns that the node holds, of all routers
 };
 
 class Router;
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -179,6 +179,7 @@
       if (colon == std::string_view::npos) throw BadLine("usage", "has a part without a value");
       const auto name = pair.substr(0, colon);
       if (name == "x0") said.position = baseTime_ + Span::seconds(toNumber("usage", pair.substr(colon + 1)));
+      if (name == "active") said.inHand = toNumber("usage", pair.substr(colon + 1));
       if (name == "x1")
         said.role = toNumber("usage", pair.substr(colon + 1)) == 1 ? Role::primary : Role::replica;
     }
