Agree on one replica for long reads; bound by what members tell; space cold members by chance

They now go to the first replica in the order of ids, more as their latency grows; before any answer, the usual latency is a fifth of the SLA time. A member that tells of more in hand than rate x time has no room; a report is dated by its position. A cold member's next txn is spaced by what comes in, its first by chance.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -75,7 +75,7 @@
   std::deque<Sample> answers;  // latencies as multiples of what is usual for the txn type
   std::deque<bool> successes;
   unsigned errorsInARow = 0;
-  std::deque<Sample> sent;  // within the time in which a cold node falls over
+  Instant coldUntil;  // while cold, it gets its next txn after this
   std::vector<Out> outs;
 };
 
@@ -122,6 +122,8 @@
   mutable std::vector<Figures> figuresNow;  // a row a txn type, of this round
   mutable Instant meanAt;                   // and the mean of what members told of txns in hand
   mutable double meanInHand = 0;
+  std::deque<Sample> arrivals;              // the last few txns taken and the time they usually take
+  std::deque<Span> times;                   // the last latencies of all txn types
   std::deque<GivenUp> givenUp;              // the last few
   std::deque<bool> secondLuck;              // of the last few txns that erred at a node: another committed them
   std::deque<double> patienceShares;        // the patience of the last few tries as shares of their expiry
@@ -140,8 +142,8 @@
 
   // What the last few latencies of a txn type say, worked out once a round. They lose their say when the
   // newest is 2 s old, as what is given up for them brings no new ones: an overload or a stall that is over
-  // must not be held against what comes now. Usual is their median; the lower quarter of old ones. 80 ms
-  // before the first: a database txn.
+  // must not be held against what comes now. Usual is their median; the lower quarter of old ones; before
+  // the first a fifth of the SLA time, as who sets one has the work in mind.
   const Figures& figures(std::size_t type) const {
     Figures& known = figuresNow[type];
     if (known.at == now) return known;
@@ -151,7 +153,7 @@
     std::sort(known.recent.begin(), known.recent.end());
     const auto count = known.recent.size();
     const bool old = count > 0 && outdated(type);
-    known.usual = count == 0 ? Span::millis(80) : known.recent[old ? count / 4 : count / 2];
+    known.usual = count == 0 ? terms.types[type].slaTime * 0.2 : known.recent[old ? count / 4 : count / 2];
     known.usual = std::max(known.usual, Span::millis(1));
     if (old) known.recent.clear();
     return known;
@@ -265,26 +267,27 @@
     return terms.coldShare + (1 - terms.coldShare) * std::max(0.0, (now - m.startedAt) / terms.coldTime);
   }
 
-  double sentLately(const Member& m) const {
+  // How long until a cold member may get a txn of a type again: it gets its warm share of what this router
+  // would send each member if all that came in lately went round. Summed over all routers, however unequal
+  // they are, that is the member's share of an average load, well below the multiple at which it falls over.
+  Span coldGap(const Member& m, std::size_t type) const {
     double work = 0;
-    for (const auto& sent : m.sent)
-      if (now - sent.at < terms.fallTime) work += sent.figure;
-    return work;
-  }
-
-  // A cold node gets its warm share of what this router sends a warm node on average. Summed over all
-  // routers, however unequal, that is its share of an average load, well below the multiple at which it falls
-  // over.
-  bool coldRoom(const Member& m, std::size_t type) const {
-    const double share = warmth(m);
-    if (share >= 1) return true;
-    double warmWork = 0;
-    int warm = 0;
-    for (const auto& [id, other] : members)
-      if (!leaving(other) && warmth(other) >= 1) warmWork += sentLately(other), ++warm;
-    const double sent = sentLately(m);
-    return sent == 0 ? usual(type) < terms.fallTime * 0.1
-                     : warm > 0 && sent + usual(type).inSeconds() <= share * warmWork / warm;
+    for (const Sample& a : arrivals) work += a.figure;
+    const Span over = std::max(now - arrivals.front().at, Span::millis(1));
+    const auto running = std::count_if(members.begin(), members.end(),
+                                       [&](const auto& other) { return !leaving(other.second); });
+    return over * (usual(type).inSeconds() * static_cast<double>(running) / (work * warmth(m)));
+  }
+
+  // The first waits for a part of that by chance, as all routers are told of a start at about the same time.
+  // Guards all that is new or comes back, one or a whole group; may hurt by turning away what a node that
+  // warms early could take.
+  bool coldRoom(Member& m, std::size_t type) {
+    if (warmth(m) >= 1) return true;
+    if (arrivals.size() < 8) return false;  // nothing to tell a share from
+    if (m.coldUntil < m.startedAt)
+      m.coldUntil = now + coldGap(m, type) * std::uniform_real_distribution<>(0, 1)(chance);
+    return now >= m.coldUntil;
   }
 
   // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured.
@@ -294,11 +297,15 @@
   double inFlightBound(const Member& m) const {
     const double floor = std::max(1.0, 6.0 / terms.routers);
     if (m.answers.size() < 4) return floor;
-    Span shortest = terms.types.front().slaTime;
-    for (const auto& type : terms.types) shortest = std::min(shortest, type.slaTime);
     const Span over = std::max(now - m.answers.front().at, Span::millis(1));
     return std::max(floor,
-                    static_cast<double>(m.answers.size()) / over.inSeconds() * (shortest * 0.35).inSeconds());
+                    static_cast<double>(m.answers.size()) / over.inSeconds() * (shortestSla() * 0.35).inSeconds());
+  }
+
+  Span shortestSla() const {
+    Span shortest = terms.types.front().slaTime;
+    for (const auto& type : terms.types) shortest = std::min(shortest, type.slaTime);
+    return shortest;
   }
 
   // The shortest of the bounds; 2 s where no txn type has one: sessions read within a second or so of their
@@ -318,12 +325,24 @@
     return m.lag > shortestBound() * 0.33 && m.lag < shortestBound() * 1.2 ? 0.5 : 1;
   }
 
-  bool room(const Member& m, const Live& txn, double part) const {
+  // The same bound over all routers, where members tell what they have in hand: their rate, by Little's law, is
+  // what they hold over the time they take. Guards against a group or a node in more demand than the others,
+  // which a router with few txns can't see by its own; may hurt when reports are late by seconds.
+  bool crowded(const Member& m) const {
+    const double held = load(m);
+    if (held <= meanInHand || times.size() < 8) return false;
+    double sum = 0;
+    for (const Span time : times) sum += time.inSeconds();
+    const double rate = meanInHand * static_cast<double>(times.size()) / sum;
+    return held > std::max(1.0, rate * shortestSla().inSeconds() * 0.35);
+  }
+
+  bool room(Member& m, const Live& txn, double part) {
     part *= easing(m);
-    return static_cast<double>(m.outs.size()) < part * inFlightBound(m) && coldRoom(m, txn.txn.type);
+    return static_cast<double>(m.outs.size()) < part * inFlightBound(m) && !crowded(m) && coldRoom(m, txn.txn.type);
   }
 
-  bool usable(const Member& m, const Live& txn, double part = 1) const {
+  bool usable(Member& m, const Live& txn, double part = 1) {
     if (leaving(m) || !room(m, txn, part)) return false;
     if (well(m)) return true;
     return trialDue(m) && typeOf(txn).effect == Effect::repeatable && typeOf(txn).level != ReadLevel::fresh;
@@ -354,10 +373,11 @@
     return std::find(txn.tried.begin(), txn.tried.end(), &m) != txn.tried.end();
   }
 
-  // An any read far longer than the others is best put where it keeps nothing fresh from being applied: on
-  // the replica that is furthest behind as it is. Acts on types of four times the usual latency over all
-  // types. Covers long reads that hold up the log and those that only crowd; may hurt by filling one replica,
-  // which its bound in flight prevents.
+  // An any read far longer than the others is best put where it keeps nothing fresh from being applied: on one
+  // replica of its group that all routers agree on, the first in the order of ids; on one more for each time
+  // that its usual latency has grown by a third of its SLA time. Else, at many routers, such reads hold up the
+  // log at every replica. Acts on types of four times the usual latency over all types. Covers long reads that
+  // hold up the log and those that only crowd; may hurt by filling one replica.
   bool isLong(std::size_t type) const {
     if (terms.types[type].level != ReadLevel::any) return false;
     std::vector<Span> each;
@@ -392,11 +412,9 @@
     }
     if (able.empty()) return nullptr;
     if (isLong(txn.txn.type)) {
-      const auto furthestBehind =
-          std::min_element(able.begin(), able.end(),
-                           [](const Member* a, const Member* b) { return a->position < b->position; });
-      weights[static_cast<std::size_t>(furthestBehind - able.begin())] *=
-          8;  // nearly always, yet still drawn
+      std::sort(able.begin(), able.end(), [](const Member* a, const Member* b) { return a->id < b->id; });
+      const auto used = static_cast<std::size_t>(1 + usual(txn.txn.type) / (typeOf(txn).slaTime * 0.35));
+      return able[std::uniform_int_distribution<std::size_t>(0, std::min(used, able.size()) - 1)(chance)];
     }
     double left = std::uniform_real_distribution<double>(
         0, std::accumulate(weights.begin(), weights.end(), 0.0))(chance);
@@ -423,8 +441,7 @@
   void submit(Live& txn, Member& m) {
     if (!well(m)) m.triedAt = now;
     m.outs.push_back({txn.txn.id, txn.submissions, txn.txn.type, now, targetNow(txn)});
-    m.sent.push_back({now, usual(txn.txn.type).inSeconds()});
-    while (now - m.sent.front().at >= terms.fallTime) m.sent.pop_front();
+    if (warmth(m) < 1) m.coldUntil = now + coldGap(m, txn.txn.type);
     ++txn.submissions;
     ++txn.out;
     txn.lastSentAt = now;
@@ -606,7 +623,7 @@
   // ---- what was learnt
 
   void learn(Member& m, const Standing& said, Instant at) {
-    if (said.inHand) m.inHand = *said.inHand, m.toldAt = now;
+    if (said.inHand && at > m.toldAt) m.inHand = *said.inHand, m.toldAt = at;
     if (said.role == Role::primary) m.primaryAt = std::max(m.primaryAt, at);
     if (said.role == Role::replica) m.replicaAt = std::max(m.replicaAt, at);
     if (said.position && *said.position >= m.position) {
@@ -722,6 +739,7 @@
   taken.firstAt = s.now - std::max(s.waitedBefore(txn), s.waitedHere(txn));
   taken.slaBy = taken.firstAt + std::min(sla, type.expiry);
   if (type.level == ReadLevel::session) taken.target = s.targetOf(txn);
+  keepLast(s.arrivals, {s.now, s.usual(txn.type).inSeconds()}, 64);
   ++s.groups[txn.group].taken;
   s.live.emplace(txn.id, std::move(taken));
 }
@@ -769,6 +787,7 @@
       if (!s.latencies[out.type].empty() && s.outdated(out.type)) s.latencies[out.type].clear();
       keepLast(s.latencies[out.type], Took{s.now, latency}, 32);
       keepLast(m.answers, Sample{s.now, latency / usual}, 16);
+      keepLast(s.times, latency, 64);
     }
     // Called off after a long wait is no answer either: else a node that answers nothing, or only what nobody
     // waits for any more, is never found out, as its txns are answered elsewhere or given up first.
