Shed part of a short group's reads by chance; kinds stand in for members hardly known

Told from slow nodes by all members of the group being slow, at twice the traffic. Each router now sends on the part that brings the group's last latencies down to a third of the SLA time. A member's smoothed latency counts the mean of its kind as four answers; a full node rests a quarter of a second. Covers any shortage seen only thinly; may hurt where slowness is no queue.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <numeric>
 #include <random>
+#include <utility>
 
 namespace gulltrestle {
 
@@ -56,6 +57,7 @@
 struct Member {
   NodeId id;
   GroupId group = 0;
+  KindId kind;
   Health health = Health::gone;
   bool seenDraining = false;
   bool listedPrimary = false;
@@ -70,6 +72,7 @@
   bool probeOut = false;
   Instant toldAt;       // when it last told how many txns it has in hand
   double inHand = 0;
+  Instant fullAt;       // when it last turned a txn away unseen
   Instant behindAt;            // when it last turned a read away for being too far behind
   Instant triedAt;             // the last submission while it was judged unwell
   std::deque<Sample> answers;  // latencies as multiples of what is usual for the txn type
@@ -82,7 +85,8 @@
 struct Group {
   std::vector<Member*> members;
   Instant askedAt;     // when its replicas were last probed for held reads
-  unsigned taken = 0;  // txns since its positions were last renewed
+  std::deque<Sample> strains;  // the last latencies of reads at its replicas, as parts of the SLA time
+  unsigned taken = 0;          // txns since its positions were last renewed
 };
 
 struct Live {  // a txn that is owed its final answer
@@ -99,6 +103,7 @@
   std::vector<const Member*> tried;
   Member* erredAt = nullptr;  // where it got an error, while it is not known whose the error is
   bool streaming = false;
+  bool weighed = false;  // whether it may be sent, where its group is short
 };
 
 struct GivenUp {  // a session's txn that got no result
@@ -124,6 +129,7 @@
   mutable double meanInHand = 0;
   std::deque<Sample> arrivals;              // the last few txns taken and the time they usually take
   std::deque<Span> times;                   // the last latencies of all txn types
+  std::map<KindId, std::deque<double>> kinds;  // of the last answers of each kind, as those of members
   std::deque<GivenUp> givenUp;              // the last few
   std::deque<bool> secondLuck;              // of the last few txns that erred at a node: another committed them
   std::deque<double> patienceShares;        // the patience of the last few tries as shares of their expiry
@@ -227,11 +233,13 @@
     return std::max(meanInHand + (m.inHand - meanInHand) * fresh(m), static_cast<double>(m.outs.size()));
   }
 
+  // Smoothed latency: the mean of the member's last answers. A router with few txns has hardly any, and one
+  // quick answer would draw it to a node for long: the mean of all members of its kind counts as four more.
   double smoothed(const Member& m) const {
-    if (m.answers.empty()) return 1;
-    double sum = 0;
+    const auto& alike = kinds.at(m.kind);
+    double sum = alike.empty() ? 4 : std::accumulate(alike.begin(), alike.end(), 0.0) * 4 / double(alike.size());
     for (const auto& answer : m.answers) sum += answer.figure;
-    return std::max(sum / static_cast<double>(m.answers.size()), 0.1);
+    return std::max(sum / static_cast<double>(m.answers.size() + 4), 0.1);
   }
 
   // ---- which members may be used
@@ -308,6 +316,25 @@
     return shortest;
   }
 
+  // A router with few txns has none or one in flight to a member, so that its own bound never binds: what it
+  // may have in flight is a part of one. It keeps to that by chance, sending on the part of a group's reads
+  // that brings their latency down to the time a txn may spend at a node; what was turned away as full counts
+  // as the SLA time. Guards against a group in more demand than it can serve, at a fleet of which each router
+  // sees little; may hurt where slowness is no queue.
+  double partToSend(const Live& txn) {
+    const Group& group = groups[txn.txn.group];
+    const auto& last = group.strains;
+    if (typeOf(txn).level >= ReadLevel::fresh || last.size() < 4) return 1;
+    if (now - last.back().at > Span::seconds(2)) return 1;
+    const double over = (now - last.front().at).inSeconds();
+    const double inFlight = static_cast<double>(last.size()) * (shortestSla() * 0.35).inSeconds();
+    if (inFlight > over * static_cast<double>(group.members.size())) return 1;
+    std::vector<double> sorted;
+    for (const Sample& sample : last) sorted.push_back(sample.figure);
+    std::sort(sorted.begin(), sorted.end());
+    return 0.35 / sorted[sorted.size() / 2];
+  }
+
   // The shortest of the bounds; 2 s where no txn type has one: sessions read within a second or so of their
   // write.
   Span shortestBound() const {
@@ -401,7 +428,8 @@
         if (m != primary && !leaving(*m) && well(*m) && (!ahead || m->position > ahead->position)) ahead = m;
     for (const bool again : {false, true}) {
       for (Member* m : groups[txn.txn.group].members) {
-        if (m == primary || (wasTried(*m, txn) && !again)) continue;
+        const bool shunned = wasTried(*m, txn) || now - m->fullAt < Span::millis(250);
+        if (m == primary || (shunned && !again)) continue;
         if (!usable(*m, txn, m == ahead ? 0.5 : 1)) continue;
         if (m->position < target && (!unsure || now - m->behindAt < Span::millis(500))) continue;
         able.push_back(m);
@@ -583,7 +611,9 @@
     for (auto& [value, txn] : order) {
       const auto id = txn->txn.id;
       // The last rounds before expiry: the final answer must be there in time.
-      if (now + terms.roundLength * 2 >= txn->answerBy || (txn->out == 0 && hopeless(*txn))) {
+      const double part = std::exchange(txn->weighed, true) ? 1 : partToSend(*txn);
+      if (now + terms.roundLength * 2 >= txn->answerBy || (txn->out == 0 && hopeless(*txn)) ||
+          (part < 1 && std::uniform_real_distribution<>(0, 1)(chance) > part)) {
         giveUp(*txn);
         live.erase(id);
         continue;
@@ -705,6 +735,8 @@
       s.groups[entry.group].members.push_back(&m);
     }
     m.sameZone = entry.sameZone;
+    m.kind = entry.kind;
+    s.kinds.try_emplace(entry.kind);
     m.health = entry.health;
     if (entry.health == Health::draining) m.seenDraining = true;
     if (entry.startedAt > m.startedAt) {
@@ -780,6 +812,10 @@
     s.learn(m, said, s.now);
     s.learnReport(m, report);
     // A node that guards itself and answers a read has what the read needed.
+    if (how == End::turnedAway) m.fullAt = s.now;
+    const TxnType& type = s.terms.types[out.type];
+    if ((how == End::committed || how == End::turnedAway) && !s.stalled && type.level < ReadLevel::fresh)
+      keepLast(s.groups[m.group].strains, {s.now, how == End::committed ? latency / type.slaTime : 1}, 16);
     if (how == End::notHere && s.terms.types[out.type].level != ReadLevel::write) m.behindAt = s.now;
     if (how == End::committed && s.terms.nodesGuard) m.position = std::max(m.position, out.target);
     if (how == End::committed && !s.stalled) {
@@ -787,6 +823,7 @@
       if (!s.latencies[out.type].empty() && s.outdated(out.type)) s.latencies[out.type].clear();
       keepLast(s.latencies[out.type], Took{s.now, latency}, 32);
       keepLast(m.answers, Sample{s.now, latency / usual}, 16);
+      keepLast(s.kinds[m.kind], latency / usual, 64);
       keepLast(s.times, latency, 64);
     }
     // Called off after a long wait is no answer either: else a node that answers nothing, or only what nobody
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -16,6 +16,7 @@
 // Ids are kept as the front gives them and mean nothing beyond being equal or not.
 using TxnId = std::uint64_t;
 using NodeId = std::string;
+using KindId = std::string;
 using GroupId = std::uint64_t;
 using SessionId = std::uint64_t;
 
@@ -76,6 +77,7 @@
 struct ListEntry {
   NodeId node;
   GroupId group = 0;
+  KindId kind;  // of machine: members of one kind are alike
   Health health = Health::live;
   bool primary = false;
   bool sameZone = true;  // it stands in this router's own zone
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -349,6 +349,7 @@
       ListEntry entry;
       entry.node = line.text("node");
       entry.group = groupOf(line, "shard");
+      entry.kind = line.find("familyType").value_or("");
       entry.health = choice<Health>("health", line.text("health"), kHealths);
       entry.primary = line.number("head", 0) == 1;
       entry.startedAt = Instant::atMicros(static_cast<std::int64_t>(line.whole("startedAt", 0)));
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -265,6 +265,46 @@
   });
 }
 
+void shortGroup() {
+  Bench b(usualTerms({kAny}));
+  start(b);
+  b.quietProbes = true;
+  b.say("a few answers took half of the SLA time, at both: part of what comes next is declined at once");
+  for (TxnId id = 1; id <= 6; ++id) {
+    const auto from = static_cast<std::int64_t>(id) * 220;
+    b.at(from, [&](Router& r) { r.taken(b.txn(id)); });
+    b.at(from + 210, [&](Router& r) {
+      r.ended(id, 0, b.nodeOf(id), End::committed, true, ms(210), {Role::replica, {}}, {});
+    });
+  }
+  for (TxnId id = 11; id <= 19; ++id) {
+    b.at(static_cast<std::int64_t>(id) * 10 + 1500, [&](Router& r) { r.taken(b.txn(id)); });
+  }
+}
+
+void kinds() {
+  Bench b(usualTerms({kAny}));
+  b.quietProbes = true;
+  const auto of = [&](const std::string& node, const std::string& kind) {
+    auto made = b.entry(node);
+    made.kind = kind;
+    return made;
+  };
+  b.at(0, [&](Router& r) {
+    r.listed(ListKind::disk, {b.entry("p", true), of("a", "old"), of("b", "new"), of("c", "old"), of("d", "new")});
+  });
+  b.say("a takes three times as long as b; c and d are new here, and d, of b's kind, is drawn more than c");
+  for (TxnId id = 1; id <= 24; ++id) {
+    b.at(static_cast<std::int64_t>(id) * 30, [&](Router& r) { r.taken(b.txn(id)); });
+    b.at(static_cast<std::int64_t>(id) * 30 + 10, [&](Router& r) {
+      const NodeId node = b.nodeOf(id);
+      r.ended(id, 0, node, node == "a" || node == "b" ? End::committed : End::calledOff, false,
+              ms(node == "a" ? 60 : 20), {Role::replica, {}}, {});
+      r.clientLeft(id);
+    });
+  }
+}
+
 void stall() {
   Bench b(usualTerms({kAny}));
   start(b);
@@ -397,6 +437,8 @@
     {"crowded-replica", crowdedReplica},
     {"worthless", worthless},
     {"told", told},
+    {"short-group", shortGroup},
+    {"kinds", kinds},
 };
 
 }  // namespace
