--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -149,7 +149,6 @@
   void ended(TxnId txn, unsigned submission, const NodeId& node, End how, bool txnOver, Span latency,
              const Standing& answer, const Standing& report);
   void probed(const NodeId& node, End how, const Standing& report);
-  void woken();
 
  private:
   struct State;
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -132,8 +132,7 @@
     } else if (tag == "PROBE_DONE") {
       to.probed(NodeId(line.text("node")), endOf(line), usage(line));
     } else if (tag == "DUE") {
-      line.whole("name");
-      to.woken();
+      line.whole("name");  // the round itself is all that was asked for
     } else if (tag == "CANCELLED_BY_CLIENT") {
       to.clientLeft(line.whole("rid"));
     } else if (tag == "FLOWING") {
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -92,15 +92,10 @@
   }
 
  private:
-  // Wakes that were asked for and have come due are told first.
   void play(Instant then, std::function<void(Router&)> calls) {
     now_ = then;
-    const bool due = !wakes_.empty() && *wakes_.begin() <= now_;
     wakes_.erase(wakes_.begin(), wakes_.upper_bound(now_));
-    calls_ = [due, calls](Router& r) {
-      if (due) r.woken();
-      calls(r);
-    };
+    calls_ = std::move(calls);
     out_.str("");
     router_.round(now_, *this, *this);
     if (!out_.str().empty())
