--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -288,11 +288,14 @@
     return std::max(floor, static_cast<double>(m.answers.size()) * (timeThere() / over));
   }
 
+  // Whether the least of one in flight each sums up to twice the least that is meant: own bounds don't hold.
+  bool oneOfMany() const { return terms.routers > 12; }
+
   // The same bound over all routers, where members tell what they have in hand: their rate, by Little's law,
   // is what they hold over the time they take. Guards against a node in more demand than the others, which a
   // router with few txns can't see by its own; may hurt when reports are late by seconds.
   bool crowded(const Member& m) const {
-    if (outdated(told, now) || times.size() < 8 || load(m) <= mean(told)) return false;
+    if (!oneOfMany() || outdated(told, now) || times.size() < 8 || load(m) <= mean(told)) return false;
     return load(m) > std::max(1.0, mean(told) / mean(times) * timeThere().inSeconds());
   }
 
@@ -304,7 +307,7 @@
   double partToSend(const Live& txn) {
     const Group& group = groups[txn.txn.group];
     const auto& last = group.strains;
-    if (typeOf(txn).level >= ReadLevel::fresh || last.size() < 4 || outdated(last, now)) return 1;
+    if (!oneOfMany() || typeOf(txn).level >= ReadLevel::fresh || last.size() < 4 || outdated(last, now)) return 1;
     const double inFlight = static_cast<double>(last.size()) * timeThere().inSeconds();
     if (inFlight > (now - last.front().at).inSeconds() * static_cast<double>(group.members.size())) return 1;
     return 0.35 / median(last);
@@ -349,7 +352,8 @@
   }
 
   // An any read far longer than the others is best put where it keeps nothing fresh from being applied: on
-  // one replica of its group that all routers agree on, the first in the order of ids; on one more for each
+  // one replica of its group that all routers agree on, the first in the order of ids, those that told they
+  // are behind the bound before the others, as they serve nothing fresh anyway; on one more for each
   // time that its usual latency has grown by a third of its SLA time. Else, at many routers, such reads hold
   // up the log at every replica. Acts on types of four times the usual latency over all types. Covers long
   // reads that hold up the log and those that only crowd; may hurt by filling one replica.
@@ -388,7 +392,9 @@
     }
     if (able.empty()) return nullptr;
     if (isLong(txn.txn.type)) {
-      std::sort(able.begin(), able.end(), [](const Member* a, const Member* b) { return a->id < b->id; });
+      const auto order = [&](const Member* m) { return std::pair(m->lag <= shortestBound, m->id); };
+      std::sort(able.begin(), able.end(),
+                [&](const Member* a, const Member* b) { return order(a) < order(b); });
       const auto used = static_cast<std::size_t>(1 + usual(txn.txn.type) / (typeOf(txn).slaTime * 0.35));
       return able[std::uniform_int_distribution<std::size_t>(0, std::min(used, able.size()) - 1)(chance)];
     }
