Full nodes rest, primaries too; owed reads stay off a strained primary where routers are many

A full node now rests a quarter of a second whatever is to be sent; beyond twelve routers a primary whose last answers took a quarter of the SLA time gets no reads.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -97,7 +97,8 @@
   std::vector<Member*> members;
   Instant askedAt;             // when its replicas were last probed for held reads
   unsigned taken = 0;          // txns since its positions were last renewed
-  std::deque<Sample> strains;  // the last latencies of reads at its replicas, as parts of the SLA time
+  // The last latencies as parts of the SLA time: of reads at its replicas, of all at its primary.
+  std::deque<Sample> strains, primaryStrains;
 };
 
 struct Live {  // a txn that is owed its final answer
@@ -323,7 +324,8 @@
 
   bool usable(Member& m, const Live& txn, double part = 1) {
     if (leaving(m) || static_cast<double>(m.outs.size()) >= part * easing(m) * inFlightBound(m)) return false;
-    if (crowded(m) || !coldRoom(m, txn.txn.type)) return false;
+    // One that was full rests for a quarter of a second: what it turns away takes work, too.
+    if (now - m.fullAt < Span::millis(250) || crowded(m) || !coldRoom(m, txn.txn.type)) return false;
     const auto& type = typeOf(txn);
     return well(m) || (trialDue(m) && type.effect == Effect::repeatable && type.level != ReadLevel::fresh);
   }
@@ -367,7 +369,7 @@
 
   // Draws among the replicas known to have reached the target; if unsure, also among those that may have. One
   // that has turned a read away is not asked on suspicion for half a second: it catches up no faster than
-  // that. One that was full rests for a quarter.
+  // that.
   Member* draw(const Live& txn, const Member* primary, bool unsure) {
     const Instant target = targetNow(txn);
     const auto& group = groups[txn.txn.group].members;
@@ -381,8 +383,7 @@
     std::vector<double> weights;
     for (const bool again : {false, true}) {
       for (Member* m : group) {
-        const bool shunned = wasTried(*m, txn) || now - m->fullAt < Span::millis(250);
-        if (m == primary || (shunned && !again) || !usable(*m, txn, m == ahead ? 0.5 : 1)) continue;
+        if (m == primary || (wasTried(*m, txn) && !again) || !usable(*m, txn, m == ahead ? 0.5 : 1)) continue;
         if (m->position < target && (!unsure || now - m->behindAt < Span::millis(500))) continue;
         able.push_back(m);
         const double zone = m->sameZone ? 1 : std::max(0.01, 1 - terms.crossZonePrice * 10);
@@ -408,7 +409,11 @@
     if (Member* replica = draw(txn, primary, false)) return replica;
     // Held for a third of the SLA time, so that the primary has time to answer; it keeps room for its writes.
     if (now < holdEnd(txn)) return nullptr;
-    if (primary && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
+    // Of many routers each sees room there: they stay away while what they sent took a quarter of its SLA time.
+    const auto& strains = groups[txn.txn.group].primaryStrains;
+    const bool strained =
+        oneOfMany() && !outdated(strains, now) && strains.size() >= 3 && median(strains) > 0.25;
+    if (primary && !strained && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
     // The primary has no room either. Where nodes turn away what they are too far behind for, a replica whose
     // position is only not known may be asked all the same. Guards against news of positions that come late,
     // seldom or not at all; may hurt when the replicas really are behind, by a short wait at each.
@@ -767,8 +772,10 @@
       keepLast(m.answers, multiple, 16);
       keepLast(s.kinds[m.kind], multiple, 64);
     }
-    if ((committed || how == End::turnedAway) && !s.stalled && type.level < ReadLevel::fresh)
-      keepLast(s.groups[m.group].strains, {s.now, committed ? latency / type.slaTime : 1}, 16);
+    Group& group = s.groups[m.group];
+    if ((committed || how == End::turnedAway) && !s.stalled)
+      keepLast(m.primaryAt > m.replicaAt ? group.primaryStrains : group.strains,
+               {s.now, committed ? latency / type.slaTime : 1}, 16);
     if (committed) m.errorsInARow = 0;
     if (committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
     // Called off after a long wait is no answer either: else a node that answers nothing, or only what nobody
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -58,13 +58,14 @@
 void onceOnly() {
   Bench b(usualTerms({kWrite}));
   start(b);
-  b.say("turned away unseen: sent again. Lost while out: it may have run, so it is rolled back at once");
+  b.say("turned away unseen: sent again, once the full node has rested. Lost while out: it may have run, so it is rolled back at once");
   b.at(10, [&](Router& r) { r.taken(b.txn(1)); });
   b.at(20, [&](Router& r) { end(b, r, 1, End::turnedAway, Role::primary); });
-  b.at(30, [&](Router& r) { end(b, r, 1, End::connectionLost, Role::unknown, 1); });
+  b.run(25, 275);
+  b.at(280, [&](Router& r) { end(b, r, 1, End::connectionLost, Role::unknown, 1); });
   b.say("no answer by the expiry: rolled back, never declined");
-  b.at(40, [&](Router& r) { r.taken(b.txn(2, 0, 100)); });
-  b.run(45, 140);
+  b.at(290, [&](Router& r) { r.taken(b.txn(2, 0, 100)); });
+  b.run(295, 390);
 }
 
 void repeatable() {
@@ -311,6 +312,28 @@
   }
 }
 
+void strainedPrimary() {
+  auto terms = usualTerms({kWrite, kSession});
+  terms.routers = 40;
+  Bench b(terms);
+  start(b);
+  b.quietProbes = true;
+  b.say("one of many routers, whose writes took half of their SLA time: an owed read stays off the primary");
+  for (TxnId id = 1; id <= 3; ++id) {
+    b.at(static_cast<std::int64_t>(id) * 10, [&](Router& r) { r.taken(b.txn(id, 0)); });
+    b.at(static_cast<std::int64_t>(id) * 10 + 5, [&](Router& r) {
+      r.ended(id, 0, "p", End::committed, true, ms(200), {Role::primary, {}}, {});
+    });
+  }
+  b.at(100, [&](Router& r) { r.taken(b.sessionRead(4, 1, 20)); });
+  b.run(105, 300);
+  b.say("until a replica has what it needs");
+  b.at(305, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, 200)); });
+  b.say("2 s later that is old: the next goes to the primary after its hold");
+  b.at(2500, [&](Router& r) { r.taken(b.sessionRead(5, 1, 20)); });
+  b.run(2505, 2700);
+}
+
 void stall() {
   Bench b(usualTerms({kAny}));
   start(b);
@@ -443,6 +466,7 @@
     {"crowded-replica", crowdedReplica},
     {"worthless", worthless},
     {"told", told},
+    {"strained-primary", strainedPrimary},
     {"short-group", shortGroup},
     {"kinds", kinds},
 };
