Take no session whose txn erred to come back

A session that asks again within a second of being given up is dated by its first try; with worthless txns in it, real ones were dated by those that erred. Kept: it only removes a false date.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -442,7 +442,7 @@
   }
 
   void giveUp(const Live& txn) {
-    if (txn.txn.session) keepLast(givenUp, {*txn.txn.session, txn.txn.type, txn.firstAt, now}, 256);
+    if (txn.txn.session && !txn.erredAt) keepLast(givenUp, {*txn.txn.session, txn.txn.type, txn.firstAt, now}, 256);
     if (mayDecline(txn))
       writer->decline(txn.txn.id, terms.comeBackAllowed ? terms.longestComeBack * 0.5 : Span());
     else
