Count what is called off late in latencies; date reports by the newest; ask where any reads go

Three reasons, found in turn: only answers counted as latencies, so a queue of dead work looked as quick as the few it answered; a report was dated by its position, so those of replicas far behind never counted; any reads need no position, so who sends them heard nothing. Long reads now keep to the agreed replica by their own SLA time. That a replica was behind because of its queue, and no hang, showed in positions that moved and in util near 1.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -146,6 +146,7 @@
   std::deque<std::pair<double, bool>> patiences;  // the last, as shares of the expiry; whether others had it
   std::map<SessionId, Instant> commits;           // the last write of a session that was committed here
   Instant commitFloor;                            // the newest commit among sessions no longer remembered
+  std::deque<double> reportAges;                  // how far the last reports' positions were behind
   std::deque<Sample> told;                        // the last that members told of txns in hand
   Instant wakeAt;
   bool stalled = false;  // this round comes late
@@ -296,8 +297,8 @@
   // is what they hold over the time they take. Guards against a node in more demand than the others, which a
   // router with few txns can't see by its own; may hurt when reports are late by seconds.
   bool crowded(const Member& m) const {
-    if (!oneOfMany() || outdated(told, now) || times.size() < 8 || load(m) <= mean(told)) return false;
-    return load(m) > std::max(1.0, mean(told) / mean(times) * timeThere().inSeconds());
+    if (!oneOfMany() || outdated(told, now) || times.size() < 8) return false;
+    return load(m) > std::max({1.0, mean(told), mean(told) / mean(times) * timeThere().inSeconds()});
   }
 
   // A router with few txns has none or one in flight to a member, so that its own bound never binds: what it
@@ -372,6 +373,7 @@
   // that.
   Member* draw(const Live& txn, const Member* primary, bool unsure) {
     const Instant target = targetNow(txn);
+    const bool longRead = isLong(txn.txn.type);
     const auto& group = groups[txn.txn.group].members;
     // Any reads leave half the room of the replica furthest ahead, for reads that need it to stay there: in
     // an overload they would else crowd every replica until none applies the log in time.
@@ -383,7 +385,8 @@
     std::vector<double> weights;
     for (const bool again : {false, true}) {
       for (Member* m : group) {
-        if (m == primary || (wasTried(*m, txn) && !again) || !usable(*m, txn, m == ahead ? 0.5 : 1)) continue;
+        if (m == primary || (wasTried(*m, txn) && !again) || !usable(*m, txn, longRead ? typeOf(txn).slaTime / shortestSla : m == ahead ? 0.5 : 1))
+          continue;
         if (m->position < target && (!unsure || now - m->behindAt < Span::millis(500))) continue;
         able.push_back(m);
         const double zone = m->sameZone ? 1 : std::max(0.01, 1 - terms.crossZonePrice * 10);
@@ -392,14 +395,18 @@
       if (!able.empty()) break;
     }
     if (able.empty()) return nullptr;
-    if (isLong(txn.txn.type)) {
+    if (longRead) {
       const auto order = [&](const Member* m) { return std::pair(m->lag <= shortestBound, m->id); };
       std::sort(able.begin(), able.end(),
                 [&](const Member* a, const Member* b) { return order(a) < order(b); });
       const auto used = static_cast<std::size_t>(1 + usual(txn.txn.type) / (typeOf(txn).slaTime * 0.35));
-      return able[std::uniform_int_distribution<std::size_t>(0, std::min(used, able.size()) - 1)(chance)];
+      for (std::size_t i = 0; i < able.size(); ++i) weights[i] = i < used;
     }
-    return able[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(chance)];
+    Member* m = able[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(chance)];
+    // Any reads need no position and so bring no news: one of many routers asks where it has heard none lately,
+    // for the next, so that a node with a full queue is not fed by all that don't know of it.
+    if (oneOfMany() && !told.empty() && now - m->toldAt > Span::seconds(1)) probe(*m);
+    return m;
   }
 
   Member* place(const Live& txn) {
@@ -601,11 +608,6 @@
   // ---- what was learnt
 
   void learn(Member& m, const Standing& said, Instant at) {
-    if (said.inHand && at > m.toldAt) {
-      m.inHand = *said.inHand;
-      m.toldAt = at;
-      keepLast(told, {at, m.inHand}, 32);
-    }
     if (said.role == Role::primary) m.primaryAt = std::max(m.primaryAt, at);
     if (said.role == Role::replica) m.replicaAt = std::max(m.replicaAt, at);
     if (said.position && *said.position >= m.position) {
@@ -617,7 +619,14 @@
   // A report's age is not told, but its position dates it: a primary's is the time of the report, a replica's
   // is not later. Older reports than what is known already say nothing of the role.
   void learnReport(Member& m, const Standing& report) {
-    if (report.position) learn(m, report, std::min(*report.position, now));
+    if (!report.position) return;
+    learn(m, report, std::min(*report.position, now));
+    if (!report.inHand) return;
+    // Reports are about as old as the newest position among the last of them: one member or other keeps up.
+    keepLast(reportAges, (now - *report.position).inSeconds(), 16);
+    m.inHand = *report.inHand;
+    m.toldAt = now - Span::seconds(*std::min_element(reportAges.begin(), reportAges.end()));
+    keepLast(told, {m.toldAt, m.inHand}, 32);
   }
 
   void remember(SessionId session, Instant commit) {
@@ -763,12 +772,19 @@
     if (how == End::notHere && type.level != ReadLevel::write) m.behindAt = s.now;
     if (how == End::turnedAway) m.fullAt = s.now;
     if (committed && s.terms.nodesGuard) m.position = std::max(m.position, out.target);
-    if (committed && !s.stalled) {
-      const Sample multiple{s.now, latency / s.usual(out.type)}, seconds{s.now, latency.inSeconds()};
+    // Called off after a long wait is no answer either, and took at least as long as it was out: else a node
+    // that answers nothing, or only what nobody waits for any more, is never found out, as its txns are
+    // answered elsewhere or given up first, and a queue of such work looks as quick as the few that it answers.
+    const bool late = (how == End::calledOff || how == End::noAnswer) && s.now - out.sentAt > s.usual(out.type) * 3;
+    if ((committed || late) && !s.stalled) {
+      const Sample seconds{s.now, latency.inSeconds()};
       auto& last = s.latencies[out.type];
       if (outdated(last, s.now)) last.clear();
       keepLast(last, seconds, 32);
       keepLast(s.times, seconds, 64);
+    }
+    if (committed && !s.stalled) {
+      const Sample multiple{s.now, latency / s.usual(out.type)};
       keepLast(m.answers, multiple, 16);
       keepLast(s.kinds[m.kind], multiple, 64);
     }
@@ -778,11 +794,8 @@
                {s.now, committed ? latency / type.slaTime : 1}, 16);
     if (committed) m.errorsInARow = 0;
     if (committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
-    // Called off after a long wait is no answer either: else a node that answers nothing, or only what nobody
-    // waits for any more, is never found out, as its txns are answered elsewhere or given up first.
-    const bool calledOffLate = how == End::calledOff && s.now - out.sentAt > s.usual(out.type) * 3;
-    const bool failed = calledOffLate || how == End::turnedAway || how == End::noAnswer ||
-                        how == End::noConnection || how == End::connectionLost;
+    const bool failed = late || how == End::noAnswer || how == End::turnedAway || how == End::noConnection ||
+                        how == End::connectionLost;
     if (committed || (failed && !s.stalled)) keepLast(m.successes, committed, 8);
     if (how == End::error) s.erred(m, txn);
   }
