Leave out the half room of replicas on their way out of the bound and of the one ahead

Both guarded against crowded replicas that apply the log late; the bounds over all routers and the agreed replica for long reads cover that now, and at many routers half of a place in flight is none. Sums over samples moved to base/samples.h.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -12,48 +12,19 @@
 
 #include "routing/router.h"
 
-#include <algorithm>
-#include <array>
 #include <cmath>
-#include <deque>
 #include <map>
-#include <numeric>
 #include <random>
 #include <utility>
 
+#include "base/samples.h"
+
 namespace gulltrestle {
 
 namespace {
 
-struct Sample {
-  Instant at;
-  double figure;
-};
-
-template <typename T>
-void keepLast(std::deque<T>& samples, T sample, std::size_t most) {
-  samples.push_back(std::move(sample));
-  if (samples.size() > most) samples.pop_front();
-}
-
-double sum(const std::deque<Sample>& samples) {
-  return std::accumulate(samples.begin(), samples.end(), 0.0,
-                         [](double before, const Sample& sample) { return before + sample.figure; });
-}
-
-double mean(const std::deque<Sample>& samples) { return sum(samples) / static_cast<double>(samples.size()); }
-
-double median(const std::deque<Sample>& samples, std::size_t part = 2) {  // part 4: the lower quarter
-  std::array<double, 64> figures;
-  const auto end = std::transform(samples.begin(), samples.end(), figures.begin(),
-                                  [](const Sample& sample) { return sample.figure; });
-  const auto at = figures.begin() + static_cast<std::ptrdiff_t>(samples.size() / part);
-  std::nth_element(figures.begin(), at, end);
-  return *at;
-}
-
 // The newest of some samples is so old that what they say is over: 2 s, as long as a queue takes to go.
-bool outdated(const std::deque<Sample>& samples, Instant now) {
+bool outdated(const Samples& samples, Instant now) {
   return samples.empty() || now - samples.back().at > Span::seconds(2);
 }
 
@@ -70,24 +41,18 @@
   GroupId group = 0;
   KindId kind;
   Health health = Health::gone;
-  bool seenDraining = false;
-  bool listedPrimary = false;
-  bool sameZone = true;
+  bool seenDraining = false, listedPrimary = false, sameZone = true, probeOut = false;
   Instant startedAt;
-  Instant position;   // all commits up to here are known to be applied
-  Span lag;           // how far that was behind when it was told
-  Instant primaryAt;  // the last moment at which it is known to have been the primary
-  Instant replicaAt;  // and a replica
-  Instant heardAt;
-  Instant probedAt;
-  bool probeOut = false;
+  Instant position;              // all commits up to here are known to be applied
+  Span lag;                      // how far that was behind when it was told
+  Instant primaryAt, replicaAt;  // the last moments at which it is known to have been one
+  Instant heardAt, probedAt;
   Instant toldAt;  // when it last told how many txns it has in hand
   double inHand = 0;
-  Instant fullAt;     // when it last turned a txn away unseen
-  Instant behindAt;   // and a read, for being too far behind
-  Instant triedAt;    // the last submission while it was judged unwell
-  Instant coldUntil;  // while cold, it gets its next txn after this
-  std::deque<Sample> answers;  // latencies as multiples of what is usual for the txn type
+  Instant fullAt, behindAt;  // when it last turned a txn away unseen; a read, for being too far behind
+  Instant triedAt;           // the last submission while it was judged unwell
+  Instant coldUntil;         // while cold, it gets its next txn after this
+  Samples answers;           // latencies as multiples of what is usual for the txn type
   std::deque<bool> successes;
   unsigned errorsInARow = 0;
   std::vector<Out> outs;
@@ -95,21 +60,18 @@
 
 struct Group {
   std::vector<Member*> members;
-  Instant askedAt;             // when its replicas were last probed for held reads
-  unsigned taken = 0;          // txns since its positions were last renewed
+  Instant askedAt;     // when its replicas were last probed for held reads
+  unsigned taken = 0;  // txns since its positions were last renewed
   // The last latencies as parts of the SLA time: of reads at its replicas, of all at its primary.
-  std::deque<Sample> strains, primaryStrains;
+  Samples strains, primaryStrains;
 };
 
 struct Live {  // a txn that is owed its final answer
   Txn txn;
-  Instant takenAt;
-  Instant firstAt;  // when its client's first try came, as far as can be told
-  Instant slaBy;
-  Instant answerBy;
+  Instant takenAt, firstAt;  // firstAt: when its client's first try came, as far as can be told
+  Instant slaBy, answerBy;
   Instant target;  // session reads: what the answering member must have applied
-  unsigned submissions = 0;
-  unsigned out = 0;
+  unsigned submissions = 0, out = 0;
   Instant lastSentAt;
   Instant mayHaveRunAt;  // when the first submission that may have run was sent; never: none may have
   std::vector<const Member*> tried;
@@ -121,8 +83,7 @@
 struct GivenUp {  // a session's txn that got no result
   SessionId session;
   std::size_t type;
-  Instant firstAt;
-  Instant at;
+  Instant firstAt, at;
 };
 
 }  // namespace
@@ -137,17 +98,17 @@
   std::map<NodeId, Member> members;
   std::map<GroupId, Group> groups;
   std::map<TxnId, Live> live;
-  std::vector<std::deque<Sample>> latencies;      // a row a txn type: the last few, over all members
-  std::deque<Sample> times;                       // the last latencies of all txn types
-  std::map<KindId, std::deque<Sample>> kinds;     // the last answers of each kind, as those of members
-  std::deque<Sample> arrivals;                    // the last few txns taken and the time they usually take
+  std::vector<Samples> latencies;                 // a row a txn type: the last few, over all members
+  Samples times;                                  // the last latencies of all txn types
+  std::map<KindId, Samples> kinds;                // the last answers of each kind, as those of members
+  Samples arrivals;                               // the last few txns taken and the time they usually take
   std::deque<bool> secondLuck;                    // of the last txns that erred: another node committed them
   std::deque<GivenUp> givenUp;                    // the last few
   std::deque<std::pair<double, bool>> patiences;  // the last, as shares of the expiry; whether others had it
   std::map<SessionId, Instant> commits;           // the last write of a session that was committed here
   Instant commitFloor;                            // the newest commit among sessions no longer remembered
   std::deque<double> reportAges;                  // how far the last reports' positions were behind
-  std::deque<Sample> told;                        // the last that members told of txns in hand
+  Samples told;                                   // the last that members told of txns in hand
   Instant wakeAt;
   bool stalled = false;  // this round comes late
   Instant askListAt;
@@ -158,13 +119,12 @@
 
   // ---- what is usual
 
-  // The usual latency of a txn type is the median of its last; the lower quarter of old ones, as an overload
-  // or a stall that is over must not be held against what comes now. Before the first a fifth of the SLA time:
-  // who sets one has the work in mind.
+  // The median of a type's last latencies; the lower quarter of old ones, as a trouble that is over must not
+  // be held against what comes now. Before the first a fifth of the SLA time: who sets one knows the work.
   Span usual(std::size_t type) const {
     const auto& last = latencies[type];
     if (last.empty()) return terms.types[type].slaTime * 0.2;
-    return std::max(Span::seconds(median(last, outdated(last, now) ? 4 : 2)), Span::millis(1));
+    return std::max(Span::seconds(quantile(last, outdated(last, now) ? 4 : 2)), Span::millis(1));
   }
 
   // How long a submission may be out before its silence counts against the node: six times the usual, as
@@ -183,12 +143,10 @@
   }
 
   // How long the client of a txn has waited in earlier tries. Its SLA time runs from the first, and a try
-  // that comes when that is past earns nothing: in an overload these crowd out the ones that still can. A
-  // session that asks for the same within a second of being given up comes back: its first try is known. Else,
-  // first tries of all txn types are given up after one and the same share of the expiry, so that share is
-  // common among the last few (a sixth of them within 1% of it); a later try has what the expiry leaves, which
-  // dates it. Where common shares are few, clients differ by themselves and nothing is dated. May hurt the few
-  // whose patience is their own.
+  // that comes when that is past earns nothing: in an overload these crowd out the others. A session that
+  // asks for the same within a second of being given up comes back. Else, first tries of all txn types are
+  // given up after one share of the expiry, which is common among the last few (a sixth of them within 1%); a
+  // later try has what the expiry leaves, which dates it. May hurt the few whose patience is their own.
   Span waitedBefore(const Txn& txn) {
     const auto same = std::find_if(givenUp.rbegin(), givenUp.rend(), [&](const GivenUp& g) {
       return txn.session == g.session && txn.type == g.type && now - g.at < Span::seconds(1);
@@ -204,23 +162,22 @@
                                     [&](const auto& other) { return std::abs(other.first - share) < 0.01; });
     const bool common = near * 6 >= std::ssize(patiences);
     keepLast(patiences, {share, common}, 64);
-    const auto ordinary =
-        std::count_if(patiences.begin(), patiences.end(), [](const auto& other) { return other.second; });
-    return !common && patiences.size() >= 16 && ordinary * 4 >= std::ssize(patiences) ? expiry - txn.patience
-                                                                                      : Span();
+    const auto usual = std::count_if(patiences.begin(), patiences.end(), [](auto& p) { return p.second; });
+    const bool dated = !common && patiences.size() >= 16 && usual * 4 >= std::ssize(patiences);
+    return dated ? expiry - txn.patience : Span();
   }
 
-  // Txns in flight to a member. Own ones are next to nothing at a router that is one of many, so what members
-  // tell counts where it is more; it turns into the mean of what all told lately within 2 s, as long as a
-  // queue takes to come or go. One that told nothing lately has that mean: not asked is not idle.
+  // Txns in flight to a member. Own ones are next to nothing at one of many routers, so what members tell
+  // counts where it is more; it turns into the mean of what all told lately within 2 s, as a queue comes or
+  // goes. One that told nothing lately has that mean: not asked is not idle.
   double load(const Member& m) const {
     const double others = outdated(told, now) ? 0 : mean(told);
     const double fresh = std::max(0.0, 1 - (now - m.toldAt).inSeconds() / 2);
     return std::max(others + (m.inHand - others) * fresh, static_cast<double>(m.outs.size()));
   }
 
-  // Smoothed latency: the mean of the member's last answers. A router with few txns has hardly any, and one
-  // quick answer would draw it to a node for long: the mean of all members of its kind counts as four more.
+  // Smoothed latency: the mean of the member's last answers. At a router with few txns one quick answer would
+  // draw it to a node for long: the mean of all members of its kind counts as four more.
   double smoothed(const Member& m) const {
     const auto& alike = kinds.at(m.kind);
     const double usual = alike.empty() ? 1 : mean(alike);
@@ -234,8 +191,7 @@
   }
 
   // A hung node looks idle: it takes submissions and answers none. Guards against every kind of silence
-  // (hang, cut link, a machine that is gone before the list says so). May hurt when all of a node's few txns
-  // are long at once.
+  // (hang, cut link, a machine that is gone unsaid). May hurt when all of a node's few txns are long at once.
   bool silent(const Member& m) const {
     if (m.outs.empty()) return false;
     const Span wait = patience(m.outs.front().type);
@@ -248,18 +204,14 @@
     return !silent(m) && (m.successes.size() < 3 || good * 2 >= std::ssize(m.successes));
   }
 
-  // An unwell node gets one repeatable txn now and then, to learn whether it is back. Four a second over all
-  // routers: a node that only works off a queue nobody waits for must not be kept busy by trials.
-  bool trialDue(const Member& m) const { return now - m.triedAt > Span::millis(250) * terms.routers; }
-
   double warmth(const Member& m) const {
     if (m.startedAt == Instant() || now - m.startedAt >= terms.coldTime) return 1;
     return terms.coldShare + (1 - terms.coldShare) * std::max(0.0, (now - m.startedAt) / terms.coldTime);
   }
 
-  // How long until a cold member may get a txn of a type again: it gets its warm share of what this router
-  // would send each member if all that came in lately went round. Summed over all routers, however unequal
-  // they are, that is the member's share of an average load, well below the multiple at which it falls over.
+  // How long until a cold member may get its next txn: it gets its warm share of what this router would send
+  // each member if all that came in lately went round. Over all routers, however unequal, that is its share
+  // of an average load, well below the multiple at which it falls over.
   Span coldGap(const Member& m, std::size_t type) const {
     const Span over = std::max(now - arrivals.front().at, Span::millis(1));
     const auto running = std::count_if(members.begin(), members.end(),
@@ -267,9 +219,9 @@
     return over * (usual(type).inSeconds() * static_cast<double>(running) / (sum(arrivals) * warmth(m)));
   }
 
-  // The first waits for a part of that by chance, as all routers are told of a start at about the same time.
-  // Guards all that is new or comes back, one or a whole group; may hurt by turning away what a node that
-  // warms early could take. Before eight txns came in there is nothing to tell a share from.
+  // The first waits for a part of that by chance, as all routers hear of a start at about the same time, and
+  // for eight txns to tell a share from. Guards all that is new or comes back, one or a whole group; may hurt
+  // by turning away what a node that warms early could take.
   bool coldRoom(Member& m, std::size_t type) {
     if (warmth(m) >= 1) return true;
     if (arrivals.size() < 8) return false;
@@ -277,12 +229,11 @@
     return now >= m.coldUntil;
   }
 
-  // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured.
-  // The time is a third of the shortest SLA time, as all txn types wait in one queue: the answer is then in
-  // time even if the queue doubles and the work is long. Six over all routers at least, so that a rate can be
-  // measured at all and yet many small routers together do not fill a queue.
+  // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured:
+  // a third of the shortest SLA time, as all types wait in one queue, and the answer is then in time even if
+  // the queue doubles. Six over all routers at least, so that a rate can be measured and many don't fill a
+  // queue.
   Span timeThere() const { return shortestSla * 0.35; }
-
   double inFlightBound(const Member& m) const {
     const double floor = std::max(1.0, 6.0 / terms.routers);
     if (m.answers.size() < 4) return floor;
@@ -293,42 +244,33 @@
   // Whether the least of one in flight each sums up to twice the least that is meant: own bounds don't hold.
   bool oneOfMany() const { return terms.routers > 12; }
 
-  // The same bound over all routers, where members tell what they have in hand: their rate, by Little's law,
-  // is what they hold over the time they take. Guards against a node in more demand than the others, which a
-  // router with few txns can't see by its own; may hurt when reports are late by seconds.
+  // The same over all routers, where members tell what they have in hand: their rate is what they hold over
+  // the time it takes (Little's law). Guards against a node in more demand than the others, whatever the
+  // cause; may hurt when reports are late by seconds.
   bool crowded(const Member& m) const {
     if (!oneOfMany() || outdated(told, now) || times.size() < 8) return false;
     return load(m) > std::max({1.0, mean(told), mean(told) / mean(times) * timeThere().inSeconds()});
   }
 
-  // A router with few txns has none or one in flight to a member, so that its own bound never binds: what it
-  // may have in flight is a part of one. It keeps to that by chance, sending on the part of a group's reads
-  // that brings their latency down to the time a txn may spend at a node; what was turned away as full counts
-  // as the SLA time. Guards against a group in more demand than it can serve, at a fleet of which each router
-  // sees little; may hurt where slowness is no queue.
+  // One of many routers has none or one in flight to a member: its own bound never binds. It keeps to a part
+  // of one by chance, sending on the part of a group's reads that brings their latency down to the time a txn
+  // may spend at a node; what was turned away as full took the SLA time. Guards against a group that is asked
+  // for more than it can serve; may hurt where slowness is no queue.
   double partToSend(const Live& txn) {
-    const Group& group = groups[txn.txn.group];
-    const auto& last = group.strains;
-    if (!oneOfMany() || typeOf(txn).level >= ReadLevel::fresh || last.size() < 4 || outdated(last, now)) return 1;
-    const double inFlight = static_cast<double>(last.size()) * timeThere().inSeconds();
-    if (inFlight > (now - last.front().at).inSeconds() * static_cast<double>(group.members.size())) return 1;
-    return 0.35 / median(last);
-  }
-
-  // A replica that is crowded applies the log more slowly, and once it is too far behind for the reads that
-  // need it fresh, those crowd the others and the primary. One that is behind by more than a third of the
-  // bound, but not yet past it, gets half at once, to stay useful; past that it can only serve any reads, and
-  // does. May hurt when only the news is late, by room that stays empty in an overload.
-  double easing(const Member& m) const {
-    return m.lag > shortestBound * 0.33 && m.lag < shortestBound * 1.2 ? 0.5 : 1;
+    const auto& last = groups[txn.txn.group].strains;
+    const bool known = oneOfMany() && last.size() >= 4 && !outdated(last, now);
+    return known && typeOf(txn).level < ReadLevel::fresh ? 0.35 / quantile(last, 2) : 1;
   }
 
   bool usable(Member& m, const Live& txn, double part = 1) {
-    if (leaving(m) || static_cast<double>(m.outs.size()) >= part * easing(m) * inFlightBound(m)) return false;
+    if (leaving(m) || static_cast<double>(m.outs.size()) >= part * inFlightBound(m)) return false;
     // One that was full rests for a quarter of a second: what it turns away takes work, too.
     if (now - m.fullAt < Span::millis(250) || crowded(m) || !coldRoom(m, txn.txn.type)) return false;
+    // An unwell node gets a repeatable txn now and then, to learn whether it is back. Four a second over all
+    // routers: a node that only works off a queue nobody waits for must not be kept busy by trials.
+    const bool trialDue = now - m.triedAt > Span::millis(250) * terms.routers;
     const auto& type = typeOf(txn);
-    return well(m) || (trialDue(m) && type.effect == Effect::repeatable && type.level != ReadLevel::fresh);
+    return well(m) || (trialDue && type.effect == Effect::repeatable && type.level != ReadLevel::fresh);
   }
 
   // The member last known to be primary and not leaving. Without any, the list's word, which is late.
@@ -354,39 +296,26 @@
     return std::find(txn.tried.begin(), txn.tried.end(), &m) != txn.tried.end();
   }
 
-  // An any read far longer than the others is best put where it keeps nothing fresh from being applied: on
-  // one replica of its group that all routers agree on, the first in the order of ids, those that told they
-  // are behind the bound before the others, as they serve nothing fresh anyway; on one more for each
-  // time that its usual latency has grown by a third of its SLA time. Else, at many routers, such reads hold
-  // up the log at every replica. Acts on types of four times the usual latency over all types. Covers long
-  // reads that hold up the log and those that only crowd; may hurt by filling one replica.
-  bool isLong(std::size_t type) const {
-    if (terms.types[type].level != ReadLevel::any) return false;
-    std::vector<Span> each;
-    for (std::size_t other = 0; other < terms.types.size(); ++other) each.push_back(usual(other));
-    std::sort(each.begin(), each.end());
-    return usual(type) >= each[each.size() / 2] * 4;
+  // An any read whose SLA time is four times the shortest takes long, and is best put where it keeps nothing
+  // fresh from being applied: on replicas that told they are behind the bound, else on one that all routers
+  // agree on, the first in the order of ids; on one more for each third of its SLA time that it usually
+  // takes. Else, at many routers, long reads hold up the log everywhere. May hurt by filling one replica.
+  bool isLong(const TxnType& type) const {
+    return type.level == ReadLevel::any && type.slaTime >= shortestSla * 4;
   }
 
-  // Draws among the replicas known to have reached the target; if unsure, also among those that may have. One
-  // that has turned a read away is not asked on suspicion for half a second: it catches up no faster than
-  // that.
+  // Draws among the replicas known to have reached the target; if unsure, also among those that may have, but
+  // not for half a second after one turned a read away: it catches up no faster.
   Member* draw(const Live& txn, const Member* primary, bool unsure) {
     const Instant target = targetNow(txn);
-    const bool longRead = isLong(txn.txn.type);
+    const bool longRead = isLong(typeOf(txn));
     const auto& group = groups[txn.txn.group].members;
-    // Any reads leave half the room of the replica furthest ahead, for reads that need it to stay there: in
-    // an overload they would else crowd every replica until none applies the log in time.
-    const Member* ahead = nullptr;
-    if (typeOf(txn).level == ReadLevel::any)
-      for (const Member* m : group)
-        if (m != primary && !leaving(*m) && well(*m) && (!ahead || m->position > ahead->position)) ahead = m;
     std::vector<Member*> able;
     std::vector<double> weights;
     for (const bool again : {false, true}) {
       for (Member* m : group) {
-        if (m == primary || (wasTried(*m, txn) && !again) || !usable(*m, txn, longRead ? typeOf(txn).slaTime / shortestSla : m == ahead ? 0.5 : 1))
-          continue;
+        const double part = longRead ? typeOf(txn).slaTime / shortestSla : 1;
+        if (m == primary || (wasTried(*m, txn) && !again) || !usable(*m, txn, part)) continue;
         if (m->position < target && (!unsure || now - m->behindAt < Span::millis(500))) continue;
         able.push_back(m);
         const double zone = m->sameZone ? 1 : std::max(0.01, 1 - terms.crossZonePrice * 10);
@@ -403,8 +332,8 @@
       for (std::size_t i = 0; i < able.size(); ++i) weights[i] = i < used;
     }
     Member* m = able[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(chance)];
-    // Any reads need no position and so bring no news: one of many routers asks where it has heard none lately,
-    // for the next, so that a node with a full queue is not fed by all that don't know of it.
+    // Any reads need no position and so bring no news: one of many routers asks, for the next, so that a full
+    // queue is not fed by all that don't know of it.
     if (oneOfMany() && !told.empty() && now - m->toldAt > Span::seconds(1)) probe(*m);
     return m;
   }
@@ -416,14 +345,15 @@
     if (Member* replica = draw(txn, primary, false)) return replica;
     // Held for a third of the SLA time, so that the primary has time to answer; it keeps room for its writes.
     if (now < holdEnd(txn)) return nullptr;
-    // Of many routers each sees room there: they stay away while what they sent took a quarter of its SLA time.
+    // Of many routers each sees room there: they stay away while what they sent took a quarter of its SLA
+    // time.
     const auto& strains = groups[txn.txn.group].primaryStrains;
     const bool strained =
-        oneOfMany() && !outdated(strains, now) && strains.size() >= 3 && median(strains) > 0.25;
+        oneOfMany() && !outdated(strains, now) && strains.size() >= 3 && quantile(strains, 2) > 0.25;
     if (primary && !strained && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
-    // The primary has no room either. Where nodes turn away what they are too far behind for, a replica whose
-    // position is only not known may be asked all the same. Guards against news of positions that come late,
-    // seldom or not at all; may hurt when the replicas really are behind, by a short wait at each.
+    // Where nodes turn away what they are too far behind for, a replica whose position is only not known may
+    // be asked all the same. Guards against news that come late or never; may hurt when all really are
+    // behind.
     return terms.nodesGuard ? draw(txn, primary, true) : nullptr;
   }
 
@@ -449,7 +379,8 @@
   }
 
   void giveUp(const Live& txn) {
-    if (txn.txn.session && !txn.erredAt) keepLast(givenUp, {*txn.txn.session, txn.txn.type, txn.firstAt, now}, 256);
+    if (txn.txn.session && !txn.erredAt)
+      keepLast(givenUp, {*txn.txn.session, txn.txn.type, txn.firstAt, now}, 256);
     if (mayDecline(txn))
       writer->decline(txn.txn.id, terms.comeBackAllowed ? terms.longestComeBack * 0.5 : Span());
     else
@@ -465,12 +396,11 @@
   }
 
   // Whether errors are the txns' own: they err again wherever they are sent next. Guards against txns that
-  // can only err, whatever they have in common; covers a fault in the data that all nodes of a group hold.
-  // May hurt when most nodes err at random, where another try would help: one in eight is still made to find
-  // out, and one after each error of a node that erred three times in a row.
+  // can only err, whatever they share, and a fault in data that all nodes hold. May hurt when nodes err at
+  // random: one in eight is still sent again, and each of a node that erred three times in a row.
   bool errorsStick() const {
-    return secondLuck.size() >= 4 && std::count(secondLuck.begin(), secondLuck.end(), true) * 4 <=
-                                         std::ssize(secondLuck);
+    return secondLuck.size() >= 4 &&
+           std::count(secondLuck.begin(), secondLuck.end(), true) * 4 <= std::ssize(secondLuck);
   }
 
   // An error is held against a node once another has committed the same txn; where no other may be asked,
@@ -515,9 +445,8 @@
   }
 
   // Held reads share probes: the two replicas thought to be furthest are asked first, the next two 25 ms
-  // later if that was not enough, each replica once in 100 ms, about as often as nodes renew their reports.
-  // What was known a second ago puts none before the others, and chance decides: else all routers, which know
-  // as little, would ask the same two and crowd them.
+  // later, each once in 100 ms, about as often as nodes renew their reports. What was known a second ago puts
+  // none before the others, and chance decides: else all routers would ask the same two and crowd them.
   void probeForPosition(Group& group, const Member* primary) {
     if (now - group.askedAt < Span::millis(25)) return;
     group.askedAt = now;
@@ -532,13 +461,15 @@
     for (std::size_t i = 0; i < asked.size() && i < 2; ++i) probe(*asked[i]);
   }
 
-  // Replicas' positions are kept within the bound, asked for once half of that is used up, while it costs less
-  // than a probe for four txns: a router with few asks when a read needs it.
+  // Replicas' positions are kept within the bound, asked for once half of that is used up, while that costs
+  // less than a probe for four txns: a router with few asks when a read needs it.
   void renewPositions(GroupId id, Group& group) {
-    if (++group.taken < group.members.size() * 4 || terms.positionsInAnswers || terms.reportsInAnswers) return;
+    if (++group.taken < group.members.size() * 4 || terms.positionsInAnswers || terms.reportsInAnswers)
+      return;
     const Member* primary = primaryOf(id);
     for (Member* m : group.members)
-      if (m != primary && now - m->position >= shortestBound * 0.5 && now - m->probedAt >= shortestBound * 0.25)
+      if (m != primary && now - m->position >= shortestBound * 0.5 &&
+          now - m->probedAt >= shortestBound * 0.25)
         probe(*m), group.taken = 0;
   }
 
@@ -667,9 +598,8 @@
   auto& s = *state_;
   s.now = now;
   s.writer = &writer;
-  // A round that comes long after the wake that was asked for: the router itself has been held up. What it
-  // measures in it is its own delay; of the nodes it says nothing. Guards against pauses of the process or
-  // its machine.
+  // Long after the wake that was asked for: the router itself has been held up, and what it measures is its
+  // own delay. Guards against pauses of the process or its machine.
   s.stalled = s.wakeAt != Instant() && now - s.wakeAt > Span::millis(50);
   if (s.stalled)
     for (auto& [id, m] : s.members) m.heardAt = now;
@@ -754,51 +684,50 @@
   const auto at = s.members.find(node);
   Out out{id, submission, txn ? txn->txn.type : 0, s.now, {}};
   const bool committed = how == End::committed;
-  if (at != s.members.end()) {
-    Member& m = at->second;
-    const auto o = std::find_if(m.outs.begin(), m.outs.end(), [&](const Out& other) {
-      return other.txn == id && other.number == submission;
-    });
-    if (o != m.outs.end()) out = *o, m.outs.erase(o);
-    const TxnType& type = s.terms.types[out.type];
-    if (committed || how == End::error || how == End::turnedAway || how == End::notHere) m.heardAt = s.now;
-    Standing said = answer;
-    // A write's commit is rounded up to the next millisecond; what is known to be applied is rounded down.
-    if (said.position && committed && type.level == ReadLevel::write)
-      said.position = *said.position - Span::millis(1);
-    s.learn(m, said, s.now);
-    s.learnReport(m, report);
-    // A node that guards itself and answers a read has what the read needed.
-    if (how == End::notHere && type.level != ReadLevel::write) m.behindAt = s.now;
-    if (how == End::turnedAway) m.fullAt = s.now;
-    if (committed && s.terms.nodesGuard) m.position = std::max(m.position, out.target);
-    // Called off after a long wait is no answer either, and took at least as long as it was out: else a node
-    // that answers nothing, or only what nobody waits for any more, is never found out, as its txns are
-    // answered elsewhere or given up first, and a queue of such work looks as quick as the few that it answers.
-    const bool late = (how == End::calledOff || how == End::noAnswer) && s.now - out.sentAt > s.usual(out.type) * 3;
-    if ((committed || late) && !s.stalled) {
-      const Sample seconds{s.now, latency.inSeconds()};
-      auto& last = s.latencies[out.type];
-      if (outdated(last, s.now)) last.clear();
-      keepLast(last, seconds, 32);
-      keepLast(s.times, seconds, 64);
-    }
-    if (committed && !s.stalled) {
-      const Sample multiple{s.now, latency / s.usual(out.type)};
-      keepLast(m.answers, multiple, 16);
-      keepLast(s.kinds[m.kind], multiple, 64);
-    }
-    Group& group = s.groups[m.group];
-    if ((committed || how == End::turnedAway) && !s.stalled)
-      keepLast(m.primaryAt > m.replicaAt ? group.primaryStrains : group.strains,
-               {s.now, committed ? latency / type.slaTime : 1}, 16);
-    if (committed) m.errorsInARow = 0;
-    if (committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
-    const bool failed = late || how == End::noAnswer || how == End::turnedAway || how == End::noConnection ||
-                        how == End::connectionLost;
-    if (committed || (failed && !s.stalled)) keepLast(m.successes, committed, 8);
-    if (how == End::error) s.erred(m, txn);
-  }
+  if (at == s.members.end()) return;
+  Member& m = at->second;
+  const auto o = std::find_if(m.outs.begin(), m.outs.end(), [&](const Out& other) {
+    return other.txn == id && other.number == submission;
+  });
+  if (o != m.outs.end()) out = *o, m.outs.erase(o);
+  const TxnType& type = s.terms.types[out.type];
+  if (committed || how == End::error || how == End::turnedAway || how == End::notHere) m.heardAt = s.now;
+  Standing said = answer;
+  // A write's commit is rounded up to the next millisecond; what is known to be applied is rounded down.
+  if (said.position && committed && type.level == ReadLevel::write)
+    said.position = *said.position - Span::millis(1);
+  s.learn(m, said, s.now);
+  s.learnReport(m, report);
+  // A node that guards itself and answers a read has what the read needed.
+  if (how == End::notHere && type.level != ReadLevel::write) m.behindAt = s.now;
+  if (how == End::turnedAway) m.fullAt = s.now;
+  if (committed && s.terms.nodesGuard) m.position = std::max(m.position, out.target);
+  // Called off after a long wait is no answer either, and took at least that long: else a node that answers
+  // nothing, or only what nobody waits for any more, is never found out, and looks as quick as its answers.
+  const bool late =
+      (how == End::calledOff || how == End::noAnswer) && s.now - out.sentAt > s.usual(out.type) * 3;
+  if ((committed || late) && !s.stalled) {
+    const Sample seconds{s.now, latency.inSeconds()};
+    auto& last = s.latencies[out.type];
+    if (outdated(last, s.now)) last.clear();
+    keepLast(last, seconds, 32);
+    keepLast(s.times, seconds, 64);
+  }
+  if (committed && !s.stalled) {
+    const Sample multiple{s.now, latency / s.usual(out.type)};
+    keepLast(m.answers, multiple, 16);
+    keepLast(s.kinds[m.kind], multiple, 64);
+  }
+  Group& group = s.groups[m.group];
+  if ((committed || how == End::turnedAway) && !s.stalled)
+    keepLast(m.primaryAt > m.replicaAt ? group.primaryStrains : group.strains,
+             {s.now, committed ? latency / type.slaTime : 1}, 16);
+  if (committed) m.errorsInARow = 0;
+  if (committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
+  const bool failed = late || how == End::noAnswer || how == End::turnedAway || how == End::noConnection ||
+                      how == End::connectionLost;
+  if (committed || (failed && !s.stalled)) keepLast(m.successes, committed, 8);
+  if (how == End::error) s.erred(m, txn);
   if (!txn) return;
   if (txn->out > 0) --txn->out;
   const bool ran =
