Ask for positions only when a read needs them; fold the module further

Renewing positions ahead of need was worth nothing any more: reads that find none known are held for one probe's round trip.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -61,7 +61,6 @@
 struct Group {
   std::vector<Member*> members;
   Instant askedAt;     // when its replicas were last probed for held reads
-  unsigned taken = 0;  // txns since its positions were last renewed
   // The last latencies as parts of the SLA time: of reads at its replicas, of all at its primary.
   Samples strains, primaryStrains;
 };
@@ -137,8 +136,8 @@
     if (left <= Span()) return 0;
     const auto& last = latencies[type];
     if (outdated(last, now)) return 1;
-    const auto quick = std::count_if(last.begin(), last.end(),
-                                     [&](const Sample& took) { return took.figure <= left.inSeconds(); });
+    const auto quick =
+        std::count_if(last.begin(), last.end(), [&](auto& took) { return took.figure <= left.inSeconds(); });
     return static_cast<double>(quick + 1) / static_cast<double>(last.size() + 1);
   }
 
@@ -159,7 +158,7 @@
     const Span expiry = terms.types[txn.type].expiry;
     const double share = txn.patience / expiry;
     const auto near = std::count_if(patiences.begin(), patiences.end(),
-                                    [&](const auto& other) { return std::abs(other.first - share) < 0.01; });
+                                    [&](auto& p) { return std::abs(p.first - share) < 0.01; });
     const bool common = near * 6 >= std::ssize(patiences);
     keepLast(patiences, {share, common}, 64);
     const auto usual = std::count_if(patiences.begin(), patiences.end(), [](auto& p) { return p.second; });
@@ -252,14 +251,19 @@
     return load(m) > std::max({1.0, mean(told), mean(told) / mean(times) * timeThere().inSeconds()});
   }
 
+  // What the last latencies say of a group or a primary at one of many routers, as a part of the SLA time; 0
+  // where they are few or old.
+  double strain(const Samples& last) const {
+    return !oneOfMany() || last.size() < 3 || outdated(last, now) ? 0 : quantile(last, 2);
+  }
+
   // One of many routers has none or one in flight to a member: its own bound never binds. It keeps to a part
   // of one by chance, sending on the part of a group's reads that brings their latency down to the time a txn
   // may spend at a node; what was turned away as full took the SLA time. Guards against a group that is asked
   // for more than it can serve; may hurt where slowness is no queue.
-  double partToSend(const Live& txn) {
-    const auto& last = groups[txn.txn.group].strains;
-    const bool known = oneOfMany() && last.size() >= 4 && !outdated(last, now);
-    return known && typeOf(txn).level < ReadLevel::fresh ? 0.35 / quantile(last, 2) : 1;
+  bool shed(const Live& txn) {
+    const double strained = typeOf(txn).level < ReadLevel::fresh ? strain(groups[txn.txn.group].strains) : 0;
+    return strained > 0.35 && draw01() > 0.35 / strained;
   }
 
   bool usable(Member& m, const Live& txn, double part = 1) {
@@ -325,11 +329,9 @@
     }
     if (able.empty()) return nullptr;
     if (longRead) {
-      const auto order = [&](const Member* m) { return std::pair(m->lag <= shortestBound, m->id); };
-      std::sort(able.begin(), able.end(),
-                [&](const Member* a, const Member* b) { return order(a) < order(b); });
-      const auto used = static_cast<std::size_t>(1 + usual(txn.txn.type) / (typeOf(txn).slaTime * 0.35));
-      for (std::size_t i = 0; i < able.size(); ++i) weights[i] = i < used;
+      std::stable_partition(able.begin(), able.end(), [&](auto* m) { return m->lag > shortestBound; });
+      const double used = 1 + usual(txn.txn.type) / (typeOf(txn).slaTime * 0.35);
+      for (std::size_t i = 0; i < able.size(); ++i) weights[i] = static_cast<double>(i) + 1 <= used;
     }
     Member* m = able[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(chance)];
     // Any reads need no position and so bring no news: one of many routers asks, for the next, so that a full
@@ -347,9 +349,7 @@
     if (now < holdEnd(txn)) return nullptr;
     // Of many routers each sees room there: they stay away while what they sent took a quarter of its SLA
     // time.
-    const auto& strains = groups[txn.txn.group].primaryStrains;
-    const bool strained =
-        oneOfMany() && !outdated(strains, now) && strains.size() >= 3 && quantile(strains, 2) > 0.25;
+    const bool strained = strain(groups[txn.txn.group].primaryStrains) > 0.25;
     if (primary && !strained && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
     // Where nodes turn away what they are too far behind for, a replica whose position is only not known may
     // be asked all the same. Guards against news that come late or never; may hurt when all really are
@@ -456,23 +456,10 @@
     });
     std::shuffle(asked.begin(), asked.end(), chance);
     const auto lately = [&](const Member* m) { return std::max(m->position, now - Span::seconds(1)); };
-    std::stable_sort(asked.begin(), asked.end(),
-                     [&](const Member* a, const Member* b) { return lately(a) > lately(b); });
+    std::stable_sort(asked.begin(), asked.end(), [&](auto* a, auto* b) { return lately(a) > lately(b); });
     for (std::size_t i = 0; i < asked.size() && i < 2; ++i) probe(*asked[i]);
   }
 
-  // Replicas' positions are kept within the bound, asked for once half of that is used up, while that costs
-  // less than a probe for four txns: a router with few asks when a read needs it.
-  void renewPositions(GroupId id, Group& group) {
-    if (++group.taken < group.members.size() * 4 || terms.positionsInAnswers || terms.reportsInAnswers)
-      return;
-    const Member* primary = primaryOf(id);
-    for (Member* m : group.members)
-      if (m != primary && now - m->position >= shortestBound * 0.5 &&
-          now - m->probedAt >= shortestBound * 0.25)
-        probe(*m), group.taken = 0;
-  }
-
   // Each member once in 150 ms while its group's primary is looked for, for up to 40 routers; more share.
   void lookForPrimary(const Group& group) {
     for (Member* m : group.members)
@@ -488,17 +475,15 @@
     for (auto& [id, txn] : live)
       if (!txn.streaming)
         order.emplace_back(typeOf(txn).value * hope(txn) / usual(txn.txn.type).inSeconds(), &txn);
-    std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-      return a.first != b.first ? a.first > b.first : a.second->takenAt < b.second->takenAt;
-    });
+    std::stable_sort(order.begin(), order.end(), [](auto& a, auto& b) { return a.first > b.first; });
     // Ten rounds: late rounds are told by the wake that was asked for.
     Instant next = now + terms.roundLength * 10;
     for (auto& [value, txn] : order) {
       const auto id = txn->txn.id;
       // The last rounds before expiry: the final answer must be there in time.
       const Instant last = txn->answerBy - terms.roundLength * 2;
-      const double part = std::exchange(txn->weighed, true) ? 1 : partToSend(*txn);
-      if (now >= last || (txn->out == 0 && hopeless(*txn)) || (part < 1 && draw01() > part)) {
+      const bool isNew = !std::exchange(txn->weighed, true);
+      if (now >= last || (txn->out == 0 && hopeless(*txn)) || (isNew && shed(*txn))) {
         giveUp(*txn);
         live.erase(id);
         continue;
@@ -508,15 +493,11 @@
       const Instant copyAt = txn->lastSentAt + patience(txn->txn.type);
       const bool mayCopy = txn->out == 1 && txn->submissions == 1 && terms.secondCopies &&
                            typeOf(*txn).effect == Effect::repeatable && !hopeless(*txn);
-      if (txn->out > 0 && (!mayCopy || now <= copyAt)) {
-        if (mayCopy) next = std::min(next, copyAt + terms.roundLength);
-        continue;
-      }
-      if (Member* to = place(*txn)) {
-        if (txn->out == 0 || !wasTried(*to, *txn)) submit(*txn, *to);
-        continue;
-      }
-      if (txn->out > 0) continue;
+      if (mayCopy && now <= copyAt) next = std::min(next, copyAt + terms.roundLength);
+      if (txn->out > 0 && (!mayCopy || now <= copyAt)) continue;
+      Member* to = place(*txn);
+      if (to && (txn->out == 0 || !wasTried(*to, *txn))) submit(*txn, *to);
+      if (to || txn->out > 0) continue;
       // What is held is looked at again soon: room may come without a word.
       next = std::min({next, now + terms.roundLength * 4, std::max(holdEnd(*txn), now + terms.roundLength)});
       const auto level = typeOf(*txn).level;
@@ -538,13 +519,12 @@
 
   // ---- what was learnt
 
-  void learn(Member& m, const Standing& said, Instant at) {
+  void learn(Member& m, const Standing& said, Instant at, Span roundedUp = Span()) {
     if (said.role == Role::primary) m.primaryAt = std::max(m.primaryAt, at);
     if (said.role == Role::replica) m.replicaAt = std::max(m.replicaAt, at);
-    if (said.position && *said.position >= m.position) {
-      m.position = *said.position;
-      m.lag = said.role == Role::primary ? Span() : now - m.position;
-    }
+    if (!said.position || *said.position - roundedUp < m.position) return;
+    m.position = *said.position - roundedUp;
+    m.lag = said.role == Role::primary ? Span() : now - m.position;
   }
 
   // A report's age is not told, but its position dates it: a primary's is the time of the report, a replica's
@@ -619,23 +599,22 @@
     if (isNew) {
       m.id = entry.node;
       m.group = entry.group;
-      s.groups[entry.group].members.push_back(&m);
+      auto& all = s.groups[entry.group].members;  // in the order of ids
+      all.insert(std::find_if(all.begin(), all.end(), [&](auto* o) { return o->id > m.id; }), &m);
     }
     m.sameZone = entry.sameZone;
     m.kind = entry.kind;
     s.kinds.try_emplace(entry.kind);
     m.health = entry.health;
-    if (entry.health == Health::draining) m.seenDraining = true;
-    if (entry.startedAt > m.startedAt) {
-      if (!isNew) {  // it started again: cold, and a replica until it says otherwise
-        m.successes.clear();
-        m.answers.clear();
-        m.replicaAt = std::max(m.replicaAt, entry.startedAt);
-      }
-      m.seenDraining = entry.health == Health::draining;
-      m.startedAt = entry.startedAt;
-    }
     m.listedPrimary = entry.primary;
+    const bool again = entry.startedAt > m.startedAt;
+    m.seenDraining = entry.health == Health::draining || (m.seenDraining && !again);
+    if (!again) continue;
+    m.startedAt = entry.startedAt;
+    if (isNew) continue;
+    m.successes.clear();  // it started again: cold, and a replica until it says otherwise
+    m.answers.clear();
+    m.replicaAt = std::max(m.replicaAt, entry.startedAt);
   }
 }
 
@@ -659,7 +638,6 @@
   taken.slaBy = taken.firstAt + std::min(sla, type.expiry);
   if (type.level == ReadLevel::session) taken.target = s.targetOf(txn);
   keepLast(s.arrivals, {s.now, s.usual(txn.type).inSeconds()}, 64);
-  s.renewPositions(txn.group, s.groups[txn.group]);
   s.live.emplace(txn.id, std::move(taken));
 }
 
@@ -692,11 +670,9 @@
   if (o != m.outs.end()) out = *o, m.outs.erase(o);
   const TxnType& type = s.terms.types[out.type];
   if (committed || how == End::error || how == End::turnedAway || how == End::notHere) m.heardAt = s.now;
-  Standing said = answer;
   // A write's commit is rounded up to the next millisecond; what is known to be applied is rounded down.
-  if (said.position && committed && type.level == ReadLevel::write)
-    said.position = *said.position - Span::millis(1);
-  s.learn(m, said, s.now);
+  const bool commit = committed && type.level == ReadLevel::write;
+  s.learn(m, answer, s.now, commit ? Span::millis(1) : Span());
   s.learnReport(m, report);
   // A node that guards itself and answers a read has what the read needed.
   if (how == End::notHere && type.level != ReadLevel::write) m.behindAt = s.now;
@@ -707,11 +683,10 @@
   const bool late =
       (how == End::calledOff || how == End::noAnswer) && s.now - out.sentAt > s.usual(out.type) * 3;
   if ((committed || late) && !s.stalled) {
-    const Sample seconds{s.now, latency.inSeconds()};
     auto& last = s.latencies[out.type];
     if (outdated(last, s.now)) last.clear();
-    keepLast(last, seconds, 32);
-    keepLast(s.times, seconds, 64);
+    keepLast(last, {s.now, latency.inSeconds()}, 32);
+    keepLast(s.times, {s.now, latency.inSeconds()}, 64);
   }
   if (committed && !s.stalled) {
     const Sample multiple{s.now, latency / s.usual(out.type)};
@@ -733,18 +708,14 @@
   const bool ran =
       how == End::error || how == End::noAnswer || how == End::connectionLost || how == End::calledOff;
   if (ran && txn->mayHaveRunAt == Instant()) txn->mayHaveRunAt = out.sentAt;
-  if (committed) {
-    if (s.typeOf(*txn).level == ReadLevel::write && txn->txn.session)
-      s.remember(*txn->txn.session, answer.position.value_or(s.now));
-    if (txn->erredAt && txn->erredAt->id != node) {
-      keepLast(s.secondLuck, true, 8);
-      keepLast(txn->erredAt->successes, false, 8);
-    }
-  }
-  if (txnOver || committed) {
-    s.callOffAll(*txn);
-    s.live.erase(found);
+  if (commit && txn->txn.session) s.remember(*txn->txn.session, answer.position.value_or(s.now));
+  if (committed && txn->erredAt && txn->erredAt != &m) {
+    keepLast(s.secondLuck, true, 8);
+    keepLast(txn->erredAt->successes, false, 8);
   }
+  if (!txnOver && !committed) return;
+  s.callOffAll(*txn);
+  s.live.erase(found);
 }
 
 void Router::probed(const NodeId& node, End how, const Standing& report) {
