--- a/src/base/samples.h
+++ b/src/base/samples.h
@@ -30,6 +30,11 @@
 
 inline double mean(const Samples& samples) { return sum(samples) / static_cast<double>(samples.size()); }
 
+inline double partTrue(const std::deque<bool>& samples) {
+  return static_cast<double>(std::count(samples.begin(), samples.end(), true)) /
+         static_cast<double>(samples.size());
+}
+
 // The figure below which one in `part` of the samples lies: 2 is the median, 4 the lower quarter.
 inline double quantile(const Samples& samples, std::size_t part) {
   std::vector<double> figures;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,14 +1,13 @@
 // The decision module of gulltrestle: every decision, table and tuned value of a router stands here.
 //
-// How to call it: router.h holds the interface. A front makes a Router from its Terms and a seed and calls
-// round(now, feed, writer) once for all that came in. The feed calls taken(), ended(), listed() and the like,
-// which only note what was learnt and answer what is settled by it; then the round places what waits, in
-// order of value for work. The front wakes the router when Writer::wakeAfter asked for it.
+// How to call it: a front makes a Router (router.h) from its Terms and a seed and calls round(now, feed,
+// writer) once for all that came in. The feed calls taken(), ended(), listed() and the like, which note what
+// was learnt; then what waits is placed, in order of value for work. Writer::wakeAfter asks for the next
+// round.
 //
-// The ordinary path (docs/design.md): a read has a target; among the replicas whose known position has
-// reached it, one is drawn at random, weight falling with smoothed latency x (1 + in flight). With none, the
-// read is held while the group is probed, then goes to the primary. Writes and fresh reads go to the known
-// primary.
+// The ordinary path (docs/design.md): among the replicas whose known position has reached a read's target one
+// is drawn at random, weight falling with smoothed latency x (1 + in flight). With none, the read is held
+// while the group is probed, then goes to the primary. Writes and fresh reads go to the known primary.
 
 #include "routing/router.h"
 
@@ -23,7 +22,7 @@
 
 namespace {
 
-// The newest of some samples is so old that what they say is over: 2 s, as long as a queue takes to go.
+// What some samples say is over: after 2 s, as long as a queue takes to go.
 bool outdated(const Samples& samples, Instant now) {
   return samples.empty() || now - samples.back().at > Span::seconds(2);
 }
@@ -37,12 +36,8 @@
 };
 
 struct Member {
-  NodeId id;
-  GroupId group = 0;
-  KindId kind;
-  Health health = Health::gone;
-  bool seenDraining = false, listedPrimary = false, sameZone = true, probeOut = false;
-  Instant startedAt;
+  ListEntry listed;  // the list's last word; startedAt is the latest that it ever said
+  bool seenDraining = false, probeOut = false;
   Instant position;              // all commits up to here are known to be applied
   Span lag;                      // how far that was behind when it was told
   Instant primaryAt, replicaAt;  // the last moments at which it is known to have been one
@@ -60,9 +55,9 @@
 
 struct Group {
   std::vector<Member*> members;
-  Instant askedAt;     // when its replicas were last probed for held reads
-  // The last latencies as parts of the SLA time: of reads at its replicas, of all at its primary.
-  Samples strains, primaryStrains;
+  Instant askedAt;         // when its replicas were last probed for held reads
+  Samples strains;         // the last latencies of reads at its replicas, as parts of the SLA time
+  Samples primaryStrains;  // and of all at its primary
 };
 
 struct Live {  // a txn that is owed its final answer
@@ -74,9 +69,8 @@
   Instant lastSentAt;
   Instant mayHaveRunAt;  // when the first submission that may have run was sent; never: none may have
   std::vector<const Member*> tried;
-  Member* erredAt = nullptr;  // where it got an error, while it is not known whose the error is
-  bool streaming = false;
-  bool weighed = false;  // whether it may be sent, where its group is short
+  Member* erredAt = nullptr;                // where it got an error, while it is not known whose the error is
+  bool streaming = false, weighed = false;  // weighed: whether it may be sent, where its group is short
 };
 
 struct GivenUp {  // a session's txn that got no result
@@ -108,30 +102,24 @@
   Instant commitFloor;                            // the newest commit among sessions no longer remembered
   std::deque<double> reportAges;                  // how far the last reports' positions were behind
   Samples told;                                   // the last that members told of txns in hand
-  Instant wakeAt;
+  Instant wakeAt, askListAt;
   bool stalled = false;  // this round comes late
-  Instant askListAt;
-  bool following = false;
 
   const TxnType& typeOf(const Live& txn) const { return terms.types[txn.txn.type]; }
   double draw01() { return std::uniform_real_distribution<>(0, 1)(chance); }
 
-  // ---- what is usual
-
-  // The median of a type's last latencies; the lower quarter of old ones, as a trouble that is over must not
-  // be held against what comes now. Before the first a fifth of the SLA time: who sets one knows the work.
+  // The median of a type's last latencies; the lower quarter of old ones; before any a fifth of the SLA time.
   Span usual(std::size_t type) const {
     const auto& last = latencies[type];
     if (last.empty()) return terms.types[type].slaTime * 0.2;
     return std::max(Span::seconds(quantile(last, outdated(last, now) ? 4 : 2)), Span::millis(1));
   }
 
-  // How long a submission may be out before its silence counts against the node: six times the usual, as
-  // service times spread widely; 200 ms at least, so that a few quick answers don't make it nervous.
+  // How long a submission may be out before its silence counts: six times the usual, as service times spread
+  // widely; 200 ms at least, so that a few quick answers don't make it nervous.
   Span patience(std::size_t type) const { return std::max(usual(type) * 6, Span::millis(200)); }
 
-  // The chance that a submission sent now is answered within `left`: the part of the last few that were, and
-  // one more that was, so that few or no samples leave hope.
+  // The part of the last submissions that were answered within `left`, and one more, so that few leave hope.
   double chanceWithin(std::size_t type, Span left) const {
     if (left <= Span()) return 0;
     const auto& last = latencies[type];
@@ -141,11 +129,11 @@
     return static_cast<double>(quick + 1) / static_cast<double>(last.size() + 1);
   }
 
-  // How long the client of a txn has waited in earlier tries. Its SLA time runs from the first, and a try
-  // that comes when that is past earns nothing: in an overload these crowd out the others. A session that
-  // asks for the same within a second of being given up comes back. Else, first tries of all txn types are
-  // given up after one share of the expiry, which is common among the last few (a sixth of them within 1%); a
-  // later try has what the expiry leaves, which dates it. May hurt the few whose patience is their own.
+  // How long a txn's client has waited in earlier tries. Its SLA time runs from the first; tries that come
+  // when that is past earn nothing, and crowd out others in an overload. A session that asks for the same
+  // within a second of being given up comes back. Else, first tries of all types are given up after one share
+  // of the expiry, common among the last few (a sixth of them within 1%); a later one has what the expiry
+  // leaves, which dates it. May hurt the few whose patience is their own.
   Span waitedBefore(const Txn& txn) {
     const auto same = std::find_if(givenUp.rbegin(), givenUp.rend(), [&](const GivenUp& g) {
       return txn.session == g.session && txn.type == g.type && now - g.at < Span::seconds(1);
@@ -166,27 +154,25 @@
     return dated ? expiry - txn.patience : Span();
   }
 
-  // Txns in flight to a member. Own ones are next to nothing at one of many routers, so what members tell
-  // counts where it is more; it turns into the mean of what all told lately within 2 s, as a queue comes or
-  // goes. One that told nothing lately has that mean: not asked is not idle.
+  // Txns in flight to a member. Own ones are next to nothing at one of many routers: what members tell counts
+  // where it is more, turning into the mean of what all told within 2 s. Not asked is not idle.
   double load(const Member& m) const {
     const double others = outdated(told, now) ? 0 : mean(told);
     const double fresh = std::max(0.0, 1 - (now - m.toldAt).inSeconds() / 2);
     return std::max(others + (m.inHand - others) * fresh, static_cast<double>(m.outs.size()));
   }
 
-  // Smoothed latency: the mean of the member's last answers. At a router with few txns one quick answer would
-  // draw it to a node for long: the mean of all members of its kind counts as four more.
+  // The mean of the member's last answers. As a router with few txns has next to none, the mean of all
+  // members of its kind counts as four more.
   double smoothed(const Member& m) const {
-    const auto& alike = kinds.at(m.kind);
-    const double usual = alike.empty() ? 1 : mean(alike);
-    return std::max((sum(m.answers) + 4 * usual) / static_cast<double>(m.answers.size() + 4), 0.1);
+    const auto& alike = kinds.at(m.listed.kind);
+    return std::max(
+        (sum(m.answers) + 4 * (alike.empty() ? 1 : mean(alike))) / static_cast<double>(m.answers.size() + 4),
+        0.1);
   }
 
-  // ---- which members may be used
-
   bool leaving(const Member& m) const {
-    return terms.onlyDrainingBinds ? m.seenDraining : m.health != Health::live;
+    return terms.onlyDrainingBinds ? m.seenDraining : m.listed.health != Health::live;
   }
 
   // A hung node looks idle: it takes submissions and answers none. Guards against every kind of silence
@@ -199,68 +185,59 @@
 
   // Judged by the successes among its last few outcomes: half must be, once there are three.
   bool well(const Member& m) const {
-    const auto good = std::count(m.successes.begin(), m.successes.end(), true);
-    return !silent(m) && (m.successes.size() < 3 || good * 2 >= std::ssize(m.successes));
+    return !silent(m) && (m.successes.size() < 3 || partTrue(m.successes) >= 0.5);
   }
 
   double warmth(const Member& m) const {
-    if (m.startedAt == Instant() || now - m.startedAt >= terms.coldTime) return 1;
-    return terms.coldShare + (1 - terms.coldShare) * std::max(0.0, (now - m.startedAt) / terms.coldTime);
+    if (m.listed.startedAt == Instant() || now - m.listed.startedAt >= terms.coldTime) return 1;
+    return terms.coldShare +
+           (1 - terms.coldShare) * std::max(0.0, (now - m.listed.startedAt) / terms.coldTime);
   }
 
   // How long until a cold member may get its next txn: it gets its warm share of what this router would send
-  // each member if all that came in lately went round. Over all routers, however unequal, that is its share
-  // of an average load, well below the multiple at which it falls over.
+  // each if all that came in lately went round. Over all routers, however unequal, that is far from too much.
   Span coldGap(const Member& m, std::size_t type) const {
     const Span over = std::max(now - arrivals.front().at, Span::millis(1));
-    const auto running = std::count_if(members.begin(), members.end(),
-                                       [&](const auto& other) { return !leaving(other.second); });
-    return over * (usual(type).inSeconds() * static_cast<double>(running) / (sum(arrivals) * warmth(m)));
+    const double each = sum(arrivals) * warmth(m) / static_cast<double>(members.size());
+    return over * (usual(type).inSeconds() / each);
   }
 
-  // The first waits for a part of that by chance, as all routers hear of a start at about the same time, and
-  // for eight txns to tell a share from. Guards all that is new or comes back, one or a whole group; may hurt
-  // by turning away what a node that warms early could take.
+  // The first waits for a part of that by chance, as all routers hear of a start at once, and for eight txns
+  // to tell a share from. Guards what starts, one or a whole group; may hurt where nodes warm early.
   bool coldRoom(Member& m, std::size_t type) {
     if (warmth(m) >= 1) return true;
     if (arrivals.size() < 8) return false;
-    if (m.coldUntil < m.startedAt) m.coldUntil = now + coldGap(m, type) * draw01();
+    if (m.coldUntil < m.listed.startedAt) m.coldUntil = now + coldGap(m, type) * draw01();
     return now >= m.coldUntil;
   }
 
-  // What may be in flight to a member: its rate of answers times the time a txn may spend there, as measured:
-  // a third of the shortest SLA time, as all types wait in one queue, and the answer is then in time even if
-  // the queue doubles. Six over all routers at least, so that a rate can be measured and many don't fill a
-  // queue.
+  // What may be in flight to a member: its rate of answers times the time a txn may spend there, a third of
+  // the shortest SLA time, as all types wait in one queue. Six over all routers at least, to measure a rate.
   Span timeThere() const { return shortestSla * 0.35; }
   double inFlightBound(const Member& m) const {
     const double floor = std::max(1.0, 6.0 / terms.routers);
     if (m.answers.size() < 4) return floor;
-    const Span over = std::max(now - m.answers.front().at, Span::millis(1));
-    return std::max(floor, static_cast<double>(m.answers.size()) * (timeThere() / over));
+    const double rate = static_cast<double>(m.answers.size()) / (now - m.answers.front().at).inSeconds();
+    return std::max(floor, rate * timeThere().inSeconds());
   }
 
-  // Whether the least of one in flight each sums up to twice the least that is meant: own bounds don't hold.
-  bool oneOfMany() const { return terms.routers > 12; }
+  bool oneOfMany() const { return terms.routers > 12; }  // one in flight each: twice the least that is meant
 
-  // The same over all routers, where members tell what they have in hand: their rate is what they hold over
-  // the time it takes (Little's law). Guards against a node in more demand than the others, whatever the
-  // cause; may hurt when reports are late by seconds.
+  // The same over all routers, where members tell what they have in hand: their rate is that over the time it
+  // takes (Little's law). Guards against a node in more demand than others; may hurt when reports are late.
   bool crowded(const Member& m) const {
     if (!oneOfMany() || outdated(told, now) || times.size() < 8) return false;
     return load(m) > std::max({1.0, mean(told), mean(told) / mean(times) * timeThere().inSeconds()});
   }
 
-  // What the last latencies say of a group or a primary at one of many routers, as a part of the SLA time; 0
-  // where they are few or old.
+  // The last latencies at a group or a primary, as a part of the SLA time; 0 where they are few or old.
   double strain(const Samples& last) const {
     return !oneOfMany() || last.size() < 3 || outdated(last, now) ? 0 : quantile(last, 2);
   }
 
-  // One of many routers has none or one in flight to a member: its own bound never binds. It keeps to a part
-  // of one by chance, sending on the part of a group's reads that brings their latency down to the time a txn
-  // may spend at a node; what was turned away as full took the SLA time. Guards against a group that is asked
-  // for more than it can serve; may hurt where slowness is no queue.
+  // One of many routers has none or one in flight to a member, so its own bound never binds. It keeps to a
+  // part of one by chance, sending on the part of a group's reads that brings latency down to the time a txn
+  // may spend there. Guards a group asked for more than it can serve; may hurt where slowness is no queue.
   bool shed(const Live& txn) {
     const double strained = typeOf(txn).level < ReadLevel::fresh ? strain(groups[txn.txn.group].strains) : 0;
     return strained > 0.35 && draw01() > 0.35 / strained;
@@ -270,11 +247,11 @@
     if (leaving(m) || static_cast<double>(m.outs.size()) >= part * inFlightBound(m)) return false;
     // One that was full rests for a quarter of a second: what it turns away takes work, too.
     if (now - m.fullAt < Span::millis(250) || crowded(m) || !coldRoom(m, txn.txn.type)) return false;
-    // An unwell node gets a repeatable txn now and then, to learn whether it is back. Four a second over all
-    // routers: a node that only works off a queue nobody waits for must not be kept busy by trials.
+    // An unwell node gets a trial with a repeatable txn, four a second over all routers: few, as it may be
+    // full.
     const bool trialDue = now - m.triedAt > Span::millis(250) * terms.routers;
-    const auto& type = typeOf(txn);
-    return well(m) || (trialDue && type.effect == Effect::repeatable && type.level != ReadLevel::fresh);
+    const bool mayFail = typeOf(txn).effect == Effect::repeatable && typeOf(txn).level != ReadLevel::fresh;
+    return well(m) || (trialDue && mayFail);
   }
 
   // The member last known to be primary and not leaving. Without any, the list's word, which is late.
@@ -283,46 +260,39 @@
     for (Member* m : groups[group].members) {
       if (leaving(*m)) continue;
       if (m->primaryAt > m->replicaAt && (!best || m->primaryAt > best->primaryAt)) best = m;
-      if (m->listedPrimary && m->replicaAt == Instant()) listed = m;
+      if (m->listed.primary && m->replicaAt == Instant()) listed = m;
     }
     return best ? best : listed;
   }
 
-  // ---- placing
-
   // A bounded read's target moves on while it travels: one round is left in hand.
   Instant targetNow(const Live& txn) const {
-    if (typeOf(txn).level == ReadLevel::bounded) return now - typeOf(txn).bound + terms.roundLength;
-    return txn.target;
+    const TxnType& type = typeOf(txn);
+    return type.level == ReadLevel::bounded ? now - type.bound + terms.roundLength : txn.target;
   }
 
   bool wasTried(const Member& m, const Live& txn) const {
     return std::find(txn.tried.begin(), txn.tried.end(), &m) != txn.tried.end();
   }
 
-  // An any read whose SLA time is four times the shortest takes long, and is best put where it keeps nothing
-  // fresh from being applied: on replicas that told they are behind the bound, else on one that all routers
-  // agree on, the first in the order of ids; on one more for each third of its SLA time that it usually
-  // takes. Else, at many routers, long reads hold up the log everywhere. May hurt by filling one replica.
-  bool isLong(const TxnType& type) const {
-    return type.level == ReadLevel::any && type.slaTime >= shortestSla * 4;
-  }
-
   // Draws among the replicas known to have reached the target; if unsure, also among those that may have, but
   // not for half a second after one turned a read away: it catches up no faster.
   Member* draw(const Live& txn, const Member* primary, bool unsure) {
-    const Instant target = targetNow(txn);
-    const bool longRead = isLong(typeOf(txn));
-    const auto& group = groups[txn.txn.group].members;
+    // An any read whose SLA time is four times the shortest takes long, and is put where it keeps nothing
+    // fresh from being applied: on replicas that told they are behind the bound, else on the first in the
+    // order of ids, as all routers do; on one more for each third of its SLA time that it takes. May hurt by
+    // filling it.
+    const TxnType& type = typeOf(txn);
+    const bool longRead = type.level == ReadLevel::any && type.slaTime >= shortestSla * 4;
+    const double part = longRead ? type.slaTime / shortestSla : 1;
     std::vector<Member*> able;
     std::vector<double> weights;
     for (const bool again : {false, true}) {
-      for (Member* m : group) {
-        const double part = longRead ? typeOf(txn).slaTime / shortestSla : 1;
+      for (Member* m : groups[txn.txn.group].members) {
         if (m == primary || (wasTried(*m, txn) && !again) || !usable(*m, txn, part)) continue;
-        if (m->position < target && (!unsure || now - m->behindAt < Span::millis(500))) continue;
+        if (m->position < targetNow(txn) && (!unsure || now - m->behindAt < Span::millis(500))) continue;
         able.push_back(m);
-        const double zone = m->sameZone ? 1 : std::max(0.01, 1 - terms.crossZonePrice * 10);
+        const double zone = m->listed.sameZone ? 1 : std::max(0.01, 1 - terms.crossZonePrice * 10);
         weights.push_back(warmth(*m) * zone / (smoothed(*m) * (1 + load(*m))));
       }
       if (!able.empty()) break;
@@ -330,7 +300,7 @@
     if (able.empty()) return nullptr;
     if (longRead) {
       std::stable_partition(able.begin(), able.end(), [&](auto* m) { return m->lag > shortestBound; });
-      const double used = 1 + usual(txn.txn.type) / (typeOf(txn).slaTime * 0.35);
+      const double used = 1 + usual(txn.txn.type) / (type.slaTime * 0.35);
       for (std::size_t i = 0; i < able.size(); ++i) weights[i] = static_cast<double>(i) + 1 <= used;
     }
     Member* m = able[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(chance)];
@@ -347,13 +317,11 @@
     if (Member* replica = draw(txn, primary, false)) return replica;
     // Held for a third of the SLA time, so that the primary has time to answer; it keeps room for its writes.
     if (now < holdEnd(txn)) return nullptr;
-    // Of many routers each sees room there: they stay away while what they sent took a quarter of its SLA
-    // time.
+    // Each of many routers sees room there: none goes while the last took a quarter of their SLA time.
     const bool strained = strain(groups[txn.txn.group].primaryStrains) > 0.25;
     if (primary && !strained && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
-    // Where nodes turn away what they are too far behind for, a replica whose position is only not known may
-    // be asked all the same. Guards against news that come late or never; may hurt when all really are
-    // behind.
+    // Where nodes turn away what they are too far behind for, a replica of unknown position may be asked all
+    // the same. Guards against news that come late or never; may hurt when all really are behind.
     return terms.nodesGuard ? draw(txn, primary, true) : nullptr;
   }
 
@@ -367,21 +335,16 @@
     ++txn.out;
     txn.lastSentAt = now;
     txn.tried.push_back(&m);
-    writer->submit(txn.txn.id, m.id, txn.answerBy);
-  }
-
-  // ---- final answers
-
-  bool mayDecline(const Live& txn) const {
-    const auto& type = typeOf(txn);
-    return type.effect == Effect::repeatable || (txn.out == 0 && txn.mayHaveRunAt == Instant()) ||
-           (type.effect == Effect::referenced && type.dropsRepeatsAnywhere);
+    writer->submit(txn.txn.id, m.listed.node, txn.answerBy);
   }
 
   void giveUp(const Live& txn) {
     if (txn.txn.session && !txn.erredAt)
       keepLast(givenUp, {*txn.txn.session, txn.txn.type, txn.firstAt, now}, 256);
-    if (mayDecline(txn))
+    const auto& type = typeOf(txn);
+    const bool neverRan = txn.out == 0 && txn.mayHaveRunAt == Instant();
+    const bool harmless = type.effect == Effect::referenced && type.dropsRepeatsAnywhere;
+    if (type.effect == Effect::repeatable || neverRan || harmless)
       writer->decline(txn.txn.id, terms.comeBackAllowed ? terms.longestComeBack * 0.5 : Span());
     else
       writer->rollBack(txn.txn.id);
@@ -395,16 +358,11 @@
         if (out.txn == txn.txn.id) writer->callOff(out.txn, out.number);
   }
 
-  // Whether errors are the txns' own: they err again wherever they are sent next. Guards against txns that
-  // can only err, whatever they share, and a fault in data that all nodes hold. May hurt when nodes err at
-  // random: one in eight is still sent again, and each of a node that erred three times in a row.
-  bool errorsStick() const {
-    return secondLuck.size() >= 4 &&
-           std::count(secondLuck.begin(), secondLuck.end(), true) * 4 <= std::ssize(secondLuck);
-  }
+  // Whether errors are the txns' own and come again elsewhere. Guards against txns that can only err. May
+  // hurt when nodes err at random: one in eight is still sent again, and all after a node's third in a row.
+  bool errorsStick() const { return secondLuck.size() >= 4 && partTrue(secondLuck) <= 0.25; }
 
-  // An error is held against a node once another has committed the same txn; where no other may be asked,
-  // unless errors are known to be the txns' own and it is not the eighth in a row.
+  // Held against a node once another committed the txn, or where none may be asked and errors don't stick.
   void erred(Member& m, Live* txn) {
     ++m.errorsInARow;
     if (txn && txn->erredAt) {
@@ -420,9 +378,10 @@
 
   // Whether a txn that is not out may be sent (again).
   bool maySend(const Live& txn) const {
-    if (txn.submissions >= terms.mostSubmissions) return false;
-    if (txn.mayHaveRunAt == Instant() || typeOf(txn).effect == Effect::repeatable) return true;
-    return typeOf(txn).effect == Effect::referenced && now - txn.mayHaveRunAt < typeOf(txn).referenceWindow;
+    const TxnType& type = typeOf(txn);
+    const bool known = type.effect == Effect::referenced && now - txn.mayHaveRunAt < type.referenceWindow;
+    const bool again = txn.mayHaveRunAt == Instant() || type.effect == Effect::repeatable || known;
+    return again && txn.submissions < terms.mostSubmissions;
   }
 
   // The part of its value that a txn can be expected to earn if it is sent now.
@@ -435,18 +394,16 @@
   // Held with hardly a chance left to earn anything. A fifth: what is sent at worse odds is mostly wasted.
   bool hopeless(const Live& txn) const { return !maySend(txn) || hope(txn) < 0.2; }
 
-  // ---- probes
-
   void probe(Member& m) {
     if (!terms.probesAllowed || m.probeOut || leaving(m)) return;
     m.probeOut = true;
     m.probedAt = now;
-    writer->probe(m.id);
+    writer->probe(m.listed.node);
   }
 
-  // Held reads share probes: the two replicas thought to be furthest are asked first, the next two 25 ms
-  // later, each once in 100 ms, about as often as nodes renew their reports. What was known a second ago puts
-  // none before the others, and chance decides: else all routers would ask the same two and crowd them.
+  // Held reads share probes: the two replicas that were furthest within the last second are asked first, the
+  // next two 25 ms later, each once in 100 ms, about as often as reports are renewed. Chance decides between
+  // equals: else all routers would ask, and crowd, the same two.
   void probeForPosition(Group& group, const Member* primary) {
     if (now - group.askedAt < Span::millis(25)) return;
     group.askedAt = now;
@@ -460,32 +417,22 @@
     for (std::size_t i = 0; i < asked.size() && i < 2; ++i) probe(*asked[i]);
   }
 
-  // Each member once in 150 ms while its group's primary is looked for, for up to 40 routers; more share.
-  void lookForPrimary(const Group& group) {
-    for (Member* m : group.members)
-      if (now - m->probedAt >= Span::millis(150) * std::max(1.0, terms.routers / 40.0)) probe(*m);
-  }
-
-  // ---- the round
-
   void decide() {
-    // Most value to be expected for work first: what is shed when there is not room for all is the least. As
-    // odds fall with the wait, the newest of a type come first, and an overload makes few answers late.
+    // Most value to be expected for work first: what is shed is the least. As odds fall with the wait, the
+    // newest of a type come first, and an overload makes few answers late.
     std::vector<std::pair<double, Live*>> order;
     for (auto& [id, txn] : live)
       if (!txn.streaming)
         order.emplace_back(typeOf(txn).value * hope(txn) / usual(txn.txn.type).inSeconds(), &txn);
     std::stable_sort(order.begin(), order.end(), [](auto& a, auto& b) { return a.first > b.first; });
-    // Ten rounds: late rounds are told by the wake that was asked for.
-    Instant next = now + terms.roundLength * 10;
+    Instant next = now + terms.roundLength * 10;  // at least: late rounds are told by the wake asked for
     for (auto& [value, txn] : order) {
-      const auto id = txn->txn.id;
       // The last rounds before expiry: the final answer must be there in time.
       const Instant last = txn->answerBy - terms.roundLength * 2;
       const bool isNew = !std::exchange(txn->weighed, true);
       if (now >= last || (txn->out == 0 && hopeless(*txn)) || (isNew && shed(*txn))) {
         giveUp(*txn);
-        live.erase(id);
+        live.erase(TxnId(txn->txn.id));
         continue;
       }
       next = std::min(next, last);
@@ -504,21 +451,16 @@
       Group& group = groups[txn->txn.group];
       const Member* primary = primaryOf(txn->txn.group);
       if (level == ReadLevel::session || level == ReadLevel::bounded) probeForPosition(group, primary);
-      if (!primary || !well(*primary)) lookForPrimary(group);
+      if (primary && well(*primary)) continue;
+      // The primary is looked for: each member once in 150 ms, for up to 40 routers; more share.
+      for (Member* m : group.members)
+        if (now - m->probedAt >= Span::millis(150) * std::max(1.0, terms.routers / 40.0)) probe(*m);
     }
     if (live.empty() || (wakeAt > now && wakeAt <= next)) return;
     wakeAt = next;
     writer->wakeAfter(next - now);
   }
 
-  void followList() {
-    if (!terms.listMustBeAsked || following || now < askListAt) return;
-    following = true;
-    writer->followList();
-  }
-
-  // ---- what was learnt
-
   void learn(Member& m, const Standing& said, Instant at, Span roundedUp = Span()) {
     if (said.role == Role::primary) m.primaryAt = std::max(m.primaryAt, at);
     if (said.role == Role::replica) m.replicaAt = std::max(m.replicaAt, at);
@@ -527,8 +469,7 @@
     m.lag = said.role == Role::primary ? Span() : now - m.position;
   }
 
-  // A report's age is not told, but its position dates it: a primary's is the time of the report, a replica's
-  // is not later. Older reports than what is known already say nothing of the role.
+  // A report's position dates its word on the role: a primary's is the time of the report, others are older.
   void learnReport(Member& m, const Standing& report) {
     if (!report.position) return;
     learn(m, report, std::min(*report.position, now));
@@ -545,8 +486,7 @@
       for (const auto& [id, at] : commits) commitFloor = std::max(commitFloor, at);
       commits.clear();
     }
-    auto& last = commits[session];
-    last = std::max(last, commit);
+    commits[session] = std::max(commits[session], commit);
   }
 
   Instant targetOf(const Txn& txn) const {
@@ -585,42 +525,39 @@
     for (auto& [id, m] : s.members) m.heardAt = now;
   if (now >= s.wakeAt) s.wakeAt = Instant();
   feed.deliver(*this);
-  s.followList();
+  if (s.terms.listMustBeAsked && now >= s.askListAt) {
+    s.askListAt = now + Span::seconds(1e9);  // unless the call fails
+    writer.followList();
+  }
   s.decide();
 }
 
 void Router::listed(ListKind kind, const std::vector<ListEntry>& entries) {
   auto& s = *state_;
   if (kind != ListKind::changes)
-    for (auto& [id, m] : s.members) m.health = Health::gone;
+    for (auto& [id, m] : s.members) m.listed.health = Health::gone;
   for (const auto& entry : entries) {
     auto [at, isNew] = s.members.try_emplace(entry.node);
     Member& m = at->second;
-    if (isNew) {
-      m.id = entry.node;
-      m.group = entry.group;
-      auto& all = s.groups[entry.group].members;  // in the order of ids
-      all.insert(std::find_if(all.begin(), all.end(), [&](auto* o) { return o->id > m.id; }), &m);
-    }
-    m.sameZone = entry.sameZone;
-    m.kind = entry.kind;
+    const bool started = entry.startedAt > m.listed.startedAt;
+    const Instant startedAt = std::max(entry.startedAt, m.listed.startedAt);
+    m.listed = entry;
+    m.listed.startedAt = startedAt;
+    m.seenDraining = entry.health == Health::draining || (m.seenDraining && !started);
     s.kinds.try_emplace(entry.kind);
-    m.health = entry.health;
-    m.listedPrimary = entry.primary;
-    const bool again = entry.startedAt > m.startedAt;
-    m.seenDraining = entry.health == Health::draining || (m.seenDraining && !again);
-    if (!again) continue;
-    m.startedAt = entry.startedAt;
-    if (isNew) continue;
+    auto& all = s.groups[entry.group].members;  // in the order of ids
+    if (isNew)
+      all.insert(std::find_if(all.begin(), all.end(), [&](auto* o) { return o->listed.node > entry.node; }),
+                 &m);
+    if (isNew || !started) continue;
     m.successes.clear();  // it started again: cold, and a replica until it says otherwise
     m.answers.clear();
-    m.replicaAt = std::max(m.replicaAt, entry.startedAt);
+    m.replicaAt = std::max(m.replicaAt, startedAt);
   }
 }
 
 void Router::listFailed() {
   auto& s = *state_;
-  s.following = false;
   if (!s.terms.listMustBeAsked) return;
   s.askListAt = s.now + Span::seconds(1);  // one service for all routers: no storm on a failed call
   s.writer->wakeAfter(Span::seconds(1));
@@ -629,7 +566,7 @@
 void Router::taken(const Txn& txn) {
   auto& s = *state_;
   const auto& type = s.terms.types[txn.type];
-  Live taken;
+  Live& taken = s.live[txn.id];
   taken.txn = txn;
   taken.takenAt = s.now;
   taken.answerBy = s.now + txn.patience;
@@ -638,7 +575,6 @@
   taken.slaBy = taken.firstAt + std::min(sla, type.expiry);
   if (type.level == ReadLevel::session) taken.target = s.targetOf(txn);
   keepLast(s.arrivals, {s.now, s.usual(txn.type).inSeconds()}, 64);
-  s.live.emplace(txn.id, std::move(taken));
 }
 
 void Router::clientLeft(TxnId id) {
@@ -650,8 +586,7 @@
 }
 
 void Router::streamStarted(TxnId id) {
-  const auto found = state_->live.find(id);
-  if (found != state_->live.end()) found->second.streaming = true;
+  if (const auto found = state_->live.find(id); found != state_->live.end()) found->second.streaming = true;
 }
 
 void Router::ended(TxnId id, unsigned submission, const NodeId& node, End how, bool txnOver, Span latency,
@@ -660,14 +595,14 @@
   const auto found = s.live.find(id);
   Live* txn = found == s.live.end() ? nullptr : &found->second;
   const auto at = s.members.find(node);
-  Out out{id, submission, txn ? txn->txn.type : 0, s.now, {}};
-  const bool committed = how == End::committed;
   if (at == s.members.end()) return;
   Member& m = at->second;
-  const auto o = std::find_if(m.outs.begin(), m.outs.end(), [&](const Out& other) {
-    return other.txn == id && other.number == submission;
-  });
-  if (o != m.outs.end()) out = *o, m.outs.erase(o);
+  const auto sent = std::find_if(m.outs.begin(), m.outs.end(),
+                                 [&](auto& o) { return o.txn == id && o.number == submission; });
+  if (sent == m.outs.end()) return;
+  const Out out = *sent;
+  m.outs.erase(sent);
+  const bool committed = how == End::committed;
   const TxnType& type = s.terms.types[out.type];
   if (committed || how == End::error || how == End::turnedAway || how == End::notHere) m.heardAt = s.now;
   // A write's commit is rounded up to the next millisecond; what is known to be applied is rounded down.
@@ -680,8 +615,8 @@
   if (committed && s.terms.nodesGuard) m.position = std::max(m.position, out.target);
   // Called off after a long wait is no answer either, and took at least that long: else a node that answers
   // nothing, or only what nobody waits for any more, is never found out, and looks as quick as its answers.
-  const bool late =
-      (how == End::calledOff || how == End::noAnswer) && s.now - out.sentAt > s.usual(out.type) * 3;
+  const bool unanswered = how == End::calledOff || how == End::noAnswer;
+  const bool late = unanswered && s.now - out.sentAt > s.usual(out.type) * 3;
   if ((committed || late) && !s.stalled) {
     auto& last = s.latencies[out.type];
     if (outdated(last, s.now)) last.clear();
@@ -689,15 +624,15 @@
     keepLast(s.times, {s.now, latency.inSeconds()}, 64);
   }
   if (committed && !s.stalled) {
+    m.errorsInARow = 0;
     const Sample multiple{s.now, latency / s.usual(out.type)};
     keepLast(m.answers, multiple, 16);
-    keepLast(s.kinds[m.kind], multiple, 64);
+    keepLast(s.kinds[m.listed.kind], multiple, 64);
   }
-  Group& group = s.groups[m.group];
+  Group& group = s.groups[m.listed.group];
   if ((committed || how == End::turnedAway) && !s.stalled)
     keepLast(m.primaryAt > m.replicaAt ? group.primaryStrains : group.strains,
              {s.now, committed ? latency / type.slaTime : 1}, 16);
-  if (committed) m.errorsInARow = 0;
   if (committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
   const bool failed = late || how == End::noAnswer || how == End::turnedAway || how == End::noConnection ||
                       how == End::connectionLost;
@@ -705,8 +640,7 @@
   if (how == End::error) s.erred(m, txn);
   if (!txn) return;
   if (txn->out > 0) --txn->out;
-  const bool ran =
-      how == End::error || how == End::noAnswer || how == End::connectionLost || how == End::calledOff;
+  const bool ran = unanswered || how == End::error || how == End::connectionLost;
   if (ran && txn->mayHaveRunAt == Instant()) txn->mayHaveRunAt = out.sentAt;
   if (commit && txn->txn.session) s.remember(*txn->txn.session, answer.position.value_or(s.now));
   if (committed && txn->erredAt && txn->erredAt != &m) {
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -58,7 +58,9 @@
 void onceOnly() {
   Bench b(usualTerms({kWrite}));
   start(b);
-  b.say("turned away unseen: sent again, once the full node has rested. Lost while out: it may have run, so it is rolled back at once");
+  b.say(
+      "turned away unseen: sent again, once the full node has rested. Lost while out: it may have run, so it "
+      "is rolled back at once");
   b.at(10, [&](Router& r) { r.taken(b.txn(1)); });
   b.at(20, [&](Router& r) { end(b, r, 1, End::turnedAway, Role::primary); });
   b.run(25, 275);
@@ -250,9 +252,8 @@
     b.at(static_cast<std::int64_t>(id) * 10 + 5, [&](Router& r) { end(b, r, id, End::committed); });
   }
   b.say("3 s later it is old, and b is drawn again");
-  for (TxnId id = 21; id <= 26; ++id) b.at(static_cast<std::int64_t>(id) * 10 + 3000, [&](Router& r) {
-    r.taken(b.txn(id));
-  });
+  for (TxnId id = 21; id <= 26; ++id)
+    b.at(static_cast<std::int64_t>(id) * 10 + 3000, [&](Router& r) { r.taken(b.txn(id)); });
 }
 
 void shortGroup() {
@@ -285,7 +286,8 @@
     return made;
   };
   b.at(0, [&](Router& r) {
-    r.listed(ListKind::disk, {b.entry("p", true), of("a", "old"), of("b", "new"), of("c", "old"), of("d", "new")});
+    r.listed(ListKind::disk,
+             {b.entry("p", true), of("a", "old"), of("b", "new"), of("c", "old"), of("d", "new")});
   });
   b.say("a takes three times as long as b; c and d are new here, and d, of b's kind, is drawn more than c");
   for (TxnId id = 1; id <= 24; ++id) {
@@ -321,6 +323,50 @@
   b.run(2505, 2700);
 }
 
+void oddNews() {
+  Bench b(usualTerms({kAny, kSession}));
+  start(b);
+  b.quietProbes = true;
+  b.say("a list that doubles a, adds c, which nobody knew, and leaves b out: b gets nothing new");
+  b.at(10, [&](Router& r) {
+    r.taken(b.txn(1));
+    r.listed(ListKind::whole, {b.entry("p", true), b.entry("a"), b.entry("a"), b.entry("c")});
+  });
+  for (TxnId id = 2; id <= 4; ++id)
+    b.at(static_cast<std::int64_t>(id) * 10, [&](Router& r) { r.taken(b.txn(id)); });
+  b.say("an answer from b, no longer listed, counts; one from a node that no list ever named is passed over");
+  b.at(60, [&](Router& r) {
+    r.ended(1, 0, "b", End::committed, true, ms(50), {Role::replica, {}}, {});
+    r.ended(2, 0, "x", End::committed, true, ms(50), {Role::replica, {}}, {});
+    r.probed("x", End::committed, b.standing(Role::primary, 50));
+  });
+  b.say(
+      "a's position of 300 ms still holds after a report that goes back: what needs 250 ms is drawn at once");
+  b.at(310, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, 300)); });
+  b.at(350, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, 100)); });
+  b.at(360, [&](Router& r) { r.taken(b.sessionRead(7, 1, 110)); });
+}
+
+void coldGroup() {
+  auto terms = usualTerms({kAny, kWrite});
+  terms.routers = 40;
+  Bench b(terms);
+  start(b);
+  b.quietProbes = true;
+  b.say(
+      "the whole group has started again: of 12 reads and 4 writes in 160 ms each node gets one at the most");
+  b.at(10, [&](Router& r) {
+    auto p = b.entry("p", true), a = b.entry("a"), c = b.entry("b");
+    p.startedAt = a.startedAt = c.startedAt = b.instant(9);
+    r.listed(ListKind::changes, {p, a, c});
+  });
+  b.at(15, [&](Router& r) { r.probed("p", End::committed, b.standing(Role::primary, 14)); });
+  for (TxnId id = 1; id <= 16; ++id)
+    b.at(static_cast<std::int64_t>(id) * 10 + 10, [&](Router& r) { r.taken(b.txn(id, id % 4 == 0)); });
+  b.say("writes are held while time remains; what can't be served in time is declined");
+  b.run(175, 600);
+}
+
 void stall() {
   Bench b(usualTerms({kAny}));
   start(b);
@@ -425,7 +471,8 @@
       b.at(now += 10, [&](Router& r) { end(b, r, id, errs ? End::error : End::committed, {}, number); });
     }
   };
-  b.say("every other txn errs wherever it goes: given up after a second node, soon after one; none is blamed");
+  b.say(
+      "every other txn errs wherever it goes: given up after a second node, soon after one; none is blamed");
   while (id < 16) play(id % 2 ? "" : "a b");
   b.say("then a alone errs: what errs there is committed by b, and a is drawn no more but for trials");
   while (id < 32) play("a");
@@ -452,6 +499,8 @@
     {"old-latencies", oldLatencies},
     {"worthless", worthless},
     {"told", told},
+    {"odd-news", oddNews},
+    {"cold-group", coldGroup},
     {"strained-primary", strainedPrimary},
     {"short-group", shortGroup},
     {"kinds", kinds},
