--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -213,6 +213,18 @@
   b.run(495, 700);
 }
 
+void crowdedReplica() {
+  Bench b(usualTerms({kAny, kBounded}));
+  start(b);
+  b.quietProbes = true;
+  b.say(
+      "few routers; b told it is 0.6 s behind, on its way to the bound of 1 s: it gets half of what a gets");
+  b.at(600, [&](Router& r) {
+    r.probed("b", End::committed, b.standing(Role::replica, 0));
+    for (TxnId id = 1; id <= 8; ++id) r.taken(b.txn(id, 0));
+  });
+}
+
 void longReads() {
   auto report = type(ReadLevel::any);
   report.slaTime = ms(3000);
@@ -478,33 +490,18 @@
   while (id < 32) play("a");
 }
 
+// clang-format off
 const std::map<std::string, void (*)()> kCases{
-    {"ordinary-path", ordinaryPath},
-    {"stale-read", staleRead},
-    {"once-only", onceOnly},
-    {"repeatable", repeatable},
-    {"referenced", referenced},
-    {"drains", drains},
-    {"cold-node", coldNode},
-    {"new-primary", newPrimary},
-    {"hung-node", hungNode},
-    {"dead-work", deadWork},
-    {"later-tries", laterTries},
-    {"late-news", lateNews},
-    {"long-reads", longReads},
-    {"next-try", nextTry},
-    {"asked-list", askedList},
-    {"second-copy", secondCopy},
-    {"stall", stall},
-    {"old-latencies", oldLatencies},
-    {"worthless", worthless},
-    {"told", told},
-    {"odd-news", oddNews},
-    {"cold-group", coldGroup},
-    {"strained-primary", strainedPrimary},
-    {"short-group", shortGroup},
-    {"kinds", kinds},
+    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly},
+    {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
+    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"dead-work", deadWork},
+    {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
+    {"asked-list", askedList}, {"second-copy", secondCopy}, {"stall", stall},
+    {"old-latencies", oldLatencies}, {"worthless", worthless}, {"told", told},
+    {"crowded-replica", crowdedReplica}, {"odd-news", oddNews}, {"cold-group", coldGroup},
+    {"strained-primary", strainedPrimary}, {"short-group", shortGroup}, {"kinds", kinds},
 };
+// clang-format on
 
 }  // namespace
 
