Drop settings that no decision reads from the interface

positionsInAnswers, reportsInAnswers and fallTime were read by renewals and the old bound on cold members only.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -44,7 +44,6 @@
   unsigned routers = 1;
   double coldShare = 1;  // a node starts at this share of its capacity or above
   Span coldTime;         // and is warm after this
-  Span fallTime;         // sent too much for this long, a cold node falls over
   bool onlyDrainingBinds =
       false;  // a node that is gone without having been listed as draining may be sent to
   bool probesAllowed = false;
@@ -54,8 +53,6 @@
   Span longestComeBack;
   unsigned mostSubmissions = 1;
   double crossZonePrice = 0;  // what a submission into another zone costs, as a part of the value of a txn
-  bool positionsInAnswers = false;
-  bool reportsInAnswers = false;
   bool nodesGuard = false;  // a node turns away untouched a read that it is too far behind for
   bool sessionAgeCarried =
       false;  // reads carry the age of their session's last write; else it is remembered here
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -79,7 +79,6 @@
   terms.routers = static_cast<unsigned>(line.whole("balancers", 1));
   terms.coldShare = line.number("rules.coldFrom", 1);
   terms.coldTime = micros(line.whole("rules.cold", 0));
-  terms.fallTime = micros(line.whole("rules.fall", 0));
   terms.onlyDrainingBinds = line.flag("rules.softRemoval");
   terms.probesAllowed = line.flag("limits.probes");
   terms.secondCopies = line.flag("limits.secondCopies");
@@ -88,8 +87,6 @@
   terms.longestComeBack = micros(line.whole("limits.maxRetryAfter", 0));
   terms.mostSubmissions = static_cast<unsigned>(line.whole("limits.maxAttempts", 1));
   terms.crossZonePrice = line.number("penalties.crossZone", 0);
-  terms.positionsInAnswers = line.flag("specifics.answersStamped");
-  terms.reportsInAnswers = line.find("report.via").value_or("off") == "inline";
   terms.nodesGuard = line.find("specifics.guards").value_or("off") != "off";
   terms.sessionAgeCarried = line.find("specifics.sessionMarks").value_or("client") == "client";
   terms.listMustBeAsked = line.find("discovery").value_or("pushed") == "on_request";
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -22,7 +22,6 @@
   terms.routers = 2;
   terms.coldShare = 0.2;
   terms.coldTime = ms(10000);
-  terms.fallTime = ms(2000);
   terms.probesAllowed = terms.secondCopies = terms.cancelAllowed = terms.comeBackAllowed = true;
   terms.longestComeBack = ms(400);
   terms.mostSubmissions = 4;
