--- /dev/null
+++ b/src/gateway/connection_end.cpp
@@ -0,0 +1,55 @@
+#include "gateway/connection_end.h"
+
+namespace gulltrestle::gateway {
+
+End outcomeOf(ConnectionEnd how, bool writtenWhole) {
+  switch (how) {
+    case ConnectionEnd::notOpened:
+      return End::notSent;
+    case ConnectionEnd::calledOff:
+      return writtenWhole ? End::calledOff : End::notSent;
+    case ConnectionEnd::turnedAway:
+      return End::turnedAway;
+    case ConnectionEnd::unanswered:
+      return writtenWhole ? End::noAnswer : End::noConnection;
+    case ConnectionEnd::nodeLeft:
+    case ConnectionEnd::retired:
+      return writtenWhole ? End::connectionLost : End::notSent;
+    default:
+      return writtenWhole ? End::connectionLost : End::noConnection;
+  }
+}
+
+std::string_view nameOf(ConnectionEnd how) {
+  switch (how) {
+    case ConnectionEnd::notOpened:
+      return "not opened";
+    case ConnectionEnd::refused:
+      return "refused";
+    case ConnectionEnd::neverUp:
+      return "never up";
+    case ConnectionEnd::turnedAway:
+      return "turned away";
+    case ConnectionEnd::broken:
+      return "broken";
+    case ConnectionEnd::malformed:
+      return "malformed";
+    case ConnectionEnd::calledOff:
+      return "called off";
+    case ConnectionEnd::unanswered:
+      return "unanswered";
+    case ConnectionEnd::retired:
+      return "retired";
+    case ConnectionEnd::nodeLeft:
+      return "node left";
+    case ConnectionEnd::clientDone:
+      return "client done";
+    case ConnectionEnd::clientStuck:
+      return "client stuck";
+    case ConnectionEnd::shuttingDown:
+      return "shutting down";
+  }
+  return "unknown";
+}
+
+}  // namespace gulltrestle::gateway
--- /dev/null
+++ b/src/gateway/connection_end.h
@@ -0,0 +1,32 @@
+// Every way in which a connection can end, and what that says of the submission it carried.
+#pragma once
+
+#include <string_view>
+
+#include "routing/router.h"
+
+namespace gulltrestle::gateway {
+
+enum class ConnectionEnd {
+  notOpened,     // no descriptor or address was to be had for it
+  refused,       // the other side took no connection
+  neverUp,       // it was not up within the time that is allowed for it
+  turnedAway,    // a node refused the session before it took a query
+  broken,        // reset, or ended by the other side
+  malformed,     // the other side sent what can't be read
+  calledOff,     // nobody waits for its answer any more
+  unanswered,    // no answer came while the submission was waited for
+  retired,       // closed here after it had been idle for long, or to make room for another
+  nodeLeft,      // closed here as its node drains or is gone
+  clientDone,    // the client said good-bye, or all it had asked is answered and it sends no more
+  clientStuck,   // the client did not read its answer for long
+  shuttingDown,  // this router ends
+};
+
+// The outcome of a submission whose connection ended so. `writtenWhole`: its last byte had been written, so
+// that the node may have run it.
+End outcomeOf(ConnectionEnd how, bool writtenWhole);
+
+std::string_view nameOf(ConnectionEnd how);
+
+}  // namespace gulltrestle::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,596 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gulltrestle::gateway {
+
+namespace {
+
+// A value of 64 KiB is twice that as hex; the rest of a statement is short.
+constexpr std::size_t kLongestQuery = 2 * 64 * 1024 + 4096;
+
+// For this long after it was told to end a router goes on as before: the front still sends new clients. It
+// does so for 0.4 s at most; the rest is for what is on its way.
+constexpr Span kGraceAtEnd = Span::millis(500);
+
+// A connection to a node is given up when it was idle for this part of the limit: the node counts from
+// another moment than this router, and a txn on one that the node closes at that moment may or may not run.
+constexpr double kIdlePart = 0.5;
+
+Instant later(Instant a, Instant b) { return std::max(a, b); }
+
+// Sessions are told apart by a number; equal keys give equal ones (FNV-1a). Two keys that share one make a
+// read wait for the other's write at the worst.
+SessionId sessionOf(std::string_view key) {
+  SessionId hash = 14695981039346656037U;
+  for (const char c : key) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
+  return hash;
+}
+
+Standing standingOf(const pg::Answer& answer) {
+  Standing said;
+  if (answer.fromPrimary) said.role = *answer.fromPrimary ? Role::primary : Role::replica;
+  if (answer.positionMs) said.position = Instant() + Span::millis(static_cast<std::int64_t>(*answer.positionMs));
+  return said;
+}
+
+Standing standingOf(const pg::Report& report) {
+  Standing said;
+  if (report.primary) said.role = *report.primary ? Role::primary : Role::replica;
+  if (report.positionSeconds) said.position = Instant() + Span::seconds(*report.positionSeconds);
+  said.inHand = report.inHand;
+  return said;
+}
+
+End endOf(pg::Verdict verdict) {
+  switch (verdict) {
+    case pg::Verdict::row:
+      return End::committed;
+    case pg::Verdict::notHere:
+      return End::notHere;
+    case pg::Verdict::turnedAway:
+      return End::turnedAway;
+    default:
+      return End::error;
+  }
+}
+
+}  // namespace
+
+Gateway::Gateway(Terms terms, std::vector<std::string> typeNames, std::uint64_t seed, Bounds bounds,
+                 Effects& effects)
+    : router_(terms, seed), bounds_(bounds), effects_(effects) {
+  for (std::size_t row = 0; row < terms.types.size(); ++row) {
+    types_.emplace(typeNames[row], row);
+    levels_.push_back(terms.types[row].level);
+    longestExpiry_ = std::max(longestExpiry_, terms.types[row].expiry);
+  }
+}
+
+// --- Clients
+
+void Gateway::clientOpened(Instant now, ClientId id) {
+  now_ = later(now_, now);
+  clients_[id].idleSince = now_;
+}
+
+std::size_t Gateway::clientSent(Instant now, ClientId id, std::string_view bytes) {
+  now_ = later(now_, now);
+  const auto size = bytes.size();
+  try {
+    for (;;) {
+      const auto at = clients_.find(id);
+      if (at == clients_.end()) return size;
+      Client& client = at->second;
+      if (client.txn != 0 || client.waitsForList) break;
+      client.idleSince = now_;
+      const bool took = client.stage == Stage::opening ? takeOpening(id, client, bytes)
+                                                       : takeMessage(id, client, bytes);
+      if (!took) break;
+    }
+  } catch (const pg::Malformed& bad) {
+    fatal(id, "08P01", bad.what());
+    return size;
+  }
+  return size - bytes.size();
+}
+
+bool Gateway::takeOpening(ClientId id, Client& client, std::string_view& bytes) {
+  const auto opening = pg::takeOpening(bytes);
+  if (!opening) return false;
+  if (opening->code == pg::kSslRequest || opening->code == pg::kGssRequest) {
+    effects_.writeClient(id, {"N"});
+  } else if (opening->code == pg::kCancelRequest) {
+    dropClient(id);
+  } else if (opening->code >> 16 != pg::kMajorVersion) {
+    fatal(id, "0A000", "only version 3 of the protocol is spoken here");
+  } else {
+    client.stage = Stage::ready;
+    effects_.writeClient(id, {pg::welcome()});
+  }
+  return true;
+}
+
+bool Gateway::takeMessage(ClientId id, Client& client, std::string_view& bytes) {
+  const auto message = pg::takeMessage(bytes, kLongestQuery);
+  if (!message) return false;
+  if (client.stage == Stage::refusing) {  // the rest of an exchange that was refused, up to its Sync
+    if (message->type == 'X') return dropClient(id), true;
+    if (message->type != 'S') return true;
+    client.stage = Stage::ready;
+    effects_.writeClient(id, {pg::readyForQuery()});
+    return true;
+  }
+  auto body = message->body;
+  switch (message->type) {
+    case 'Q':
+      takeStatement(id, client, pg::takeText(body));
+      return true;
+    case 'X':
+      dropClient(id);
+      return true;
+    case 'S':
+      effects_.writeClient(id, {pg::readyForQuery()});
+      return true;
+    case 'P':
+    case 'B':
+    case 'D':
+    case 'E':
+    case 'C':
+    case 'F':
+      client.stage = message->type == 'F' ? Stage::ready : Stage::refusing;
+      effects_.writeClient(id, {pg::error("ERROR", "0A000", "only simple queries are taken")});
+      if (message->type == 'F') effects_.writeClient(id, {pg::readyForQuery()});
+      return true;
+    case 'H':  // flush, and what is left of a copy
+    case 'd':
+    case 'c':
+    case 'f':
+      return true;
+    default:
+      throw pg::Malformed("a message of this type is not known");
+  }
+}
+
+void Gateway::takeStatement(ClientId id, Client& client, std::string_view text) {
+  if (pg::isBlank(text)) {
+    if (listKnown_) return answerEmpty(id, client);
+    client.waitsForList = true;
+    return;
+  }
+  try {
+    const auto statement = pg::readStatement(text);
+    const auto type = types_.find(statement.typeName);
+    if (type == types_.end())
+      throw pg::BadStatement("22023", "txn type '" + std::string(statement.typeName) + "' is not known");
+    const ReadLevel level = levels_[type->second];
+    if (statement.writes != (level == ReadLevel::write))
+      throw pg::BadStatement("22023", "the statement is not of its txn type");
+    Txn txn;
+    txn.id = client.txn = ++lastTxn_;
+    txn.type = type->second;
+    txn.group = statement.group;
+    if (level >= ReadLevel::write || level == ReadLevel::session) txn.session = sessionOf(statement.key);
+    if (level == ReadLevel::session) {
+      txn.writeAge = Span();  // it owes nothing
+      if (statement.afterMs.value_or(0) > 0)
+        txn.writeAge = std::max(now_ - (Instant() + Span::millis(static_cast<std::int64_t>(*statement.afterMs))),
+                                Span::micros(1));
+    }
+    txn.patience = Span::millis(static_cast<std::int64_t>(statement.waitMs));
+    Live& live = live_[txn.id];
+    live.client = id;
+    live.statement = text;
+    live.waitAt = static_cast<std::size_t>(statement.wait.data() - text.data());
+    live.waitSize = statement.wait.size();
+    arrived([txn](Router& router) { router.taken(txn); });
+  } catch (const pg::BadStatement& bad) {
+    answerError(id, bad.code(), bad.what());
+  }
+}
+
+void Gateway::answerEmpty(ClientId id, Client& client) {
+  client.waitsForList = false;
+  effects_.writeClient(id, {pg::emptyQueryResponse(), pg::readyForQuery()});
+}
+
+void Gateway::answerError(ClientId id, std::string_view code, std::string_view text, std::string_view detail) {
+  effects_.writeClient(id, {pg::error("ERROR", code, text, detail), pg::readyForQuery()});
+}
+
+void Gateway::fatal(ClientId id, std::string_view code, std::string_view text) {
+  effects_.writeClient(id, {pg::error("FATAL", code, text)});
+  dropClient(id);
+}
+
+// The router closes the connection, after what was written has gone.
+void Gateway::dropClient(ClientId id) {
+  effects_.closeClient(id);
+  clientEnded(now_, id, ConnectionEnd::clientDone);
+}
+
+// A client that sends no more may still wait for its answer, or may be gone: both look alike. A notice, which
+// clients skip, brings a reset if it is gone. Guards against work for clients that left, and against leaving
+// one that only shut down its sending without its answer. May hurt a client that can't take a notice.
+void Gateway::clientSendsNoMore(Instant now, ClientId id) {
+  now_ = later(now_, now);
+  const auto at = clients_.find(id);
+  if (at == clients_.end()) return;
+  Client& client = at->second;
+  if (client.txn == 0 && !client.waitsForList) return dropClient(id);
+  if (!std::exchange(client.sendsNoMore, true)) effects_.writeClient(id, {pg::notice("still at work")});
+}
+
+void Gateway::clientEnded(Instant now, ClientId id, ConnectionEnd) {
+  now_ = later(now_, now);
+  const auto at = clients_.find(id);
+  if (at == clients_.end()) return;
+  const TxnId txn = at->second.txn;
+  clients_.erase(at);
+  if (Live* live = owed(txn)) {
+    live->client = 0;
+    arrived([txn](Router& router) { router.clientLeft(txn); });
+    forget(txn);
+  }
+}
+
+bool Gateway::closeIdleClient() {
+  auto oldest = clients_.end();
+  for (auto at = clients_.begin(); at != clients_.end(); ++at)
+    if (at->second.txn == 0 && !at->second.waitsForList && at->second.stage != Stage::opening &&
+        (oldest == clients_.end() || at->second.idleSince < oldest->second.idleSince))
+      oldest = at;
+  if (oldest == clients_.end()) return false;
+  dropClient(ClientId(oldest->first));
+  return true;
+}
+
+// The txn's final answer goes to its client.
+void Gateway::finishTxn(TxnId txn, Parts answer) {
+  Live* live = owed(txn);
+  if (!live) return;
+  const ClientId id = std::exchange(live->client, 0);
+  effects_.writeClient(id, answer);
+  clients_.at(id).txn = 0;
+  nextOf(id);
+  forget(txn);
+}
+
+void Gateway::nextOf(ClientId id) {
+  clients_.at(id).idleSince = now_;
+  if (stopping_ && now_ >= stopAt_) return dropClient(id);
+  effects_.readClient(id);
+}
+
+Gateway::Live* Gateway::owed(TxnId txn) {
+  const auto at = live_.find(txn);
+  return at == live_.end() || at->second.client == 0 ? nullptr : &at->second;
+}
+
+// What has its final answer is kept only while submissions of it are out.
+void Gateway::forget(TxnId txn) {
+  const auto at = live_.find(txn);
+  if (at == live_.end() || at->second.client != 0) return;
+  const auto& all = at->second.submissions;
+  if (std::all_of(all.begin(), all.end(), [](auto& s) { return s.over; })) live_.erase(at);
+}
+
+// --- Nodes
+
+Gateway::Submission* Gateway::submissionOf(Job job) {
+  const auto at = live_.find(job.txn);
+  if (at == live_.end() || job.submission >= at->second.submissions.size()) return nullptr;
+  return &at->second.submissions[job.submission];
+}
+
+void Gateway::dispatch(const NodeId& id, Node& node, Job job) {
+  if (node.idle.empty()) {
+    node.waiting.push_back(job);
+    return openFor(id, node);
+  }
+  const LinkId link = node.idle.back();
+  node.idle.pop_back();
+  write(link, links_.at(link), job);
+}
+
+// A connection for each job that waits for one. What can't be had is told as not sent, so that the module
+// decides anew. Guards against running out of descriptors; may hurt where all connections are busy.
+void Gateway::openFor(const NodeId& id, Node& node) {
+  while (node.opening < node.waiting.size()) {
+    if (links_.size() >= bounds_.mostLinks) {
+      const auto idle = std::find_if(links_.begin(), links_.end(),
+                                     [](auto& entry) { return entry.second.stage == LinkStage::idle; });
+      if (idle != links_.end()) {
+        endLink(LinkId(idle->first), ConnectionEnd::retired);
+        continue;
+      }
+      const Job job = node.waiting.back();
+      node.waiting.pop_back();
+      endJob(job, id, outcomeOf(ConnectionEnd::notOpened, false), {}, {});
+      continue;
+    }
+    const LinkId link = ++lastLink_;
+    ++node.opening;
+    links_[link].node = id;
+    setDue(link, links_[link], now_ + bounds_.connectLimit);
+    effects_.connect(link, node.address);
+  }
+}
+
+void Gateway::setDue(LinkId id, Link& link, Instant due) {
+  due_.erase({link.due, id});
+  link.due = due;
+  due_.insert({link.due, id});
+}
+
+void Gateway::write(LinkId id, Link& link, Job job) {
+  link.stage = LinkStage::busy;
+  link.job = job;
+  link.written = false;
+  if (job.txn == 0) {
+    setDue(id, link, now_ + bounds_.connectLimit);
+    link.written = effects_.writeNode(id, {pg::queryHead(pg::kShowReport.size()), pg::kShowReport, {"\0", 1}});
+    return;
+  }
+  const Live& live = live_.at(job.txn);
+  Submission& submission = *submissionOf(job);
+  submission.link = id;
+  setDue(id, link, submission.cutAt);
+  // The node is told how long this router will wait, rounded up.
+  const auto left = std::max<std::int64_t>(1, (submission.cutAt - now_).inMicros() / 1000);
+  const std::string wait = std::to_string(left);
+  const std::string_view text = live.statement;
+  link.written = effects_.writeNode(
+      id, {pg::queryHead(text.size() - live.waitSize + wait.size()), text.substr(0, live.waitAt), wait,
+           text.substr(live.waitAt + live.waitSize), {"\0", 1}});
+}
+
+void Gateway::linkUp(Instant now, LinkId id) {
+  now_ = later(now_, now);
+  const auto at = links_.find(id);
+  if (at == links_.end()) return;
+  at->second.stage = LinkStage::starting;
+  effects_.writeNode(id, {pg::startup("worker", "catalog")});
+}
+
+void Gateway::linkWritten(Instant now, LinkId id) {
+  now_ = later(now_, now);
+  if (const auto at = links_.find(id); at != links_.end()) at->second.written = true;
+}
+
+std::size_t Gateway::linkSent(Instant now, LinkId id, std::string_view bytes) {
+  now_ = later(now_, now);
+  const auto size = bytes.size();
+  try {
+    for (;;) {
+      const auto at = links_.find(id);
+      if (at == links_.end()) return size;
+      Link& link = at->second;
+      if (link.stage == LinkStage::starting) {
+        const auto message = pg::takeMessage(bytes, kLongestQuery);
+        if (!message) break;
+        if (message->type == 'E') {
+          const bool away = pg::verdictOf(pg::readError(message->body).code) == pg::Verdict::turnedAway;
+          endLink(id, away ? ConnectionEnd::turnedAway : ConnectionEnd::broken);
+        } else if (message->type == 'Z') {
+          --nodes_.at(link.node).opening;
+          release(id, link);
+        } else if (message->type == 'R' && message->body != std::string_view("\0\0\0\0", 4)) {
+          throw pg::Malformed("a node asks for a password");
+        }
+      } else if (link.stage == LinkStage::busy) {
+        const auto answer = pg::takeAnswer(bytes);
+        if (!answer) break;
+        takeAnswer(id, link, *answer);
+      } else if (bytes.empty()) {
+        break;
+      } else {  // bytes that nobody asked for: they must not be taken for the next txn's answer
+        endLink(id, ConnectionEnd::malformed);
+      }
+    }
+  } catch (const pg::Malformed& bad) {
+    effects_.log("node " + links_.at(id).node + " sent what can't be read: " + bad.what());
+    endLink(id, ConnectionEnd::malformed);
+    return size;
+  }
+  return size - bytes.size();
+}
+
+void Gateway::takeAnswer(LinkId id, Link& link, const pg::Answer& answer) {
+  const Job job = link.job;
+  const NodeId node = link.node;
+  const End how = endOf(answer.verdict);
+  if (how == End::committed && job.txn != 0)
+    finishTxn(job.txn, {answer.description, answer.row, answer.complete, pg::readyForQuery()});
+  Standing report = standingOf(answer.report);
+  if (job.txn == 0 && how == End::committed) report = standingOf(pg::readReport(answer.value));
+  endJob(job, node, how, standingOf(answer), report);
+  if (answer.fatal)
+    endLink(id, ConnectionEnd::broken);
+  else
+    release(id, link);
+}
+
+// The connection has no job any more.
+void Gateway::release(LinkId id, Link& link) {
+  link.job = {};
+  link.written = false;
+  Node& node = nodes_.at(link.node);
+  link.stage = LinkStage::idle;
+  while (!node.waiting.empty()) {
+    const Job job = node.waiting.front();
+    node.waiting.pop_front();
+    const Submission* submission = submissionOf(job);
+    if (job.txn == 0 || (submission && submission->cutAt > now_)) return write(id, link, job);
+    endJob(job, link.node, End::notSent, {}, {});
+  }
+  node.idle.push_back(id);
+  setDue(id, link, now_ + bounds_.idleLimit * kIdlePart);
+  if (node.health != Health::live) endLink(id, ConnectionEnd::nodeLeft);
+}
+
+void Gateway::linkEnded(Instant now, LinkId id, ConnectionEnd how) {
+  now_ = later(now_, now);
+  endLink(id, how);
+}
+
+void Gateway::endLink(LinkId id, ConnectionEnd how) {
+  const auto at = links_.find(id);
+  if (at == links_.end()) return;
+  const Link link = at->second;
+  due_.erase({link.due, id});
+  links_.erase(at);
+  effects_.closeNode(id);
+  Node& node = nodes_.at(link.node);
+  if (link.stage == LinkStage::idle) {
+    std::erase(node.idle, id);
+  } else if (link.stage == LinkStage::busy) {
+    endJob(link.job, link.node, outcomeOf(how, link.written), {}, {});
+  } else {
+    effects_.log("no connection to node " + link.node + ": " + std::string(nameOf(how)));
+    if (--node.opening < node.waiting.size()) {
+      const Job job = node.waiting.front();
+      node.waiting.pop_front();
+      endJob(job, link.node, outcomeOf(how, false), {}, {});
+    }
+  }
+}
+
+// The outcome of a submission or a probe, told to the module.
+void Gateway::endJob(Job job, const NodeId& node, End how, const Standing& answer, const Standing& report) {
+  if (job.txn == 0) return arrived([=](Router& router) { router.probed(node, how, report); });
+  Submission* submission = submissionOf(job);
+  if (!submission || std::exchange(submission->over, true)) return;
+  const Span latency = now_ - submission->sentAt;
+  const bool txnOver = owed(job.txn) == nullptr;
+  arrived([=](Router& router) {
+    router.ended(job.txn, job.submission, node, how, txnOver, latency, answer, report);
+  });
+  forget(job.txn);
+}
+
+void Gateway::endWaiting(const NodeId& id, Node& node, ConnectionEnd how) {
+  for (const Job job : std::exchange(node.waiting, {})) endJob(job, id, outcomeOf(how, false), {}, {});
+}
+
+// --- The list
+
+void Gateway::listed(Instant now, ListKind kind, const std::vector<Addressed>& list) {
+  now_ = later(now_, now);
+  if (kind != ListKind::changes)
+    for (auto& [id, node] : nodes_) node.health = Health::gone;
+  std::vector<ListEntry> entries;
+  for (const auto& [entry, address] : list) {
+    Node& node = nodes_[entry.node];
+    node.address = address;
+    node.health = entry.health;
+    entries.push_back(entry);
+    listKnown_ = true;
+  }
+  for (auto& [id, node] : nodes_) {
+    if (node.health == Health::live) continue;
+    endWaiting(id, node, ConnectionEnd::nodeLeft);
+    while (!node.idle.empty()) endLink(LinkId(node.idle.back()), ConnectionEnd::nodeLeft);
+  }
+  arrived([=](Router& router) { router.listed(kind, entries); });
+  if (!listKnown_) return;
+  std::vector<ClientId> waiting;
+  for (const auto& [id, client] : clients_)
+    if (client.waitsForList) waiting.push_back(id);
+  for (const ClientId id : waiting) {
+    answerEmpty(id, clients_.at(id));
+    nextOf(id);
+  }
+}
+
+void Gateway::listFailed(Instant now) {
+  now_ = later(now_, now);
+  arrived([](Router& router) { router.listFailed(); });
+}
+
+// --- Turns
+
+void Gateway::shutDown(Instant now) {
+  now_ = later(now_, now);
+  if (std::exchange(stopping_, true)) return;
+  stopAt_ = now_ + kGraceAtEnd;
+  effects_.log("told to end: serving on for a while, then answering what was taken");
+}
+
+Instant Gateway::endTurn(Instant now) {
+  now_ = later(now_, now);
+  while (!due_.empty() && due_.begin()->first <= now_) {
+    const LinkId id = due_.begin()->second;
+    const LinkStage stage = links_.at(id).stage;
+    endLink(id, stage == LinkStage::idle   ? ConnectionEnd::retired
+                : stage == LinkStage::busy ? ConnectionEnd::unanswered
+                                           : ConnectionEnd::neverUp);
+  }
+  if (stopping_ && now_ >= stopAt_ && giveUpAt_ == Instant()) {
+    giveUpAt_ = now_ + longestExpiry_;
+    effects_.stopListening();
+    std::vector<ClientId> idle;
+    for (const auto& [id, client] : clients_)
+      if (client.txn == 0) idle.push_back(id);
+    for (const ClientId id : idle) dropClient(id);
+  }
+  if (!arrivals_.empty() || (wakeAt_ != Instant() && wakeAt_ <= now_)) {
+    if (wakeAt_ <= now_) wakeAt_ = Instant();
+    router_.round(now_, *this, *this);
+  }
+  Instant next = arrivals_.empty() ? wakeAt_ : now_;
+  const auto sooner = [&](Instant at) {
+    if (at != Instant() && (next == Instant() || at < next)) next = at;
+  };
+  if (!due_.empty()) sooner(due_.begin()->first);
+  if (stopping_ && giveUpAt_ == Instant()) sooner(stopAt_);
+  return next;
+}
+
+void Gateway::deliver(Router& router) {
+  // What the module asks for meanwhile may end submissions at once: that is for the next round.
+  for (const auto& call : std::exchange(arrivals_, {})) call(router);
+}
+
+void Gateway::submit(TxnId txn, const NodeId& id, Instant cutAt) {
+  Live* live = owed(txn);
+  if (!live) return;
+  const Job job{txn, static_cast<unsigned>(live->submissions.size())};
+  live->submissions.push_back({0, id, now_, cutAt, false});
+  const auto node = nodes_.find(id);
+  if (node == nodes_.end()) return endJob(job, id, End::notSent, {}, {});
+  dispatch(id, node->second, job);
+}
+
+void Gateway::callOff(TxnId txn, unsigned number) {
+  const Job job{txn, number};
+  const Submission* submission = submissionOf(job);
+  if (!submission || submission->over) return;
+  if (submission->link != 0) return endLink(submission->link, ConnectionEnd::calledOff);
+  const NodeId id = submission->node;
+  auto& waiting = nodes_.at(id).waiting;
+  std::erase_if(waiting, [&](Job other) { return other.txn == txn && other.submission == number; });
+  endJob(job, id, outcomeOf(ConnectionEnd::calledOff, false), {}, {});
+}
+
+void Gateway::decline(TxnId txn, Span comeBackAfter) {
+  finishTxn(txn, {pg::declined(comeBackAfter.inMicros() / 1000), pg::readyForQuery()});
+}
+
+void Gateway::rollBack(TxnId txn) { finishTxn(txn, {pg::rolledBack(), pg::readyForQuery()}); }
+
+void Gateway::probe(const NodeId& id) {
+  const auto node = nodes_.find(id);
+  if (node == nodes_.end()) return endJob({}, id, End::notSent, {}, {});
+  dispatch(id, node->second, {});
+}
+
+void Gateway::wakeAfter(Span after) {
+  const Instant at = now_ + after;
+  if (wakeAt_ == Instant() || wakeAt_ <= now_ || at < wakeAt_) wakeAt_ = at;
+}
+
+void Gateway::followList() { effects_.askForList(); }
+
+}  // namespace gulltrestle::gateway
--- /dev/null
+++ b/src/loop/sockets.h
@@ -0,0 +1,32 @@
+// Sockets of IPv4, none of which ever blocks.
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "loop/descriptor.h"
+
+namespace gulltrestle::loop {
+
+// Throws std::system_error where the address can't be had.
+Descriptor listenOn(const std::string& host, unsigned short port);
+// Not up yet when it returns; none if no descriptor is left. Throws where the address is none.
+Descriptor startConnecting(const std::string& host, unsigned short port);
+bool isConnected(int descriptor);  // after it has become writable: it came up
+
+enum class Io { some, wouldBlock, ended, failed, noDescriptor };
+struct IoResult {
+  Io how;
+  std::size_t size = 0;
+};
+IoResult readInto(int descriptor, std::span<char> buffer);
+IoResult writeFrom(int descriptor, std::span<const std::string_view> parts);
+Io accept(int descriptor, Descriptor& taken);
+
+// Becomes readable when one of the signals that ask a process to end comes.
+Descriptor endSignals();
+void takeEndSignal(int descriptor);
+
+}  // namespace gulltrestle::loop
--- /dev/null
+++ b/src/pg/answer.h
@@ -0,0 +1,52 @@
+// A node's whole answer to one query, and what it tells of the node.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "pg/messages.h"
+
+namespace gulltrestle::pg {
+
+// What an error says of the query.
+enum class Verdict {
+  row,         // no error: it ran
+  notHere,     // no effect: a write, and this is no primary; or too far behind
+  turnedAway,  // never ran: queue full, draining, too many connections, or the txn is already over
+  error,       // it may have run
+};
+
+struct Report {
+  std::optional<double> positionSeconds;  // Unix time
+  std::optional<bool> primary;
+  std::optional<double> inHand;
+};
+
+// The slices are of the bytes it was read from.
+struct Answer {
+  Verdict verdict = Verdict::row;
+  bool fatal = false;                            // the node closes the connection after it
+  std::string_view description, row, complete;  // whole messages; with a verdict of row only
+  std::string_view value;                        // the row's one column
+  std::optional<bool> fromPrimary;
+  std::optional<std::uint64_t> positionMs;  // Unix time
+  Report report;
+};
+
+// Takes an answer off the front of `bytes`; none if it is not whole yet. Throws Malformed.
+std::optional<Answer> takeAnswer(std::string_view& bytes);
+
+Report readReport(std::string_view text);
+
+// The verdict of an error's SQLSTATE.
+Verdict verdictOf(std::string_view code);
+
+// An answer that declines: harmless to try again, after so many milliseconds where that is advised.
+std::string declined(std::int64_t comeBackAfterMs);
+// An answer that promises nothing about the effect.
+std::string rolledBack();
+
+constexpr std::string_view kShowReport = "SHOW gauges";
+
+}  // namespace gulltrestle::pg
--- /dev/null
+++ b/src/pg/messages.h
@@ -0,0 +1,59 @@
+// Messages of the PostgreSQL wire protocol, version 3, as far as simple queries need them: read as slices of
+// the bytes they came in, and written.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace gulltrestle::pg {
+
+class Malformed : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Message {
+  char type = 0;
+  std::string_view body;
+  std::string_view whole;  // with type and length
+};
+
+// Takes the next message off the front of `bytes`; none if it is not whole yet. Throws if its length can't be
+// right, or if it is longer than `longest`.
+std::optional<Message> takeMessage(std::string_view& bytes, std::size_t longest);
+
+// The same for a connection's first message, which has no type: `code` is the version or the request's code.
+struct Opening {
+  std::uint32_t code = 0;
+  std::string_view body;
+};
+std::optional<Opening> takeOpening(std::string_view& bytes);
+
+constexpr std::uint32_t kSslRequest = 80877103, kGssRequest = 80877104, kCancelRequest = 80877102;
+constexpr std::uint32_t kMajorVersion = 3;
+
+// Cuts a zero-ended text off the front.
+std::string_view takeText(std::string_view& body);
+
+struct ErrorFields {
+  std::string_view severity, code, message, detail;
+};
+ErrorFields readError(std::string_view body);
+
+std::string startup(std::string_view user, std::string_view database);
+std::string welcome();  // all that answers a startup message, ReadyForQuery included
+std::string message(char type, std::string_view body);
+std::string error(std::string_view severity, std::string_view code, std::string_view text,
+                  std::string_view detail = {});
+std::string notice(std::string_view text);
+std::string emptyQueryResponse();
+std::string readyForQuery();
+std::string terminate();
+
+// The head of a Query message for a statement of that size; statement and a zero byte follow it.
+std::string queryHead(std::size_t statementSize);
+
+}  // namespace gulltrestle::pg
--- /dev/null
+++ b/src/server/server.h
@@ -0,0 +1,67 @@
+// Carries out on sockets what the reducer asks for, and hands it what happens there. Each connection is one
+// coroutine, which owns its descriptor and what is kept of its bytes.
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "gateway/gateway.h"
+#include "loop/loop.h"
+#include "startup/startup.h"
+
+namespace gulltrestle::server {
+
+class Server final : private gateway::Effects {
+ public:
+  // Throws where the address to listen on can't be had.
+  explicit Server(startup::Start start);
+  ~Server() override;
+
+  // Serves until it is told to end and all is answered.
+  void run();
+
+ private:
+  struct Connection;
+  template <typename Id>
+  class Place;  // a connection's entry in a table, for as long as its coroutine runs
+
+  // Effects.
+  void connect(gateway::LinkId link, const std::string& address) override;
+  bool writeNode(gateway::LinkId link, gateway::Parts parts) override;
+  void closeNode(gateway::LinkId link) override;
+  void writeClient(gateway::ClientId client, gateway::Parts parts) override;
+  void readClient(gateway::ClientId client) override;
+  void closeClient(gateway::ClientId client) override;
+  void stopListening() override;
+  void askForList() override;
+  void log(std::string line) override;
+
+  loop::Task acceptClients();
+  loop::Task serveClient(gateway::ClientId id, loop::Descriptor descriptor);
+  loop::Task serveLink(gateway::LinkId id, std::string address);
+  loop::Task followList();
+  loop::Task watchSignals();
+
+  void send(Connection& connection, gateway::Parts parts);
+  void flush(Connection& connection);
+  template <typename Take>
+  void read(Connection& connection, Take take);
+  void takeList(std::string_view line, bool isChange);
+  Instant endTurn(Instant now);
+
+  startup::Start start_;
+  loop::Loop loop_;
+  std::unique_ptr<loop::Stream> signals_, listener_;
+  std::size_t mostClients_;
+  gateway::Gateway gateway_;
+  std::map<gateway::ClientId, Connection*> clients_;
+  std::map<gateway::LinkId, Connection*> links_;
+  gateway::ClientId lastClient_ = 0;
+  std::uint64_t listVersion_ = 0;
+  bool accepting_ = true;
+  std::array<char, 64 * 1024> buffer_;  // what was just read, of any connection
+};
+
+}  // namespace gulltrestle::server
--- /dev/null
+++ b/src/startup/startup.h
@@ -0,0 +1,58 @@
+// The one place where the environment and the configuration file are read, checked and given defaults.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "json/json.h"
+#include "terms/terms.h"
+
+namespace gulltrestle::startup {
+
+// What can't be started with; the message names the key and the fault.
+class BadKey : public std::runtime_error {
+ public:
+  BadKey(std::string_view key, std::string_view what)
+      : std::runtime_error(std::string(key) + ": " + std::string(what)) {}
+};
+
+struct Address {  // of IPv4, as there is no name service
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+struct NodeList {
+  std::uint64_t version = 0;
+  bool whole = false;
+  struct Node {
+    ListEntry entry;
+    std::string address;
+  };
+  std::vector<Node> nodes;
+};
+
+struct Start {
+  std::string name;
+  Address listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t memoryBytes = 0;
+  std::size_t descriptors = 0;
+  NodeList known;
+  terms::Told told;
+};
+
+// Reads the variables of the environment, and the file that BALANCER_CONFIG names.
+Start readStart();
+
+// The same from the text of a file; the variables, where they are set, come first.
+Start readStart(std::string_view text);
+
+// A list as discovery words it; `zone` is this router's own.
+NodeList readList(const json::Value& value, const std::string& zone);
+
+Address readAddress(std::string_view key, std::string_view text);
+
+}  // namespace gulltrestle::startup
--- /dev/null
+++ b/src/terms/terms.cpp
@@ -0,0 +1,151 @@
+#include "terms/terms.h"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace gulltrestle::terms {
+
+namespace {
+
+template <typename T>
+T parse(std::string_view field, std::string_view text, const char* wanted) {
+  T value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || text.empty())
+    throw BadField(field, std::string("'") + std::string(text) + "' is not " + wanted);
+  return value;
+}
+
+// Finds `word` in a table of words; the position is the enumerator's.
+template <typename E, std::size_t N>
+E choice(std::string_view field, std::string_view word, const std::array<std::string_view, N>& words) {
+  for (std::size_t i = 0; i < N; ++i)
+    if (words[i] == word) return static_cast<E>(i);
+  throw BadField(field, "'" + std::string(word) + "' is not known");
+}
+
+constexpr std::array<std::string_view, 3> kEffects{"idempotent", "deduplicated", "at_most_once"};
+constexpr std::array<std::string_view, 5> kLevels{"loose", "recent", "own_writes", "latest", "update"};
+
+// The settings stay below this: a year, which leaves room to add times up.
+Span micros(std::string_view field, std::uint64_t n) {
+  if (n > 31'536'000'000'000) throw BadField(field, "is longer than a year");
+  return Span::micros(static_cast<std::int64_t>(n));
+}
+
+Span span(const Source& settings, const std::string& name) { return micros(name, settings.whole(name)); }
+Span span(const Source& settings, const std::string& name, std::uint64_t otherwise) {
+  return micros(name, settings.whole(name, otherwise));
+}
+
+TxnType readType(const Source& settings, std::size_t row, const std::vector<std::string_view>& levels,
+                 const std::vector<std::string_view>& bounds) {
+  const std::string prefix = "lanes." + std::to_string(row) + ".";
+  TxnType type;
+  type.effect = choice<Effect>(prefix + "effect", settings.text(prefix + "effect"), kEffects);
+  if (row >= levels.size()) throw BadField("specifics.readLevel", "has too few values");
+  type.level = choice<ReadLevel>("specifics.readLevel", levels[row], kLevels);
+  if (row < bounds.size())
+    type.bound = micros("specifics.lagAllowed", toWhole("specifics.lagAllowed", bounds[row]));
+  type.slaTime = span(settings, prefix + "objective");
+  type.slaStretch = settings.number(prefix + "aimStretch", 0);
+  type.expiry = span(settings, prefix + "deadline");
+  type.value = settings.number(prefix + "worth", 1);
+  type.lateShare = settings.number(prefix + "lateShare", 0);
+  type.dropsRepeatsAnywhere = settings.find(prefix + "group").value_or("all") == "all";
+  type.referenceWindow = span(settings, prefix + "window", 0);
+  return type;
+}
+
+}  // namespace
+
+std::uint64_t toWhole(std::string_view field, std::string_view text) {
+  return parse<std::uint64_t>(field, text, "a whole number");
+}
+
+double toNumber(std::string_view field, std::string_view text) {
+  const double value = parse<double>(field, text, "a number");
+  if (!std::isfinite(value)) throw BadField(field, "is not finite");
+  return value;
+}
+
+bool toBool(std::string_view field, std::string_view text) {
+  if (text == "1" || text == "true") return true;
+  if (text == "0" || text == "false") return false;
+  throw BadField(field, "'" + std::string(text) + "' is neither true nor false");
+}
+
+GroupId toGroup(std::string_view field, std::string_view text) {
+  const double n = toNumber(field, text);
+  if (n < 0 || n != std::floor(n) || n > 9e15) throw BadField(field, "is not a group");
+  return static_cast<GroupId>(n);
+}
+
+std::vector<std::string_view> split(std::string_view text, char at) {
+  std::vector<std::string_view> parts;
+  for (std::size_t from = 0; from <= text.size();) {
+    const auto to = std::min(text.find(at, from), text.size());
+    parts.push_back(text.substr(from, to - from));
+    from = to + 1;
+  }
+  return parts;
+}
+
+std::string_view Source::text(std::string_view name) const {
+  const auto value = find(name);
+  if (!value || value->empty()) throw BadField(name, "is missing");
+  return *value;
+}
+
+std::uint64_t Source::whole(std::string_view name) const { return toWhole(name, text(name)); }
+
+std::uint64_t Source::whole(std::string_view name, std::uint64_t otherwise) const {
+  const auto value = find(name);
+  return value ? toWhole(name, *value) : otherwise;
+}
+
+double Source::number(std::string_view name, double otherwise) const {
+  const auto value = find(name);
+  return value ? toNumber(name, *value) : otherwise;
+}
+
+bool Source::flag(std::string_view name) const {
+  const auto value = find(name);
+  return value && toBool(name, *value);
+}
+
+Told read(const Source& settings) {
+  Told told;
+  Terms& terms = told.terms;
+  const auto levels = split(settings.text("specifics.readLevel"), ',');
+  const auto bounds = split(settings.find("specifics.lagAllowed").value_or("0"), ',');
+  const auto count = settings.whole("lanes.count");
+  if (count == 0) throw BadField("lanes.count", "is 0");
+  for (std::size_t row = 0; row < count; ++row) {
+    terms.types.push_back(readType(settings, row, levels, bounds));
+    told.typeNames.emplace_back(settings.text("lanes." + std::to_string(row) + ".name"));
+  }
+  terms.roundLength = span(settings, "round");
+  terms.routers = static_cast<unsigned>(settings.whole("balancers", 1));
+  if (terms.routers == 0) throw BadField("balancers", "is 0");
+  terms.coldShare = settings.number("rules.coldFrom", 1);
+  terms.coldTime = span(settings, "rules.cold", 0);
+  terms.onlyDrainingBinds = settings.flag("rules.softRemoval");
+  terms.probesAllowed = settings.flag("limits.probes");
+  terms.secondCopies = settings.flag("limits.secondCopies");
+  terms.cancelAllowed = settings.flag("limits.cancel");
+  terms.comeBackAllowed = settings.flag("limits.retryAfter");
+  terms.longestComeBack = span(settings, "limits.maxRetryAfter", 0);
+  terms.mostSubmissions = static_cast<unsigned>(settings.whole("limits.maxAttempts", 1));
+  terms.crossZonePrice = settings.number("penalties.crossZone", 0);
+  terms.nodesGuard = settings.find("specifics.guards").value_or("off") != "off";
+  terms.sessionAgeCarried = settings.find("specifics.sessionMarks").value_or("client") == "client";
+  terms.listMustBeAsked = settings.find("discovery").value_or("pushed") == "on_request";
+  told.zone = settings.find("zone").value_or("");
+  told.idleLimit = span(settings, "limits.connIdle", 15'000'000);
+  told.connectLimit = span(settings, "limits.connectTimeout", 250'000);
+  return told;
+}
+
+}  // namespace gulltrestle::terms
--- /dev/null
+++ b/src/terms/terms.h
@@ -0,0 +1,54 @@
+// Reads a router's start settings, given by dotted name, into the Terms of the decision module. The bench's
+// adapter and the real router read them here, each from its own source.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "routing/router.h"
+
+namespace gulltrestle::terms {
+
+// A field that can't be taken; the message names it.
+class BadField : public std::runtime_error {
+ public:
+  BadField(std::string_view field, std::string_view what)
+      : std::runtime_error("field " + std::string(field) + ": " + std::string(what)) {}
+};
+
+std::uint64_t toWhole(std::string_view field, std::string_view text);
+double toNumber(std::string_view field, std::string_view text);
+bool toBool(std::string_view field, std::string_view text);
+GroupId toGroup(std::string_view field, std::string_view text);
+std::vector<std::string_view> split(std::string_view text, char at);
+
+// Values by dotted name. A list of plain values is one text joined by commas; a list of objects has its
+// length under `.count` and its items under `.0`, `.1` and so on.
+class Source {
+ public:
+  virtual ~Source() = default;
+  virtual std::optional<std::string_view> find(std::string_view name) const = 0;
+
+  std::string_view text(std::string_view name) const;
+  std::uint64_t whole(std::string_view name) const;
+  std::uint64_t whole(std::string_view name, std::uint64_t otherwise) const;
+  double number(std::string_view name, double otherwise) const;
+  bool flag(std::string_view name) const;
+};
+
+// The terms, and what a front needs of the same settings.
+struct Told {
+  Terms terms;
+  std::vector<std::string> typeNames;  // row by row as Terms::types
+  std::string zone;                    // this router's own
+  Span idleLimit;                      // nodes close connections that were idle for this long
+  Span connectLimit;                   // what is not up by then does not come up
+};
+
+Told read(const Source& settings);
+
+}  // namespace gulltrestle::terms
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -9,6 +9,7 @@
 #include <ostream>
 
 #include "routing/router.h"
+#include "terms/terms.h"
 #include "wire/line.h"
 
 namespace gulltrestle::wire {
@@ -20,11 +21,9 @@
 E choice(std::string_view field, std::string_view word, const std::array<std::string_view, N>& words) {
   for (std::size_t i = 0; i < N; ++i)
     if (words[i] == word) return static_cast<E>(i);
-  throw BadLine(field, "'" + std::string(word) + "' is not known");
+  throw BadField(field, "'" + std::string(word) + "' is not known");
 }
 
-constexpr std::array<std::string_view, 3> kEffects{"idempotent", "deduplicated", "at_most_once"};
-constexpr std::array<std::string_view, 5> kLevels{"loose", "recent", "own_writes", "latest", "update"};
 constexpr std::array<std::string_view, 3> kHealths{"live", "quiescing", "dead"};
 constexpr std::array<std::string_view, 4> kForms{"diff", "snapshot", "disk", "error"};
 constexpr std::array<std::string_view, 9> kEnds{"served",     "server_error",  "turned_away",
@@ -33,66 +32,6 @@
 
 Span micros(std::uint64_t n) { return Span::micros(static_cast<std::int64_t>(n)); }
 
-std::vector<std::string_view> split(std::string_view text, char at) {
-  std::vector<std::string_view> parts;
-  for (std::size_t from = 0; from <= text.size();) {
-    const auto to = std::min(text.find(at, from), text.size());
-    parts.push_back(text.substr(from, to - from));
-    from = to + 1;
-  }
-  return parts;
-}
-
-// A group is a number on the wire; it is kept whole.
-GroupId groupOf(const Line& line, std::string_view name) {
-  const double n = toNumber(name, line.text(name));
-  if (n < 0 || n != std::floor(n) || n > 9e15) throw BadLine(name, "is not a group");
-  return static_cast<GroupId>(n);
-}
-
-TxnType readType(const Line& line, std::size_t row, const std::vector<std::string_view>& levels,
-                 const std::vector<std::string_view>& bounds) {
-  const std::string prefix = "lanes." + std::to_string(row) + ".";
-  TxnType type;
-  type.effect = choice<Effect>(prefix + "effect", line.text(prefix + "effect"), kEffects);
-  if (row >= levels.size()) throw BadLine("specifics.readLevel", "has too few values");
-  type.level = choice<ReadLevel>("specifics.readLevel", levels[row], kLevels);
-  if (row < bounds.size()) type.bound = micros(toWhole("specifics.lagAllowed", bounds[row]));
-  type.slaTime = micros(line.whole(prefix + "objective"));
-  type.slaStretch = line.number(prefix + "aimStretch", 0);
-  type.expiry = micros(line.whole(prefix + "deadline"));
-  type.value = line.number(prefix + "worth", 1);
-  type.lateShare = line.number(prefix + "lateShare", 0);
-  type.dropsRepeatsAnywhere = line.find(prefix + "group").value_or("all") == "all";
-  type.referenceWindow = micros(line.whole(prefix + "window", 0));
-  return type;
-}
-
-Terms readTerms(const Line& line) {
-  Terms terms;
-  const auto levels = split(line.text("specifics.readLevel"), ',');
-  const auto bounds = split(line.find("specifics.lagAllowed").value_or("0"), ',');
-  const auto count = line.whole("lanes.count");
-  if (count > line.parts().size()) throw BadLine("lanes.count", "is larger than the line");
-  for (std::size_t row = 0; row < count; ++row) terms.types.push_back(readType(line, row, levels, bounds));
-  terms.roundLength = micros(line.whole("round"));
-  terms.routers = static_cast<unsigned>(line.whole("balancers", 1));
-  terms.coldShare = line.number("rules.coldFrom", 1);
-  terms.coldTime = micros(line.whole("rules.cold", 0));
-  terms.onlyDrainingBinds = line.flag("rules.softRemoval");
-  terms.probesAllowed = line.flag("limits.probes");
-  terms.secondCopies = line.flag("limits.secondCopies");
-  terms.cancelAllowed = line.flag("limits.cancel");
-  terms.comeBackAllowed = line.flag("limits.retryAfter");
-  terms.longestComeBack = micros(line.whole("limits.maxRetryAfter", 0));
-  terms.mostSubmissions = static_cast<unsigned>(line.whole("limits.maxAttempts", 1));
-  terms.crossZonePrice = line.number("penalties.crossZone", 0);
-  terms.nodesGuard = line.find("specifics.guards").value_or("off") != "off";
-  terms.sessionAgeCarried = line.find("specifics.sessionMarks").value_or("client") == "client";
-  terms.listMustBeAsked = line.find("discovery").value_or("pushed") == "on_request";
-  return terms;
-}
-
 struct Sheet {
   std::vector<ListEntry> entries;
   std::vector<std::string> zones;
@@ -108,13 +47,7 @@
 // One router and what the wire says about reading its lines.
 class Instance {
  public:
-  explicit Instance(const Line& start)
-      : router_(readTerms(start), start.whole("prng")),
-        zone_(start.find("zone").value_or("")),
-        baseTime_(Instant::atMicros(static_cast<std::int64_t>(start.whole("specifics.baseTime", 0)))) {
-    for (std::size_t row = 0; row < start.whole("lanes.count"); ++row)
-      types_.emplace(start.text("lanes." + std::to_string(row) + ".name"), row);
-  }
+  explicit Instance(const Line& start) : Instance(start, terms::read(start)) {}
 
   Router& router() { return router_; }
 
@@ -140,15 +73,22 @@
   }
 
  private:
+  Instance(const Line& start, terms::Told told)
+      : router_(std::move(told.terms), start.whole("prng")),
+        zone_(std::move(told.zone)),
+        baseTime_(Instant::atMicros(static_cast<std::int64_t>(start.whole("specifics.baseTime", 0)))) {
+    for (std::size_t row = 0; row < told.typeNames.size(); ++row) types_.emplace(told.typeNames[row], row);
+  }
+
   static End endOf(const Line& line) { return choice<End>("stateCode", line.text("stateCode"), kEnds); }
 
   Txn readTxn(const Line& line) const {
     Txn txn;
     txn.id = line.whole("rid");
     const auto type = types_.find(line.text("grade"));
-    if (type == types_.end()) throw BadLine("grade", "'" + type_name(line) + "' is not in the settings");
+    if (type == types_.end()) throw BadField("grade", "'" + type_name(line) + "' is not in the settings");
     txn.type = type->second;
-    txn.group = groupOf(line, "cluster");
+    txn.group = terms::toGroup("cluster", line.text("cluster"));
     if (line.find("session")) txn.session = line.whole("session");
     if (line.find("tokenMs"))
       txn.writeAge = Span::micros(std::llround(std::ceil(line.number("tokenMs", 0) * 1000)));
@@ -170,9 +110,9 @@
     Standing said;
     const auto report = line.find("usage");
     if (!report || report->empty() || *report == "-") return said;
-    for (const auto pair : split(*report, ',')) {
+    for (const auto pair : terms::split(*report, ',')) {
       const auto colon = pair.find(':');
-      if (colon == std::string_view::npos) throw BadLine("usage", "has a part without a value");
+      if (colon == std::string_view::npos) throw BadField("usage", "has a part without a value");
       const auto name = pair.substr(0, colon);
       if (name == "x0") said.position = baseTime_ + Span::seconds(toNumber("usage", pair.substr(colon + 1)));
       if (name == "active") said.inHand = toNumber("usage", pair.substr(colon + 1));
@@ -190,7 +130,7 @@
     const auto form = arrived.line.text("form");
     choice<int>("form", form, kForms);
     if (form == "error") return to.listFailed();
-    if (!arrived.sheet) throw BadLine("sheet", "was never given");
+    if (!arrived.sheet) throw BadField("sheet", "was never given");
     auto entries = arrived.sheet->entries;
     for (std::size_t i = 0; i < entries.size(); ++i) entries[i].sameZone = arrived.sheet->zones[i] == zone_;
     to.listed(form == "diff"   ? ListKind::changes
@@ -257,7 +197,7 @@
     std::string first;
     if (!std::getline(input_, first)) return false;
     const Line& start = keep(std::move(first));
-    if (start.tag() != "SYNC") throw BadLine("SYNC", "is not how this line starts");
+    if (start.tag() != "SYNC") throw BadField("SYNC", "is not how this line starts");
     frame_ = start.whole("frame");
     const auto now = Instant::atMicros(static_cast<std::int64_t>(start.whole("moment")));
     read();
@@ -303,7 +243,7 @@
     std::string text;
     if (!std::getline(input_, text)) {
       ++number_;
-      throw BadLine("OVER_TO_YOU", "is missing: the input ended inside a batch");
+      throw BadField("OVER_TO_YOU", "is missing: the input ended inside a batch");
     }
     return keep(std::move(text));
   }
@@ -319,7 +259,7 @@
         std::shared_ptr<const Sheet> sheet;
         if (line->tag() == "MEMBERS" && line->find("form") != "error") {
           const auto number = line->whole("sheet");
-          if (number >= sheets_.size()) throw BadLine("sheet", "is out of range");
+          if (number >= sheets_.size()) throw BadField("sheet", "is out of range");
           sheet = sheets_[number];
         }
         lines.push_back({number_, *line, std::move(sheet)});
@@ -336,15 +276,15 @@
 
   void readSheet(const Line& head) {
     const auto number = head.whole("sheet");
-    if (number >= sheets_.size()) throw BadLine("sheet", "is out of range");
+    if (number >= sheets_.size()) throw BadField("sheet", "is out of range");
     const auto count = head.whole("entries");
     auto sheet = std::make_shared<Sheet>();
     for (std::uint64_t i = 0; i < count; ++i) {
       const Line& line = next();
-      if (line.tag() != "NODE") throw BadLine("entries", "counts more entries than follow");
+      if (line.tag() != "NODE") throw BadField("entries", "counts more entries than follow");
       ListEntry entry;
       entry.node = line.text("node");
-      entry.group = groupOf(line, "shard");
+      entry.group = terms::toGroup("shard", line.text("shard"));
       entry.kind = line.find("familyType").value_or("");
       entry.health = choice<Health>("health", line.text("health"), kHealths);
       entry.primary = line.number("head", 0) == 1;
@@ -363,7 +303,7 @@
       const auto& first = lines[from];
       number_ = first.number;
       if (first.line.tag() == "KILL") {
-        if (instances_.erase(id) == 0) throw BadLine("i", "names a router that is not running");
+        if (instances_.erase(id) == 0) throw BadField("i", "names a router that is not running");
         ++from;
         continue;
       }
@@ -375,7 +315,7 @@
       auto to = from;
       while (to < lines.size() && lines[to].line.tag() != "KILL" && lines[to].line.tag() != "POWER_ON") ++to;
       const auto found = instances_.find(id);
-      if (found == instances_.end()) throw BadLine("i", "names a router that is not running");
+      if (found == instances_.end()) throw BadField("i", "names a router that is not running");
       Deliver feed(*this, found->second, from, to, lines);
       // What a router that is killed later in this batch decides would be void.
       const auto length = reply.size();
@@ -404,7 +344,7 @@
   try {
     while (drill.batch()) {}
     return 0;
-  } catch (const BadLine& bad) {
+  } catch (const BadField& bad) {
     errors << "gulltrestle_drill: frame " << drill.frame() << ", line " << drill.number() << ", "
            << bad.what() << std::endl;
     return 1;
--- a/src/wire/line.h
+++ b/src/wire/line.h
@@ -1,39 +1,25 @@
-// One line of the wire: a tag and its name=value parts, with typed access that says what is wrong with a
-// field.
+// One line of the wire: a tag and its name=value parts, with the typed access of a terms::Source.
 #pragma once
 
-#include <cstdint>
 #include <optional>
-#include <stdexcept>
-#include <string>
 #include <string_view>
 #include <vector>
 
-namespace gulltrestle::wire {
+#include "terms/terms.h"
 
-// A line that can't be taken. `field` names the part at fault.
-class BadLine : public std::runtime_error {
- public:
-  BadLine(std::string_view field, std::string_view what)
-      : std::runtime_error("field " + std::string(field) + ": " + std::string(what)) {}
-};
+namespace gulltrestle::wire {
 
-std::uint64_t toWhole(std::string_view field, std::string_view text);
-double toNumber(std::string_view field, std::string_view text);
-bool toBool(std::string_view field, std::string_view text);
+using terms::BadField;
+using terms::toNumber;
+using terms::toWhole;
 
 // Views into the text it was made from, which must outlive it.
-class Line {
+class Line final : public terms::Source {
  public:
   explicit Line(std::string_view text);
 
   std::string_view tag() const { return tag_; }
-  std::optional<std::string_view> find(std::string_view name) const;
-  std::string_view text(std::string_view name) const;
-  std::uint64_t whole(std::string_view name) const;
-  std::uint64_t whole(std::string_view name, std::uint64_t otherwise) const;
-  double number(std::string_view name, double otherwise) const;
-  bool flag(std::string_view name) const;
+  std::optional<std::string_view> find(std::string_view name) const override;
 
   struct Part {
     std::string_view name;
