--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -89,7 +89,7 @@
       if (!took) break;
     }
   } catch (const pg::Malformed& bad) {
-    fatal(id, "08P01", bad.what());
+    fatal(id, pg::kProtocolViolation, bad.what());
     return size;
   }
   return size - bytes.size();
@@ -103,7 +103,7 @@
   } else if (opening->code == pg::kCancelRequest) {
     dropClient(id);
   } else if (opening->code >> 16 != pg::kMajorVersion) {
-    fatal(id, "0A000", "only version 3 of the protocol is spoken here");
+    fatal(id, pg::kNotSupported, "only version 3 of the protocol is spoken here");
   } else {
     client.stage = Stage::ready;
     effects_.writeClient(id, {pg::welcome()});
@@ -114,42 +114,35 @@
 bool Gateway::takeMessage(ClientId id, Client& client, std::string_view& bytes) {
   const auto message = pg::takeMessage(bytes, kLongestQuery);
   if (!message) return false;
-  if (client.stage == Stage::refusing) {  // the rest of an exchange that was refused, up to its Sync
-    if (message->type == 'X') return dropClient(id), true;
-    if (message->type != 'S') return true;
-    client.stage = Stage::ready;
-    effects_.writeClient(id, {pg::readyForQuery()});
+  const auto request = pg::requestOf(message->type);
+  // The rest of an exchange that was refused, up to its Sync.
+  if (client.stage == Stage::refusing && request != pg::Request::goodbye && request != pg::Request::sync)
     return true;
-  }
   auto body = message->body;
-  switch (message->type) {
-    case 'Q':
+  switch (request) {
+    case pg::Request::query:
       takeStatement(id, client, pg::takeText(body));
-      return true;
-    case 'X':
+      break;
+    case pg::Request::goodbye:
       dropClient(id);
-      return true;
-    case 'S':
+      break;
+    case pg::Request::sync:
+      client.stage = Stage::ready;
       effects_.writeClient(id, {pg::readyForQuery()});
-      return true;
-    case 'P':
-    case 'B':
-    case 'D':
-    case 'E':
-    case 'C':
-    case 'F':
-      client.stage = message->type == 'F' ? Stage::ready : Stage::refusing;
-      effects_.writeClient(id, {pg::error("ERROR", "0A000", "only simple queries are taken")});
-      if (message->type == 'F') effects_.writeClient(id, {pg::readyForQuery()});
-      return true;
-    case 'H':  // flush, and what is left of a copy
-    case 'd':
-    case 'c':
-    case 'f':
-      return true;
-    default:
+      break;
+    case pg::Request::extended:
+      client.stage = Stage::refusing;
+      effects_.writeClient(id, {pg::error("ERROR", pg::kNotSupported, "only simple queries are taken")});
+      break;
+    case pg::Request::functionCall:
+      answerError(id, pg::kNotSupported, "only simple queries are taken");
+      break;
+    case pg::Request::passedOver:
+      break;
+    case pg::Request::unknown:
       throw pg::Malformed("a message of this type is not known");
   }
+  return true;
 }
 
 void Gateway::takeStatement(ClientId id, Client& client, std::string_view text) {
@@ -162,13 +155,13 @@
     const auto statement = pg::readStatement(text);
     const auto type = types_.find(statement.typeName);
     if (type == types_.end())
-      throw pg::BadStatement("22023", "txn type '" + std::string(statement.typeName) + "' is not known");
+      throw pg::BadStatement(pg::kBadValue, "txn type '" + std::string(statement.typeName) + "' is not known");
     const ReadLevel level = levels_[type->second];
     if (statement.writes != (level == ReadLevel::write))
-      throw pg::BadStatement("22023", "the statement is not of its txn type");
+      throw pg::BadStatement(pg::kBadValue, "the statement is not of its txn type");
     // Guards the memory limit against many long statements at a time; may hurt while nodes are slow.
     if (heldBytes_ + text.size() > bounds_.mostBytes)
-      throw pg::BadStatement("53300", "declined: too much is held here");
+      throw pg::BadStatement(pg::kDeclined, "declined: too much is held here");
     Txn txn;
     txn.id = client.txn = ++lastTxn_;
     txn.type = type->second;
@@ -256,7 +249,7 @@
 
 void Gateway::refuse(Instant now, ClientId id) {
   now_ = later(now_, now);
-  if (clients_.contains(id)) fatal(id, "53300", "declined: too much is held here");
+  if (clients_.contains(id)) fatal(id, pg::kDeclined, "declined: too much is held here");
 }
 
 bool Gateway::isWaiting(ClientId id) const {
@@ -371,7 +364,7 @@
   const auto at = links_.find(id);
   if (at == links_.end()) return;
   at->second.stage = LinkStage::starting;
-  effects_.writeNode(id, {pg::startup("worker", "catalog")});
+  effects_.writeNode(id, {pg::login()});
 }
 
 void Gateway::linkWritten(Instant now, LinkId id) {
@@ -388,19 +381,16 @@
       if (at == links_.end()) return size;
       Link& link = at->second;
       if (link.stage == LinkStage::starting) {
-        const auto message = pg::takeMessage(bytes, kLongestQuery);
-        if (!message) break;
-        if (message->type == 'E') {
-          const bool away = pg::verdictOf(pg::readError(message->body).code) == pg::Verdict::turnedAway;
-          endLink(id, away ? ConnectionEnd::turnedAway : ConnectionEnd::broken);
-        } else if (message->type == 'Z') {
-          Node& node = nodes_.at(link.node);
-          --node.opening;
-          if (!std::exchange(node.reached, true)) effects_.log("node " + link.node + " is reached again");
-          release(id, link);
-        } else if (message->type == 'R' && message->body != std::string_view("\0\0\0\0", 4)) {
-          throw pg::Malformed("a node asks for a password");
+        const auto greeting = pg::takeGreeting(bytes);
+        if (!greeting) break;
+        if (*greeting != pg::Greeting::welcome) {
+          endLink(id, *greeting == pg::Greeting::turnedAway ? ConnectionEnd::turnedAway : ConnectionEnd::broken);
+          continue;
         }
+        Node& node = nodes_.at(link.node);
+        --node.opening;
+        if (!std::exchange(node.reached, true)) effects_.log("node " + link.node + " is reached again");
+        release(id, link);
       } else if (link.stage == LinkStage::busy) {
         const auto answer = pg::takeAnswer(bytes);
         if (!answer) break;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -136,7 +136,6 @@
   void release(LinkId id, Link& link);
   void endLink(LinkId id, ConnectionEnd how);
   void endJob(Job job, const NodeId& node, End how, const Standing& answer, const Standing& report);
-  std::size_t takeGreeting(LinkId id, Link& link, std::string_view bytes);
   void takeAnswer(LinkId id, Link& link, const pg::Answer& answer);
   void setDue(LinkId id, Link& link, Instant due);
   Submission* submissionOf(Job job);
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -104,6 +104,18 @@
   return std::nullopt;
 }
 
+std::optional<Greeting> takeGreeting(std::string_view& bytes) {
+  while (const auto message = takeMessage(bytes, kLongestMessage)) {
+    if (message->type == 'Z') return Greeting::welcome;
+    if (message->type == 'E')
+      return verdictOf(readError(message->body).code) == Verdict::turnedAway ? Greeting::turnedAway
+                                                                             : Greeting::refused;
+    if (message->type == 'R' && message->body != std::string_view("\0\0\0\0", 4))
+      throw Malformed("a password is asked for");
+  }
+  return std::nullopt;
+}
+
 Report readReport(std::string_view text) {
   Report report;
   while (!text.empty()) {
@@ -122,10 +134,10 @@
 }
 
 std::string declined(std::int64_t comeBackAfterMs) {
-  return error("ERROR", "53300", "declined: trying again is harmless",
+  return error("ERROR", kDeclined, "declined: trying again is harmless",
                comeBackAfterMs > 0 ? std::to_string(comeBackAfterMs) : std::string());
 }
 
-std::string rolledBack() { return error("ERROR", "08007", "rolled back: it may or may not have run"); }
+std::string rolledBack() { return error("ERROR", kMayHaveRun, "rolled back: it may or may not have run"); }
 
 }  // namespace gulltrestle::pg
--- a/src/pg/answer.h
+++ b/src/pg/answer.h
@@ -39,6 +39,11 @@
 
 Report readReport(std::string_view text);
 
+// How a node takes to a new connection.
+enum class Greeting { welcome, turnedAway, refused };
+// Takes messages off the front of `bytes` up to the one that tells; none if it is not there yet.
+std::optional<Greeting> takeGreeting(std::string_view& bytes);
+
 // The verdict of an error's SQLSTATE.
 Verdict verdictOf(std::string_view code);
 
--- a/src/pg/messages.cpp
+++ b/src/pg/messages.cpp
@@ -66,6 +66,32 @@
   return text;
 }
 
+Request requestOf(char type) {
+  switch (type) {
+    case 'Q':
+      return Request::query;
+    case 'X':
+      return Request::goodbye;
+    case 'S':
+      return Request::sync;
+    case 'F':
+      return Request::functionCall;
+    case 'P':  // parse, bind, describe, execute, close
+    case 'B':
+    case 'D':
+    case 'E':
+    case 'C':
+      return Request::extended;
+    case 'H':  // flush, and what is left of a copy
+    case 'd':
+    case 'c':
+    case 'f':
+      return Request::passedOver;
+    default:
+      return Request::unknown;
+  }
+}
+
 ErrorFields readError(std::string_view body) {
   ErrorFields fields;
   while (!body.empty() && body.front() != '\0') {
@@ -99,6 +125,9 @@
   return made + body;
 }
 
+// Nodes admit any user; these are the ones that clients name.
+std::string login() { return startup("worker", "catalog"); }
+
 std::string welcome() {
   std::string made = message('R', std::string_view("\0\0\0\0", 4));
   for (const auto& [name, value] : {std::pair{"server_version", "15.0"},
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-constexpr const char* kSyntaxError = "42601";
-constexpr const char* kBadValue = "22023";
-constexpr const char* kTooLarge = "54000";
-
 constexpr std::string_view kSelect = "SELECT body FROM objects WHERE oid = '";
 constexpr std::string_view kInsert = "INSERT INTO objects (oid, body) VALUES ('";
 
--- a/src/pg/statement.h
+++ b/src/pg/statement.h
@@ -4,18 +4,21 @@
 #include <cstdint>
 #include <optional>
 #include <stdexcept>
+#include <string>
 #include <string_view>
 
+#include "pg/messages.h"
+
 namespace gulltrestle::pg {
 
 // A statement that can't be taken: an SQLSTATE and what is wrong.
 class BadStatement : public std::runtime_error {
  public:
-  BadStatement(const char* code, const std::string& what) : std::runtime_error(what), code_(code) {}
-  const char* code() const { return code_; }
+  BadStatement(std::string_view code, const std::string& what) : std::runtime_error(what), code_(code) {}
+  std::string_view code() const { return code_; }
 
  private:
-  const char* code_;
+  std::string_view code_;  // a constant
 };
 
 struct Statement {
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -7,6 +7,7 @@
 #include "http/response.h"
 #include "json/json.h"
 #include "loop/sockets.h"
+#include "pg/messages.h"
 
 namespace gulltrestle::server {
 
@@ -251,7 +252,7 @@
     loop::Descriptor taken;
     const Io how = loop::accept(listener_->descriptor(), taken);
     if (how == Io::some && full) {
-      const std::string answer = pg::error("FATAL", "53300", "declined: too many clients");
+      const std::string answer = pg::error("FATAL", pg::kDeclined, "declined: too many clients");
       const std::string_view part = answer;
       loop::writeFrom(taken.number(), {&part, 1});
     } else if (how == Io::some) {
@@ -280,6 +281,7 @@
     while (!client.broken) {
       flush(client);
       if (client.broken || (client.closing && client.unsent.empty())) break;
+      if (client.unsent.empty()) client.stuckAt = Instant();
       if (!client.unsent.empty()) {
         // Guards against clients that ask and never read, which would keep a descriptor and an answer for good.
         if (client.stuckAt == Instant()) {
@@ -290,13 +292,11 @@
           break;
         }
       } else if (std::exchange(client.offer, false)) {
-        client.stuckAt = Instant();
         client.kept.erase(0, take(client.kept));
         account(client);
         if (client.ended) gateway_.clientSendsNoMore(loop_.now(), id);
         continue;
       } else if (client.stream.canRead && !client.ended && mayKeep(id, client)) {
-        client.stuckAt = Instant();
         read(client, take);
         if (client.ended) gateway_.clientSendsNoMore(loop_.now(), id);
         // One read a turn: the others have theirs.
@@ -378,7 +378,8 @@
   }
   listVersion_ = list.version;
   const auto kind = list.whole ? ListKind::whole : ListKind::changes;
-  spdlog::info("list version {}: {} nodes{}", list.version, list.nodes.size(), list.whole ? "" : " changed");
+  if (!list.nodes.empty())
+    spdlog::info("list version {}: {} nodes{}", list.version, list.nodes.size(), list.whole ? "" : " changed");
   gateway_.listed(loop_.now(), kind, addressed(std::move(list)));
 }
 
@@ -407,9 +408,7 @@
           if (loop_.now() - heardAt > kListSilence) break;
           if (from.stream.canWrite && !asked) {
             asked = true;
-            const std::string path = watch ? "/api/targets?stream=1&index=" + std::to_string(listVersion_)
-                                           : std::string("/api/targets");
-            send(from, {http::get(path, host)});
+            send(from, {http::get(watch ? startup::watchPath(listVersion_) : startup::listPath(), host)});
           }
           flush(from);
           if (asked && from.stream.canRead)
--- a/src/startup/startup.cpp
+++ b/src/startup/startup.cpp
@@ -144,6 +144,11 @@
   return list;
 }
 
+std::string listPath() { return "/api/targets"; }
+std::string watchPath(std::uint64_t version) {
+  return listPath() + "?stream=1&index=" + std::to_string(version);
+}
+
 Start readStart(std::string_view file) {
   json::Parser parser;
   try {
--- a/src/startup/startup.h
+++ b/src/startup/startup.h
@@ -53,6 +53,10 @@
 // A list as discovery words it; `zone` is this router's own.
 NodeList readList(const json::Value& value, const std::string& zone);
 
+// Where discovery has the whole list, and its changes after a version.
+std::string listPath();
+std::string watchPath(std::uint64_t version);
+
 Address readAddress(std::string_view key, std::string_view text);
 
 }  // namespace gulltrestle::startup
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -137,7 +137,7 @@
            " type " + std::string(read.typeName) + " waits " + std::to_string(read.waitMs) + " group " +
            std::to_string(read.group) + " after " + std::to_string(read.afterMs.value_or(0));
   } catch (const pg::BadStatement& bad) {
-    return std::string("refused: ") + bad.code() + " " + bad.what();
+    return "refused: " + std::string(bad.code()) + " " + bad.what();
   }
 }
 
