Nodes that are only listed as gone keep their connections where only draining binds

Now the reducer asks the same question as the module; a test plays it.

Also: a client that resets after it has ended its sending is noticed (Stream::hungUp): reading stops at its end, so its reset showed nowhere and its txn ran on for nobody. Seen by reading; the test on sockets hangs without it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,7 +61,7 @@
 
 Gateway::Gateway(Terms terms, std::vector<std::string> typeNames, std::uint64_t seed, Bounds bounds,
                  Effects& effects)
-    : router_(terms, seed), bounds_(bounds), effects_(effects) {
+    : router_(terms, seed), bounds_(bounds), goneBinds_(!terms.onlyDrainingBinds), effects_(effects) {
   for (std::size_t row = 0; row < terms.types.size(); ++row) {
     types_.emplace(typeNames[row], row);
     levels_.push_back(terms.types[row].level);
@@ -448,7 +448,7 @@
   }
   node.idle.push_back(id);
   setDue(id, link, now_ + bounds_.idleLimit * kIdlePart);
-  if (node.health != Health::live) endLink(id, ConnectionEnd::nodeLeft);
+  if (leaving(node)) endLink(id, ConnectionEnd::nodeLeft);
 }
 
 void Gateway::linkEnded(Instant now, LinkId id, ConnectionEnd how) {
@@ -513,7 +513,7 @@
     listKnown_ = true;
   }
   for (auto& [id, node] : nodes_) {
-    if (node.health == Health::live) continue;
+    if (!leaving(node)) continue;
     endWaiting(id, node, ConnectionEnd::nodeLeft);
     while (!node.idle.empty()) endLink(LinkId(node.idle.back()), ConnectionEnd::nodeLeft);
   }
@@ -528,6 +528,11 @@
   }
 }
 
+// Nothing new may go to it. Where only draining binds, a node that is listed as gone is used as before.
+bool Gateway::leaving(const Node& node) const {
+  return node.health == Health::draining || (node.health == Health::gone && goneBinds_);
+}
+
 void Gateway::listFailed(Instant now) {
   now_ = later(now_, now);
   arrived([](Router& router) { router.listFailed(); });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -142,12 +142,14 @@
   Submission* submissionOf(Job job);
   Live* owed(TxnId txn);
   void forget(TxnId txn);
+  bool leaving(const Node& node) const;
   void endWaiting(const NodeId& id, Node& node, ConnectionEnd how);
 
   Router router_;
   std::map<std::string, std::size_t, std::less<>> types_;
   std::vector<ReadLevel> levels_;
   Bounds bounds_;
+  bool goneBinds_;
   Effects& effects_;
 
   Instant now_, wakeAt_, stopAt_;
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -93,7 +93,8 @@
     const auto& event = events[static_cast<std::size_t>(i)];
     const auto at = streams_.find(event.data.u64);
     if (at == streams_.end()) continue;
-    // An error or a hang-up shows in the next read or write.
+    // An error or a hang-up shows in the next read or write, too.
+    if (event.events & (EPOLLHUP | EPOLLERR)) at->second->hungUp = true;
     if (event.events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) at->second->canRead = true;
     if (event.events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) at->second->canWrite = true;
     at->second->wake();
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -290,7 +290,8 @@
     const Place<ClientId> place(*this, clients_, id, client);
     gateway_.clientOpened(loop_.now(), id);
     const auto take = [&](std::string_view bytes) { return gateway_.clientSent(loop_.now(), id, bytes); };
-    while (!client.broken) {
+    // One that sends no more is still there as long as nothing reports a reset.
+    while (!client.broken && !(client.ended && client.stream.hungUp)) {
       flush(client);
       if (client.broken || (client.closing && client.unsent.empty())) break;
       if (client.unsent.empty()) client.stuckAt = Instant();
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -62,8 +62,9 @@
 
 class Sockets final : public Effects {
  public:
-  explicit Sockets(Bounds bounds = {ms(10000), ms(250), 8, 100000}, bool known = true)
-      : gateway_(terms(), {"any", "bounded", "session", "charge"}, 7, bounds, *this) {
+  explicit Sockets(Bounds bounds = {ms(10000), ms(250), 8, 100000}, bool known = true,
+                   bool onlyDraining = false)
+      : gateway_(terms(onlyDraining), {"any", "bounded", "session", "charge"}, 7, bounds, *this) {
     if (known) list(ListKind::disk, {"p", "a"});
   }
 
@@ -133,10 +134,12 @@
   static std::string addressOf(const std::string& node) {
     return "10.0.0." + std::to_string(node[0] - 'A' + 1) + ":1";
   }
-  static Terms terms() {
-    return trace::usualTerms({trace::type(ReadLevel::any), trace::type(ReadLevel::bounded),
-                              trace::type(ReadLevel::session),
-                              trace::type(ReadLevel::write, Effect::onceOnly)});
+  static Terms terms(bool onlyDraining) {
+    Terms made =
+        trace::usualTerms({trace::type(ReadLevel::any), trace::type(ReadLevel::bounded),
+                           trace::type(ReadLevel::session), trace::type(ReadLevel::write, Effect::onceOnly)});
+    made.onlyDrainingBinds = onlyDraining;
+    return made;
   }
   void offer(ClientId client) {
     auto& kept = kept_[client];
@@ -395,6 +398,15 @@
   s.say("b has another address: its idle connection is closed");
   s.answers(s.to("b"), row("from b"));
   s.list(ListKind::whole, {"B"});
+  Sockets t({ms(10000), ms(250), 8, 100000}, true, true);
+  t.say("where only draining binds, a node that is listed as gone keeps its connections");
+  t.open(1, read("aa"));
+  t.up(1);
+  t.answers(1, row("body"));
+  t.list(ListKind::changes, {"a"}, Health::gone);
+  t.sent(1, read("bb"));
+  t.answers(1, row("body"));
+  t.list(ListKind::changes, {"a"}, Health::draining);
 }
 
 void bounds() {
@@ -448,7 +460,8 @@
   s.accepted(4, pg::startup("worker", "catalog").substr(0, 9));
   s.accepted(5, "");
   s.pass(1);
-  s.say("then idle clients are closed, the others once they are answered; two had just come, one of them asks");
+  s.say(
+      "then idle clients are closed, the others once they are answered; two had just come, one of them asks");
   s.sent(4, pg::startup("worker", "catalog").substr(9) + read("cc"));
   s.answers(2, row("body"));
   s.pass(250);
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -145,6 +145,8 @@
 
 void pause(int millis) { std::this_thread::sleep_for(std::chrono::milliseconds(millis)); }
 
+std::atomic<bool> begun = false, calledOff = false;
+
 // A node: a probe is told that it is a current primary; a write gets back as many bytes as it brought; a read
 // of `slow` takes 700 ms, one of `cut` is cut off, of `huge` gets 64 KiB.
 void node(Peer& peer) {
@@ -159,6 +161,13 @@
       continue;
     }
     if (body.find("'slow'") != std::string::npos) pause(700);
+    if (body.find("'until-the-end'") != std::string::npos) {
+      begun = true;
+      begun.notify_all();
+      calledOff = !peer.readMore();
+      calledOff.notify_all();
+      return;
+    }
     if (body.find("'cut'") != std::string::npos) {
       peer.send(row(std::string(5000, 'x')).substr(0, 3000));
       return;
@@ -222,7 +231,7 @@
     return R"({"name":"n","listen":"127.0.0.1:)" + std::to_string(port_) + R"(","discovery":"127.0.0.1:)" +
            std::to_string(discovery.port()) + R"(","seed":"7","limits":{"memory_mb":64,"sockets":)" +
            std::to_string(descriptors) + R"(},"known":)" + known +
-           R"(,"settings":{"zone":"a","round":5000,"limits":{"probes":true,"maxAttempts":3},"lanes":[)"
+           R"(,"settings":{"zone":"a","round":5000,"limits":{"probes":true,"cancel":true,"maxAttempts":3},"lanes":[)"
            R"({"name":"read","effect":"idempotent","objective":4000000,"deadline":9000000},)"
            R"({"name":"write","effect":"at_most_once","objective":4000000,"deadline":9000000}],)"
            R"("specifics":{"readLevel":["latest","update"],"lagAllowed":[0,0]}}})";
@@ -233,8 +242,9 @@
 };
 
 std::string query(std::string_view text) { return pg::message('Q', std::string(text) + '\0'); }
-std::string read(const std::string& key) {
-  return query("SELECT body FROM objects WHERE oid = '" + key + "' /* id=1,c=read,d=9000,cluster=1 */");
+std::string read(const std::string& key, int wait = 9000) {
+  return query("SELECT body FROM objects WHERE oid = '" + key + "' /* id=1,c=read,d=" + std::to_string(wait) +
+               ",cluster=1 */");
 }
 std::string write(std::size_t bytes, const std::string& key = "k") {
   return query("INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x" + std::string(2 * bytes, '7') +
@@ -265,6 +275,13 @@
   client.send(read("slow"));
   client.sendsNoMore();
   std::cout << client.answer() << client.answer() << "\n";
+  std::cout << "closed while it waits: the node sees that nobody waits any more\n";
+  {
+    Peer leaving = router.client();
+    leaving.send(read("until-the-end", 60000));
+    begun.wait(false);
+  }
+  calledOff.wait(false);
   Peer other = router.client();
   other.send("nonsense that is no message");
   std::cout << other.answer() << "\n";
