Long reads get room by a member's rate, no longer ten times the least in flight

Checked with each submission of them logged: all went to the first replica in the order of ids, which had 9 txns in hand on average, 20 at most, at 0.90 of its cores, and answered after 1.4 s in the median; clients left at 2.55 s.

At fault: router.cpp, usable(): `part * inFlightBound`, ten for these reads, multiplied also the least that is meant to measure a rate, so each router kept up to 20 there, whatever the replica answered. Now the part multiplies the rate, and the least but threefold. What no longer fits goes to the next replica in the order of ids. Covers slow or crowded machines that are first by chance; may hurt where few reports fill two replicas instead of one.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -214,11 +214,13 @@
   // What may be in flight to a member: its rate of answers times the time a txn may spend there, a third of
   // the shortest SLA time, as all types wait in one queue. Six over all routers at least, to measure a rate.
   Span timeThere() const { return shortestSla * 0.35; }
-  double inFlightBound(const Member& m) const {
-    const double floor = std::max(1.0, 6.0 / terms.routers);
+  // What may stay `part` times as long has room for as many times the rate, but for three times the least at
+  // most: ten times it is seconds of queue. Twice cost an overload 0.004, thrice nothing.
+  double inFlightBound(const Member& m, double part) const {
+    const double floor = std::max(1.0, 6.0 / terms.routers) * std::min(part, 3.0);
     if (m.answers.size() < 4) return floor;
     const double rate = static_cast<double>(m.answers.size()) / (now - m.answers.front().at).inSeconds();
-    return std::max(floor, rate * timeThere().inSeconds());
+    return std::max(floor, rate * timeThere().inSeconds() * part);
   }
 
   bool oneOfMany() const { return terms.routers > 12; }  // one in flight each: twice the least that is meant
@@ -246,7 +248,7 @@
   bool usable(Member& m, const Live& txn, double part = 1) {
     // Of few routers each leaves half the room of a replica on its way out of the bound, to apply the log.
     if (!oneOfMany() && m.lag > shortestBound * 0.33 && m.lag < shortestBound * 1.2) part *= 0.5;
-    if (leaving(m) || static_cast<double>(m.outs.size()) >= part * inFlightBound(m)) return false;
+    if (leaving(m) || static_cast<double>(m.outs.size()) >= inFlightBound(m, part)) return false;
     // One that was full rests for a quarter of a second: what it turns away takes work, too.
     if (now - m.fullAt < Span::millis(250) || crowded(m) || !coldRoom(m, txn.txn.type)) return false;
     // An unwell node gets a trial with a repeatable txn, four a second over all routers: few, as it may be
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -239,6 +239,12 @@
       r.ended(id, 0, b.nodeOf(id), End::committed, true, ms(id % 2 ? 50 : 500), {Role::replica, {}}, {});
     });
   }
+  Bench many(usualTerms({report, kBounded}));
+  start(many);
+  many.say("many at once: a gets no more than it can answer in a third of their SLA time, b the others");
+  many.at(30, [&](Router& r) {
+    for (TxnId id = 1; id <= 12; ++id) r.taken(many.txn(id));
+  });
 }
 
 void told() {
