--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -317,10 +317,12 @@
 void Gateway::openFor(const NodeId& id, Node& node) {
   while (node.opening < node.waiting.size()) {
     if (links_.size() >= bounds_.mostLinks) {
-      const auto idle = std::find_if(links_.begin(), links_.end(),
-                                     [](auto& entry) { return entry.second.stage == LinkStage::idle; });
-      if (idle != links_.end()) {
-        endLink(LinkId(idle->first), ConnectionEnd::retired);
+      // The one that was used longest ago is due first.
+      const auto idle = std::find_if(due_.begin(), due_.end(), [&](auto& entry) {
+        return links_.at(entry.second).stage == LinkStage::idle;
+      });
+      if (idle != due_.end()) {
+        endLink(LinkId(idle->second), ConnectionEnd::retired);
         continue;
       }
       const Job job = node.waiting.back();
@@ -356,7 +358,7 @@
   Submission& submission = *submissionOf(job);
   submission.link = id;
   setDue(id, link, submission.cutAt);
-  // The node is told how long this router will wait, rounded up.
+  // The node is told how long this router will wait, in whole milliseconds.
   const auto left = std::max<std::int64_t>(1, (submission.cutAt - now_).inMicros() / 1000);
   const std::string wait = std::to_string(left);
   const std::string_view text = live.statement;
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -428,6 +428,20 @@
   s.pass(1000);
   s.sent(3, query(""));
   for (int i = 0; i < 4; ++i) std::cout << (s.closeIdle() ? "one was closed\n" : "none is idle\n");
+  Sockets t({ms(10000), ms(250), 2, 100000});
+  t.say("two may be open: of two idle ones that goes first which was used longer ago");
+  t.open(1, read("aa"));
+  t.up(1);
+  t.answers(1, row("body"));
+  t.sent(1, write("bb"));
+  t.up(2);
+  t.answers(2, row("body"));
+  t.pass(1);
+  t.sent(1, read("cc"));
+  t.answers(1, row("body"));
+  t.list(ListKind::changes, {"b"});
+  t.sent(1, read("dd"));
+  if (t.last() == 2) t.answers(1, row("body")), t.sent(1, read("ee"));
 }
 
 void heldForConnection() {
