--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -45,6 +45,14 @@
 // A list of a thousand nodes is a fifth of this.
 constexpr std::size_t kLongestList = 1024 * 1024;
 
+loop::Descriptor listenAt(const startup::Address& at) {
+  try {
+    return loop::listenOn(at.host, at.port);
+  } catch (const std::system_error& fault) {
+    throw startup::BadKey("listen", at.host + ":" + std::to_string(at.port) + ": " + fault.what());
+  }
+}
+
 // After a turn that failed: long enough not to spin, and short against any expiry.
 constexpr Span kPauseAfterFault = Span::millis(10);
 
@@ -95,8 +103,7 @@
 Server::Server(startup::Start start)
     : start_(std::move(start)),
       signals_(std::make_unique<loop::Stream>(loop_, loop::endSignals())),
-      listener_(
-          std::make_unique<loop::Stream>(loop_, loop::listenOn(start_.listen.host, start_.listen.port))),
+      listener_(std::make_unique<loop::Stream>(loop_, listenAt(start_.listen))),
       mostClients_(start_.descriptors - kReserved - linksOf(start_)),
       mostBytes_(bytesOf(start_)),
       gateway_(start_.told.terms, start_.told.typeNames, start_.seed, boundsOf(start_), *this) {
