SIGHUP reads the configuration anew and discovery is followed to its new address

SIGHUP was not among the signals taken (loop/sockets.cpp, endSignals), so a router ends by it unless it is ignored from the start, as it was in that run; then the old discovery address stays in use.

Checked: `BALANCER_DISCOVERY` came before the file (startup, variableOr), so reading anew would have changed nothing. An ignored signal is dropped even while blocked, so the disposition is set first. A connection to discovery that never comes up was given 5 s, longer than news may take: now the settings' limit for connections.

Changed: the reducer takes a configuration as an event (configured, misconfigured) and asks for followDiscovery; startup reads it by the same checks, the file's word first; the whole list is asked for at the new place while the last list stays in use.

--- a/examples/toy_server.cpp
+++ b/examples/toy_server.cpp
@@ -183,7 +183,7 @@
 }
 
 loop::Task untilTold(loop::Loop& all) {
-  loop::Stream signals(all, loop::endSignals());
+  loop::Stream signals(all, loop::signals());
   co_await signals.changed();
   all.stop();
 }
--- a/src/gateway/effects.h
+++ b/src/gateway/effects.h
@@ -29,6 +29,8 @@
   virtual void closeClient(ClientId client) = 0;
   virtual void stopListening() = 0;
   virtual void askForList() = 0;
+  // Discovery is there from now on: its whole list is wanted at once.
+  virtual void followDiscovery(const std::string& address) = 0;
   virtual void log(std::string line) = 0;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -540,6 +540,23 @@
   arrived([](Router& router) { router.listFailed(); });
 }
 
+// --- The configuration
+
+void Gateway::configured(Instant now, const std::string& discovery, const std::vector<std::string>& kept) {
+  now_ = later(now_, now);
+  const bool moved = discovery_ != discovery, anew = !discovery_.empty();
+  for (const auto& key : kept) effects_.log("configuration: " + key + " has changed: after a restart");
+  if (anew) effects_.log("configuration read anew: discovery at " + discovery + (moved ? "" : ", as before"));
+  if (!moved) return;
+  discovery_ = discovery;
+  effects_.followDiscovery(discovery);
+}
+
+void Gateway::misconfigured(Instant now, std::string_view fault) {
+  now_ = later(now_, now);
+  effects_.log("configuration not taken, all goes on as it was: " + std::string(fault));
+}
+
 // --- Turns
 
 void Gateway::shutDown(Instant now) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,6 +52,10 @@
   void linkEnded(Instant now, LinkId link, ConnectionEnd how);
   void listed(Instant now, ListKind kind, const std::vector<Addressed>& list);
   void listFailed(Instant now);
+  // The configuration was read, at the start or anew. `kept`: keys that differ and wait for a restart.
+  void configured(Instant now, const std::string& discovery, const std::vector<std::string>& kept);
+  // It can't be used: all goes on as it was.
+  void misconfigured(Instant now, std::string_view fault);
   void shutDown(Instant now);
 
   // The end of a turn: what has come due happens, and the decision module has its round if anything came in
@@ -153,6 +157,7 @@
   Effects& effects_;
 
   Instant now_, wakeAt_, stopAt_;
+  std::string discovery_;  // its address
   bool listKnown_ = false, stopping_ = false, stopped_ = false;  // stopped: takes nothing new
   std::map<ClientId, Client> clients_;
   std::map<TxnId, Live> live_;
--- a/src/loop/sockets.cpp
+++ b/src/loop/sockets.cpp
@@ -118,11 +118,14 @@
   }
 }
 
-Descriptor endSignals() {
+Descriptor signals() {
   sigset_t set;
   sigemptyset(&set);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGINT);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&set, number);
+    // A signal that is ignored is not kept while it is blocked, and whoever starts a program may have it so.
+    std::signal(number, SIG_DFL);
+  }
   if (sigprocmask(SIG_BLOCK, &set, nullptr) != 0) fail("sigprocmask");
   Descriptor made(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!made) fail("signalfd");
@@ -130,9 +133,10 @@
   return made;
 }
 
-void takeEndSignal(int descriptor) {
-  signalfd_siginfo ignored;
-  while (::read(descriptor, &ignored, sizeof ignored) > 0) {}
+std::optional<Signal> takeSignal(int descriptor) {
+  signalfd_siginfo taken{};
+  if (::read(descriptor, &taken, sizeof taken) != sizeof taken) return std::nullopt;
+  return taken.ssi_signo == SIGHUP ? Signal::readAnew : Signal::end;
 }
 
 }  // namespace gulltrestle::loop
--- a/src/loop/sockets.h
+++ b/src/loop/sockets.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,8 +26,10 @@
 IoResult writeFrom(int descriptor, std::span<const std::string_view> parts);
 Io accept(int descriptor, Descriptor& taken);
 
-// Becomes readable when one of the signals that ask a process to end comes.
-Descriptor endSignals();
-void takeEndSignal(int descriptor);
+// What a signal asks of a process: to end, or to read its configuration anew.
+enum class Signal { end, readAnew };
+// Becomes readable when one of these signals comes, also where the process was started with them ignored.
+Descriptor signals();
+std::optional<Signal> takeSignal(int descriptor);  // none if there is none left
 
 }  // namespace gulltrestle::loop
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -35,6 +35,7 @@
   double lateShare = 0;              // part of the value that is left after the SLA time
   bool dropsRepeatsAnywhere = true;  // referenced: every node drops repeats, or only the txn's own group
   Span referenceWindow;              // referenced: how long a repeat is known
+  bool operator==(const TxnType&) const = default;
 };
 
 // What the front says when a router starts: the rules' figures and what is allowed here.
@@ -57,6 +58,7 @@
   bool sessionAgeCarried =
       false;  // reads carry the age of their session's last write; else it is remembered here
   bool listMustBeAsked = false;
+  bool operator==(const Terms&) const = default;
 };
 
 struct Txn {
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -102,7 +102,7 @@
 
 Server::Server(startup::Start start)
     : start_(std::move(start)),
-      signals_(std::make_unique<loop::Stream>(loop_, loop::endSignals())),
+      signals_(std::make_unique<loop::Stream>(loop_, loop::signals())),
       listener_(std::make_unique<loop::Stream>(loop_, listenAt(start_.listen))),
       mostClients_(start_.descriptors - kReserved - linksOf(start_)),
       mostBytes_(bytesOf(start_)),
@@ -117,6 +117,8 @@
                start_.known.nodes.size());
   listVersion_ = start_.known.version;
   gateway_.listed(loop_.now(), ListKind::disk, addressed(start_.known));
+  const auto& at = start_.discovery;
+  gateway_.configured(loop_.now(), at.host + ":" + std::to_string(at.port), {});
   loop_.spawn(watchSignals());
   loop_.spawn(followList());
   loop_.spawn(acceptClients());
@@ -192,6 +194,11 @@
 
 void Server::askForList() {}  // it is followed all the time
 
+void Server::followDiscovery(const std::string& address) {
+  discovery_ = startup::readAddress("discovery", address);
+  if (toDiscovery_) toDiscovery_->wake();
+}
+
 void Server::log(std::string line) { spdlog::info("{}", line); }
 
 // --- Connections
@@ -378,12 +385,25 @@
 
 loop::Task Server::watchSignals() {
   for (;;) {
+    while (const auto signal = loop::takeSignal(signals_->descriptor())) {
+      if (*signal == loop::Signal::end)
+        gateway_.shutDown(loop_.now());
+      else
+        readAnew();
+    }
     co_await signals_->changed();
-    loop::takeEndSignal(signals_->descriptor());
-    gateway_.shutDown(loop_.now());
   }
 }
 
+// Guards against whatever the file holds by then: it may be missing, half written or wrong.
+void Server::readAnew() {
+  try {
+    const auto read = startup::readStart(startup::First::file);
+    gateway_.configured(loop_.now(), read.discovery.host + ":" + std::to_string(read.discovery.port),
+                        startup::keptUntilRestart(start_, read));
+  } catch (const std::exception& bad) { gateway_.misconfigured(loop_.now(), bad.what()); }
+}
+
 void Server::takeList(std::string_view line, bool isChange) {
   json::Parser parser;
   parser.feed(line);
@@ -402,18 +422,21 @@
   gateway_.listed(loop_.now(), kind, addressed(std::move(list)));
 }
 
-// Asks for the whole list, then watches it; whenever that ends or fails, again after a pause.
+// Asks for the whole list, then watches it; whenever that ends or fails, again after a pause. Where discovery
+// has moved, the whole list there comes next, without one: what the old place still sends may be old.
 loop::Task Server::followList() {
-  const std::string host = start_.discovery.host + ":" + std::to_string(start_.discovery.port);
-  bool watch = false;
-  for (;; watch = !watch) {
+  for (bool watch = false;;) {
+    const startup::Address at = discovery_;
+    const std::string host = at.host + ":" + std::to_string(at.port);
     std::string why = "is silent";
-    if (loop::Descriptor descriptor = loop::startConnecting(start_.discovery.host, start_.discovery.port)) {
+    if (loop::Descriptor descriptor = loop::startConnecting(at.host, at.port)) {
       Connection from(loop_, std::move(descriptor));
+      toDiscovery_ = &from.stream;
       http::Response response;
       std::string line;
       bool asked = false;
-      Instant heardAt = loop_.now();
+      const Instant begunAt = loop_.now();
+      Instant heardAt = begunAt;
       const auto body = [&](std::string_view part) {
         line += part;
         if (line.size() > kLongestList) throw http::Malformed("the list is too long");
@@ -423,8 +446,12 @@
         }
       };
       try {
-        while (!from.broken && !from.ended && !response.done()) {
+        while (!from.broken && !from.ended && !response.done() && at == discovery_) {
           if (loop_.now() - heardAt > kListSilence) break;
+          if (!asked && loop_.now() - begunAt > start_.told.connectLimit) {
+            why = "does not come up";
+            break;
+          }
           if (from.stream.canWrite && !asked) {
             asked = true;
             send(from, {http::get(watch ? startup::watchPath(listVersion_) : startup::listPath(), host)});
@@ -439,22 +466,28 @@
               return used;
             });
           if (from.stream.canRead && !from.ended && !from.broken) from.stream.wake();
-          from.stream.wakeAt(heardAt + kListSilence + Span::millis(1));
+          from.stream.wakeAt((asked ? heardAt + kListSilence : begunAt + start_.told.connectLimit) +
+                             Span::millis(1));
           if (!from.broken && !from.ended && !response.done()) co_await from.stream.changed();
         }
         if (from.ended) response.end();
-        if (response.done() && !watch) {
+        if (at == discovery_ && response.done() && !watch) {
           takeList(line, false);
-          continue;  // on to the watch
+          watch = true;
+          why.clear();
+        } else if (from.broken || from.ended || response.done()) {
+          why = "has ended";
         }
-        if (from.broken || from.ended || response.done()) why = "has ended";
       } catch (const std::runtime_error& bad) { why = bad.what(); }
+      toDiscovery_ = nullptr;
     } else {
       why = "can't be reached: no descriptor is left";
     }
+    if (at != discovery_) watch = false;
+    if (at != discovery_ || why.empty()) continue;
     spdlog::warn("discovery at {}: the {} {}", host, watch ? "watch" : "list", why);
     gateway_.listFailed(loop_.now());
-    watch = true;  // the whole list comes next
+    watch = false;
     co_await loop_.sleepUntil(loop_.now() + kListPause);
   }
 }
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -36,6 +36,7 @@
   void closeClient(gateway::ClientId client) override;
   void stopListening() override;
   void askForList() override;
+  void followDiscovery(const std::string& address) override;
   void log(std::string line) override;
 
   loop::Task acceptClients();
@@ -50,6 +51,7 @@
   void read(Connection& connection, Take take);
   void account(Connection& connection);
   bool mayKeep(gateway::ClientId id, Connection& client);
+  void readAnew();
   void takeList(std::string_view line, bool isChange);
   Instant endTurn(Instant now);
 
@@ -63,6 +65,8 @@
   std::map<gateway::ClientId, Connection*> clients_;
   std::map<gateway::LinkId, Connection*> links_;
   gateway::ClientId lastClient_ = 0;
+  startup::Address discovery_;
+  loop::Stream* toDiscovery_ = nullptr;  // the connection to it, while there is one
   std::uint64_t listVersion_ = 0;
   bool accepting_ = true;
   std::array<char, 64 * 1024> buffer_;  // what was just read, of any connection
--- a/src/startup/startup.cpp
+++ b/src/startup/startup.cpp
@@ -77,10 +77,10 @@
   return value;
 }
 
-// A variable of the environment, else a key of the file.
-std::string variableOr(const char* variable, const Value& in, std::string_view key) {
+// A variable of the environment or a key of the file: the one that comes first, else the other.
+std::string variableOrKey(const char* variable, const Value& in, std::string_view key, First first) {
   const char* set = std::getenv(variable);
-  return set && *set ? set : text(in, key, key);
+  return set && *set && (first == First::environment || !in.find(key)) ? set : text(in, key, key);
 }
 
 std::uint64_t readSeed(const Value& in) {
@@ -150,7 +150,7 @@
   return listPath() + "?stream=1&index=" + std::to_string(version);
 }
 
-Start readStart(std::string_view file) {
+Start readStart(std::string_view file, First first) {
   json::Parser parser;
   try {
     parser.feed(file);
@@ -161,9 +161,9 @@
   const Value all = parser.take();
   if (all.kind != Value::Kind::object) throw BadKey("BALANCER_CONFIG", "is not an object");
   Start start;
-  start.name = variableOr("BALANCER_NAME", all, "name");
-  start.listen = readAddress("listen", variableOr("BALANCER_LISTEN", all, "listen"));
-  start.discovery = readAddress("discovery", variableOr("BALANCER_DISCOVERY", all, "discovery"));
+  start.name = variableOrKey("BALANCER_NAME", all, "name", first);
+  start.listen = readAddress("listen", variableOrKey("BALANCER_LISTEN", all, "listen", first));
+  start.discovery = readAddress("discovery", variableOrKey("BALANCER_DISCOVERY", all, "discovery", first));
   start.seed = readSeed(all);
   const Value& limits = need(all, "limits", "limits", Value::Kind::object, "an object");
   start.memoryBytes =
@@ -181,14 +181,14 @@
   return start;
 }
 
-Start readStart() {
+Start readStart(First first) {
   const char* path = std::getenv("BALANCER_CONFIG");
   if (!path || !*path) throw BadKey("BALANCER_CONFIG", "is not set");
   std::ifstream file(path, std::ios::binary);
   std::ostringstream all;
   if (!file || !(all << file.rdbuf()))
     throw BadKey("BALANCER_CONFIG", std::string("'") + path + "' can't be read");
-  Start start = readStart(all.str());
+  Start start = readStart(all.str(), first);
   // The process may be allowed fewer than the configuration says.
   rlimit allowed{};
   if (getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur < start.descriptors)
@@ -198,4 +198,16 @@
   return start;
 }
 
+std::vector<std::string> keptUntilRestart(const Start& running, const Start& read) {
+  std::vector<std::string> kept;
+  for (const auto& [key, same] : {std::pair{"name", running.name == read.name},
+                                  {"listen", running.listen == read.listen},
+                                  {"seed", running.seed == read.seed},
+                                  {"limits.memory_mb", running.memoryBytes == read.memoryBytes},
+                                  {"limits.sockets", running.descriptors == read.descriptors},
+                                  {"settings", running.told == read.told}})
+    if (!same) kept.emplace_back(key);
+  return kept;
+}
+
 }  // namespace gulltrestle::startup
--- a/src/startup/startup.h
+++ b/src/startup/startup.h
@@ -22,6 +22,7 @@
 struct Address {  // of IPv4, as there is no name service
   std::string host;
   std::uint16_t port = 0;
+  bool operator==(const Address&) const = default;
 };
 
 struct NodeList {
@@ -44,11 +45,18 @@
   terms::Told told;
 };
 
+// Whose word counts where a variable of the environment and the file both name something: the variable's at
+// the start, the file's when it is read anew, as only that can have changed.
+enum class First { environment, file };
+
 // Reads the variables of the environment, and the file that BALANCER_CONFIG names.
-Start readStart();
+Start readStart(First first = First::environment);
+
+// The same from the text of a file.
+Start readStart(std::string_view text, First first = First::environment);
 
-// The same from the text of a file; the variables, where they are set, come first.
-Start readStart(std::string_view text);
+// The keys that differ, and that a running router keeps as they were at its start.
+std::vector<std::string> keptUntilRestart(const Start& running, const Start& read);
 
 // A list as discovery words it; `zone` is this router's own.
 NodeList readList(const json::Value& value, const std::string& zone);
--- a/src/terms/terms.h
+++ b/src/terms/terms.h
@@ -56,6 +56,7 @@
   std::string zone;                    // this router's own
   Span idleLimit;                      // nodes close connections that were idle for this long
   Span connectLimit;                   // what is not up by then does not come up
+  bool operator==(const Told&) const = default;
 };
 
 Told read(const Source& settings);
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -113,6 +113,10 @@
     settle();
   }
   void shutDown() { gateway_.shutDown(now_), settle(); }
+  void configured(const std::string& discovery, const std::vector<std::string>& kept = {}) {
+    gateway_.configured(now_, discovery, kept), settle();
+  }
+  void misconfigured(const std::string& fault) { gateway_.misconfigured(now_, fault), settle(); }
   // The clock goes on by so many ms, with each turn that was asked for on the way.
   void pass(std::int64_t millis) {
     const Instant until = now_ + ms(millis);
@@ -176,6 +180,7 @@
   void closeClient(ClientId client) override { line() << "close c" << client << "\n"; }
   void stopListening() override { line() << "stop listening\n"; }
   void askForList() override { line() << "ask for the list\n"; }
+  void followDiscovery(const std::string& at) override { line() << "follow discovery at " << at << "\n"; }
   void log(std::string text) override { line() << "log: " << text << "\n"; }
 
   static constexpr Instant kStart = Instant::atMicros(1'700'000'000'000'000);
@@ -485,6 +490,20 @@
   std::cout << "finished: " << s.finished() << "\n";
 }
 
+void configurations() {
+  Sockets s;
+  s.say("the first, one that moves discovery, one that changes nothing, one that changes what waits");
+  s.configured("10.0.0.1:8500");
+  s.configured("10.0.0.2:8500");
+  s.configured("10.0.0.2:8500");
+  s.configured("10.0.0.2:8500", {"listen", "settings"});
+  s.say("one that can't be used: a txn meanwhile is served as ever");
+  s.misconfigured("discovery: is missing");
+  s.open(1, read("aa"));
+  s.up(1);
+  s.answers(1, row("body"));
+}
+
 void ends() {
   for (int i = 0; i <= static_cast<int>(ConnectionEnd::shuttingDown); ++i) {
     const auto how = static_cast<ConnectionEnd>(i);
@@ -511,6 +530,7 @@
                                                 {"bounds", bounds},
                                                 {"held-for-connection", heldForConnection},
                                                 {"ending", ending},
+                                                {"configurations", configurations},
                                                 {"ends", ends}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
   if (found == cases.end()) return 2;
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -250,6 +250,15 @@
       std::cout << from << " as " << to << ": taken\n";
     } catch (const startup::BadKey& fault) { std::cout << fault.what() << "\n"; }
   }
+  // Read anew: what waits for a restart, and whose word counts on discovery.
+  auto other = good;
+  for (const auto& [from, to] : {std::pair{"n0", "n1"}, {"6543", "6544"}, {"1024", "512"}, {"5000", "6000"}})
+    other.replace(other.find(from), std::string(from).size(), to);
+  for (const auto& key : startup::keptUntilRestart(started, startup::readStart(other)))
+    std::cout << key << " waits\n";
+  setenv("BALANCER_DISCOVERY", "127.0.0.9:1", 1);
+  for (const auto first : {startup::First::environment, startup::First::file})
+    std::cout << "discovery at " << startup::readStart(good, first).discovery.host << "\n";
 }
 
 }  // namespace
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -207,8 +208,8 @@
 class Running {
  public:
   Running(const Side& discovery, const std::string& known, int descriptors = 256)
-      : port_(portOf(loop::listenOn(kHost, 0))), thread_([this, text = text(discovery, known, descriptors)] {
-          server::Server server(startup::readStart(text));
+      : port_(portOf(loop::listenOn(kHost, 0))), thread_([this, file = text(discovery, known, descriptors)] {
+          server::Server server(startup::readStart(file));
           up_ = true;
           up_.notify_all();
           server.run();
@@ -231,9 +232,7 @@
     made.answer();
     return made;
   }
-
- private:
-  std::string text(const Side& discovery, const std::string& known, int descriptors) const {
+  std::string text(const Side& discovery, const std::string& known, int descriptors = 256) const {
     return R"({"name":"n","listen":"127.0.0.1:)" + std::to_string(port_) + R"(","discovery":"127.0.0.1:)" +
            std::to_string(discovery.port()) + R"(","seed":"7","limits":{"memory_mb":64,"sockets":)" +
            std::to_string(descriptors) + R"(},"known":)" + known +
@@ -242,6 +241,8 @@
            R"({"name":"write","effect":"at_most_once","objective":4000000,"deadline":9000000}],)"
            R"("specifics":{"readLevel":["latest","update"],"lagAllowed":[0,0]}}})";
   }
+
+ private:
   unsigned short port_;
   std::atomic<bool> up_ = false;
   std::jthread thread_;
@@ -378,16 +379,67 @@
   for (const auto& path : asked) std::cout << path << "\n";
 }
 
+void reload() {
+  Side first(node), second(node);
+  std::mutex mutex;
+  std::vector<std::string> asked;
+  const auto tells = [&](const std::string& name, const std::string& entries) {
+    return [&, name, entries](Peer& peer) {
+      const auto path = pathOf(peer);
+      {
+        const std::lock_guard lock(mutex);
+        asked.push_back(name + " " + path);
+      }
+      if (path.ends_with("targets")) return peer.send(http(list(5, entries)));
+      peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+      peer.readMore();
+    };
+  };
+  const auto wait = [&](std::size_t lines) {
+    for (;; pause(20)) {
+      const std::lock_guard lock(mutex);
+      if (asked.size() >= lines) return;
+    }
+  };
+  Side oldPlace(tells("old", entry(first, "s-1", "up")));
+  Side newPlace(tells("new", entry(first, "s-1", "draining") + "," + entry(second, "s-2", "up")));
+  const std::string path = "reload-" + std::to_string(getpid()) + ".json";
+  setenv("BALANCER_CONFIG", path.c_str(), 1);
+  // At the start the variable comes first, later the file does.
+  setenv("BALANCER_DISCOVERY", ("127.0.0.1:" + std::to_string(oldPlace.port())).c_str(), 1);
+  Running router(oldPlace, list(0, ""));
+  wait(2);
+  Peer client = router.client();
+  const auto readAnew = [&](const std::string& text, const char* what) {
+    std::ofstream(path) << text;
+    kill(getpid(), SIGHUP);
+    client.send(read("k"));
+    std::cout << what << ": " << client.answer() << "\n";
+  };
+  unlink(path.c_str());
+  kill(getpid(), SIGHUP);
+  readAnew("", "an empty file");
+  readAnew(router.text(newPlace, list(0, "")).substr(0, 150), "half a file");
+  readAnew(router.text(newPlace, list(0, "")), "a whole one");
+  wait(4);
+  readAnew(router.text(newPlace, list(0, "")), "the same again");
+  const std::lock_guard lock(mutex);
+  for (const auto& line : asked) std::cout << line << "\n";
+  unlink(path.c_str());
+}
+
 }  // namespace
 
 int main(int count, char** words) {
   sigset_t ends;
   sigemptyset(&ends);
   sigaddset(&ends, SIGTERM);
+  sigaddset(&ends, SIGHUP);
+  std::signal(SIGHUP, SIG_IGN);  // as a router may be started
   pthread_sigmask(SIG_BLOCK, &ends, nullptr);
   spdlog::set_level(spdlog::level::off);
   const std::map<std::string, void (*)()> cases{
-      {"values", values}, {"crowd", crowd}, {"ending", ending}, {"discovered", discovered}};
+      {"values", values}, {"crowd", crowd}, {"ending", ending}, {"discovered", discovered}, {"reload", reload}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
   if (found == cases.end()) return 2;
   found->second();
