Answers are checked as they arrive; a connection is clear of older bytes before its next txn

Seen in the code (gateway.cpp): release() wrote the next waiting txn before the bytes behind the last answer were looked at, so a second copy in the same read became the next txn's answer; one that came later was found only while the connection was idle. A report that can't be read threw the good value away (takeStatus). A length that is too long by a few bytes, or a row that says less than it holds, waited for bytes that never come until the txn's time was up. Each spoilt answer was logged with a flush.

Changed: an answer's messages are checked in order and by their heads, before they are whole; what has begun must end within the settings' limit for connections, else it is spoilt and may have run. After an answer the router asks an empty query: once its answer has come nothing older is on the way, which is the proof that a pause could not give. Where several wait, the connection that is about to be clear is waited for instead of opening another. News that can't be read are left out. A line a node each 10 s.

Ruled out: peeking before each write, which misses what is still on the way.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -312,10 +312,10 @@
   write(link, links_.at(link), job);
 }
 
-// A connection for each job that waits for one. What can't be had is told as not sent, so that the module
+// A connection for each job that waits for one, and for which none is about to be clear. What can't be had is told as not sent, so that the module
 // decides anew. Guards against running out of descriptors; may hurt where all connections are busy.
 void Gateway::openFor(const NodeId& id, Node& node) {
-  while (node.opening < node.waiting.size()) {
+  while (node.opening + node.clearing < node.waiting.size()) {
     if (links_.size() >= bounds_.mostLinks) {
       // The one that was used longest ago is due first.
       const auto idle = std::find_if(due_.begin(), due_.end(), [&](auto& entry) {
@@ -347,7 +347,7 @@
 void Gateway::write(LinkId id, Link& link, Job job) {
   link.stage = LinkStage::busy;
   link.job = job;
-  link.written = false;
+  link.written = link.answering = false;
   if (job.txn == 0) {
     setDue(id, link, now_ + bounds_.connectLimit);
     link.written =
@@ -404,23 +404,60 @@
         release(id, link);
       } else if (link.stage == LinkStage::busy) {
         const auto answer = pg::takeAnswer(bytes);
-        if (!answer) break;
-        takeAnswer(id, link, *answer);
+        if (!answer) {
+          // Guards against answers that begin and don't end, which would take all of the txn's time: what has
+          // begun is whole soon. May hurt where the network takes longer for one than for a connection.
+          if (!bytes.empty() && !std::exchange(link.answering, true))
+            setDue(id, link, std::min(link.due, now_ + bounds_.connectLimit));
+          break;
+        }
+        takeAnswer(id, link, *answer, !bytes.empty());
+      } else if (link.stage == LinkStage::clearing) {
+        if (!pg::takeAllClear(bytes)) break;
+        if (!bytes.empty()) throw pg::Malformed("more than an answer");
+        --nodes_.at(link.node).clearing;
+        release(id, link);
       } else if (bytes.empty()) {
         break;
       } else {  // bytes that nobody asked for: they must not be taken for the next txn's answer
-        endLink(id, ConnectionEnd::malformed);
+        throw pg::Malformed("bytes that nobody asked for");
       }
     }
   } catch (const pg::Malformed& bad) {
-    effects_.log("node " + links_.at(id).node + " sent what can't be read: " + bad.what());
+    logSpoilt(links_.at(id).node, bad.what());
     endLink(id, ConnectionEnd::malformed);
     return size;
   }
   return size - bytes.size();
 }
 
-void Gateway::takeAnswer(LinkId id, Link& link, const pg::Answer& answer) {
+// A line a node and pause at most: any number of answers may be spoilt.
+void Gateway::logSpoilt(const NodeId& id, std::string_view what) {
+  constexpr Span kPause = Span::millis(10000);  // a few lines a minute are read, more are not
+  Node& node = nodes_.at(id);
+  ++node.spoilt;
+  if (node.spoiltAt != Instant() && now_ - node.spoiltAt < kPause) return;
+  node.spoiltAt = now_;
+  effects_.log("node " + id + " sent what can't be read: " + std::string(what) +
+               (node.spoilt > 1 ? ", " + std::to_string(node.spoilt) + " times since the last such line" : ""));
+  node.spoilt = 0;
+}
+
+// Its answer is whole. Guards against more than that, a second copy or noise, which must not be taken for the
+// next txn's answer, however late it comes: an empty query is asked, and once its answer has come nothing older
+// is on the way. Costs a message each way; may hurt at nodes that answer empty queries late.
+void Gateway::clear(LinkId id, Link& link, bool more) {
+  Node& node = nodes_.at(link.node);
+  link.stage = LinkStage::clearing;
+  link.job = {};
+  ++node.clearing;
+  setDue(id, link, now_ + bounds_.connectLimit);
+  if (more) throw pg::Malformed("more than an answer");
+  if (leaving(node)) return endLink(id, ConnectionEnd::nodeLeft);
+  effects_.writeNode(id, {pg::queryHead(0), {"\0", 1}});
+}
+
+void Gateway::takeAnswer(LinkId id, Link& link, const pg::Answer& answer, bool more) {
   const Job job = link.job;
   const NodeId node = link.node;
   const End how = endOf(answer.verdict);
@@ -432,13 +469,11 @@
   if (answer.fatal)
     endLink(id, ConnectionEnd::broken);
   else
-    release(id, link);
+    clear(id, link, more);
 }
 
 // The connection has no job any more.
 void Gateway::release(LinkId id, Link& link) {
-  link.job = {};
-  link.written = false;
   Node& node = nodes_.at(link.node);
   link.stage = LinkStage::idle;
   while (!node.waiting.empty()) {
@@ -470,10 +505,13 @@
     std::erase(node.idle, id);
   } else if (link.stage == LinkStage::busy) {
     endJob(link.job, link.node, outcomeOf(how, link.written), {}, {});
+  } else if (link.stage == LinkStage::clearing) {
+    --node.clearing;
+    openFor(link.node, node);
   } else {
     if (how != ConnectionEnd::nodeLeft && std::exchange(node.reached, false))
       effects_.log("node " + link.node + " is not reached: " + std::string(nameOf(how)));
-    if (--node.opening < node.waiting.size()) {
+    if (--node.opening + node.clearing < node.waiting.size()) {
       const Job job = node.waiting.front();
       node.waiting.pop_front();
       endJob(job, link.node, outcomeOf(how, false), {}, {});
@@ -570,10 +608,13 @@
   now_ = later(now_, now);
   while (!due_.empty() && due_.begin()->first <= now_) {
     const LinkId id = due_.begin()->second;
-    const LinkStage stage = links_.at(id).stage;
-    endLink(id, stage == LinkStage::idle   ? ConnectionEnd::retired
-                : stage == LinkStage::busy ? ConnectionEnd::unanswered
-                                           : ConnectionEnd::neverUp);
+    const Link& link = links_.at(id);
+    const bool busy = link.stage == LinkStage::busy, begun = link.answering;
+    if (link.stage == LinkStage::clearing || (busy && begun)) logSpoilt(link.node, "an answer without an end");
+    endLink(id, link.stage == LinkStage::idle                ? ConnectionEnd::retired
+                : link.stage == LinkStage::clearing || begun ? ConnectionEnd::malformed
+                : busy                                       ? ConnectionEnd::unanswered
+                                                             : ConnectionEnd::neverUp);
   }
   if (stopping_ && now_ >= stopAt_) {
     if (!std::exchange(stopped_, true)) effects_.stopListening();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -90,7 +90,8 @@
     std::size_t waitAt = 0, waitSize = 0;  // where the digits of `d` stand
     std::vector<Submission> submissions;
   };
-  enum class LinkStage { connecting, starting, idle, busy };
+  // Clearing: its answer has come; whether more than that comes is not known yet.
+  enum class LinkStage { connecting, starting, idle, busy, clearing };
   struct Job {      // what a link carries
     TxnId txn = 0;  // 0: a probe
     unsigned submission = 0;
@@ -100,6 +101,7 @@
     LinkStage stage = LinkStage::connecting;
     Job job;
     bool written = false;
+    bool answering = false;  // a part of the answer is there
     Instant due;  // when its connecting, its job or its idling ends
   };
   struct Node {
@@ -108,7 +110,10 @@
     std::vector<LinkId> idle;  // the last used is taken first
     std::deque<Job> waiting;   // for a connection
     std::size_t opening = 0;   // connections that are not up yet
+    std::size_t clearing = 0;  // and that have just answered
     bool reached = true;       // the last connection that was opened came up
+    Instant spoiltAt;          // when it was last logged that it sent what can't be read
+    std::size_t spoilt = 0;    // and how often it did so since
   };
   // Feed and Writer.
   void deliver(Router& router) override;
@@ -139,9 +144,11 @@
   void openFor(const NodeId& id, Node& node);
   void write(LinkId id, Link& link, Job job);
   void release(LinkId id, Link& link);
+  void clear(LinkId id, Link& link, bool more);
+  void logSpoilt(const NodeId& id, std::string_view what);
   void endLink(LinkId id, ConnectionEnd how);
   void endJob(Job job, const NodeId& node, End how, const Standing& answer, const Standing& report);
-  void takeAnswer(LinkId id, Link& link, const pg::Answer& answer);
+  void takeAnswer(LinkId id, Link& link, const pg::Answer& answer, bool more);
   void setDue(LinkId id, Link& link, Instant due);
   Submission* submissionOf(Job job);
   Live* owed(TxnId txn);
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -10,6 +10,8 @@
 // A value of 64 KiB may come as hex, which doubles it; the rest is for the messages around it.
 constexpr std::size_t kLongestMessage = 2 * 64 * 1024 + 1024;
 constexpr std::size_t kLongestAnswer = kLongestMessage + 16 * 1024;
+// Of all messages but the row: a name, a report, an error's text.
+constexpr std::size_t kLongestWord = 4 * 1024;
 
 template <typename T>
 T parse(std::string_view text) {
@@ -27,6 +29,29 @@
   return value;
 }
 
+std::uint64_t position(std::string_view text) {
+  const auto value = parse<std::uint64_t>(text);
+  if (value > 100'000'000'000'000) throw Malformed("a position is out of range");
+  return value;
+}
+
+Report report(std::string_view text) {
+  Report made;
+  while (!text.empty()) {
+    const auto comma = std::min(text.find(','), text.size());
+    const auto part = text.substr(0, comma);
+    text.remove_prefix(std::min(comma + 1, text.size()));
+    const auto equals = part.find('=');
+    if (equals == std::string_view::npos) throw Malformed("a part of a report has no value");
+    const auto name = part.substr(0, equals);
+    const auto value = part.substr(equals + 1);
+    if (name == "x0") made.positionSeconds = figure(value);
+    if (name == "x1") made.primary = figure(value) == 1;
+    if (name == "inflight" || name == "active") made.inHand = figure(value);
+  }
+  return made;
+}
+
 std::uint32_t number(std::string_view bytes, std::size_t size) {
   if (bytes.size() < size) throw Malformed("a row is cut short");
   std::uint32_t n = 0;
@@ -34,22 +59,41 @@
   return n;
 }
 
-std::string_view onlyColumn(std::string_view body) {
+// What a node tells of itself beside an answer. Guards a good value against news that can't be read: these are
+// left out. May hurt by hiding a node that never tells its position: then none is known.
+void takeStatus(std::string_view body, Answer& answer) {
+  try {
+    const auto name = takeText(body);
+    const auto value = takeText(body);
+    if (name == "part" && (value == "master" || value == "replica")) answer.fromPrimary = value == "master";
+    if (name == "caught_up_to") answer.positionMs = position(value);
+    if (name == "gauges") answer.report = report(value);
+  } catch (const Malformed&) {}
+}
+
+// The description of one column: its name, then 18 bytes.
+void checkDescription(std::string_view body) {
   if (number(body, 2) != 1) throw Malformed("a row has other than one column");
-  const auto size = number(body.substr(2), 4);
-  if (size != body.size() - 6) throw Malformed("a column's length can't be right");
-  return body.substr(6);
+  body.remove_prefix(2);
+  takeText(body);
+  if (body.size() != 18) throw Malformed("a column's description has another length");
 }
 
-void takeStatus(std::string_view body, Answer& answer) {
-  const auto name = takeText(body);
-  const auto value = takeText(body);
-  if (name == "part" && (value == "master" || value == "replica")) answer.fromPrimary = value == "master";
-  if (name == "caught_up_to") {
-    answer.positionMs = parse<std::uint64_t>(value);
-    if (*answer.positionMs > 100'000'000'000'000) throw Malformed("a position is out of range");
-  }
-  if (name == "gauges") answer.report = readReport(value);
+// Looks at the head of a message that may not be whole yet, so that what can't be right is found at once: a
+// wrong length would otherwise wait for bytes that never come. `known`: the types that may come next.
+void checkHead(std::string_view bytes, std::string_view known) {
+  if (bytes.empty()) return;
+  if (known.find(bytes[0]) == std::string_view::npos)
+    throw Malformed("a message of this type has no place here");
+  if (bytes.size() < 5) return;
+  const std::size_t length = number(bytes.substr(1), 4);
+  const std::size_t most = bytes[0] == 'D' ? kLongestMessage : bytes[0] == 'Z' ? 5 : kLongestWord;
+  if (length > most) throw Malformed("a message is longer than " + std::to_string(most) + " bytes");
+  if (bytes[0] != 'D') return;
+  if (length < 10) throw Malformed("a row is cut short");
+  if (bytes.size() < 11) return;
+  if (number(bytes.substr(5), 2) != 1) throw Malformed("a row has other than one column");
+  if (number(bytes.substr(7), 4) + 10 != length) throw Malformed("a column's length can't be right");
 }
 
 }  // namespace
@@ -63,41 +107,45 @@
 std::optional<Answer> takeAnswer(std::string_view& bytes) {
   Answer answer;
   auto rest = bytes;
-  bool failed = false;
-  while (const auto message = takeMessage(rest, kLongestMessage)) {
+  for (std::string_view next = "TESN";;) {
+    checkHead(rest, next);
+    const auto message = takeMessage(rest, kLongestMessage);
+    if (!message) break;
+    auto body = message->body;
     switch (message->type) {
       case 'T':
+        checkDescription(body);
         answer.description = message->whole;
+        next = "DESN";
         break;
       case 'D':
-        if (!answer.row.empty() || answer.description.empty()) throw Malformed("a row is out of place");
         answer.row = message->whole;
-        answer.value = onlyColumn(message->body);
+        answer.value = body.substr(6);
+        next = "CESN";
         break;
       case 'C':
+        takeText(body);
+        if (!body.empty()) throw Malformed("a completion has bytes behind its text");
         answer.complete = message->whole;
+        next = "ZSN";
         break;
       case 'S':
-        takeStatus(message->body, answer);
+        takeStatus(body, answer);
         break;
       case 'N':
         break;
       case 'E': {
-        const auto fields = readError(message->body);
+        const auto fields = readError(body);
         answer.verdict = verdictOf(fields.code);
         answer.fatal = fields.severity == "FATAL" || fields.severity == "PANIC";
-        failed = true;
+        next = "ZSN";
         if (!answer.fatal) break;
         bytes = rest;
         return answer;
       }
       case 'Z':
-        if (!failed && (answer.row.empty() || answer.complete.empty()))
-          throw Malformed("an answer has neither a row nor an error");
         bytes = rest;
         return answer;
-      default:
-        throw Malformed("a message of this type has no place in an answer");
     }
   }
   if (bytes.size() > kLongestAnswer) throw Malformed("an answer is too long");
@@ -117,20 +165,22 @@
 }
 
 Report readReport(std::string_view text) {
-  Report report;
-  while (!text.empty()) {
-    const auto comma = std::min(text.find(','), text.size());
-    const auto part = text.substr(0, comma);
-    text.remove_prefix(std::min(comma + 1, text.size()));
-    const auto equals = part.find('=');
-    if (equals == std::string_view::npos) throw Malformed("a part of a report has no value");
-    const auto name = part.substr(0, equals);
-    const auto value = part.substr(equals + 1);
-    if (name == "x0") report.positionSeconds = figure(value);
-    if (name == "x1") report.primary = figure(value) == 1;
-    if (name == "inflight" || name == "active") report.inHand = figure(value);
+  try {
+    return report(text);
+  } catch (const Malformed&) { return {}; }
+}
+
+bool takeAllClear(std::string_view& bytes) {
+  auto rest = bytes;
+  for (std::string_view next = "ISN";;) {
+    checkHead(rest, next);
+    const auto message = takeMessage(rest, kLongestWord);
+    if (!message) return false;
+    if (message->type == 'I') next = "ZSN";
+    if (message->type != 'Z') continue;
+    bytes = rest;
+    return true;
   }
-  return report;
 }
 
 std::string declined(std::int64_t comeBackAfterMs) {
--- a/src/pg/answer.h
+++ b/src/pg/answer.h
@@ -34,10 +34,15 @@
   Report report;
 };
 
-// Takes an answer off the front of `bytes`; none if it is not whole yet. Throws Malformed.
+// Takes an answer off the front of `bytes`; none if it is not whole yet. Throws Malformed as soon as the bytes
+// that are there can't begin one.
 std::optional<Answer> takeAnswer(std::string_view& bytes);
 
-Report readReport(std::string_view text);
+// Takes the answer to an empty query off the front of `bytes`, whole or not at all. Throws Malformed on
+// anything else: it is what another query left behind.
+bool takeAllClear(std::string_view& bytes);
+
+Report readReport(std::string_view text);  // empty where it can't be read
 
 // How a node takes to a new connection.
 enum class Greeting { welcome, turnedAway, refused };
