Txns held for a slow or lost primary no longer take the connections of all others

A trace of the module twice a second: 100 to 110 of 128 open txns were writes held for one slow primary (bound 3 in flight, 4.5 times the usual latency), 77 of them past half of their time; all other types were served at once.

Ruled out: CPU (2.4 of 4.4 s), nodes left out (none), connections to nodes (117 at once).

At fault: router.cpp, decide(): what is held stays until its expiry less two rounds, whatever room it takes. Changed: the front tells how many open txns clients can have (a third of the descriptors); there a write held at half of its time, with a queue ahead that takes half of the rest, is declined with advice; beyond three quarters of the room what earns least for the time it may stay goes first.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -422,6 +422,34 @@
     for (std::size_t i = 0; i < asked.size() && i < 2; ++i) probe(*asked[i]);
   }
 
+  // Where clients have connections for so many open txns only: held for a primary that is there and slow, half
+  // of the txn's time is over, and the queue ahead takes half of the rest. Guards all others against the room
+  // that such a queue takes. May hurt where a slow primary is about to recover.
+  bool queuesTooLong(const Live& txn, std::map<GroupId, std::size_t>& ahead) {
+    const Member* primary = typeOf(txn).level < ReadLevel::fresh ? nullptr : primaryOf(txn.txn.group);
+    if (!primary || terms.mostOpen == 0 || txn.out > 0 || !well(*primary) || primary->answers.size() < 4) return false;
+    const Span each = usual(txn.txn.type) * (smoothed(*primary) / inFlightBound(*primary, 1));
+    const Span queue = each * static_cast<double>(ahead[txn.txn.group]++);
+    const bool halfOver = now + terms.roundLength * 4 >= txn.takenAt + txn.txn.patience * 0.5;
+    return halfOver && queue > (txn.answerBy - now) * 0.5;
+  }
+
+  // There, too: beyond three quarters of that room what is held goes, what earns least for the time it may stay
+  // first. Guards against whatever holds txns for long, a primary that is gone above all. May hurt where that
+  // is about to be over.
+  void makeRoom() {
+    if (terms.mostOpen == 0 || live.size() * 4 <= terms.mostOpen * 3) return;
+    std::vector<std::pair<double, TxnId>> held;
+    for (const auto& [id, txn] : live)
+      if (txn.out == 0)
+        held.emplace_back(typeOf(txn).value * hope(txn) / (txn.answerBy - now).inSeconds(), id);
+    std::sort(held.begin(), held.end());
+    for (std::size_t i = 0; i < held.size() && live.size() * 4 > terms.mostOpen * 3; ++i) {
+      giveUp(live.at(held[i].second));
+      live.erase(held[i].second);
+    }
+  }
+
   void decide() {
     // Most value to be expected for work first: what is shed is the least. As odds fall with the wait, the
     // newest of a type come first, and an overload makes few answers late.
@@ -430,12 +458,14 @@
       if (!txn.streaming)
         order.emplace_back(typeOf(txn).value * hope(txn) / usual(txn.txn.type).inSeconds(), &txn);
     std::stable_sort(order.begin(), order.end(), [](auto& a, auto& b) { return a.first > b.first; });
+    std::map<GroupId, std::size_t> ahead;  // held for a group's primary, and to be sent before
     Instant next = now + terms.roundLength * 10;  // at least: late rounds are told by the wake asked for
     for (auto& [value, txn] : order) {
       // The last rounds before expiry: the final answer must be there in time.
       const Instant last = txn->answerBy - terms.roundLength * 2;
       const bool isNew = !std::exchange(txn->weighed, true);
-      if (now >= last || (txn->out == 0 && hopeless(*txn)) || (isNew && shed(*txn))) {
+      if (now >= last || (txn->out == 0 && hopeless(*txn)) || (isNew && shed(*txn)) ||
+          queuesTooLong(*txn, ahead)) {
         giveUp(*txn);
         live.erase(TxnId(txn->txn.id));
         continue;
@@ -461,6 +491,7 @@
       for (Member* m : group.members)
         if (now - m->probedAt >= Span::millis(150) * std::max(1.0, terms.routers / 40.0)) probe(*m);
     }
+    makeRoom();
     if (live.empty() || (wakeAt > now && wakeAt <= next)) return;
     wakeAt = next;
     writer->wakeAfter(next - now);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -53,6 +53,7 @@
   bool comeBackAllowed = false;
   Span longestComeBack;
   unsigned mostSubmissions = 1;
+  std::size_t mostOpen = 0;  // txns that clients can have open here at a time; 0: any number
   double crossZonePrice = 0;  // what a submission into another zone costs, as a part of the value of a txn
   bool nodesGuard = false;  // a node turns away untouched a read that it is too far behind for
   bool sessionAgeCarried =
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -25,6 +25,15 @@
 // A router has few txns out to each node; the rest is for clients, who hold on to connections.
 constexpr std::size_t kLinksPart = 4;
 
+// Clients keep at most a third of the descriptors for txns: the deployment's word, which settings don't carry.
+constexpr std::size_t kTxnsPart = 3;
+
+Terms termsOf(const startup::Start& start) {
+  Terms terms = start.told.terms;
+  terms.mostOpen = start.descriptors / kTxnsPart;
+  return terms;
+}
+
 std::size_t linksOf(const startup::Start& start) { return (start.descriptors - kReserved) / kLinksPart; }
 
 // A quarter of the memory for statements that are held, and another for what connections keep: buffers grow
@@ -106,7 +115,7 @@
       listener_(std::make_unique<loop::Stream>(loop_, listenAt(start_.listen))),
       mostClients_(start_.descriptors - kReserved - linksOf(start_)),
       mostBytes_(bytesOf(start_)),
-      gateway_(start_.told.terms, start_.told.typeNames, start_.seed, boundsOf(start_), *this) {
+      gateway_(termsOf(start_), start_.told.typeNames, start_.seed, boundsOf(start_), *this) {
   for (const auto& type : start_.told.terms.types) longestExpiry_ = std::max(longestExpiry_, type.expiry);
 }
 
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -139,6 +139,38 @@
   });
 }
 
+void slowPrimary() {
+  auto terms = usualTerms({kWrite});
+  terms.mostOpen = 100;
+  Bench b(terms);
+  start(b);
+  b.quietProbes = true;
+  b.say("p takes 300 ms for a write, three at a time: of twenty more some are sent, the rest goes at half time");
+  TxnId id = 0;
+  for (std::int64_t now = 10; now < 1500; now += 300) {
+    b.at(now, [&](Router& r) { r.taken(b.txn(++id)); });
+    b.at(now + 290, [&](Router& r) {
+      r.ended(id, 0, "p", End::committed, true, ms(290), {Role::primary, std::nullopt}, {});
+    });
+  }
+  b.at(1600, [&](Router& r) {
+    for (int i = 0; i < 20; ++i) r.taken(b.txn(++id));
+  });
+  b.run(1605, 2650);
+}
+
+void fewConnections() {
+  auto terms = usualTerms({kWrite, kAny});
+  terms.mostOpen = 8;
+  Bench b(terms);
+  start(b);
+  b.quietProbes = true;
+  b.say("clients have connections for eight txns: p is silent, six writes may stay, reads go on");
+  for (TxnId id = 1; id <= 9; ++id)
+    b.at(static_cast<std::int64_t>(id) * 10, [&](Router& r) { r.taken(b.txn(id)); });
+  b.at(100, [&](Router& r) { r.taken(b.txn(10, 1)); });
+}
+
 void hungNode() {
   Bench b(usualTerms({kWrite, kAny}));
   start(b);
@@ -500,7 +532,7 @@
 const std::map<std::string, void (*)()> kCases{
     {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly},
     {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
-    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"dead-work", deadWork},
+    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"dead-work", deadWork},
     {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
     {"asked-list", askedList}, {"second-copy", secondCopy}, {"stall", stall},
     {"old-latencies", oldLatencies}, {"worthless", worthless}, {"told", told},
