--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -42,8 +42,9 @@
 Instant Loop::now() const { return Instant::atMicros(steadyMicros() + offsetMicros_); }
 
 void Loop::spawn(Task task) {
-  tasks_.push_back(std::move(task));
-  resume(tasks_.back().handle());
+  const auto handle = task.handle();
+  tasks_.emplace(handle.address(), std::move(task));
+  resume(handle);
 }
 
 void Loop::run(const EndOfTurn& endOfTurn, const Failed& failed) {
@@ -65,15 +66,16 @@
       at->second->wake();
     }
   }
-  for (const auto handle : std::exchange(ready_, {})) handle.resume();
-  for (auto task = tasks_.begin(); task != tasks_.end();) {
-    if (!task->done()) {
-      ++task;
-      continue;
-    }
-    if (const auto failure = task->failure()) failed(failure);
-    task = tasks_.erase(task);
-  }
+  now_.swap(ready_);
+  for (const auto handle : now_) step(handle, failed);
+  now_.clear();
+}
+
+void Loop::step(std::coroutine_handle<> handle, const Failed& failed) {
+  handle.resume();
+  if (!handle.done()) return;
+  const auto ended = tasks_.extract(handle.address());
+  if (const auto failure = ended.mapped().failure()) failed(failure);
 }
 
 void Loop::wait(Instant until) {
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <exception>
 #include <functional>
-#include <list>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -61,6 +60,7 @@
   void resume(std::coroutine_handle<> handle) { ready_.push_back(handle); }
   void wait(Instant until);
   void turn(const Failed& failed);
+  void step(std::coroutine_handle<> handle, const Failed& failed);
 
   Descriptor epoll_;
   std::int64_t offsetMicros_;  // from the steady clock to Unix time
@@ -68,9 +68,9 @@
   std::uint64_t lastId_ = 0;
   // By number: what epoll tells of a stream that was closed since must find nothing.
   std::unordered_map<std::uint64_t, Stream*> streams_;
-  std::vector<std::coroutine_handle<>> ready_;
+  std::vector<std::coroutine_handle<>> ready_, now_;  // for the next turn, and in this one
   std::multimap<Instant, Timer> timers_;
-  std::list<Task> tasks_;
+  std::unordered_map<void*, Task> tasks_;  // by the address of the frame
 };
 
 // A socket or other descriptor that tasks wait on. Edge-triggered: what it can do is remembered here until a
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -92,6 +92,7 @@
   std::map<GroupId, Group> groups;
   std::map<TxnId, Live> live;
   std::vector<Samples> latencies;                 // a row a txn type: the last few, over all members
+  mutable std::vector<Span> usuals;  // their medians, once worked out in this round
   Samples times;                                  // the last latencies of all txn types
   std::map<KindId, Samples> kinds;                // the last answers of each kind, as those of members
   Samples arrivals;                               // the last few txns taken and the time they usually take
@@ -112,7 +113,10 @@
   Span usual(std::size_t type) const {
     const auto& last = latencies[type];
     if (last.empty()) return terms.types[type].slaTime * 0.2;
-    return std::max(Span::seconds(quantile(last, outdated(last, now) ? 4 : 2)), Span::millis(1));
+    Span& known = usuals[type];
+    if (known == Span())
+      known = std::max(Span::seconds(quantile(last, outdated(last, now) ? 4 : 2)), Span::millis(1));
+    return known;
   }
 
   // How long a submission may be out before its silence counts: six times the usual, as service times spread
@@ -454,9 +458,11 @@
     // Most value to be expected for work first: what is shed is the least. As odds fall with the wait, the
     // newest of a type come first, and an overload makes few answers late.
     std::vector<std::pair<double, Live*>> order;
-    for (auto& [id, txn] : live)
-      if (!txn.streaming)
-        order.emplace_back(typeOf(txn).value * hope(txn) / usual(txn.txn.type).inSeconds(), &txn);
+    for (auto& [id, txn] : live) {
+      if (txn.streaming) continue;
+      const bool waits = txn.out == 0 || now > txn.lastSentAt + patience(txn.txn.type);
+      order.emplace_back(waits ? typeOf(txn).value * hope(txn) / usual(txn.txn.type).inSeconds() : 0, &txn);
+    }
     std::stable_sort(order.begin(), order.end(), [](auto& a, auto& b) { return a.first > b.first; });
     std::map<GroupId, std::size_t> ahead;  // held for a group's primary, and to be sent before
     Instant next = now + terms.roundLength * 10;  // at least: late rounds are told by the wake asked for
@@ -554,6 +560,7 @@
   auto& s = *state_;
   s.now = now;
   s.writer = &writer;
+  s.usuals.assign(s.latencies.size(), Span());
   // Long after the wake that was asked for: the router itself has been held up, and what it measures is its
   // own delay. Guards against pauses of the process or its machine.
   s.stalled = s.wakeAt != Instant() && now - s.wakeAt > Span::millis(50);
@@ -657,6 +664,7 @@
     auto& last = s.latencies[out.type];
     if (outdated(last, s.now)) last.clear();
     keepLast(last, {s.now, latency.inSeconds()}, 32);
+    s.usuals[out.type] = Span();
     keepLast(s.times, {s.now, latency.inSeconds()}, 64);
   }
   if (committed && !s.stalled) {
