Clients have a time limit and a bounded turn; what has left is forgotten

One read of 64 KiB could hold 13,000 messages, each answered in one turn. An id of an open txn was taken again. In the module, members, groups and kinds only grew, a group for any number a client named; 20,000 sessions were dropped at once and raised a floor for all.

Changed: a greeting, and a message once begun, must be whole within eight times the settings' limit for connections, else an error and the end, as a due time in the reducer; four messages of one client and eight new clients a turn; idle clients make room in batches. Open ids are known. A member that no list named and that said nothing for a minute is forgotten, in the reducer, too; a commit after a minute. A short read is not followed by another that finds nothing.

Tests: gateway bad-clients and forgotten, decisions forgetting.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,17 @@
 // another moment than this router, and a txn on one that the node closes at that moment may or may not run.
 constexpr double kIdlePart = 0.5;
 
+// A client's greeting, and any message once it has begun, must be whole within this many times the settings'
+// limit for connections: a message takes some turns of the network where coming up takes one.
+constexpr double kMessageTimes = 8;
+
+// Where room is wanted, one that has come this part of that limit ago and said nothing may go: a greeting
+// sets out together with the last packet that brings the connection up.
+constexpr double kFreshPart = 0.1;
+
+// What one client may have looked at in a turn. Clients that wait for their answers send one or two.
+constexpr int kMessagesATurn = 4;
+
 Instant later(Instant a, Instant b) { return std::max(a, b); }
 
 // Sessions are told apart by a number; equal keys give equal ones (FNV-1a). Two keys that share one make a
@@ -72,22 +83,42 @@
 
 void Gateway::clientOpened(Instant now, ClientId id) {
   now_ = later(now_, now);
-  clients_[id].idleSince = now_;
+  Client& client = clients_[id];
+  client.idleSince = now_;
+  awaitMessage(id, client, now_ + bounds_.connectLimit * kMessageTimes);
+}
+
+// Guards against clients that say nothing, or half of a message, and keep a descriptor and what they sent.
+// May hurt those whose network takes seconds for a message.
+void Gateway::awaitMessage(ClientId id, Client& client, Instant due) {
+  if (client.due != Instant()) clientsDue_.erase({client.due, id});
+  client.due = due;
+  if (due != Instant()) clientsDue_.insert({due, id});
 }
 
 std::size_t Gateway::clientSent(Instant now, ClientId id, std::string_view bytes) {
   now_ = later(now_, now);
   const auto size = bytes.size();
   try {
-    for (;;) {
+    for (int taken = 0;; ++taken) {
       const auto at = clients_.find(id);
       if (at == clients_.end()) return size;
       Client& client = at->second;
       if (client.txn != 0 || client.waitsForList) break;
+      if (taken == kMessagesATurn) {
+        effects_.readClient(id);
+        break;
+      }
       client.idleSince = now_;
-      const bool took =
-          client.stage == Stage::opening ? takeOpening(id, client, bytes) : takeMessage(id, client, bytes);
-      if (!took) break;
+      const bool opening = client.stage == Stage::opening;
+      if (opening ? takeOpening(id, client, bytes) : takeMessage(id, client, bytes)) {
+        if (!clients_.contains(id) || client.stage == Stage::opening) continue;
+        if (client.due != Instant()) awaitMessage(id, client, {});
+        continue;
+      }
+      if (!bytes.empty() && client.due == Instant())
+        awaitMessage(id, client, now_ + bounds_.connectLimit * kMessageTimes);
+      break;
     }
   } catch (const pg::Malformed& bad) {
     fatal(id, pg::kProtocolViolation, bad.what());
@@ -161,6 +192,8 @@
     const ReadLevel level = levels_[type->second];
     if (statement.writes != (level == ReadLevel::write))
       throw pg::BadStatement(pg::kBadValue, "the statement is not of its txn type");
+    if (openIds_.contains(statement.id))
+      throw pg::BadStatement(pg::kBadValue, "field id of the comment names a txn that is open");
     // Guards the memory limit against many long statements at a time; may hurt while nodes are slow.
     if (heldBytes_ + text.size() > bounds_.mostBytes)
       throw pg::BadStatement(pg::kDeclined, "declined: too much is held here");
@@ -183,6 +216,9 @@
     heldBytes_ += text.size();
     live.waitAt = static_cast<std::size_t>(statement.wait.data() - text.data());
     live.waitSize = statement.wait.size();
+    live.id = std::string_view(live.statement)
+                  .substr(static_cast<std::size_t>(statement.id.data() - text.data()), statement.id.size());
+    openIds_.insert(live.id);
     arrived([txn](Router& router) { router.taken(txn); });
   } catch (const pg::BadStatement& bad) { answerError(id, bad.code(), bad.what()); }
 }
@@ -225,6 +261,7 @@
   const auto at = clients_.find(id);
   if (at == clients_.end()) return;
   const TxnId txn = at->second.txn;
+  awaitMessage(id, at->second, {});
   clients_.erase(at);
   if (Live* live = owed(txn)) {
     live->client = 0;
@@ -233,23 +270,20 @@
   }
 }
 
-// One that has just come may have sent its first query already, and is not idle before it has had the time in
-// which connections come up.
-bool Gateway::isFresh(const Client& client) const {
-  return client.stage == Stage::opening && now_ - client.idleSince < bounds_.connectLimit;
+// One that has just come may have sent its first query already, and is not idle yet.
+bool Gateway::isFresh(const Client& client, Span limit) const {
+  return client.stage == Stage::opening && now_ - client.idleSince < limit;
 }
 
-bool Gateway::closeIdleClient() {
-  auto oldest = clients_.end();
-  for (auto at = clients_.begin(); at != clients_.end(); ++at) {
-    const Client& client = at->second;
-    if (client.txn == 0 && !client.waitsForList && !isFresh(client) &&
-        (oldest == clients_.end() || client.idleSince < oldest->second.idleSince))
-      oldest = at;
-  }
-  if (oldest == clients_.end()) return false;
-  dropClient(ClientId(oldest->first));
-  return true;
+bool Gateway::closeIdleClients(std::size_t most) {
+  std::vector<std::pair<Instant, ClientId>> idle;
+  for (const auto& [id, client] : clients_)
+    if (client.txn == 0 && !client.waitsForList && !isFresh(client, bounds_.connectLimit * kFreshPart))
+      idle.emplace_back(client.idleSince, id);
+  most = std::min(most, idle.size());
+  std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(most), idle.end());
+  for (std::size_t i = 0; i < most; ++i) dropClient(idle[i].second);
+  return most > 0;
 }
 
 void Gateway::refuse(Instant now, ClientId id) {
@@ -291,6 +325,7 @@
   const auto& all = at->second.submissions;
   if (!std::all_of(all.begin(), all.end(), [](auto& s) { return s.over; })) return;
   heldBytes_ -= at->second.statement.size();
+  openIds_.erase(at->second.id);
   live_.erase(at);
 }
 
@@ -312,8 +347,9 @@
   write(link, links_.at(link), job);
 }
 
-// A connection for each job that waits for one, and for which none is about to be clear. What can't be had is told as not sent, so that the module
-// decides anew. Guards against running out of descriptors; may hurt where all connections are busy.
+// A connection for each job that waits for one, and for which none is about to be clear. What can't be had is
+// told as not sent, so that the module decides anew. Guards against running out of descriptors; may hurt
+// where all connections are busy.
 void Gateway::openFor(const NodeId& id, Node& node) {
   while (node.opening + node.clearing < node.waiting.size()) {
     if (links_.size() >= bounds_.mostLinks) {
@@ -438,14 +474,15 @@
   ++node.spoilt;
   if (node.spoiltAt != Instant() && now_ - node.spoiltAt < kPause) return;
   node.spoiltAt = now_;
-  effects_.log("node " + id + " sent what can't be read: " + std::string(what) +
-               (node.spoilt > 1 ? ", " + std::to_string(node.spoilt) + " times since the last such line" : ""));
+  effects_.log(
+      "node " + id + " sent what can't be read: " + std::string(what) +
+      (node.spoilt > 1 ? ", " + std::to_string(node.spoilt) + " times since the last such line" : ""));
   node.spoilt = 0;
 }
 
 // Its answer is whole. Guards against more than that, a second copy or noise, which must not be taken for the
-// next txn's answer, however late it comes: an empty query is asked, and once its answer has come nothing older
-// is on the way. Costs a message each way; may hurt at nodes that answer empty queries late.
+// next txn's answer, however late it comes: an empty query is asked, and once its answer has come nothing
+// older is on the way. Costs a message each way; may hurt at nodes that answer empty queries late.
 void Gateway::clear(LinkId id, Link& link, bool more) {
   Node& node = nodes_.at(link.node);
   link.stage = LinkStage::clearing;
@@ -610,18 +647,21 @@
     const LinkId id = due_.begin()->second;
     const Link& link = links_.at(id);
     const bool busy = link.stage == LinkStage::busy, begun = link.answering;
-    if (link.stage == LinkStage::clearing || (busy && begun)) logSpoilt(link.node, "an answer without an end");
+    if (link.stage == LinkStage::clearing || (busy && begun))
+      logSpoilt(link.node, "an answer without an end");
     endLink(id, link.stage == LinkStage::idle                ? ConnectionEnd::retired
                 : link.stage == LinkStage::clearing || begun ? ConnectionEnd::malformed
                 : busy                                       ? ConnectionEnd::unanswered
                                                              : ConnectionEnd::neverUp);
   }
+  while (!clientsDue_.empty() && clientsDue_.begin()->first <= now_)
+    fatal(clientsDue_.begin()->second, pg::kProtocolViolation, "a message has not come whole in time");
   if (stopping_ && now_ >= stopAt_) {
     if (!std::exchange(stopped_, true)) effects_.stopListening();
     // Once more, for those that had just come and have asked for nothing since.
     std::vector<ClientId> idle;
     for (const auto& [id, client] : clients_)
-      if (client.txn == 0 && !isFresh(client)) idle.push_back(id);
+      if (client.txn == 0 && !isFresh(client, bounds_.connectLimit)) idle.push_back(id);
     for (const ClientId id : idle) dropClient(id);
   }
   if (!arrivals_.empty() || (wakeAt_ != Instant() && wakeAt_ <= now_)) {
@@ -633,6 +673,7 @@
     if (at != Instant() && (next == Instant() || at < next)) next = at;
   };
   if (!due_.empty()) sooner(due_.begin()->first);
+  if (!clientsDue_.empty()) sooner(clientsDue_.begin()->first);
   if (stopping_) sooner(stopped_ ? now_ + bounds_.connectLimit : stopAt_);
   return next;
 }
@@ -682,4 +723,15 @@
 
 void Gateway::followList() { effects_.askForList(); }
 
+void Gateway::forget(const NodeId& id) {
+  const auto node = nodes_.find(id);
+  if (node == nodes_.end() || node->second.health != Health::gone) return;  // a newer list names it
+  endWaiting(id, node->second, ConnectionEnd::nodeLeft);
+  std::vector<LinkId> left;
+  for (const auto& [link, at] : links_)
+    if (at.node == id) left.push_back(link);
+  for (const LinkId link : left) endLink(link, ConnectionEnd::nodeLeft);
+  nodes_.erase(node);
+}
+
 }  // namespace gulltrestle::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "gateway/connection_end.h"
@@ -64,8 +65,8 @@
 
   // All is answered after shutDown().
   bool finished() const { return stopped_ && clients_.empty(); }
-  // Closes the client that has been idle longest; false if none is idle.
-  bool closeIdleClient();
+  // Closes the clients that have been idle longest, some at most; false if none is idle.
+  bool closeIdleClients(std::size_t most = 1);
   void refuse(Instant now, ClientId client);  // there is no room for what it sends
   bool isWaiting(ClientId client) const;      // for an answer
 
@@ -77,6 +78,7 @@
     bool waitsForList = false;  // with an empty query
     bool sendsNoMore = false;
     Instant idleSince;
+    Instant due;  // when a message that has begun, or its greeting, must be whole; never: nothing is awaited
   };
   struct Submission {
     LinkId link = 0;  // 0: waits for a connection
@@ -88,6 +90,7 @@
     ClientId client = 0;  // 0: it has its final answer
     std::string statement;
     std::size_t waitAt = 0, waitSize = 0;  // where the digits of `d` stand
+    std::string_view id;                   // within the statement
     std::vector<Submission> submissions;
   };
   // Clearing: its answer has come; whether more than that comes is not known yet.
@@ -102,7 +105,7 @@
     Job job;
     bool written = false;
     bool answering = false;  // a part of the answer is there
-    Instant due;  // when its connecting, its job or its idling ends
+    Instant due;             // when its connecting, its job or its idling ends
   };
   struct Node {
     std::string address;
@@ -124,6 +127,7 @@
   void probe(const NodeId& node) override;
   void wakeAfter(Span after) override;
   void followList() override;
+  void forget(const NodeId& node) override;
 
   using Arrival = std::function<void(Router&)>;
   void arrived(Arrival call) { arrivals_.push_back(std::move(call)); }
@@ -138,7 +142,8 @@
   void nextOf(ClientId id);
   bool closing(ClientId id);
   void dropClient(ClientId id);
-  bool isFresh(const Client& client) const;
+  void awaitMessage(ClientId id, Client& client, Instant due);
+  bool isFresh(const Client& client, Span limit) const;
 
   void dispatch(const NodeId& id, Node& node, Job job);
   void openFor(const NodeId& id, Node& node);
@@ -164,13 +169,15 @@
   Effects& effects_;
 
   Instant now_, wakeAt_, stopAt_;
-  std::string discovery_;  // its address
+  std::string discovery_;                                        // its address
   bool listKnown_ = false, stopping_ = false, stopped_ = false;  // stopped: takes nothing new
   std::map<ClientId, Client> clients_;
   std::map<TxnId, Live> live_;
   std::map<LinkId, Link> links_;
   std::map<NodeId, Node> nodes_;
   std::set<std::pair<Instant, LinkId>> due_;
+  std::set<std::pair<Instant, ClientId>> clientsDue_;
+  std::unordered_set<std::string_view> openIds_;  // of the txns in live_
   std::vector<Arrival> arrivals_;
   std::size_t heldBytes_ = 0;  // of the statements in live_
   TxnId lastTxn_ = 0;
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -97,6 +97,7 @@
     if (at == streams_.end()) continue;
     // An error or a hang-up shows in the next read or write, too.
     if (event.events & (EPOLLHUP | EPOLLERR)) at->second->hungUp = true;
+    if (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) at->second->readEnds = true;
     if (event.events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) at->second->canRead = true;
     if (event.events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) at->second->canWrite = true;
     at->second->wake();
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -84,7 +84,8 @@
 
   int descriptor() const { return descriptor_.number(); }
   bool canRead = false, canWrite = false;
-  bool hungUp = false;  // reset, or ended in both directions
+  bool readEnds = false;  // the other side sends no more than what can be read
+  bool hungUp = false;    // reset, or ended in both directions
 
   // Resumes in a later turn, once something may have changed: it can be read or written, or wake() was
   // called. One task waits at a time.
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -59,8 +59,8 @@
   return n;
 }
 
-// What a node tells of itself beside an answer. Guards a good value against news that can't be read: these are
-// left out. May hurt by hiding a node that never tells its position: then none is known.
+// What a node tells of itself beside an answer. Guards a good value against news that can't be read: these
+// are left out. May hurt by hiding a node that never tells its position: then none is known.
 void takeStatus(std::string_view body, Answer& answer) {
   try {
     const auto name = takeText(body);
--- a/src/pg/answer.h
+++ b/src/pg/answer.h
@@ -34,8 +34,8 @@
   Report report;
 };
 
-// Takes an answer off the front of `bytes`; none if it is not whole yet. Throws Malformed as soon as the bytes
-// that are there can't begin one.
+// Takes an answer off the front of `bytes`; none if it is not whole yet. Throws Malformed as soon as the
+// bytes that are there can't begin one.
 std::optional<Answer> takeAnswer(std::string_view& bytes);
 
 // Takes the answer to an empty query off the front of `bytes`, whole or not at all. Throws Malformed on
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,9 +1,6 @@
-// The decision module of gulltrestle: every decision, table and tuned value of a router stands here.
-//
-// How to call it: a front makes a Router (router.h) from its Terms and a seed and calls round(now, feed,
-// writer) once for all that came in. The feed calls taken(), ended(), listed() and the like, which note what
-// was learnt; then what waits is placed, in order of value for work. Writer::wakeAfter asks for the next
-// round.
+// The decision module of gulltrestle: every decision, table and tuned value of a router stands here. A front
+// calls round(now, feed, writer) once for all that came in: the feed notes what was learnt, then what waits
+// is placed, in order of value for work. Writer::wakeAfter asks for the next round.
 //
 // The ordinary path (docs/design.md): among the replicas whose known position has reached a read's target one
 // is drawn at random, weight falling with smoothed latency x (1 + in flight). With none, the read is held
@@ -14,6 +11,7 @@
 #include <cmath>
 #include <map>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "base/samples.h"
@@ -27,6 +25,10 @@
   return samples.empty() || now - samples.back().at > Span::seconds(2);
 }
 
+// What has left, and what was committed, is over after a minute: no txn stays, no list is wrong, and no
+// replica of use is behind for so long.
+constexpr Span kForgetAfter = Span::seconds(60);
+
 struct Out {  // a submission that is still out
   TxnId txn;
   unsigned number;
@@ -37,6 +39,7 @@
 
 struct Member {
   ListEntry listed;  // the list's last word; startedAt is the latest that it ever said
+  Instant namedAt;   // when a list last named it as live or draining
   bool seenDraining = false, probeOut = false;
   Instant position;              // all commits up to here are known to be applied
   Span lag;                      // how far that was behind when it was told
@@ -90,9 +93,10 @@
   Span shortestBound = Span::seconds(2);  // where no type has one: sessions read soon after they write
   std::map<NodeId, Member> members;
   std::map<GroupId, Group> groups;
+  Group noGroup;  // stands for those that no member is in
   std::map<TxnId, Live> live;
   std::vector<Samples> latencies;                 // a row a txn type: the last few, over all members
-  mutable std::vector<Span> usuals;  // their medians, once worked out in this round
+  mutable std::vector<Span> usuals;               // their medians, once worked out in this round
   Samples times;                                  // the last latencies of all txn types
   std::map<KindId, Samples> kinds;                // the last answers of each kind, as those of members
   Samples arrivals;                               // the last few txns taken and the time they usually take
@@ -100,12 +104,18 @@
   std::deque<GivenUp> givenUp;                    // the last few
   std::deque<std::pair<double, bool>> patiences;  // the last, as shares of the expiry; whether others had it
   std::map<SessionId, Instant> commits;           // the last write of a session that was committed here
-  Instant commitFloor;                            // the newest commit among sessions no longer remembered
-  std::deque<double> reportAges;                  // how far the last reports' positions were behind
-  Samples told;                                   // the last that members told of txns in hand
+  std::deque<std::pair<SessionId, Instant>> remembered;  // all of them, oldest first
+  Instant commitFloor;            // the newest commit among sessions no longer remembered
+  std::deque<double> reportAges;  // how far the last reports' positions were behind
+  Samples told;                   // the last that members told of txns in hand
   Instant wakeAt, askListAt;
   bool stalled = false;  // this round comes late
 
+  // Clients may name any group: only the list makes one.
+  Group& groupOf(GroupId id) {
+    const auto found = groups.find(id);
+    return found == groups.end() ? noGroup : found->second;
+  }
   const TxnType& typeOf(const Live& txn) const { return terms.types[txn.txn.type]; }
   double draw01() { return std::uniform_real_distribution<>(0, 1)(chance); }
 
@@ -245,7 +255,7 @@
   // part of one by chance, sending on the part of a group's reads that brings latency down to the time a txn
   // may spend there. Guards a group asked for more than it can serve; may hurt where slowness is no queue.
   bool shed(const Live& txn) {
-    const double strained = typeOf(txn).level < ReadLevel::fresh ? strain(groups[txn.txn.group].strains) : 0;
+    const double strained = typeOf(txn).level < ReadLevel::fresh ? strain(groupOf(txn.txn.group).strains) : 0;
     return strained > 0.35 && draw01() > 0.35 / strained;
   }
 
@@ -265,7 +275,7 @@
   // The member last known to be primary and not leaving. Without any, the list's word, which is late.
   Member* primaryOf(GroupId group) {
     Member *best = nullptr, *listed = nullptr;
-    for (Member* m : groups[group].members) {
+    for (Member* m : groupOf(group).members) {
       if (leaving(*m)) continue;
       if (m->primaryAt > m->replicaAt && (!best || m->primaryAt > best->primaryAt)) best = m;
       if (m->listed.primary && m->replicaAt == Instant()) listed = m;
@@ -296,7 +306,7 @@
     std::vector<Member*> able;
     std::vector<double> weights;
     for (const bool again : {false, true}) {
-      for (Member* m : groups[txn.txn.group].members) {
+      for (Member* m : groupOf(txn.txn.group).members) {
         if (m == primary || (wasTried(*m, txn) && !again) || !usable(*m, txn, part)) continue;
         if (m->position < targetNow(txn) && (!unsure || now - m->behindAt < Span::millis(500))) continue;
         able.push_back(m);
@@ -325,7 +335,7 @@
     // Held for a third of the SLA time, so that the primary has time to answer; it keeps room for its writes.
     if (now < holdEnd(txn)) return nullptr;
     // Each of many routers sees room there: none goes while the last took a quarter of their SLA time.
-    const bool strained = strain(groups[txn.txn.group].primaryStrains) > 0.25;
+    const bool strained = strain(groupOf(txn.txn.group).primaryStrains) > 0.25;
     if (primary && !strained && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
     // Where nodes turn away what they are too far behind for, a replica of unknown position may be asked all
     // the same. Guards against news that come late or never; may hurt when all really are behind.
@@ -359,11 +369,12 @@
     else
       writer->rollBack(txn.txn.id);
     callOffAll(txn);
+    live.erase(TxnId(txn.txn.id));
   }
 
   void callOffAll(const Live& txn) {
     if (!terms.cancelAllowed || typeOf(txn).effect != Effect::repeatable || txn.out == 0) return;
-    for (const Member* m : groups[txn.txn.group].members)
+    for (const Member* m : groupOf(txn.txn.group).members)
       for (const Out& out : m->outs)
         if (out.txn == txn.txn.id) writer->callOff(out.txn, out.number);
   }
@@ -426,21 +437,22 @@
     for (std::size_t i = 0; i < asked.size() && i < 2; ++i) probe(*asked[i]);
   }
 
-  // Where clients have connections for so many open txns only: held for a primary that is there and slow, half
-  // of the txn's time is over, and the queue ahead takes half of the rest. Guards all others against the room
+  // Where clients have connections for so many open txns: held for a primary that is there and slow, half of
+  // the txn's time is over, and the queue ahead takes half of the rest. Guards all others against the room
   // that such a queue takes. May hurt where a slow primary is about to recover.
   bool queuesTooLong(const Live& txn, std::map<GroupId, std::size_t>& ahead) {
     const Member* primary = typeOf(txn).level < ReadLevel::fresh ? nullptr : primaryOf(txn.txn.group);
-    if (!primary || terms.mostOpen == 0 || txn.out > 0 || !well(*primary) || primary->answers.size() < 4) return false;
+    if (!primary || terms.mostOpen == 0 || txn.out > 0) return false;
+    if (!well(*primary) || primary->answers.size() < 4) return false;
     const Span each = usual(txn.txn.type) * (smoothed(*primary) / inFlightBound(*primary, 1));
     const Span queue = each * static_cast<double>(ahead[txn.txn.group]++);
-    const bool halfOver = now + terms.roundLength * 4 >= txn.takenAt + txn.txn.patience * 0.5;
-    return halfOver && queue > (txn.answerBy - now) * 0.5;
+    return queue > (txn.answerBy - now) * 0.5 &&
+           now + terms.roundLength * 4 >= txn.takenAt + txn.txn.patience * 0.5;
   }
 
-  // There, too: beyond three quarters of that room what is held goes, what earns least for the time it may stay
-  // first. Guards against whatever holds txns for long, a primary that is gone above all. May hurt where that
-  // is about to be over.
+  // There, too: beyond three quarters of that room what is held goes, what earns least for the time it may
+  // stay first. Guards against whatever holds txns for long, a primary that is gone above all. May hurt where
+  // that is about to be over.
   void makeRoom() {
     if (terms.mostOpen == 0 || live.size() * 4 <= terms.mostOpen * 3) return;
     std::vector<std::pair<double, TxnId>> held;
@@ -448,10 +460,8 @@
       if (txn.out == 0)
         held.emplace_back(typeOf(txn).value * hope(txn) / (txn.answerBy - now).inSeconds(), id);
     std::sort(held.begin(), held.end());
-    for (std::size_t i = 0; i < held.size() && live.size() * 4 > terms.mostOpen * 3; ++i) {
+    for (std::size_t i = 0; i < held.size() && live.size() * 4 > terms.mostOpen * 3; ++i)
       giveUp(live.at(held[i].second));
-      live.erase(held[i].second);
-    }
   }
 
   void decide() {
@@ -464,7 +474,7 @@
       order.emplace_back(waits ? typeOf(txn).value * hope(txn) / usual(txn.txn.type).inSeconds() : 0, &txn);
     }
     std::stable_sort(order.begin(), order.end(), [](auto& a, auto& b) { return a.first > b.first; });
-    std::map<GroupId, std::size_t> ahead;  // held for a group's primary, and to be sent before
+    std::map<GroupId, std::size_t> ahead;         // held for a group's primary, and to be sent before
     Instant next = now + terms.roundLength * 10;  // at least: late rounds are told by the wake asked for
     for (auto& [value, txn] : order) {
       // The last rounds before expiry: the final answer must be there in time.
@@ -473,7 +483,6 @@
       if (now >= last || (txn->out == 0 && hopeless(*txn)) || (isNew && shed(*txn)) ||
           queuesTooLong(*txn, ahead)) {
         giveUp(*txn);
-        live.erase(TxnId(txn->txn.id));
         continue;
       }
       next = std::min(next, last);
@@ -489,7 +498,7 @@
       // What is held is looked at again soon: room may come without a word.
       next = std::min({next, now + terms.roundLength * 4, std::max(holdEnd(*txn), now + terms.roundLength)});
       const auto level = typeOf(*txn).level;
-      Group& group = groups[txn->txn.group];
+      Group& group = groupOf(txn->txn.group);
       const Member* primary = primaryOf(txn->txn.group);
       if (level == ReadLevel::session || level == ReadLevel::bounded) probeForPosition(group, primary);
       if (primary && well(*primary)) continue;
@@ -523,12 +532,40 @@
     keepLast(told, {m.toldAt, m.inHand}, 32);
   }
 
+  // A session's commit is kept for a minute, and of 20,000 at most; then it is the floor for all sessions.
   void remember(SessionId session, Instant commit) {
-    if (commits.size() >= 20000) {  // as many as come in minutes: sessions read soon after they write
-      for (const auto& [id, at] : commits) commitFloor = std::max(commitFloor, at);
-      commits.clear();
+    Instant& last = commits[session];
+    last = std::max(last, commit);
+    remembered.emplace_back(session, last);
+    while (remembered.size() > 20000 || now - remembered.front().second > kForgetAfter) {
+      const auto [id, at] = remembered.front();
+      remembered.pop_front();
+      if (commits[id] > at) continue;  // it wrote again since
+      commitFloor = std::max(commitFloor, at);
+      commits.erase(id);
     }
-    commits[session] = std::max(commits[session], commit);
+  }
+
+  // Guards against growing with every node that ever was: one that no list has named and that said nothing
+  // for a minute is forgotten, unless a submission is out there. May hurt one that drained and is listed
+  // again as it was, after longer than that.
+  void forgetLongGone() {
+    std::erase_if(members, [&](auto& entry) {
+      const Member& m = entry.second;
+      const bool old = now - std::max(m.namedAt, m.heardAt) > kForgetAfter;
+      if (m.listed.health != Health::gone || !old || !m.outs.empty()) return false;
+      for (auto& [id, txn] : live) {
+        std::erase(txn.tried, &m);
+        if (txn.erredAt == &m) txn.erredAt = nullptr;
+      }
+      std::erase(groupOf(m.listed.group).members, &m);
+      writer->forget(entry.first);
+      return true;
+    });
+    std::erase_if(groups, [](auto& group) { return group.second.members.empty(); });
+    std::set<KindId> used;
+    for (const auto& [id, m] : members) used.insert(m.listed.kind);
+    std::erase_if(kinds, [&](auto& kind) { return !used.contains(kind.first); });
   }
 
   Instant targetOf(const Txn& txn) const {
@@ -584,6 +621,7 @@
     Member& m = at->second;
     const bool started = entry.startedAt > m.listed.startedAt;
     const Instant startedAt = std::max(entry.startedAt, m.listed.startedAt);
+    if (isNew || entry.health != Health::gone) m.namedAt = s.now;
     m.listed = entry;
     m.listed.startedAt = startedAt;
     m.seenDraining = entry.health == Health::draining || (m.seenDraining && !started);
@@ -597,6 +635,7 @@
     m.answers.clear();
     m.replicaAt = std::max(m.replicaAt, startedAt);
   }
+  s.forgetLongGone();
 }
 
 void Router::listFailed() {
@@ -629,7 +668,7 @@
 }
 
 void Router::streamStarted(TxnId id) {
-  if (const auto found = state_->live.find(id); found != state_->live.end()) found->second.streaming = true;
+  if (const auto at = state_->live.find(id); at != state_->live.end()) at->second.streaming = true;
 }
 
 void Router::ended(TxnId id, unsigned submission, const NodeId& node, End how, bool txnOver, Span latency,
@@ -673,7 +712,7 @@
     keepLast(m.answers, multiple, 16);
     keepLast(s.kinds[m.listed.kind], multiple, 64);
   }
-  Group& group = s.groups[m.listed.group];
+  Group& group = s.groupOf(m.listed.group);
   if ((committed || how == End::turnedAway) && !s.stalled)
     keepLast(m.primaryAt > m.replicaAt ? group.primaryStrains : group.strains,
              {s.now, committed ? latency / type.slaTime : 1}, 16);
@@ -683,7 +722,7 @@
   if (committed || (failed && !s.stalled)) keepLast(m.successes, committed, 8);
   if (how == End::error) s.erred(m, txn);
   if (!txn) return;
-  if (txn->out > 0) --txn->out;
+  txn->out -= txn->out > 0;
   const bool ran = unanswered || how == End::error || how == End::connectionLost;
   if (ran && txn->mayHaveRunAt == Instant()) txn->mayHaveRunAt = out.sentAt;
   if (commit && txn->txn.session) s.remember(*txn->txn.session, answer.position.value_or(s.now));
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -129,6 +129,8 @@
   virtual void probe(const NodeId& node) = 0;
   virtual void wakeAfter(Span after) = 0;
   virtual void followList() = 0;
+  // The node left long ago and is known no more: nothing goes there unless a list names it again.
+  virtual void forget(const NodeId& node) = 0;
 };
 
 class Router {
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -25,7 +25,8 @@
 // A router has few txns out to each node; the rest is for clients, who hold on to connections.
 constexpr std::size_t kLinksPart = 4;
 
-// Clients keep at most a third of the descriptors for txns: the deployment's word, which settings don't carry.
+// Clients keep at most a third of the descriptors for txns: the deployment's word, which settings don't
+// carry.
 constexpr std::size_t kTxnsPart = 3;
 
 Terms termsOf(const startup::Start& start) {
@@ -44,6 +45,11 @@
   return {start.told.idleLimit, start.told.connectLimit, linksOf(start), bytesOf(start)};
 }
 
+// Of the clients that are idle this part makes room at a time: one by one each costs a look at all.
+constexpr std::size_t kRoomPart = 32;
+// New clients that are taken in a turn: those that are there come first where many knock at once.
+constexpr int kAcceptsATurn = 8;
+
 // What a client sends ahead of an answer: some short statements, or the begin of a long one.
 constexpr std::size_t kMostAhead = 16 * 1024;
 
@@ -260,6 +266,8 @@
   if (got.how == Io::ended) from.ended = true;
   if (got.how == Io::failed) from.broken = true;
   if (got.how != Io::some) return;
+  // A short read has taken all there was; what comes next is told, and an end was if it was there.
+  if (got.size < buffer_.size() && !from.stream.readEnds) from.stream.canRead = false;
   std::string_view bytes(buffer_.data(), got.size);
   if (!from.kept.empty()) bytes = from.kept.append(bytes);
   const auto used = take(bytes);
@@ -275,31 +283,35 @@
 // where none is idle the new one is declined. May hurt clients that come back often, which connect anew each
 // time.
 loop::Task Server::acceptClients() {
+  int taken = 0;  // in this turn
   // What the kernel has accepted when this ends is taken, too.
   for (bool accepting = true; accepting;) {
     const bool full = clients_.size() >= mostClients_;
-    if (full && gateway_.closeIdleClient()) {
+    const bool makesRoom = full && gateway_.closeIdleClients(1 + mostClients_ / kRoomPart);
+    if (makesRoom || ++taken > kAcceptsATurn) {
+      taken = 0;
       listener_->wake();
       co_await listener_->changed();
       continue;
     }
-    loop::Descriptor taken;
-    const Io how = loop::accept(listener_->descriptor(), taken);
+    loop::Descriptor descriptor;
+    const Io how = loop::accept(listener_->descriptor(), descriptor);
     if (how == Io::some && full) {
       const std::string answer = pg::error("FATAL", pg::kDeclined, "declined: too many clients");
       const std::string_view part = answer;
-      loop::writeFrom(taken.number(), {&part, 1});
+      loop::writeFrom(descriptor.number(), {&part, 1});
     } else if (how == Io::some) {
       clients_.emplace(++lastClient_, nullptr);
-      loop_.spawn(serveClient(lastClient_, std::move(taken)));
+      loop_.spawn(serveClient(lastClient_, std::move(descriptor)));
     } else if (how == Io::wouldBlock) {
       accepting = accepting_;
+      taken = 0;
       if (accepting) co_await listener_->changed();
     } else {
       // A pause, lest it spins: what is in the way goes as clients and nodes come and go.
       spdlog::warn("no new client can be taken: {}",
                    how == Io::noDescriptor ? "no descriptor is left" : "the listening socket failed");
-      gateway_.closeIdleClient();
+      gateway_.closeIdleClients();
       co_await loop_.sleepUntil(loop_.now() + Span::millis(10));
     }
   }
@@ -329,15 +341,18 @@
           break;
         }
       } else if (std::exchange(client.offer, false)) {
-        client.kept.erase(0, take(client.kept));
-        account(client);
-        if (client.ended) gateway_.clientSendsNoMore(loop_.now(), id);
-        continue;
+        if (!client.kept.empty()) {
+          client.kept.erase(0, take(client.kept));
+          account(client);
+        }
+        if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
+        if (!client.offer) continue;
+        client.stream.wake();  // the rest in another turn: the others have theirs
       } else if (client.stream.canRead && !client.ended && mayKeep(id, client)) {
         read(client, take);
-        if (client.ended) gateway_.clientSendsNoMore(loop_.now(), id);
+        if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
         // One read a turn: the others have theirs.
-        if (client.stream.canRead || client.broken) client.stream.wake();
+        if (client.stream.canRead || client.broken || client.offer) client.stream.wake();
       }
       co_await client.stream.changed();
     }
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -160,6 +160,7 @@
   void probe(const NodeId& node) override { line("SAMPLE", " node=", node); }
   void wakeAfter(Span after) override { line("REMIND", " after=", after.inMicros(), " name=", 0); }
   void followList() override { line("SUBSCRIBE", " active=", 1); }
+  void forget(const NodeId&) override {}  // nothing is kept of nodes here
 
  private:
   template <typename... Parts>
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -145,7 +145,9 @@
   Bench b(terms);
   start(b);
   b.quietProbes = true;
-  b.say("p takes 300 ms for a write, three at a time: of twenty more some are sent, the rest goes at half time");
+  b.say(
+      "p takes 300 ms for a write, three at a time: of twenty more some are sent, the rest goes at half "
+      "time");
   TxnId id = 0;
   for (std::int64_t now = 10; now < 1500; now += 300) {
     b.at(now, [&](Router& r) { r.taken(b.txn(++id)); });
@@ -159,6 +161,49 @@
   b.run(1605, 2650);
 }
 
+void forgetting() {
+  auto terms = usualTerms({kAny, kSession, kWrite});
+  terms.sessionAgeCarried = false;
+  Bench b(terms);
+  start(b);
+  b.quietProbes = true;
+  b.say("a leaves the list while a read is out there, b has left before: a goes a minute after it was heard");
+  b.at(10, [&](Router& r) { r.listed(ListKind::changes, {b.entry("b", false, Health::gone)}); });
+  b.at(20, [&](Router& r) { r.taken(b.txn(1, 0)); });
+  b.at(30, [&](Router& r) {
+    r.listed(ListKind::changes, {b.entry("a", false, Health::gone), b.entry("c")});
+  });
+  b.at(1000, [&](Router& r) { end(b, r, 1, End::committed); });
+  for (const std::int64_t at : {60005, 60015, 60995, 61005})
+    b.at(at, [&](Router& r) { r.listed(ListKind::changes, {b.entry("c")}); });
+  b.say("a session's write of a minute ago is the least that any session reads");
+  b.at(61010, [&](Router& r) {
+    r.probed("p", End::committed, b.standing(Role::primary, 61000));
+    r.probed("c", End::committed, b.standing(Role::replica, 61000));
+  });
+  const auto writes = [&](std::int64_t at, TxnId id, SessionId session) {
+    Txn txn = b.txn(id, 2);
+    txn.session = session;
+    b.at(at, [&](Router& r) { r.taken(txn); });
+    b.at(at + 5, [&](Router& r) {
+      r.ended(id, 0, "p", End::committed, true, ms(5), {Role::primary, b.instant(at + 2)}, {});
+    });
+  };
+  writes(61020, 2, 7);
+  writes(121100, 3, 8);
+  b.at(121120, [&](Router& r) { r.taken(b.sessionRead(4, 1, 0, 99)); });
+  b.at(121125, [&](Router& r) { r.probed("c", End::committed, b.standing(Role::replica, 61050)); });
+  b.say("groups that no list names leave nothing behind and take nothing from others");
+  b.at(121130, [&](Router& r) {
+    for (TxnId id = 10; id < 13; ++id) {
+      Txn txn = b.txn(id, 0);
+      txn.group = id;
+      r.taken(txn);
+    }
+  });
+  b.run(121135, 122000);
+}
+
 void fewConnections() {
   auto terms = usualTerms({kWrite, kAny});
   terms.mostOpen = 8;
@@ -532,7 +577,7 @@
 const std::map<std::string, void (*)()> kCases{
     {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly},
     {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
-    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"dead-work", deadWork},
+    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"forgetting", forgetting}, {"dead-work", deadWork},
     {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
     {"asked-list", askedList}, {"second-copy", secondCopy}, {"stall", stall},
     {"old-latencies", oldLatencies}, {"worthless", worthless}, {"told", told},
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -44,8 +44,8 @@
 
 std::string row(std::string_view value, std::string_view told = {}) {
   return pg::message('T', std::string("\0\1body\0", 7) + std::string(18, '\0')) +
-         pg::message('D', column(value)) + pg::message('C', std::string("SELECT 1") + '\0') + std::string(told) +
-         pg::readyForQuery();
+         pg::message('D', column(value)) + pg::message('C', std::string("SELECT 1") + '\0') +
+         std::string(told) + pg::readyForQuery();
 }
 
 std::string query(std::string_view text) { return pg::message('Q', std::string(text) + '\0'); }
@@ -71,7 +71,7 @@
 
   void say(const std::string& text) { std::cout << "-- " << text << "\n"; }
   bool writesWhole = true;  // else the last byte stays unwritten until written()
-  bool showProbes = false;
+  bool showProbes = false, showReads = false;
   bool clears = true;  // nodes answer the empty queries that ask whether more than an answer comes
 
   // Events.
@@ -131,7 +131,7 @@
   }
   std::int64_t unixMs() const { return now_.inMicros() / 1000; }
   bool finished() const { return gateway_.finished(); }
-  bool closeIdle() { return gateway_.closeIdleClient(); }
+  bool closeIdle(std::size_t most = 1) { return gateway_.closeIdleClients(most); }
   // The link that was opened last, of all or to a node.
   LinkId last() const { return last_; }
   LinkId to(const std::string& node) { return lastTo_[addressOf(node)]; }
@@ -182,7 +182,10 @@
   void writeClient(ClientId client, Parts parts) override {
     line() << "to c" << client << ":" << shown(joined(parts)) << "\n";
   }
-  void readClient(ClientId client) override { offered_.push_back(client); }
+  void readClient(ClientId client) override {
+    if (showReads) line() << "read on from c" << client << "\n";
+    offered_.push_back(client);
+  }
   void closeClient(ClientId client) override { line() << "close c" << client << "\n"; }
   void stopListening() override { line() << "stop listening\n"; }
   void askForList() override { line() << "ask for the list\n"; }
@@ -395,10 +398,10 @@
   const std::string good = row("body");
   s.say("each may have run, and is found as early as its bytes allow: a type, a length, a row's length");
   s.open(1);
-  for (const auto& [id, bytes] :
-       {std::pair<const char*, std::string>{"a", "x"}, {"b", std::string("T\0\1\0\0", 5)},
-        {"c", good.substr(0, 30) + "D" + std::string("\xb2\xd0\x5e\0", 4)},
-        {"d", good.substr(0, good.find('D') + 7) + std::string("\0\0\0\5", 4)}}) {
+  for (const auto& [id, bytes] : {std::pair<const char*, std::string>{"a", "x"},
+                                  {"b", std::string("T\0\1\0\0", 5)},
+                                  {"c", good.substr(0, 30) + "D" + std::string("\xb2\xd0\x5e\0", 4)},
+                                  {"d", good.substr(0, good.find('D') + 7) + std::string("\0\0\0\5", 4)}}) {
     s.sent(1, write(std::string("good-") + id));
     s.up(s.to("p"));
     s.answers(s.to("p"), good);
@@ -423,6 +426,60 @@
   }
 }
 
+void badClients() {
+  Sockets s;
+  s.say("one says nothing, one half of its greeting, one half of a query, one asks for encryption only");
+  s.accepted(1, "");
+  s.accepted(2, pg::startup("worker", "catalog").substr(0, 9));
+  s.open(3, read("aa").substr(0, 20));
+  s.accepted(4, std::string("\0\0\0\10\4\322\26\57", 8));
+  s.open(5);
+  s.pass(1999);
+  s.say("the half query goes on: it counts from its begin; one that asks for nothing may stay");
+  s.sent(3, read("aa").substr(20, 20));
+  s.pass(1);
+  s.say("the id of another client's open txn: an error, and that txn its own answer; later the id is free");
+  s.open(6, read("bb"));
+  s.open(7, read("bb"));
+  s.up(1);
+  s.answers(1, row("body"));
+  s.sent(7, read("bb"));
+  s.answers(1, row("again"));
+  s.say("ten messages at once: some in a turn");
+  s.showReads = true;
+  std::string many;
+  for (int i = 0; i < 10; ++i) many += pg::message('S', "");
+  s.sent(7, many + read("cc"));
+  s.answers(1, row("third"));
+  s.showReads = false;
+  s.say("full: those that said nothing make room once they had time for it, then the idle ones");
+  s.accepted(8, "");
+  s.pass(24);
+  std::cout << s.closeIdle(2) << "\n";
+  s.accepted(9, "");
+  s.pass(1);
+  std::cout << s.closeIdle(9) << "\n";
+  s.pass(2000);
+}
+
+void forgotten() {
+  Sockets s;
+  s.say("a is not reached, drains and leaves, b comes: a comes back after a minute, as one that is new");
+  s.open(1, read("aa"));
+  s.ended(1, ConnectionEnd::refused);
+  s.pass(1000);
+  s.list(ListKind::changes, {"a"}, Health::draining);
+  s.list(ListKind::changes, {"a"}, Health::gone);
+  s.list(ListKind::changes, {"b"});
+  s.pass(61000);
+  s.list(ListKind::changes, {"b"});
+  s.list(ListKind::changes, {"a"});
+  s.list(ListKind::changes, {"b"}, Health::draining);
+  s.sent(1, read("bb"));
+  s.up(s.to("a"));
+  s.answers(s.to("a"), row("body"));
+}
+
 void calledOff() {
   Sockets s;
   s.list(ListKind::changes, {"b"});
@@ -599,6 +656,8 @@
                                                 {"never-ran", neverRan},
                                                 {"may-have-run", mayHaveRun},
                                                 {"idle-links", idleLinks},
+                                                {"bad-clients", badClients},
+                                                {"forgotten", forgotten},
                                                 {"leftovers", leftovers},
                                                 {"spoilt", spoilt},
                                                 {"called-off", calledOff},
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -172,7 +172,8 @@
 std::string text(std::string_view bytes) { return std::string(bytes) + '\0'; }
 
 void testPg() {
-  const std::string description = pg::message('T', std::string("\0\1d\0", 4) + std::string(18, '\0')), done = pg::message('C', text("SELECT 1"));
+  const std::string description = pg::message('T', std::string("\0\1d\0", 4) + std::string(18, '\0')),
+                    done = pg::message('C', text("SELECT 1"));
   const std::string value = pg::message('D', std::string("\0\1\0\0\0\2ab", 8));
   const std::string told = pg::message('S', text("part") + text("replica")) +
                            pg::message('S', text("caught_up_to") + text("1767225600123")) +
@@ -183,16 +184,28 @@
       pg::error("FATAL", "57P03", "starting") + "rest",
       description + value + done + pg::readyForQuery() + description};
   for (const auto& bytes : texts) everySplit(parseAnswer, bytes);
-  for (const std::string& bytes :
-       {description + done + pg::readyForQuery(), value, description + value + value, pg::message('G', ""),
-        description + pg::message('D', std::string("\0\2\0\0\0\0", 6)), pg::message('E', text("Cno")),
-        description + pg::message('D', std::string("\0\1\377\377\377\377", 6)), std::string("T\0\0\0\3", 5),
-        std::string("D\177\0\0\0", 5), pg::message('S', text("caught_up_to") + text("-1")),
-        pg::message('S', text("gauges") + text("x0=nan")), pg::message('S', "part"),
-        pg::message('S', text("gauges") + text("x0")), pg::message('T', "d"),
-        pg::message('T', std::string("\0\2d\0", 4) + std::string(18, '\0')), std::string("x"), std::string("C"),
-        description + std::string("D\0\0\0\14\0\1\0\0\0\3", 11), description + value + pg::message('C', "x"),
-        description + value + done + value, std::string("T\0\1\0\0", 5), std::string("Z\0\0\0\6", 5)})
+  for (const std::string& bytes : {description + done + pg::readyForQuery(),
+                                   value,
+                                   description + value + value,
+                                   pg::message('G', ""),
+                                   description + pg::message('D', std::string("\0\2\0\0\0\0", 6)),
+                                   pg::message('E', text("Cno")),
+                                   description + pg::message('D', std::string("\0\1\377\377\377\377", 6)),
+                                   std::string("T\0\0\0\3", 5),
+                                   std::string("D\177\0\0\0", 5),
+                                   pg::message('S', text("caught_up_to") + text("-1")),
+                                   pg::message('S', text("gauges") + text("x0=nan")),
+                                   pg::message('S', "part"),
+                                   pg::message('S', text("gauges") + text("x0")),
+                                   pg::message('T', "d"),
+                                   pg::message('T', std::string("\0\2d\0", 4) + std::string(18, '\0')),
+                                   std::string("x"),
+                                   std::string("C"),
+                                   description + std::string("D\0\0\0\14\0\1\0\0\0\3", 11),
+                                   description + value + pg::message('C', "x"),
+                                   description + value + done + value,
+                                   std::string("T\0\1\0\0", 5),
+                                   std::string("Z\0\0\0\6", 5)})
     std::cout << whole(parseAnswer, bytes) << "\n";
   random(parseAnswer, texts);
 }
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -140,8 +140,9 @@
 std::string row(std::string_view value) {
   std::string body("\0\1", 2);
   for (int shift = 24; shift >= 0; shift -= 8) body += static_cast<char>(value.size() >> shift & 0xFF);
-  return pg::message('T', std::string("\0\1t\0", 4) + std::string(18, '\0')) + pg::message('D', body + std::string(value)) +
-         pg::message('C', std::string("SELECT 1") + '\0') + pg::readyForQuery();
+  return pg::message('T', std::string("\0\1t\0", 4) + std::string(18, '\0')) +
+         pg::message('D', body + std::string(value)) + pg::message('C', std::string("SELECT 1") + '\0') +
+         pg::readyForQuery();
 }
 
 void pause(int millis) { std::this_thread::sleep_for(std::chrono::milliseconds(millis)); }
@@ -253,13 +254,17 @@
 };
 
 std::string query(std::string_view text) { return pg::message('Q', std::string(text) + '\0'); }
+std::string nextId() {
+  static std::atomic<int> last = 0;
+  return "id=" + std::to_string(++last);
+}
 std::string read(const std::string& key, int wait = 9000) {
-  return query("SELECT body FROM objects WHERE oid = '" + key + "' /* id=1,c=read,d=" + std::to_string(wait) +
-               ",cluster=1 */");
+  return query("SELECT body FROM objects WHERE oid = '" + key + "' /* " + nextId() +
+               ",c=read,d=" + std::to_string(wait) + ",cluster=1 */");
 }
 std::string write(std::size_t bytes, const std::string& key = "k") {
   return query("INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x" + std::string(2 * bytes, '7') +
-               "') RETURNING body /* id=1,c=write,d=9000,cluster=1 */");
+               "') RETURNING body /* " + nextId() + ",c=write,d=9000,cluster=1 */");
 }
 
 void values() {
@@ -442,8 +447,11 @@
   std::signal(SIGHUP, SIG_IGN);  // as a router may be started
   pthread_sigmask(SIG_BLOCK, &ends, nullptr);
   spdlog::set_level(spdlog::level::off);
-  const std::map<std::string, void (*)()> cases{
-      {"values", values}, {"crowd", crowd}, {"ending", ending}, {"discovered", discovered}, {"reload", reload}};
+  const std::map<std::string, void (*)()> cases{{"values", values},
+                                                {"crowd", crowd},
+                                                {"ending", ending},
+                                                {"discovered", discovered},
+                                                {"reload", reload}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
   if (found == cases.end()) return 2;
   found->second();
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -123,6 +123,7 @@
     if (after >= ms(1000)) out_ << " wake after " << after.inMicros() / 1000 << ";";
   }
   void followList() override { out_ << " follow the list;"; }
+  void forget(const NodeId& node) override { out_ << " forget " << node << ";"; }
 
   Router router_;
   Instant now_;
