Writes on silent connections keep no place; times follow the shortest SLA time where it is short

A trace of the module: a healthy primary with 3 of 3 places taken and 45 to 100 writes held.

Changed: where each submission has a connection, what is out while something sent more than its patience later was answered keeps no place. Times in milliseconds shrink with a shortest SLA time under 200 ms. A position ahead of the clock says nothing.

Ruled out: CPU (0.8 of 6 s), connections to nodes.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -25,8 +25,7 @@
   return samples.empty() || now - samples.back().at > Span::seconds(2);
 }
 
-// What has left, and what was committed, is over after a minute: no txn stays, no list is wrong, and no
-// replica of use is behind for so long.
+// What has left, and what was committed, is over after this: no txn, wrong list or lag lasts so long.
 constexpr Span kForgetAfter = Span::seconds(60);
 
 struct Out {  // a submission that is still out
@@ -47,10 +46,10 @@
   Instant heardAt, probedAt;
   Instant toldAt;  // when it last told how many txns it has in hand
   double inHand = 0;
-  Instant fullAt, behindAt;  // when it last turned a txn away unseen; a read, for being too far behind
-  Instant triedAt;           // the last submission while it was judged unwell
-  Instant coldUntil;         // while cold, it gets its next txn after this
-  Samples answers;           // latencies as multiples of what is usual for the txn type
+  Instant fullAt, behindAt;     // when it last turned a txn away unseen; a read, for being too far behind
+  Instant overtookAt, triedAt;  // when the last it answered was sent; when it was last tried while unwell
+  Instant coldUntil;            // while cold, it gets its next txn after this
+  Samples answers;              // latencies as multiples of what is usual for the txn type
   std::deque<bool> successes;
   unsigned errorsInARow = 0;
   std::vector<Out> outs;
@@ -58,9 +57,8 @@
 
 struct Group {
   std::vector<Member*> members;
-  Instant askedAt;         // when its replicas were last probed for held reads
-  Samples strains;         // the last latencies of reads at its replicas, as parts of the SLA time
-  Samples primaryStrains;  // and of all at its primary
+  Instant askedAt;                  // when its replicas were last probed for held reads
+  Samples strains, primaryStrains;  // the last latencies of its replicas, its primary, by SLA time
 };
 
 struct Live {  // a txn that is owed its final answer
@@ -129,9 +127,14 @@
     return known;
   }
 
+  // Times that were tuned where the shortest SLA time is 200 ms or more; where txns are quicker, all is.
+  Span paced(std::int64_t millis) const {
+    return Span::millis(millis) * std::min(1.0, shortestSla / Span::millis(200));
+  }
+
   // How long a submission may be out before its silence counts: six times the usual, as service times spread
   // widely; 200 ms at least, so that a few quick answers don't make it nervous.
-  Span patience(std::size_t type) const { return std::max(usual(type) * 6, Span::millis(200)); }
+  Span patience(std::size_t type) const { return std::max(usual(type) * 6, paced(200)); }
 
   // The part of the last submissions that were answered within `left`, and one more, so that few leave hope.
   double chanceWithin(std::size_t type, Span left) const {
@@ -168,16 +171,25 @@
     return dated ? expiry - txn.patience : Span();
   }
 
+  // Own ones, but for those left behind where each has a connection: what was sent long after them has been
+  // answered. Guards a node's places against connections that fall silent one by one; may hurt where it is
+  // the work that takes long, as in one queue it can't.
+  double inFlight(const Member& m) const {
+    return static_cast<double>(std::count_if(m.outs.begin(), m.outs.end(), [&](const Out& out) {
+      return !terms.ownConnections || m.overtookAt - out.sentAt <= patience(out.type);
+    }));
+  }
+
   // Txns in flight to a member. Own ones are next to nothing at one of many routers: what members tell counts
   // where it is more, turning into the mean of what all told within 2 s. Not asked is not idle.
   double load(const Member& m) const {
     const double others = outdated(told, now) ? 0 : mean(told);
     const double fresh = std::max(0.0, 1 - (now - m.toldAt).inSeconds() / 2);
-    return std::max(others + (m.inHand - others) * fresh, static_cast<double>(m.outs.size()));
+    return std::max(others + (m.inHand - others) * fresh, inFlight(m));
   }
 
-  // The mean of the member's last answers. As a router with few txns has next to none, the mean of all
-  // members of its kind counts as four more.
+  // The mean of the member's last answers, and of four that are as usual for its kind: it may have next to
+  // none.
   double smoothed(const Member& m) const {
     const auto& alike = kinds.at(m.listed.kind);
     return std::max(
@@ -262,14 +274,12 @@
   bool usable(Member& m, const Live& txn, double part = 1) {
     // Of few routers each leaves half the room of a replica on its way out of the bound, to apply the log.
     if (!oneOfMany() && m.lag > shortestBound * 0.33 && m.lag < shortestBound * 1.2) part *= 0.5;
-    if (leaving(m) || static_cast<double>(m.outs.size()) >= inFlightBound(m, part)) return false;
+    if (leaving(m) || inFlight(m) >= inFlightBound(m, part)) return false;
     // One that was full rests for a quarter of a second: what it turns away takes work, too.
-    if (now - m.fullAt < Span::millis(250) || crowded(m) || !coldRoom(m, txn.txn.type)) return false;
-    // An unwell node gets a trial with a repeatable txn, four a second over all routers: few, as it may be
-    // full.
-    const bool trialDue = now - m.triedAt > Span::millis(250) * terms.routers;
+    if (now - m.fullAt < paced(250) || crowded(m) || !coldRoom(m, txn.txn.type)) return false;
+    // An unwell node gets a trial with a repeatable txn, four a second over all routers: it may be full.
     const bool mayFail = typeOf(txn).effect == Effect::repeatable && typeOf(txn).level != ReadLevel::fresh;
-    return well(m) || (trialDue && mayFail);
+    return well(m) || (mayFail && now - m.triedAt > paced(250) * terms.routers);
   }
 
   // The member last known to be primary and not leaving. Without any, the list's word, which is late.
@@ -297,9 +307,8 @@
   // not for half a second after one turned a read away: it catches up no faster.
   Member* draw(const Live& txn, const Member* primary, bool unsure) {
     // An any read whose SLA time is four times the shortest takes long, and is put where it keeps nothing
-    // fresh from being applied: on replicas that told they are behind the bound, else on the first in the
-    // order of ids, as all routers do; on one more for each third of its SLA time that it takes. May hurt by
-    // filling it.
+    // fresh from being applied: on replicas that told they are behind the bound, else on the first by id, as
+    // all routers do; on one more for each third of its SLA time that it takes. May hurt by filling it.
     const TxnType& type = typeOf(txn);
     const bool longRead = type.level == ReadLevel::any && type.slaTime >= shortestSla * 4;
     const double part = longRead ? type.slaTime / shortestSla : 1;
@@ -308,7 +317,7 @@
     for (const bool again : {false, true}) {
       for (Member* m : groupOf(txn.txn.group).members) {
         if (m == primary || (wasTried(*m, txn) && !again) || !usable(*m, txn, part)) continue;
-        if (m->position < targetNow(txn) && (!unsure || now - m->behindAt < Span::millis(500))) continue;
+        if (m->position < targetNow(txn) && (!unsure || now - m->behindAt < paced(500))) continue;
         able.push_back(m);
         const double zone = m->listed.sameZone ? 1 : std::max(0.01, 1 - terms.crossZonePrice * 10);
         weights.push_back(warmth(*m) * zone / (smoothed(*m) * (1 + load(*m))));
@@ -347,8 +356,7 @@
   void submit(Live& txn, Member& m) {
     if (!well(m)) m.triedAt = now;
     if (warmth(m) < 1) m.coldUntil = now + coldGap(m, txn.txn.type);
-    m.outs.push_back({txn.txn.id, txn.submissions, txn.txn.type, now, targetNow(txn)});
-    ++txn.submissions;
+    m.outs.push_back({txn.txn.id, txn.submissions++, txn.txn.type, now, targetNow(txn)});
     ++txn.out;
     txn.lastSentAt = now;
     txn.tried.push_back(&m);
@@ -425,11 +433,11 @@
   // next two 25 ms later, each once in 100 ms, about as often as reports are renewed. Chance decides between
   // equals: else all routers would ask, and crowd, the same two.
   void probeForPosition(Group& group, const Member* primary) {
-    if (now - group.askedAt < Span::millis(25)) return;
+    if (now - group.askedAt < paced(25)) return;
     group.askedAt = now;
     auto asked = group.members;
     std::erase_if(asked, [&](const Member* m) {
-      return m == primary || leaving(*m) || !well(*m) || now - m->probedAt < Span::millis(100);
+      return m == primary || leaving(*m) || !well(*m) || now - m->probedAt < paced(100);
     });
     std::shuffle(asked.begin(), asked.end(), chance);
     const auto lately = [&](const Member* m) { return std::max(m->position, now - Span::seconds(1)); };
@@ -442,8 +450,7 @@
   // that such a queue takes. May hurt where a slow primary is about to recover.
   bool queuesTooLong(const Live& txn, std::map<GroupId, std::size_t>& ahead) {
     const Member* primary = typeOf(txn).level < ReadLevel::fresh ? nullptr : primaryOf(txn.txn.group);
-    if (!primary || terms.mostOpen == 0 || txn.out > 0) return false;
-    if (!well(*primary) || primary->answers.size() < 4) return false;
+    if (!primary || terms.mostOpen == 0 || txn.out > 0 || !well(*primary)) return false;
     const Span each = usual(txn.txn.type) * (smoothed(*primary) / inFlightBound(*primary, 1));
     const Span queue = each * static_cast<double>(ahead[txn.txn.group]++);
     return queue > (txn.answerBy - now) * 0.5 &&
@@ -451,8 +458,7 @@
   }
 
   // There, too: beyond three quarters of that room what is held goes, what earns least for the time it may
-  // stay first. Guards against whatever holds txns for long, a primary that is gone above all. May hurt where
-  // that is about to be over.
+  // stay first. Guards against whatever holds txns for long; may hurt where that is about to be over.
   void makeRoom() {
     if (terms.mostOpen == 0 || live.size() * 4 <= terms.mostOpen * 3) return;
     std::vector<std::pair<double, TxnId>> held;
@@ -504,7 +510,7 @@
       if (primary && well(*primary)) continue;
       // The primary is looked for: each member once in 150 ms, for up to 40 routers; more share.
       for (Member* m : group.members)
-        if (now - m->probedAt >= Span::millis(150) * std::max(1.0, terms.routers / 40.0)) probe(*m);
+        if (now - m->probedAt >= paced(150) * std::max(1.0, terms.routers / 40.0)) probe(*m);
     }
     makeRoom();
     if (live.empty() || (wakeAt > now && wakeAt <= next)) return;
@@ -516,6 +522,7 @@
     if (said.role == Role::primary) m.primaryAt = std::max(m.primaryAt, at);
     if (said.role == Role::replica) m.replicaAt = std::max(m.replicaAt, at);
     if (!said.position || *said.position - roundedUp < m.position) return;
+    if (*said.position > now + Span::seconds(1)) return;  // one clock serves all: none can be ahead of it
     m.position = *said.position - roundedUp;
     m.lag = said.role == Role::primary ? Span() : now - m.position;
   }
@@ -547,8 +554,7 @@
   }
 
   // Guards against growing with every node that ever was: one that no list has named and that said nothing
-  // for a minute is forgotten, unless a submission is out there. May hurt one that drained and is listed
-  // again as it was, after longer than that.
+  // for a minute is forgotten, unless a submission is out there. May hurt one that drained and is back later.
   void forgetLongGone() {
     std::erase_if(members, [&](auto& entry) {
       const Member& m = entry.second;
@@ -590,8 +596,6 @@
   }
 }
 Router::~Router() = default;
-Router::Router(Router&&) noexcept = default;
-Router& Router::operator=(Router&&) noexcept = default;
 
 void Router::round(Instant now, Feed& feed, Writer& writer) {
   auto& s = *state_;
@@ -660,11 +664,10 @@
 }
 
 void Router::clientLeft(TxnId id) {
-  auto& s = *state_;
-  const auto found = s.live.find(id);
-  if (found == s.live.end()) return;
-  s.callOffAll(found->second);
-  s.live.erase(found);
+  const auto found = state_->live.find(id);
+  if (found == state_->live.end()) return;
+  state_->callOffAll(found->second);
+  state_->live.erase(found);
 }
 
 void Router::streamStarted(TxnId id) {
@@ -708,6 +711,7 @@
   }
   if (committed && !s.stalled) {
     m.errorsInARow = 0;
+    m.overtookAt = std::max(m.overtookAt, out.sentAt);
     const Sample multiple{s.now, latency / s.usual(out.type)};
     keepLast(m.answers, multiple, 16);
     keepLast(s.kinds[m.listed.kind], multiple, 64);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -53,6 +53,7 @@
   bool comeBackAllowed = false;
   Span longestComeBack;
   unsigned mostSubmissions = 1;
+  bool ownConnections = false;  // each submission out has a connection, which may fall silent by itself
   std::size_t mostOpen = 0;  // txns that clients can have open here at a time; 0: any number
   double crossZonePrice = 0;  // what a submission into another zone costs, as a part of the value of a txn
   bool nodesGuard = false;  // a node turns away untouched a read that it is too far behind for
@@ -137,8 +138,6 @@
  public:
   Router(Terms terms, std::uint64_t seed);
   ~Router();
-  Router(Router&&) noexcept;
-  Router& operator=(Router&&) noexcept;
 
   // One round: takes what the feed delivers, then decides.
   void round(Instant now, Feed& feed, Writer& writer);
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -31,6 +31,7 @@
 
 Terms termsOf(const startup::Start& start) {
   Terms terms = start.told.terms;
+  terms.ownConnections = true;
   terms.mostOpen = start.descriptors / kTxnsPart;
   return terms;
 }
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -304,7 +304,7 @@
       }
       if (first.line.tag() == "POWER_ON") {
         instances_.erase(id);
-        instances_.emplace(id, Instance(first.line));
+        instances_.try_emplace(id, first.line);
         ++from;
       }
       auto to = from;
