Clients that ask once and stay make room for those that want to ask

A count of connections: 128 of the 128 that clients keep for txns had asked once and were idle until their client closed them after 1.6 to 2.9 s. At fault: server.cpp and gateway.cpp made room only when the router's own descriptors were used up.

Ruled out: the module (nothing held), connections that say nothing (85, closed after 2 s as meant), turned away for descriptors (0).

Changed: beyond three quarters of the clients' connections for txns those idle longest are closed, a few at a time; never one with bytes that were not looked at yet, which closing for room at the descriptors' limit did not spare either.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -105,7 +105,8 @@
       if (at == clients_.end()) return size;
       Client& client = at->second;
       if (client.txn != 0 || client.waitsForList) break;
-      if (taken == kMessagesATurn) {
+      client.toRead = taken == kMessagesATurn;
+      if (client.toRead) {
         effects_.readClient(id);
         break;
       }
@@ -199,6 +200,7 @@
       throw pg::BadStatement(pg::kDeclined, "declined: too much is held here");
     Txn txn;
     txn.id = client.txn = ++lastTxn_;
+    asking_ += !std::exchange(client.asked, true);
     txn.type = type->second;
     txn.group = statement.group;
     if (level >= ReadLevel::write || level == ReadLevel::session) txn.session = sessionOf(statement.key);
@@ -262,6 +264,7 @@
   if (at == clients_.end()) return;
   const TxnId txn = at->second.txn;
   awaitMessage(id, at->second, {});
+  asking_ -= at->second.asked;
   clients_.erase(at);
   if (Live* live = owed(txn)) {
     live->client = 0;
@@ -275,10 +278,11 @@
   return client.stage == Stage::opening && now_ - client.idleSince < limit;
 }
 
-bool Gateway::closeIdleClients(std::size_t most) {
+bool Gateway::closeIdle(std::size_t most, bool onlyAsked) {
   std::vector<std::pair<Instant, ClientId>> idle;
   for (const auto& [id, client] : clients_)
-    if (client.txn == 0 && !client.waitsForList && !isFresh(client, bounds_.connectLimit * kFreshPart))
+    if (client.txn == 0 && !client.waitsForList && !client.toRead && (client.asked || !onlyAsked) &&
+        !isFresh(client, bounds_.connectLimit * kFreshPart))
       idle.emplace_back(client.idleSince, id);
   most = std::min(most, idle.size());
   std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(most), idle.end());
@@ -286,6 +290,15 @@
   return most > 0;
 }
 
+// Clients keep so many connections for txns and no more. Where each asks once and stays, all of them are soon
+// idle, and no other client can ask. Guards against that: beyond three quarters the ones idle longest make
+// room, some at a time. May hurt clients with so many at work that one is closed just when it is wanted
+// again: such a query is sent once more, on a new connection.
+void Gateway::makeRoomToAsk() {
+  if (bounds_.mostAsking > 0 && asking_ * 4 > bounds_.mostAsking * 3)
+    closeIdle(1 + bounds_.mostAsking / 32, true);
+}
+
 void Gateway::refuse(Instant now, ClientId id) {
   now_ = later(now_, now);
   if (clients_.contains(id)) fatal(id, pg::kDeclined, "declined: too much is held here");
@@ -310,7 +323,9 @@
 void Gateway::nextOf(ClientId id) {
   clients_.at(id).idleSince = now_;
   if (stopped_) return dropClient(id);
+  clients_.at(id).toRead = true;
   effects_.readClient(id);
+  makeRoomToAsk();
 }
 
 Gateway::Live* Gateway::owed(TxnId txn) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,10 +25,11 @@
 
 // What the settings and the limits leave for connections.
 struct Bounds {
-  Span idleLimit;             // nodes close connections that were idle for this long
-  Span connectLimit;          // what is not up by then does not come up; a probe waits no longer either
-  std::size_t mostLinks = 0;  // connections to nodes that may be open at one time
-  std::size_t mostBytes = 0;  // of statements that are held
+  Span idleLimit;              // nodes close connections that were idle for this long
+  Span connectLimit;           // what is not up by then does not come up; a probe waits no longer either
+  std::size_t mostLinks = 0;   // connections to nodes that may be open at one time
+  std::size_t mostBytes = 0;   // of statements that are held
+  std::size_t mostAsking = 0;  // connections that clients keep for txns; 0: any number
 };
 
 struct Addressed {
@@ -66,7 +67,7 @@
   // All is answered after shutDown().
   bool finished() const { return stopped_ && clients_.empty(); }
   // Closes the clients that have been idle longest, some at most; false if none is idle.
-  bool closeIdleClients(std::size_t most = 1);
+  bool closeIdleClients(std::size_t most = 1) { return closeIdle(most, false); }
   void refuse(Instant now, ClientId client);  // there is no room for what it sends
   bool isWaiting(ClientId client) const;      // for an answer
 
@@ -77,6 +78,8 @@
     TxnId txn = 0;              // that it waits for
     bool waitsForList = false;  // with an empty query
     bool sendsNoMore = false;
+    bool asked = false;   // had a txn here
+    bool toRead = false;  // what it has sent meanwhile is not looked at yet
     Instant idleSince;
     Instant due;  // when a message that has begun, or its greeting, must be whole; never: nothing is awaited
   };
@@ -142,6 +145,8 @@
   void nextOf(ClientId id);
   bool closing(ClientId id);
   void dropClient(ClientId id);
+  bool closeIdle(std::size_t most, bool onlyAsked);
+  void makeRoomToAsk();
   void awaitMessage(ClientId id, Client& client, Instant due);
   bool isFresh(const Client& client, Span limit) const;
 
@@ -179,6 +184,7 @@
   std::set<std::pair<Instant, ClientId>> clientsDue_;
   std::unordered_set<std::string_view> openIds_;  // of the txns in live_
   std::vector<Arrival> arrivals_;
+  std::size_t asking_ = 0;     // clients that had a txn
   std::size_t heldBytes_ = 0;  // of the statements in live_
   TxnId lastTxn_ = 0;
   LinkId lastLink_ = 0;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -43,7 +43,8 @@
 std::size_t bytesOf(const startup::Start& start) { return start.memoryBytes / 4; }
 
 gateway::Bounds boundsOf(const startup::Start& start) {
-  return {start.told.idleLimit, start.told.connectLimit, linksOf(start), bytesOf(start)};
+  return {start.told.idleLimit, start.told.connectLimit, linksOf(start), bytesOf(start),
+          start.descriptors / kTxnsPart};
 }
 
 // Of the clients that are idle this part makes room at a time: one by one each costs a look at all.
@@ -342,10 +343,8 @@
           break;
         }
       } else if (std::exchange(client.offer, false)) {
-        if (!client.kept.empty()) {
-          client.kept.erase(0, take(client.kept));
-          account(client);
-        }
+        client.kept.erase(0, take(client.kept));
+        account(client);
         if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
         if (!client.offer) continue;
         client.stream.wake();  // the rest in another turn: the others have theirs
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -462,6 +462,28 @@
   s.pass(2000);
 }
 
+void askOnce() {
+  Sockets s({ms(10000), ms(250), 8, 100000, 8});
+  s.say(
+      "clients keep eight connections for txns: beyond six the one idle longest makes room, but not two that "
+      "wait");
+  s.open(20);
+  s.open(1, read("slow"));
+  s.up(1);
+  for (ClientId client = 2; client <= 9; ++client) {
+    s.pass(1);
+    s.open(client, read("r" + std::to_string(client)));
+    if (client == 2) s.up(s.last());
+    s.answers(2, row("body"));
+  }
+  s.say("one that has sent more meanwhile stays");
+  s.sent(9, read("ss") + read("tt"));
+  s.open(10, read("uu"));
+  s.answers(2, row("body"));
+  s.answers(2, row("body"));
+  s.answers(2, row("body"));
+}
+
 void forgotten() {
   Sockets s;
   s.say("a is not reached, drains and leaves, b comes: a comes back after a minute, as one that is new");
@@ -657,6 +679,7 @@
                                                 {"may-have-run", mayHaveRun},
                                                 {"idle-links", idleLinks},
                                                 {"bad-clients", badClients},
+                                                {"ask-once", askOnce},
                                                 {"forgotten", forgotten},
                                                 {"leftovers", leftovers},
                                                 {"spoilt", spoilt},
