--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -171,12 +171,12 @@
     return dated ? expiry - txn.patience : Span();
   }
 
-  // Own ones, but for those left behind where each has a connection: what was sent long after them has been
-  // answered. Guards a node's places against connections that fall silent one by one; may hurt where it is
-  // the work that takes long, as in one queue it can't.
+  // Own ones, but for once-only txns left behind where each has a connection: what was sent long after has
+  // been answered. Guards places against silent connections; may hurt where it is the work that takes long.
   double inFlight(const Member& m) const {
     return static_cast<double>(std::count_if(m.outs.begin(), m.outs.end(), [&](const Out& out) {
-      return !terms.ownConnections || m.overtookAt - out.sentAt <= patience(out.type);
+      const bool stays = terms.ownConnections && terms.types[out.type].effect == Effect::onceOnly;
+      return !stays || m.overtookAt - out.sentAt <= patience(out.type);
     }));
   }
 
