Part the ledger of open txns from the PostgreSQL front and its carrier

Every further front needs the ledger of txns (one final answer each, submissions and their ends, the module's rounds), which stood in one class with the PostgreSQL clients and node connections. Now core/ holds ledger, nodes and connection ends, fronts/pg the clients, carriers/pg the connections to nodes, and gateway hands events to them in the order as before. Fronts know no node, carriers no client.

--- a/src/gateway/connection_end.cpp
+++ b/src/core/connection_end.cpp
@@ -1,6 +1,6 @@
-#include "gateway/connection_end.h"
+#include "core/connection_end.h"
 
-namespace gulltrestle::gateway {
+namespace gulltrestle::core {
 
 End outcomeOf(ConnectionEnd how, bool writtenWhole) {
   switch (how) {
@@ -52,4 +52,4 @@
   return "unknown";
 }
 
-}  // namespace gulltrestle::gateway
+}  // namespace gulltrestle::core
--- a/src/gateway/connection_end.h
+++ b/src/core/connection_end.h
@@ -5,7 +5,7 @@
 
 #include "routing/router.h"
 
-namespace gulltrestle::gateway {
+namespace gulltrestle::core {
 
 enum class ConnectionEnd {
   notOpened,     // no descriptor or address was to be had for it
@@ -29,4 +29,4 @@
 
 std::string_view nameOf(ConnectionEnd how);
 
-}  // namespace gulltrestle::gateway
+}  // namespace gulltrestle::core
--- /dev/null
+++ b/src/core/ledger.cpp
@@ -0,0 +1,163 @@
+#include "core/ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gulltrestle::core {
+
+Ledger::Ledger(const Terms& terms, std::uint64_t seed, std::size_t mostBytes,
+               std::function<void()> askForList)
+    : router_(terms, seed),
+      mostBytes_(mostBytes),
+      askForList_(std::move(askForList)),
+      nodes_(!terms.onlyDrainingBinds) {}
+
+void Ledger::see(Instant now) { now_ = std::max(now_, now); }
+
+// --- Fronts
+
+TxnId Ledger::take(Front& front, OwnerId owner, Carrier& carrier, Txn txn, Message message) {
+  txn.id = ++lastTxn_;
+  Live& live = live_[txn.id];
+  live.front = &front;
+  live.owner = owner;
+  live.carrier = &carrier;
+  live.message = std::move(message);
+  heldBytes_ += live.message.bytes.size();
+  if (!live.id().empty()) openIds_.insert(live.id());
+  arrived([txn](Router& router) { router.taken(txn); });
+  return txn.id;
+}
+
+void Ledger::leave(TxnId txn) {
+  Live* live = owed(txn);
+  if (!live) return;
+  live->front = nullptr;
+  arrived([txn](Router& router) { router.clientLeft(txn); });
+  forget(txn);
+}
+
+Ledger::Live* Ledger::owed(TxnId txn) {
+  const auto at = live_.find(txn);
+  return at == live_.end() || !at->second.front ? nullptr : &at->second;
+}
+
+bool Ledger::isOwed(TxnId txn) const {
+  const auto at = live_.find(txn);
+  return at != live_.end() && at->second.front;
+}
+
+// The txn's final answer goes to its owner.
+template <typename Answer>
+void Ledger::finish(TxnId txn, Answer answer) {
+  Live* live = owed(txn);
+  if (!live) return;
+  answer(*std::exchange(live->front, nullptr), live->owner);
+  forget(txn);
+}
+
+// What has its final answer is kept only while submissions of it are out.
+void Ledger::forget(TxnId txn) {
+  const auto at = live_.find(txn);
+  if (at == live_.end() || at->second.front) return;
+  const auto& all = at->second.submissions;
+  if (!std::all_of(all.begin(), all.end(), [](auto& s) { return s.over; })) return;
+  heldBytes_ -= at->second.message.bytes.size();
+  if (!at->second.id().empty()) openIds_.erase(at->second.id());
+  live_.erase(at);
+}
+
+// --- Carriers
+
+const Ledger::Submission* Ledger::submission(Job job) const {
+  const auto at = live_.find(job.txn);
+  if (at == live_.end() || job.submission >= at->second.submissions.size()) return nullptr;
+  return &at->second.submissions[job.submission];
+}
+
+void Ledger::commit(TxnId txn, const Value& value) {
+  finish(txn, [&](Front& front, OwnerId owner) { front.committed(owner, value); });
+}
+
+// The outcome of a submission or a probe, told to the module.
+void Ledger::ended(Job job, const NodeId& node, End how, const Standing& answer, const Standing& report) {
+  if (job.txn == 0) return arrived([=](Router& router) { router.probed(node, how, report); });
+  const auto at = live_.find(job.txn);
+  if (at == live_.end() || job.submission >= at->second.submissions.size()) return;
+  Submission& submission = at->second.submissions[job.submission];
+  if (std::exchange(submission.over, true)) return;
+  const Span latency = now_ - submission.sentAt;
+  const bool txnOver = !at->second.front;
+  arrived([=](Router& router) {
+    router.ended(job.txn, job.submission, node, how, txnOver, latency, answer, report);
+  });
+  forget(job.txn);
+}
+
+// --- Lists and turns
+
+void Ledger::listed(ListKind kind, const std::vector<Addressed>& list) {
+  const auto moved = nodes_.listed(kind, list);
+  for (Carrier* carrier : carriers_) carrier->listed(moved);
+  std::vector<ListEntry> entries;
+  for (const auto& [entry, address] : list) entries.push_back(entry);
+  arrived([=](Router& router) { router.listed(kind, entries); });
+}
+
+void Ledger::listFailed() {
+  arrived([](Router& router) { router.listFailed(); });
+}
+
+Instant Ledger::endTurn() {
+  if (!arrivals_.empty() || (wakeAt_ != Instant() && wakeAt_ <= now_)) {
+    if (wakeAt_ <= now_) wakeAt_ = Instant();
+    router_.round(now_, *this, *this);
+  }
+  return arrivals_.empty() ? wakeAt_ : now_;
+}
+
+void Ledger::deliver(Router& router) {
+  // What the module asks for meanwhile may end submissions at once: that is for the next round.
+  for (const auto& call : std::exchange(arrivals_, {})) call(router);
+}
+
+void Ledger::submit(TxnId txn, const NodeId& node, Instant sendBy, Instant cutAt) {
+  Live* live = owed(txn);
+  if (!live) return;
+  const Job job{txn, static_cast<unsigned>(live->submissions.size())};
+  live->submissions.push_back({node, now_, sendBy, cutAt, false});
+  live->carrier->carry(job, node);
+}
+
+void Ledger::callOff(TxnId txn, unsigned number) {
+  const Job job{txn, number};
+  const Submission* out = submission(job);
+  if (out && !out->over) live_.at(txn).carrier->callOff(job, NodeId(out->node));
+}
+
+void Ledger::decline(TxnId txn, Span comeBackAfter) {
+  finish(txn, [&](Front& front, OwnerId owner) { front.declined(owner, comeBackAfter); });
+}
+
+void Ledger::rollBack(TxnId txn) {
+  finish(txn, [&](Front& front, OwnerId owner) { front.rolledBack(owner); });
+}
+
+void Ledger::probe(const NodeId& node) {
+  if (carriers_.empty()) return ended({}, node, End::notSent);
+  carriers_.front()->carry({}, node);
+}
+
+void Ledger::wakeAfter(Span after) {
+  const Instant at = now_ + after;
+  if (wakeAt_ == Instant() || wakeAt_ <= now_ || at < wakeAt_) wakeAt_ = at;
+}
+
+void Ledger::followList() { askForList_(); }
+
+void Ledger::forget(const NodeId& node) {
+  if (!nodes_.forget(node)) return;
+  for (Carrier* carrier : carriers_) carrier->forget(node);
+}
+
+}  // namespace gulltrestle::core
--- /dev/null
+++ b/src/core/ledger.h
@@ -0,0 +1,162 @@
+// The ledger of open txns, whoever asked and however they are sent: who is owed the one final answer, which
+// submissions are out and how each ended, and what is bounded. It runs the decision module's rounds: what
+// comes in is gathered, and handed to the module once a turn; what the module writes goes to the txn's
+// front or carrier. It reads no socket and no clock.
+//
+// A txn is open from take() until its final answer went to its front and its last submission has ended.
+// A submission ends once, by ended(); so does a probe.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+#include "core/connection_end.h"
+#include "core/nodes.h"
+#include "routing/router.h"
+
+namespace gulltrestle::core {
+
+using OwnerId = std::uint64_t;  // whom a front owes an answer, by the front's own number; never 0
+using Parts = std::initializer_list<std::string_view>;
+
+// What a node answered, as its carrier read it, in up to three slices. Valid during the call only.
+using Value = std::array<std::string_view, 3>;
+
+struct Job {      // what a carrier has in hand
+  TxnId txn = 0;  // 0: a probe
+  unsigned submission = 0;
+  bool operator==(const Job&) const = default;
+};
+
+// What of a txn is passed on to nodes. A carrier that tells the node how long it may take does so in place of
+// these digits.
+struct Message {
+  std::string bytes;
+  std::size_t waitAt = 0, waitSize = 0;
+  std::size_t idAt = 0, idSize = 0;  // where the client's own id of the txn stands
+};
+
+// Who asks. Each call is the final answer to an owner; there is one a txn.
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual void committed(OwnerId owner, const Value& value) = 0;
+  virtual void declined(OwnerId owner, Span comeBackAfter) = 0;
+  virtual void rolledBack(OwnerId owner) = 0;
+};
+
+// Who takes a submission to a node and tells how it ended, by Ledger::ended(), once; at once or later.
+class Carrier {
+ public:
+  virtual ~Carrier() = default;
+  virtual void carry(Job job, const NodeId& node) = 0;  // a probe, too
+  // Nobody waits for it any more. It has not ended yet, and ends soon.
+  virtual void callOff(Job job, const NodeId& node) = 0;
+  // A list was taken over by the ledger's nodes: these have another address now, others may be leaving.
+  virtual void listed(const std::vector<NodeId>& moved) = 0;
+  // The node is known no more: whatever waits for it ends.
+  virtual void forget(const NodeId& node) = 0;
+};
+
+class Ledger final : private Feed, private Writer {
+ public:
+  // `mostBytes`: of the messages of all open txns. `askForList`: what the module asks for where lists must be
+  // asked for.
+  Ledger(const Terms& terms, std::uint64_t seed, std::size_t mostBytes, std::function<void()> askForList);
+
+  // The newest point in time that was told; it never goes back.
+  void see(Instant now);
+  Instant now() const { return now_; }
+
+  // Probes go to the carrier that was added first.
+  void add(Carrier& carrier) { carriers_.push_back(&carrier); }
+
+  const Nodes& nodes() const { return nodes_; }
+
+  // --- For fronts
+
+  struct Submission {
+    NodeId node;
+    Instant sentAt, sendBy, cutAt;
+    bool over = false;
+  };
+
+  bool isOpen(std::string_view id) const { return openIds_.contains(id); }
+  bool hasRoomFor(std::size_t bytes) const { return heldBytes_ + bytes <= mostBytes_; }
+  // The txn gets its number here.
+  TxnId take(Front& front, OwnerId owner, Carrier& carrier, Txn txn, Message message);
+  // Its owner gave up: it gets no answer and nothing new is sent for it.
+  void leave(TxnId txn);
+
+  // --- For carriers
+
+  const Message& message(TxnId txn) const { return live_.at(txn).message; }
+  // Null once it is not known any more; valid until the next event.
+  const Submission* submission(Job job) const;
+  // Nobody waits for its answer any more, or for that of any other of its txn.
+  bool isOwed(TxnId txn) const;
+  // The txn's final answer, ahead of ended().
+  void commit(TxnId txn, const Value& value);
+  // A second call for the same submission is passed over.
+  void ended(Job job, const NodeId& node, End how, const Standing& answer = {}, const Standing& report = {});
+
+  // --- Lists and turns
+
+  void listed(ListKind kind, const std::vector<Addressed>& list);
+  void listFailed();
+  // The module has its round if anything came in or its wake is due. Returns when it wants the next one;
+  // never: not before something comes in.
+  Instant endTurn();
+
+  std::size_t open() const { return live_.size(); }
+
+ private:
+  struct Live {              // a txn that is owed its answer, or has submissions out
+    Front* front = nullptr;  // null: it has its final answer
+    OwnerId owner = 0;
+    Carrier* carrier = nullptr;
+    Message message;
+    std::vector<Submission> submissions;
+    std::string_view id() const {
+      return std::string_view(message.bytes).substr(message.idAt, message.idSize);
+    }
+  };
+
+  // Feed and Writer.
+  void deliver(Router& router) override;
+  void submit(TxnId txn, const NodeId& node, Instant sendBy, Instant cutAt) override;
+  void callOff(TxnId txn, unsigned submission) override;
+  void decline(TxnId txn, Span comeBackAfter) override;
+  void rollBack(TxnId txn) override;
+  void probe(const NodeId& node) override;
+  void wakeAfter(Span after) override;
+  void followList() override;
+  void forget(const NodeId& node) override;
+
+  using Arrival = std::function<void(Router&)>;
+  void arrived(Arrival call) { arrivals_.push_back(std::move(call)); }
+  Live* owed(TxnId txn);
+  template <typename Answer>
+  void finish(TxnId txn, Answer answer);
+  void forget(TxnId txn);
+
+  Router router_;
+  std::size_t mostBytes_;
+  std::function<void()> askForList_;
+  Nodes nodes_;
+  std::vector<Carrier*> carriers_;
+  Instant now_, wakeAt_;
+  std::map<TxnId, Live> live_;
+  std::unordered_set<std::string_view> openIds_;  // of the txns in live_
+  std::vector<Arrival> arrivals_;
+  std::size_t heldBytes_ = 0;  // of the messages in live_
+  TxnId lastTxn_ = 0;
+};
+
+}  // namespace gulltrestle::core
--- /dev/null
+++ b/src/fronts/pg/clients.h
@@ -0,0 +1,107 @@
+// Clients that speak the PostgreSQL protocol: their openings, messages and turns, the txns they ask for and
+// the answers they get. It reads no socket and no clock.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/ledger.h"
+#include "pg/messages.h"
+
+namespace gulltrestle::fronts::pg {
+
+using ClientId = std::uint64_t;
+
+// What it asks for.
+class Effects {
+ public:
+  virtual ~Effects() = default;
+  virtual void writeClient(ClientId client, core::Parts parts) = 0;
+  // Hands over what the client has sent meanwhile, and all that follows.
+  virtual void readClient(ClientId client) = 0;
+  // Closes once all is written.
+  virtual void closeClient(ClientId client) = 0;
+};
+
+struct Bounds {
+  Span connectLimit;           // in which a connection comes up
+  std::size_t mostAsking = 0;  // connections that clients keep for txns; 0: any number
+};
+
+class Clients final : private core::Front {
+ public:
+  // `carrier`: takes their txns to nodes.
+  Clients(core::Ledger& ledger, core::Carrier& carrier, const Terms& terms,
+          const std::vector<std::string>& typeNames, Bounds bounds, Effects& effects);
+
+  // Events. The ledger has been told when.
+  void opened(ClientId client);
+  // Returns how much was taken; the rest is offered again, with more behind it, after readClient().
+  std::size_t sent(ClientId client, std::string_view bytes);
+  void sendsNoMore(ClientId client);
+  void ended(ClientId client);
+  void refuse(ClientId client);  // there is no room for what it sends
+  // Some list is known: what waits for one is answered.
+  void listKnown();
+
+  void endTurn();
+  Instant nextDue() const { return due_.empty() ? Instant() : due_.begin()->first; }
+
+  // Nothing new is taken; who is owed an answer is closed with it.
+  void stop() { stopped_ = true; }
+  // Closes those that are idle and did not just come.
+  void closeIdleAtEnd();
+  // Closes the clients that have been idle longest, some at most; false if none is idle.
+  bool closeIdle(std::size_t most, bool onlyAsked = false);
+
+  bool empty() const { return clients_.empty(); }
+  bool isWaiting(ClientId client) const;  // for an answer
+
+ private:
+  enum class Stage { opening, ready, refusing };
+  struct Client {
+    Stage stage = Stage::opening;
+    TxnId txn = 0;              // that it waits for
+    bool waitsForList = false;  // with an empty query
+    bool sendsNoMore = false;
+    bool asked = false;   // had a txn here
+    bool toRead = false;  // what it has sent meanwhile is not looked at yet
+    Instant idleSince;
+    Instant due;  // when a message that has begun, or its greeting, must be whole; never: nothing is awaited
+  };
+
+  // Front.
+  void committed(core::OwnerId owner, const core::Value& value) override;
+  void declined(core::OwnerId owner, Span comeBackAfter) override;
+  void rolledBack(core::OwnerId owner) override;
+
+  bool takeOpening(ClientId id, Client& client, std::string_view& bytes);
+  bool takeMessage(ClientId id, Client& client, std::string_view& bytes);
+  void takeStatement(ClientId id, Client& client, std::string_view text);
+  void answerEmpty(ClientId id, Client& client);
+  void answerError(ClientId id, std::string_view code, std::string_view text, std::string_view detail = {});
+  void fatal(ClientId id, std::string_view code, std::string_view text);
+  void answered(ClientId id);
+  void nextOf(ClientId id);
+  void drop(ClientId id);
+  void makeRoomToAsk();
+  void awaitMessage(ClientId id, Client& client, Instant due);
+  bool isFresh(const Client& client, Span limit) const;
+
+  core::Ledger& ledger_;
+  core::Carrier& carrier_;
+  std::map<std::string, std::size_t, std::less<>> types_;
+  std::vector<ReadLevel> levels_;
+  Bounds bounds_;
+  Effects& effects_;
+  bool listKnown_ = false, stopped_ = false;
+  std::map<ClientId, Client> clients_;
+  std::set<std::pair<Instant, ClientId>> due_;
+  std::size_t asking_ = 0;  // clients that had a txn
+};
+
+}  // namespace gulltrestle::fronts::pg
