--- /dev/null
+++ b/src/carriers/delegated/delegated.cpp
@@ -0,0 +1,61 @@
+#include "carriers/delegated/delegated.h"
+
+namespace gulltrestle::carriers::delegated {
+
+using core::Job;
+
+void Delegated::carry(Job job, const NodeId& id) {
+  const auto* node = ledger_.nodes().find(id);
+  const auto* submission = ledger_.submission(job);
+  // Probes are another carrier's, and a second submission beside one that is out can't be told to anyone.
+  if (!submission || !node || ledger_.nodes().leaving(id) || out_.contains(job.txn))
+    return ledger_.ended(job, id, End::notSent);
+  const Instant now = ledger_.now(), cutAt = submission->cutAt;
+  const Span within = grants::sendWithin(now, submission->sendBy, rule_, list_);
+  if (within == Span()) return ledger_.ended(job, id, End::notSent);
+  const Out out{job, id, node->address, cutAt};
+  out_.emplace(job.txn, out);
+  due_.insert({cutAt, job.txn});
+  if (granting_.granted(job.txn, {id, out.address, within, cutAt})) return;
+  take(job.txn);
+  ledger_.ended(job, id, End::notSent);
+}
+
+std::optional<Delegated::Out> Delegated::take(TxnId txn) {
+  const auto at = out_.find(txn);
+  if (at == out_.end()) return std::nullopt;
+  const Out out = at->second;
+  due_.erase({out.reportBy, txn});
+  out_.erase(at);
+  return out;
+}
+
+// What was granted can't be taken back; its place is free, and what is told of it later counts no more.
+void Delegated::callOff(Job job, const NodeId& id) {
+  take(job.txn);
+  ledger_.ended(job, id, End::calledOff);
+}
+
+std::optional<End> Delegated::reported(TxnId txn, const grants::Report& report) {
+  const auto out = take(txn);
+  if (!out) return std::nullopt;
+  const End how = grants::endOf(report, out->address);
+  if (how == End::committed) ledger_.commit(txn, {});
+  ledger_.ended(out->job, out->node, how, grants::learnt(report, out->address));
+  return how;
+}
+
+void Delegated::unreported(TxnId txn) {
+  if (const auto out = take(txn)) ledger_.ended(out->job, out->node, grants::endUnreported(false));
+}
+
+// Guards the places in flight against proxies that never tell an end. May hurt where an answer is still on
+// its way: its client's time is up by then.
+void Delegated::endTurn() {
+  while (!due_.empty() && due_.begin()->first <= ledger_.now()) {
+    const auto out = take(TxnId(due_.begin()->second));
+    ledger_.ended(out->job, out->node, grants::endUnreported(true));
+  }
+}
+
+}  // namespace gulltrestle::carriers::delegated
--- /dev/null
+++ b/src/ext_proc/messages.cpp
@@ -0,0 +1,224 @@
+#include "ext_proc/messages.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "external_processor.pb.h"
+
+namespace gulltrestle::ext_proc {
+
+namespace {
+
+using wire::ProcessingRequest;
+using wire::ProcessingResponse;
+
+// Of fields in one message: the bytes are bounded before, and an empty header takes two of them.
+constexpr int kMostHeaders = 1000;
+
+std::string lower(std::string_view name) {
+  std::string made(name);
+  for (char& c : made)
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  return made;
+}
+
+Headers read(const wire::HeaderMap& map) {
+  if (map.headers_size() > kMostHeaders) throw Malformed("too many headers");
+  Headers made;
+  made.reserve(static_cast<std::size_t>(map.headers_size()));
+  for (const auto& header : map.headers())
+    made.push_back({lower(header.key()), header.raw_value().empty() ? header.value() : header.raw_value()});
+  return made;
+}
+
+void write(wire::HeaderMutation& to, const Headers& set, const std::vector<std::string>& removed) {
+  for (const auto& [name, value] : set) {
+    auto& option = *to.add_set_headers();
+    option.mutable_header()->set_key(name);
+    option.mutable_header()->set_raw_value(value);
+    option.set_append_action(wire::HeaderValueOption::OVERWRITE_IF_EXISTS_OR_ADD);
+  }
+  for (const auto& name : removed) to.add_remove_headers(name);
+}
+
+Headers read(const wire::HeaderMutation& from) {
+  Headers made;
+  for (const auto& option : from.set_headers()) {
+    const auto& header = option.header();
+    made.push_back({header.key(), header.raw_value().empty() ? header.value() : header.raw_value()});
+  }
+  return made;
+}
+
+}  // namespace
+
+Request readRequest(std::string_view bytes) {
+  ProcessingRequest message;
+  if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    throw Malformed("the message can't be read");
+  Request made;
+  made.wantsNoAnswer = message.observability_mode();
+  switch (message.request_case()) {
+    case ProcessingRequest::kRequestHeaders:
+      made.phase = Phase::requestHeaders;
+      made.headers = read(message.request_headers().headers());
+      break;
+    case ProcessingRequest::kResponseHeaders:
+      made.phase = Phase::responseHeaders;
+      made.headers = read(message.response_headers().headers());
+      break;
+    case ProcessingRequest::kRequestBody:
+      made.phase = Phase::requestBody;
+      break;
+    case ProcessingRequest::kResponseBody:
+      made.phase = Phase::responseBody;
+      break;
+    case ProcessingRequest::kRequestTrailers:
+      made.phase = Phase::requestTrailers;
+      break;
+    case ProcessingRequest::kResponseTrailers:
+      made.phase = Phase::responseTrailers;
+      break;
+    case ProcessingRequest::REQUEST_NOT_SET:
+      break;
+  }
+  return made;
+}
+
+std::string continued(Phase phase, const Headers& set, const std::vector<std::string>& removed) {
+  ProcessingResponse message;
+  wire::HeadersResponse* headers = nullptr;
+  switch (phase) {
+    case Phase::requestHeaders:
+      headers = message.mutable_request_headers();
+      break;
+    case Phase::responseHeaders:
+      headers = message.mutable_response_headers();
+      break;
+    case Phase::requestBody:
+      message.mutable_request_body();
+      break;
+    case Phase::responseBody:
+      message.mutable_response_body();
+      break;
+    case Phase::requestTrailers:
+      message.mutable_request_trailers();
+      break;
+    case Phase::responseTrailers:
+      message.mutable_response_trailers();
+      break;
+    case Phase::none:
+      break;
+  }
+  if (headers && (!set.empty() || !removed.empty())) {
+    auto& response = *headers->mutable_response();
+    write(*response.mutable_header_mutation(), set, removed);
+    // The endpoint was told by a header: a route that was chosen before is chosen anew.
+    if (phase == Phase::requestHeaders) response.set_clear_route_cache(true);
+  }
+  return message.SerializeAsString();
+}
+
+std::string answered(const Immediate& answer) {
+  ProcessingResponse message;
+  auto& immediate = *message.mutable_immediate_response();
+  immediate.mutable_status()->set_code(answer.status);
+  write(*immediate.mutable_headers(), answer.headers, {});
+  immediate.set_body(answer.body);
+  immediate.set_details(answer.details);
+  return message.SerializeAsString();
+}
+
+std::string wait(Span time) {
+  ProcessingResponse message;
+  auto& wait = *message.mutable_override_message_timeout();
+  wait.set_seconds(time.inMicros() / 1'000'000);
+  wait.set_nanos(static_cast<std::int32_t>(time.inMicros() % 1'000'000 * 1000));
+  return message.SerializeAsString();
+}
+
+std::string request(const Request& request, bool raw) {
+  ProcessingRequest message;
+  message.set_observability_mode(request.wantsNoAnswer);
+  wire::HttpHeaders* headers = nullptr;
+  switch (request.phase) {
+    case Phase::requestHeaders:
+      headers = message.mutable_request_headers();
+      break;
+    case Phase::responseHeaders:
+      headers = message.mutable_response_headers();
+      break;
+    case Phase::requestBody:
+      message.mutable_request_body();
+      break;
+    case Phase::responseBody:
+      message.mutable_response_body();
+      break;
+    case Phase::requestTrailers:
+      message.mutable_request_trailers();
+      break;
+    case Phase::responseTrailers:
+      message.mutable_response_trailers();
+      break;
+    case Phase::none:
+      break;
+  }
+  if (headers) {
+    for (const auto& [name, value] : request.headers) {
+      auto& header = *headers->mutable_headers()->add_headers();
+      header.set_key(name);
+      if (raw)
+        header.set_raw_value(value);
+      else
+        header.set_value(value);
+    }
+  }
+  return message.SerializeAsString();
+}
+
+Response readResponse(std::string_view bytes) {
+  ProcessingResponse message;
+  if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    throw Malformed("the message can't be read");
+  Response made;
+  const auto take = [&](Phase phase, const wire::HeadersResponse& headers) {
+    made.phase = phase;
+    const auto& mutation = headers.response().header_mutation();
+    made.set = read(mutation);
+    made.removed.assign(mutation.remove_headers().begin(), mutation.remove_headers().end());
+  };
+  switch (message.response_case()) {
+    case ProcessingResponse::kRequestHeaders:
+      take(Phase::requestHeaders, message.request_headers());
+      break;
+    case ProcessingResponse::kResponseHeaders:
+      take(Phase::responseHeaders, message.response_headers());
+      break;
+    case ProcessingResponse::kRequestBody:
+      made.phase = Phase::requestBody;
+      break;
+    case ProcessingResponse::kResponseBody:
+      made.phase = Phase::responseBody;
+      break;
+    case ProcessingResponse::kRequestTrailers:
+      made.phase = Phase::requestTrailers;
+      break;
+    case ProcessingResponse::kResponseTrailers:
+      made.phase = Phase::responseTrailers;
+      break;
+    case ProcessingResponse::kImmediateResponse: {
+      const auto& immediate = message.immediate_response();
+      made.isImmediate = true;
+      made.immediate = {immediate.status().code(), read(immediate.headers()), immediate.body(),
+                        immediate.details()};
+      break;
+    }
+    case ProcessingResponse::RESPONSE_NOT_SET:
+      break;
+  }
+  const auto& wait = message.override_message_timeout();
+  made.wait = Span::micros(wait.seconds() * 1'000'000 + wait.nanos() / 1000);
+  return made;
+}
+
+}  // namespace gulltrestle::ext_proc
--- /dev/null
+++ b/src/fronts/ext_proc/mapping.cpp
@@ -0,0 +1,113 @@
+#include "fronts/ext_proc/mapping.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace gulltrestle::fronts::ext_proc {
+
+namespace {
+
+// An id is kept for as long as its txn is remembered; a UUID has 36.
+constexpr std::size_t kLongestId = 128;
+// Milliseconds beyond a day are nobody's patience, and can't overflow what is added to them.
+constexpr std::uint64_t kMostMs = 86'400'000;
+// The count of tries of a proxy that goes on without an end.
+constexpr std::uint64_t kMostTries = 1000;
+constexpr std::uint64_t kMostGroup = 9'000'000'000'000'000;  // as in lists
+
+const std::string* find(const wire::Headers& headers, const std::string& name) {
+  const auto at = std::find_if(headers.begin(), headers.end(), [&](auto& h) { return h.name == name; });
+  return at == headers.end() || at->value.empty() ? nullptr : &at->value;
+}
+
+const std::string& need(const wire::Headers& headers, const std::string& name) {
+  if (std::count_if(headers.begin(), headers.end(), [&](auto& h) { return h.name == name; }) > 1)
+    throw BadHeader(name, "comes twice");
+  const std::string* value = find(headers, name);
+  if (!value) throw BadHeader(name, "is missing");
+  return *value;
+}
+
+std::optional<std::uint64_t> whole(std::string_view text, std::uint64_t most) {
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || value > most) return std::nullopt;
+  return value;
+}
+
+std::uint64_t number(const std::string& name, std::string_view text, std::uint64_t most) {
+  const auto value = whole(text, most);
+  if (!value) throw BadHeader(name, "is no whole number up to " + std::to_string(most));
+  return *value;
+}
+
+// Sessions are told apart by a number; equal names give equal ones (FNV-1a). Two that share one make a read
+// wait for the other's write at the worst.
+SessionId sessionOf(std::string_view name) {
+  SessionId hash = 14695981039346656037U;
+  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
+  return hash;
+}
+
+grants::Written writtenOf(std::string_view word) {
+  if (word == "none") return grants::Written::nothing;
+  return word == "some" || word == "whole" ? grants::Written::something : grants::Written::unknown;
+}
+
+}  // namespace
+
+Mapping::Mapping(HeaderNames names, const Terms& terms, const std::vector<std::string>& typeNames)
+    : names_(std::move(names)), types_(terms.types), carried_(terms.sessionAgeCarried) {
+  for (std::size_t row = 0; row < typeNames.size(); ++row) rows_.emplace(typeNames[row], row);
+}
+
+Mapping::Asked Mapping::read(const wire::Headers& headers) const {
+  Asked asked;
+  asked.ask.id = need(headers, names_.id);
+  if (asked.ask.id.size() > kLongestId) throw BadHeader(names_.id, "is too long");
+  const auto& typeName = need(headers, names_.type);
+  const auto row = rows_.find(typeName);
+  if (row == rows_.end())
+    throw BadHeader(names_.type, "txn type '" + typeName.substr(0, 64) + "' is not known");
+  const TxnType& type = types_[row->second];
+  asked.txn.type = asked.ask.type = row->second;
+  asked.txn.group = number(names_.group, need(headers, names_.group), kMostGroup);
+  const auto patience = number(names_.patience, need(headers, names_.patience), kMostMs);
+  asked.txn.patience = asked.ask.patience =
+      std::min(Span::millis(static_cast<std::int64_t>(patience)), type.expiry);
+  if (type.level == ReadLevel::session) {
+    asked.txn.session = sessionOf(need(headers, names_.session));
+    asked.txn.writeAge = Span();  // it owes nothing
+    if (const auto* age = find(headers, names_.writeAge); age && carried_) {
+      const auto millis = number(names_.writeAge, *age, kMostMs);
+      if (millis > 0) asked.txn.writeAge = Span::millis(static_cast<std::int64_t>(millis));
+    }
+  } else if (type.level == ReadLevel::write) {
+    if (const auto* session = find(headers, names_.session)) asked.txn.session = sessionOf(*session);
+  }
+  if (const auto* attempt = find(headers, names_.attempt))
+    asked.ask.attempt =
+        static_cast<unsigned>(std::max<std::uint64_t>(1, number(names_.attempt, *attempt, kMostTries)));
+  if (const auto* written = find(headers, names_.written)) asked.ask.written = writtenOf(*written);
+  if (const auto* token = find(headers, names_.submission)) asked.ask.token = token->substr(0, kLongestId);
+  return asked;
+}
+
+grants::Report Mapping::report(const wire::Headers& headers) const {
+  grants::Report report;
+  if (const auto* status = find(headers, ":status"))
+    report.status = static_cast<int>(whole(*status, 999).value_or(0));
+  if (const auto* written = find(headers, names_.written)) report.written = writtenOf(*written);
+  if (const auto* said = find(headers, names_.nodeOutcome)) report.said = *said;
+  if (const auto* sentTo = find(headers, names_.sentTo)) report.sentTo = *sentTo;
+  if (const auto* role = find(headers, names_.nodeRole))
+    report.standing.role = *role == "primary"   ? Role::primary
+                           : *role == "replica" ? Role::replica
+                                                : Role::unknown;
+  if (const auto* position = find(headers, names_.nodePosition))
+    if (const auto millis = whole(*position, 100'000'000'000'000))  // Unix time up to the year 5138
+      report.standing.position = Instant() + Span::millis(static_cast<std::int64_t>(*millis));
+  return report;
+}
+
+}  // namespace gulltrestle::fronts::ext_proc
--- /dev/null
+++ b/src/fronts/ext_proc/mapping.h
@@ -0,0 +1,62 @@
+// Which headers say what of a txn, and how a request's headers become one. Names are from the configuration.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "ext_proc/messages.h"
+#include "grants/book.h"
+#include "grants/ends.h"
+#include "routing/router.h"
+
+namespace gulltrestle::fronts::ext_proc {
+
+namespace wire = gulltrestle::ext_proc;
+
+// Names of headers, in lower case.
+struct HeaderNames {
+  // Of a request, by whoever asks.
+  std::string id = "x-txn-id", type = "x-txn-type", group = "x-txn-group", session = "x-txn-session",
+              patience = "x-txn-patience-ms", writeAge = "x-txn-write-age-ms",
+              attempt = "x-envoy-attempt-count", written = "x-txn-written";
+  // Of a decision; the submission's is also read from a request.
+  std::string destination = "x-gateway-destination-endpoint", submission = "x-txn-submission",
+              sendWithin = "x-txn-send-within-ms", outcome = "x-txn-outcome",
+              retryAfterMs = "x-txn-retry-after-ms";
+  // Of a node's answer.
+  std::string nodeRole = "x-node-role", nodePosition = "x-node-position", nodeOutcome = "x-node-outcome",
+              sentTo = "x-txn-sent-to";
+};
+
+// What can't be taken for a txn; the message names the header.
+class BadHeader : public std::runtime_error {
+ public:
+  BadHeader(const std::string& name, const std::string& what) : std::runtime_error(name + ": " + what) {}
+};
+
+class Mapping {
+ public:
+  Mapping(HeaderNames names, const Terms& terms, const std::vector<std::string>& typeNames);
+
+  struct Asked {
+    Txn txn;  // without a number and earlier tries
+    grants::Ask ask;
+  };
+  // Throws BadHeader.
+  Asked read(const wire::Headers& headers) const;
+  // Never throws: what can't be read is left out, so that nothing is learnt from it.
+  grants::Report report(const wire::Headers& headers) const;
+
+  const HeaderNames& names() const { return names_; }
+
+ private:
+  HeaderNames names_;
+  std::vector<TxnType> types_;
+  std::map<std::string, std::size_t, std::less<>> rows_;
+  bool carried_;
+};
+
+}  // namespace gulltrestle::fronts::ext_proc
--- /dev/null
+++ b/src/fronts/ext_proc/streams.cpp
@@ -0,0 +1,354 @@
+#include "fronts/ext_proc/streams.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace gulltrestle::fronts::ext_proc {
+
+using grants::Outcome;
+using grants::Verdict;
+
+namespace {
+
+// A grant whose end nobody told by the time it may take is over for the module; its stream may still bring an
+// answer for so long, then it is closed. Longer than any message timeout of a proxy that is alive.
+constexpr Span kLinger = Span::millis(5000);
+
+// An event of one kind is logged once in this time: a few lines a minute are read, more are not.
+constexpr Span kLogPause = Span::millis(10000);
+
+std::string_view nameOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::committed:
+      return "committed";
+    case Outcome::declined:
+      return "declined";
+    case Outcome::rolledBack:
+      return "rolled-back";
+  }
+  return "unknown";
+}
+
+// Of a field in a log line: what a stranger sent must not look like another field or line.
+std::string quoted(std::string_view text) {
+  std::string out = "\"";
+  for (const char c : text.substr(0, 120)) out += c < ' ' || c == '"' || c == '\\' || c > '~' ? '?' : c;
+  return out + '"';
+}
+
+}  // namespace
+
+Streams::Streams(core::Ledger& ledger, Mapping mapping, grants::Book book, grants::DrainRule rule,
+                 Bounds bounds, Effects& effects)
+    : ledger_(ledger),
+      mapping_(std::move(mapping)),
+      book_(std::move(book)),
+      bounds_(bounds),
+      effects_(effects),
+      carrier_(ledger, rule, *this) {}
+
+// --- Events
+
+// Guards the memory against more streams than are allowed over all connections.
+void Streams::opened(StreamKey key) {
+  Stream& stream = streams_[key];
+  const bool full = streams_.size() > bounds_.mostStreams;
+  if (stopped_ || full) {
+    stream.stage = Stage::answered;
+    return stopped_ ? effects_.close(key, Close::unavailable, "shutting down")
+                    : effects_.close(key, Close::full, "too many streams");
+  }
+  setDue(key, stream, ledger_.now() + bounds_.openLimit);
+}
+
+void Streams::message(StreamKey key, std::string_view bytes) {
+  const auto at = streams_.find(key);
+  if (at == streams_.end()) return;
+  Stream& stream = at->second;
+  wire::Request request;
+  try {
+    request = wire::readRequest(bytes);
+  } catch (const wire::Malformed& bad) { return invalid(key, bad.what()); }
+  if (request.wantsNoAnswer) return;  // the proxy shows what passes, and asks nothing
+  switch (request.phase) {
+    case wire::Phase::requestHeaders:
+      if (stream.stage != Stage::opened) return invalid(key, "request_headers came twice");
+      try {
+        stream.asked = mapping_.read(request.headers);
+      } catch (const BadHeader& fault) { return bad(key, stream, fault.what()); }
+      ++counts_.asked;
+      return ask(key, stream);
+    case wire::Phase::responseHeaders:
+      if (stream.stage == Stage::granted) return report(key, stream, request.headers);
+      // Of a grant that counts as ended since another try of its txn came: it passes, and changes nothing.
+      if (stream.stage == Stage::answered && stream.grant.within > Span() &&
+          !std::exchange(stream.endTold, true))
+        return effects_.send(key, wire::continued(request.phase));
+      return invalid(key, stream.stage == Stage::answered ? "response_headers came twice"
+                                                          : "response_headers came before a decision");
+    case wire::Phase::none:
+      return invalid(key, "the message asks nothing");
+    default:
+      if (stream.stage < Stage::granted || stream.stage == Stage::reported)
+        return invalid(key, "a body or trailers came before the answer on the headers");
+      return effects_.send(key, wire::continued(request.phase));
+  }
+}
+
+void Streams::halfClosed(StreamKey key) {
+  const auto at = streams_.find(key);
+  if (at == streams_.end()) return;
+  Stream& stream = at->second;
+  stream.halfClosed = true;
+  // No end can be told any more. One that waits for a decision may still get it.
+  if (stream.stage == Stage::granted) letGo(key, stream);
+  if (stream.stage == Stage::opened || stream.stage == Stage::answered) effects_.close(key, Close::done, "");
+}
+
+void Streams::ended(StreamKey key) {
+  const auto at = streams_.find(key);
+  if (at == streams_.end()) return;
+  letGo(key, at->second);
+  setDue(key, at->second, {});
+  waiting_.erase(key);
+  streams_.erase(at);
+}
+
+// The stream is over for its txn: nothing is granted to it any more, and what was granted has no known end.
+void Streams::letGo(StreamKey key, Stream& stream) {
+  if (stream.stage == Stage::opened || stream.stage == Stage::answered) return;
+  if (stream.stage == Stage::granted) ++counts_.unreported;
+  stream.stage = Stage::answered;
+  book_.left(ledger_.now(), stream.asked.ask.id, key);
+  if (stream.txn == 0) return;
+  owners_.erase(stream.txn);
+  carrier_.unreported(stream.txn);
+  ledger_.leave(stream.txn);
+}
+
+// --- Asking
+
+void Streams::ask(StreamKey key, Stream& stream) {
+  if (stream.stage == Stage::opened)
+    stream.hold = grants::holdOf(ledger_.now(), stream.asked.txn.patience, bounds_.messageTime);
+  const Verdict verdict = book_.asked(ledger_.now(), key, stream.asked.ask);
+  if (verdict.what == Verdict::What::wait) {
+    stream.stage = Stage::waiting;
+    waiting_.insert(key);
+    return setDue(key, stream, std::min(verdict.until, stream.hold.answerBy));
+  }
+  waiting_.erase(key);
+  stream.stage = Stage::asking;
+  if (verdict.what == Verdict::What::answer) {
+    ++counts_.refused;
+    logBounded("ext_proc.refused", "why=" + quoted(verdict.why) + " id=" + quoted(stream.asked.ask.id));
+    stream.asked.ask.id.clear();  // the book's entry is another stream's
+    return immediate(key, stream, verdict.outcome, {}, verdict.why);
+  }
+  // Another stream of the same txn: whoever sent it has given it up.
+  for (const StreamKey other : {verdict.endsUnreported, verdict.supersedes}) {
+    const auto at = streams_.find(other);
+    if (other == 0 || at == streams_.end()) continue;
+    if (at->second.stage == Stage::granted) {
+      letGo(other, at->second);
+    } else if (at->second.stage != Stage::answered) {
+      letGo(other, at->second);
+      at->second.asked.ask.id.clear();
+      immediate(other, at->second, Outcome::declined, {}, "a later try has come");
+    }
+  }
+  Txn txn = stream.asked.txn;
+  txn.earlier = verdict.earlier;
+  txn.mostHere = 1;
+  txn.hold = stream.hold.answerBy - ledger_.now();
+  stream.txn = ledger_.take(*this, key, carrier_, txn, {});
+  owners_[stream.txn] = key;
+  setDue(key, stream, stream.hold.askAt != Instant() ? stream.hold.askAt : stream.hold.answerBy);
+}
+
+bool Streams::granted(TxnId txn, const carriers::delegated::Grant& grant) {
+  const auto owner = owners_.find(txn);
+  if (owner == owners_.end()) return false;
+  const StreamKey key = owner->second;
+  Stream& stream = streams_.at(key);
+  if (stream.stage != Stage::asking) return false;
+  const std::string token = book_.granted(ledger_.now(), stream.asked.ask.id, key, grant.node);
+  if (token.empty()) return false;
+  ++counts_.granted;
+  stream.stage = Stage::granted;
+  stream.grant = grant;
+  setDue(key, stream, grant.reportBy + kLinger);
+  const auto& names = mapping_.names();
+  effects_.send(key, wire::continued(wire::Phase::requestHeaders,
+                                     {{names.destination, grant.address},
+                                      {names.submission, token},
+                                      {names.sendWithin, std::to_string(grant.within.inMicros() / 1000)}}));
+  if (stream.halfClosed) {  // it can't tell the end
+    letGo(key, stream);
+    effects_.close(key, Close::done, "");
+  }
+  return true;
+}
+
+// --- Reporting
+
+void Streams::report(StreamKey key, Stream& stream, const wire::Headers& headers) {
+  const grants::Report report = mapping_.report(headers);
+  if (report.sentTo && *report.sentTo != stream.grant.address) {
+    ++counts_.misused;
+    logBounded("ext_proc.misused", "told=" + stream.grant.address + " sent_to=" + quoted(*report.sentTo));
+  }
+  stream.stage = Stage::reported;
+  stream.endTold = true;
+  setDue(key, stream, {});
+  const End how = grants::endOf(report, stream.grant.address);
+  book_.ended(ledger_.now(), stream.asked.ask.id, key, how);
+  const bool owed = ledger_.isOwed(stream.txn);
+  carrier_.reported(stream.txn, report);
+  if (owed) return;  // the module's answer is there by the end of the turn
+  // The module gave it up before; nothing was told to anyone yet, and a commit is the truth.
+  decided(key, how == End::committed ? Outcome::committed : stream.given.value_or(Outcome::rolledBack),
+          stream.comeBackAfter);
+}
+
+// --- Answers
+
+void Streams::committed(core::OwnerId owner, const core::Value&) { decided(owner, Outcome::committed, {}); }
+void Streams::declined(core::OwnerId owner, Span after) { decided(owner, Outcome::declined, after); }
+void Streams::rolledBack(core::OwnerId owner) { decided(owner, Outcome::rolledBack, {}); }
+
+void Streams::decided(StreamKey key, Outcome outcome, Span comeBackAfter) {
+  const auto at = streams_.find(key);
+  if (at == streams_.end()) return;
+  Stream& stream = at->second;
+  if (stream.stage == Stage::granted) {  // nothing can be told before the proxy asks again
+    stream.given = outcome;
+    stream.comeBackAfter = comeBackAfter;
+    return;
+  }
+  if (stream.stage == Stage::answered) return;
+  if (outcome != Outcome::committed) return immediate(key, stream, outcome, comeBackAfter, "");
+  ++counts_.committed;
+  owners_.erase(stream.txn);
+  stream.stage = Stage::answered;
+  book_.answered(ledger_.now(), stream.asked.ask.id, key, outcome);
+  effects_.send(key, wire::continued(wire::Phase::responseHeaders,
+                                     {{mapping_.names().outcome, std::string(nameOf(outcome))}}));
+  if (stream.halfClosed) effects_.close(key, Close::done, "");
+}
+
+void Streams::immediate(StreamKey key, Stream& stream, Outcome outcome, Span comeBackAfter,
+                        std::string_view why) {
+  ++(outcome == Outcome::declined ? counts_.declined : counts_.rolledBack);
+  owners_.erase(stream.txn);
+  stream.stage = Stage::answered;
+  setDue(key, stream, {});
+  if (!stream.asked.ask.id.empty()) book_.answered(ledger_.now(), stream.asked.ask.id, key, outcome);
+  const auto& names = mapping_.names();
+  wire::Immediate answer;
+  answer.status = outcome == Outcome::declined ? 503 : 500;
+  answer.headers = {{names.outcome, std::string(nameOf(outcome))}};
+  if (outcome == Outcome::declined && comeBackAfter > Span()) {
+    // Seconds are all that the standard header has; the exact time stands beside it.
+    const auto millis = comeBackAfter.inMicros() / 1000;
+    answer.headers.push_back({"retry-after", std::to_string((millis + 999) / 1000)});
+    answer.headers.push_back({names.retryAfterMs, std::to_string(millis)});
+  }
+  answer.details = "txn_" + std::string(outcome == Outcome::declined ? "declined" : "rolled_back");
+  answer.body = std::string(nameOf(outcome)) + (why.empty() ? "" : ": " + std::string(why)) + "\n";
+  effects_.send(key, wire::answered(answer));
+  effects_.close(key, Close::done, "");
+}
+
+// It asks for something that is no txn: an error, and nothing was taken.
+void Streams::bad(StreamKey key, Stream& stream, std::string_view why) {
+  ++counts_.malformed;
+  logBounded("ext_proc.bad_request", "why=" + quoted(why));
+  stream.stage = Stage::answered;
+  setDue(key, stream, {});
+  wire::Immediate answer;
+  answer.status = 400;
+  answer.body = std::string(why) + "\n";
+  answer.details = "txn_not_taken";
+  effects_.send(key, wire::answered(answer));
+  effects_.close(key, Close::done, "");
+}
+
+void Streams::invalid(StreamKey key, std::string_view why) {
+  ++counts_.malformed;
+  logBounded("ext_proc.invalid_message", "why=" + quoted(why));
+  Stream& stream = streams_.at(key);
+  letGo(key, stream);
+  waiting_.erase(key);
+  stream.stage = Stage::answered;
+  setDue(key, stream, {});
+  effects_.close(key, Close::invalid, why);
+}
+
+// --- Turns
+
+void Streams::setDue(StreamKey key, Stream& stream, Instant due) {
+  if (stream.due != Instant()) due_.erase({stream.due, key});
+  stream.due = due;
+  if (due != Instant()) due_.insert({due, key});
+}
+
+void Streams::endTurn() {
+  carrier_.endTurn();
+  book_.forget(ledger_.now());
+  // The end that they wait for may have come.
+  for (const StreamKey key : std::vector<StreamKey>(waiting_.begin(), waiting_.end()))
+    if (const auto at = streams_.find(key); at != streams_.end() && at->second.stage == Stage::waiting)
+      ask(key, at->second);
+  while (!due_.empty() && due_.begin()->first <= ledger_.now()) {
+    const StreamKey key = due_.begin()->second;
+    Stream& stream = streams_.at(key);
+    const Instant due = stream.due;
+    setDue(key, stream, {});
+    switch (stream.stage) {
+      case Stage::opened:
+        stream.stage = Stage::answered;
+        effects_.close(key, Close::overdue, "nothing was asked for");
+        break;
+      case Stage::granted:
+        letGo(key, stream);
+        effects_.close(key, Close::overdue, "no answer was told");
+        break;
+      case Stage::waiting:
+      case Stage::asking:
+        if (due == stream.hold.askAt) {
+          effects_.send(key, wire::wait(stream.hold.ask));
+          setDue(key, stream, stream.hold.answerBy);
+          break;
+        }
+        // The module, which was told how long it may hold the txn, has given it up by now; a stream that
+        // waits for another one is not there. Guards the one final answer: the proxy stops waiting a moment
+        // later.
+        if (due < stream.hold.answerBy) break;
+        if (stream.txn != 0) ledger_.leave(stream.txn);
+        waiting_.erase(key);
+        immediate(key, stream, Outcome::declined, {}, "no node was free in time");
+        break;
+      default:
+        break;
+    }
+  }
+}
+
+Instant Streams::nextDue() const {
+  Instant next = carrier_.nextDue();
+  if (!due_.empty() && (next == Instant() || due_.begin()->first < next)) next = due_.begin()->first;
+  return next;
+}
+
+void Streams::logBounded(std::string_view event, const std::string& fields) {
+  Said& said = said_[std::string(event)];
+  if (said.at != Instant() && ledger_.now() - said.at < kLogPause) {
+    ++said.since;
+    return;
+  }
+  effects_.log(event, fields + (said.since > 0 ? " unsaid=" + std::to_string(said.since) : ""));
+  said = {ledger_.now(), 0};
+}
+
+}  // namespace gulltrestle::fronts::ext_proc
--- /dev/null
+++ b/src/fronts/ext_proc/streams.h
@@ -0,0 +1,129 @@
+// Streams of proxies that ask for each request where it goes: their phases, the txns they stand for, and what
+// each is told. One stream is one try; grants::Book says which streams are tries of one txn. It reads no
+// socket and no clock.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "carriers/delegated/delegated.h"
+#include "core/ledger.h"
+#include "ext_proc/messages.h"
+#include "fronts/ext_proc/mapping.h"
+#include "grants/book.h"
+#include "grants/worth.h"
+
+namespace gulltrestle::fronts::ext_proc {
+
+using grants::StreamKey;
+
+// How a stream is ended here, in the words of gRPC that its server gives.
+enum class Close { done, invalid, overdue, full, unavailable };
+
+// What it asks for.
+class Effects {
+ public:
+  virtual ~Effects() = default;
+  virtual void send(StreamKey stream, std::string_view message) = 0;
+  // After what was sent.
+  virtual void close(StreamKey stream, Close how, std::string_view why) = 0;
+  // An event's stable name, and its fields as key=value.
+  virtual void log(std::string_view event, const std::string& fields) = 0;
+};
+
+struct Bounds {
+  std::size_t mostStreams = 1000;
+  Span openLimit = Span::millis(2000);  // a stream must have asked by then
+  grants::MessageTime messageTime;
+};
+
+class Streams final : private core::Front, private carriers::delegated::Granting {
+ public:
+  Streams(core::Ledger& ledger, Mapping mapping, grants::Book book, grants::DrainRule rule, Bounds bounds,
+          Effects& effects);
+
+  // Events. The ledger has been told when.
+  void opened(StreamKey stream);
+  void message(StreamKey stream, std::string_view bytes);
+  void halfClosed(StreamKey stream);
+  void ended(StreamKey stream);
+  void listHeard() { carrier_.listHeard(); }
+
+  void endTurn();
+  Instant nextDue() const;
+  void stop() { stopped_ = true; }  // nothing new is taken
+  bool empty() const { return streams_.empty(); }
+  core::Carrier& carrier() { return carrier_; }
+
+  // Since the start, for logs and status.
+  struct Counts {
+    std::uint64_t asked = 0, granted = 0, committed = 0, declined = 0, rolledBack = 0, refused = 0,
+                  unreported = 0, misused = 0, malformed = 0;
+  };
+  const Counts& counts() const { return counts_; }
+  std::size_t remembered() const { return book_.size(); }
+  std::size_t grantsOut() const { return carrier_.out(); }
+
+ private:
+  enum class Stage {
+    opened,    // has not asked
+    waiting,   // for an earlier try of its txn to end
+    asking,    // its txn is with the module
+    granted,   // it was told where to send
+    reported,  // the node's answer is held until the module has decided
+    answered   // all decisions are told: further phases go on
+  };
+  struct Stream {
+    Stage stage = Stage::opened;
+    Mapping::Asked asked;
+    TxnId txn = 0;
+    grants::Hold hold;
+    carriers::delegated::Grant grant;
+    std::optional<grants::Outcome> given;  // by the module, while nothing could be told
+    Span comeBackAfter;
+    bool halfClosed = false, endTold = false;
+    Instant due;  // never: nothing is awaited
+  };
+
+  // Front.
+  void committed(core::OwnerId owner, const core::Value& value) override;
+  void declined(core::OwnerId owner, Span comeBackAfter) override;
+  void rolledBack(core::OwnerId owner) override;
+  // Granting.
+  bool granted(TxnId txn, const carriers::delegated::Grant& grant) override;
+
+  void ask(StreamKey key, Stream& stream);
+  void report(StreamKey key, Stream& stream, const wire::Headers& headers);
+  void decided(StreamKey key, grants::Outcome outcome, Span comeBackAfter);
+  void immediate(StreamKey key, Stream& stream, grants::Outcome outcome, Span comeBackAfter,
+                 std::string_view why);
+  void bad(StreamKey key, Stream& stream, std::string_view why);
+  void invalid(StreamKey key, std::string_view why);
+  void letGo(StreamKey key, Stream& stream);
+  void setDue(StreamKey key, Stream& stream, Instant due);
+  void logBounded(std::string_view event, const std::string& fields);
+
+  core::Ledger& ledger_;
+  Mapping mapping_;
+  grants::Book book_;
+  Bounds bounds_;
+  Effects& effects_;
+  carriers::delegated::Delegated carrier_;
+  std::map<StreamKey, Stream> streams_;
+  std::map<TxnId, StreamKey> owners_;  // of txns that are owed an answer or have a grant out
+  std::set<StreamKey> waiting_;
+  std::set<std::pair<Instant, StreamKey>> due_;
+  struct Said {
+    Instant at;
+    std::size_t since = 0;
+  };
+  std::map<std::string, Said, std::less<>> said_;  // when each event was last logged, and how often since
+  Counts counts_;
+  bool stopped_ = false;
+};
+
+}  // namespace gulltrestle::fronts::ext_proc
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gulltrestle::gateway {
@@ -80,6 +81,11 @@
   ledger_.listFailed();
 }
 
+void Gateway::listHeard(Instant now) {
+  ledger_.see(now);
+  for (Part* part : parts_) part->listHeard();
+}
+
 // --- The configuration
 
 void Gateway::configured(Instant now, const std::string& discovery, const std::vector<std::string>& kept) {
@@ -106,24 +112,33 @@
   effects_.log("told to end: serving on for a while, then answering what was taken");
 }
 
+bool Gateway::finished() const {
+  return stopped_ && clients_.empty() &&
+         std::all_of(parts_.begin(), parts_.end(), [](const Part* part) { return part->empty(); });
+}
+
 Instant Gateway::endTurn(Instant now) {
   ledger_.see(now);
   links_.endTurn();
   clients_.endTurn();
+  for (Part* part : parts_) part->endTurn();
   if (stopping_ && ledger_.now() >= stopAt_) {
     if (!std::exchange(stopped_, true)) {
       effects_.stopListening();
       clients_.stop();
+      for (Part* part : parts_) part->stop();
     }
     // Once more, for those that had just come and have asked for nothing since.
     clients_.closeIdleAtEnd();
   }
   Instant next = ledger_.endTurn();
+  for (Part* part : parts_) part->flush();
   const auto sooner = [&](Instant at) {
     if (at != Instant() && (next == Instant() || at < next)) next = at;
   };
   sooner(links_.nextDue());
   sooner(clients_.nextDue());
+  for (const Part* part : parts_) sooner(part->nextDue());
   if (stopping_) sooner(stopped_ ? ledger_.now() + bounds_.connectLimit : stopAt_);
   return next;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,11 +23,27 @@
   std::size_t mostAsking = 0;  // connections that clients keep for txns; 0: any number
 };
 
+// A further front on the same ledger, with sockets of its own.
+class Part {
+ public:
+  virtual ~Part() = default;
+  virtual void listHeard() = 0;  // discovery said something, be it nothing new
+  virtual void endTurn() = 0;    // ahead of the module's round
+  virtual void flush() = 0;      // after it
+  virtual Instant nextDue() const = 0;
+  virtual void stop() = 0;         // nothing new is taken
+  virtual bool empty() const = 0;  // all is answered after stop()
+};
+
 class Gateway final {
  public:
   Gateway(const Terms& terms, const std::vector<std::string>& typeNames, std::uint64_t seed, Bounds bounds,
           Effects& effects);
 
+  // Before the first event.
+  void add(Part& part) { parts_.push_back(&part); }
+  core::Ledger& ledger() { return ledger_; }
+
   // Events. Each tells when it was seen.
   void clientOpened(Instant now, ClientId client);
   // Returns how much was taken; the rest is offered again, with more behind it, after readClient().
@@ -40,6 +56,7 @@
   void linkEnded(Instant now, LinkId link, ConnectionEnd how);
   void listed(Instant now, ListKind kind, const std::vector<Addressed>& list);
   void listFailed(Instant now);
+  void listHeard(Instant now);
   // The configuration was read, at the start or anew. `kept`: keys that differ and wait for a restart.
   void configured(Instant now, const std::string& discovery, const std::vector<std::string>& kept);
   // It can't be used: all goes on as it was.
@@ -51,7 +68,7 @@
   Instant endTurn(Instant now);
 
   // All is answered after shutDown().
-  bool finished() const { return stopped_ && clients_.empty(); }
+  bool finished() const;
   // Closes the clients that have been idle longest, some at most; false if none is idle.
   bool closeIdleClients(std::size_t most = 1) { return clients_.closeIdle(most); }
   void refuse(Instant now, ClientId client);  // there is no room for what it sends
@@ -63,6 +80,7 @@
   core::Ledger ledger_;
   carriers::pg::Links links_;
   fronts::pg::Clients clients_;
+  std::vector<Part*> parts_;
   Instant stopAt_;
   std::string discovery_;                    // its address
   bool stopping_ = false, stopped_ = false;  // stopped: takes nothing new
--- /dev/null
+++ b/src/grants/worth.h
@@ -0,0 +1,44 @@
+// What a grant is worth: how long whoever got it may still send to the node that it names, and how long a
+// question may be held before its asker's own time is up. No I/O, no clock.
+//
+// A grant can't be taken back: what is decided once it is told is decided for as long as it may be used. So
+// it is short enough that a drain which is told the moment after still finds nothing sent past its grace.
+#pragma once
+
+#include "base/time.h"
+
+namespace gulltrestle::grants {
+
+// What binds a grant, from the deployment's settings.
+struct DrainRule {
+  Span grace = Span::millis(1000);  // nothing new to a node later than this after its drain was told here
+  // What a list has to say counts as told so long after it was due, whether it came or not; zero: only what
+  // came counts.
+  Span toldWithin;
+};
+
+// How old the word of the list is: `heardAt` is when it last said anything, an empty line included; a list
+// that is followed says something every `pulse`.
+struct ListAge {
+  Instant heardAt;
+  Span pulse = Span::millis(2000);
+};
+
+// How long from `now` the grant may be used; zero or less: it is worth nothing and must not be given.
+// `sendBy`: by when the module wants it sent.
+Span sendWithin(Instant now, Instant sendBy, const DrainRule& rule, const ListAge& list);
+
+// A question that is held. A proxy waits `timeout` for an answer, and may be asked, once, to wait `most` from
+// then on (zero: it may not).
+struct MessageTime {
+  Span timeout = Span::millis(200);
+  Span most;
+};
+struct Hold {
+  Instant askAt;     // when more time is asked for, unless it has its answer; never: it is not
+  Span ask;          // and how much
+  Instant answerBy;  // when it gets an answer in any case
+};
+Hold holdOf(Instant now, Span patience, const MessageTime& time);
+
+}  // namespace gulltrestle::grants
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -409,7 +409,9 @@
     const TxnType& type = typeOf(txn);
     const bool known = type.effect == Effect::referenced && now - txn.mayHaveRunAt < type.referenceWindow;
     const bool again = txn.mayHaveRunAt == Instant() || type.effect == Effect::repeatable || known;
-    return again && txn.submissions < terms.mostSubmissions;
+    const unsigned earlier = txn.txn.earlier.submissions, mostHere = txn.txn.mostHere;
+    return again && txn.submissions + earlier < terms.mostSubmissions &&
+           (mostHere == 0 || txn.submissions < mostHere);
   }
 
   // The part of its value that a txn can be expected to earn if it is sent now.
@@ -484,7 +486,8 @@
     Instant next = now + terms.roundLength * 10;  // at least: late rounds are told by the wake asked for
     for (auto& [value, txn] : order) {
       // The last rounds before expiry: the final answer must be there in time.
-      const Instant last = txn->answerBy - terms.roundLength * 2;
+      const Span hold = txn->txn.hold && txn->out == 0 ? *txn->txn.hold : txn->txn.patience;
+      const Instant last = std::min(txn->takenAt + hold, txn->answerBy) - terms.roundLength * 2;
       const bool isNew = !std::exchange(txn->weighed, true);
       if (now >= last || (txn->out == 0 && hopeless(*txn)) || (isNew && shed(*txn)) ||
           queuesTooLong(*txn, ahead)) {
@@ -657,7 +660,13 @@
   taken.takenAt = s.now;
   taken.answerBy = s.now + txn.patience;
   const Span sla = type.slaTime + (txn.work ? *txn.work * type.slaStretch : Span());
-  taken.firstAt = s.now - s.waitedBefore(txn);
+  // Earlier tries that the front knows of count as submissions of this one: what may have run then may have
+  // run.
+  const Earlier& earlier = txn.earlier;
+  taken.firstAt = s.now - (earlier.since ? *earlier.since : s.waitedBefore(txn));
+  if (earlier.mayHaveRunFor) taken.mayHaveRunAt = s.now - *earlier.mayHaveRunFor;
+  for (const auto& node : earlier.tried)
+    if (const auto at = s.members.find(node); at != s.members.end()) taken.tried.push_back(&at->second);
   taken.slaBy = taken.firstAt + std::min(sla, type.expiry);
   if (type.level == ReadLevel::session) taken.target = s.targetOf(txn);
   keepLast(s.arrivals, {s.now, s.usual(txn.type).inSeconds()}, 64);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -54,15 +54,23 @@
   Span longestComeBack;
   unsigned mostSubmissions = 1;
   bool ownConnections = false;  // each submission out has a connection, which may fall silent by itself
-  std::size_t mostOpen = 0;  // txns that clients can have open here at a time; 0: any number
-  double crossZonePrice = 0;  // what a submission into another zone costs, as a part of the value of a txn
-  bool nodesGuard = false;  // a node turns away untouched a read that it is too far behind for
+  std::size_t mostOpen = 0;     // txns that clients can have open here at a time; 0: any number
+  double crossZonePrice = 0;    // what a submission into another zone costs, as a part of the value of a txn
+  bool nodesGuard = false;      // a node turns away untouched a read that it is too far behind for
   bool sessionAgeCarried =
       false;  // reads carry the age of their session's last write; else it is remembered here
   bool listMustBeAsked = false;
   bool operator==(const Terms&) const = default;
 };
 
+// What is known of tries of a txn that came to another front, or to another stream of it, before this one.
+struct Earlier {
+  unsigned submissions = 0;
+  std::optional<Span> since;          // how long ago the first try came; none: not known
+  std::optional<Span> mayHaveRunFor;  // how long ago the first submission that may have run was sent
+  std::vector<NodeId> tried;
+};
+
 struct Txn {
   TxnId id = 0;
   std::size_t type = 0;  // row in Terms::types
@@ -71,6 +79,9 @@
   std::optional<Span> writeAge;  // how long ago the session's last write was committed; zero: it has none
   Span patience;                 // how long until the client gives up this try
   std::optional<Span> work;      // expected, rough
+  Earlier earlier;
+  unsigned mostHere = 0;     // submissions that can be carried for this try; 0: as many as the terms allow
+  std::optional<Span> hold;  // how long it may go without a submission; none: as long as its patience
 };
 
 enum class Health { live, draining, gone };
@@ -105,7 +116,7 @@
 // What a node said of itself, in an answer or in a report.
 struct Standing {
   Role role = Role::unknown;
-  std::optional<Instant> position;  // all commits up to here are applied; of a write, its commit rounded up
+  std::optional<Instant> position;    // all commits up to here are applied; of a write, its commit rounded up
   std::optional<double> inHand = {};  // txns that the node holds, of all routers
 };
 
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -29,10 +29,10 @@
 // carry.
 constexpr std::size_t kTxnsPart = 3;
 
-Terms termsOf(const startup::Start& start) {
+Terms termsOf(const startup::Start& start, std::size_t openElsewhere) {
   Terms terms = start.told.terms;
   terms.ownConnections = true;
-  terms.mostOpen = start.descriptors / kTxnsPart;
+  terms.mostOpen = start.descriptors / kTxnsPart + openElsewhere;
   return terms;
 }
 
@@ -117,13 +117,17 @@
   Connection& connection_;
 };
 
-Server::Server(startup::Start start)
+Server::Server(startup::Start start, Reserved reserved)
     : start_(std::move(start)),
       signals_(std::make_unique<loop::Stream>(loop_, loop::signals())),
       listener_(std::make_unique<loop::Stream>(loop_, listenAt(start_.listen))),
       mostClients_(start_.descriptors - kReserved - linksOf(start_)),
       mostBytes_(bytesOf(start_)),
-      gateway_(termsOf(start_), start_.told.typeNames, start_.seed, boundsOf(start_), *this) {
+      gateway_(termsOf(start_, reserved.openTxns), start_.told.typeNames, start_.seed, boundsOf(start_),
+               *this) {
+  if (mostClients_ <= reserved.descriptors)
+    throw startup::BadKey("limits.sockets", "leaves none for clients beside the other fronts' connections");
+  mostClients_ -= reserved.descriptors;
   for (const auto& type : start_.told.terms.types) longestExpiry_ = std::max(longestExpiry_, type.expiry);
 }
 
@@ -484,6 +488,7 @@
           if (asked && from.stream.canRead)
             read(from, [&](std::string_view bytes) {
               heardAt = loop_.now();
+              gateway_.listHeard(heardAt);
               const auto used = response.feed(bytes, body);
               if (response.status() != 0 && response.status() != 200)
                 throw http::Malformed("status " + std::to_string(response.status()));
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -13,12 +13,22 @@
 
 namespace gulltrestle::server {
 
+// What another front on the same process takes of its limits.
+struct Reserved {
+  std::size_t descriptors = 0, openTxns = 0;
+};
+
 class Server final : private gateway::Effects {
  public:
   // Throws where the address to listen on can't be had.
-  explicit Server(startup::Start start);
+  explicit Server(startup::Start start, Reserved reserved = {});
   ~Server() override;
 
+  // For a front that is added before run(), and outlives the server.
+  void add(gateway::Part& part) { gateway_.add(part); }
+  loop::Loop& loop() { return loop_; }
+  core::Ledger& ledger() { return gateway_.ledger(); }
+
   // Serves until it is told to end and all is answered.
   void run();
 
--- /dev/null
+++ b/src/standins/node.cpp
@@ -0,0 +1,186 @@
+#include "standins/node.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <charconv>
+
+#include "loop/sockets.h"
+
+namespace gulltrestle::standins {
+
+namespace {
+
+constexpr const char* kHost = "127.0.0.1";
+
+std::string addressOf(const loop::Stream& listener) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(listener.descriptor(), reinterpret_cast<sockaddr*>(&address), &size);
+  return std::string(kHost) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+// What one side of a connection has read and not taken yet.
+struct Wire {
+  Wire(loop::Loop& loop, loop::Descriptor descriptor) : stream(loop, std::move(descriptor)) {}
+  loop::Stream stream;
+  std::string kept;
+  bool over = false;
+
+  void read() {
+    char bytes[4096];
+    while (stream.canRead && !over) {
+      const auto got = loop::readInto(stream.descriptor(), bytes);
+      if (got.how == loop::Io::some) kept.append(bytes, got.size);
+      if (got.how == loop::Io::wouldBlock) stream.canRead = false;
+      if (got.how == loop::Io::ended || got.how == loop::Io::failed) over = true;
+    }
+  }
+  void write(std::string_view bytes) {
+    const auto done = loop::writeFrom(stream.descriptor(), {&bytes, 1});
+    if (done.how != loop::Io::some) over = true;  // what stand-ins say is short: it fits or the peer is gone
+  }
+};
+
+// A head's first line and the value of a field, both in lower case names.
+std::string field(std::string_view head, std::string_view name) {
+  const auto at = head.find("\r\n" + std::string(name) + ": ");
+  if (at == std::string_view::npos) return "";
+  const auto from = at + name.size() + 4;
+  return std::string(head.substr(from, head.find("\r\n", from) - from));
+}
+
+}  // namespace
+
+Node::Node(loop::Loop& loop, std::string id, bool isPrimary)
+    : primary(isPrimary),
+      loop_(loop),
+      id_(std::move(id)),
+      listener_(std::make_unique<loop::Stream>(loop, loop::listenOn(kHost, 0))) {
+  loop_.spawn(accept());
+}
+Node::~Node() = default;
+
+std::string Node::address() const { return addressOf(*listener_); }
+
+std::string Node::head(int status, const std::string& outcome) const {
+  const auto position = (loop_.now() - (primary ? Span() : lag)).inMicros() / 1000;
+  return "HTTP/1.1 " + std::to_string(status) + " x\r\nx-node-role: " + (primary ? "primary" : "replica") +
+         "\r\nx-node-position: " + std::to_string(position) + "\r\nx-node-outcome: " + outcome +
+         "\r\ncontent-length: 0\r\n\r\n";
+}
+
+loop::Task Node::accept() {
+  for (;;) {
+    loop::Descriptor taken;
+    if (loop::accept(listener_->descriptor(), taken) == loop::Io::some)
+      loop_.spawn(serve(std::move(taken)));
+    else
+      co_await listener_->changed();
+  }
+}
+
+loop::Task Node::serve(loop::Descriptor descriptor) {
+  Wire wire(loop_, std::move(descriptor));
+  while (!wire.over) {
+    wire.read();
+    const auto end = wire.kept.find("\r\n\r\n");
+    if (end == std::string::npos) {
+      if (!wire.over) co_await wire.stream.changed();
+      continue;
+    }
+    const std::string request = wire.kept.substr(0, end + 2);
+    wire.kept.erase(0, end + 4);
+    lastSentAt = loop_.now();
+    ++requests;
+    const std::string txn = field(request, "x-txn-id");
+    const bool write = request.starts_with("POST");
+    const Fault what = fault ? fault(txn) : Fault::none;
+    if (what == Fault::cutBefore) co_return;
+    if (what == Fault::turnAway) {
+      wire.write(head(503, "turned-away"));
+      continue;
+    }
+    if (what == Fault::missAnswer || (write && !primary)) {
+      writesAsReplica += write && !primary;
+      wire.write(head(421, "miss"));
+      continue;
+    }
+    ++runs[txn];
+    if (what == Fault::cutAfter) co_return;
+    co_await loop_.sleepUntil(loop_.now() + (what == Fault::hang ? Span::millis(3'600'000) : work));
+    wire.write(what == Fault::error ? head(500, "error") : head(200, "committed"));
+  }
+}
+
+// --- Discovery
+
+Discovery::Discovery(loop::Loop& loop)
+    : loop_(loop), listener_(std::make_unique<loop::Stream>(loop, loop::listenOn(kHost, 0))) {
+  loop_.spawn(accept());
+}
+Discovery::~Discovery() = default;
+
+std::string Discovery::address() const { return addressOf(*listener_); }
+
+void Discovery::set(const Entry& entry) { entries_[entry.id] = {++version_, entry}; }
+
+std::string Discovery::list(std::uint64_t after, bool whole) const {
+  std::string servers;
+  for (const auto& [id, held] : entries_) {
+    const auto& [version, entry] = held;
+    if (!whole && version <= after) continue;
+    servers += std::string(servers.empty() ? "" : ",") + R"({"id":")" + id + R"(","addr":")" + entry.address +
+               R"(","zone":"a","kind":"k","cell":)" + std::to_string(entry.group) + R"(,"state":")" +
+               entry.state + R"(","part":")" + (entry.primary ? "master" : "replica") +
+               R"(","started_ms":0})";
+  }
+  return R"({"version":)" + std::to_string(version_) + R"(,"full":)" + (whole ? "true" : "false") +
+         R"(,"servers":[)" + servers + "]}\n";
+}
+
+loop::Task Discovery::accept() {
+  for (;;) {
+    loop::Descriptor taken;
+    if (loop::accept(listener_->descriptor(), taken) == loop::Io::some)
+      loop_.spawn(serve(std::move(taken)));
+    else
+      co_await listener_->changed();
+  }
+}
+
+loop::Task Discovery::serve(loop::Descriptor descriptor) {
+  Wire wire(loop_, std::move(descriptor));
+  for (wire.read(); !wire.over && wire.kept.find("\r\n\r\n") == std::string::npos; wire.read())
+    co_await wire.stream.changed();
+  const auto at = wire.kept.find("index=");
+  if (at == std::string::npos) {
+    const std::string body = list(0, true);
+    if (!silent)
+      wire.write("HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    co_return;
+  }
+  std::uint64_t told = 0;
+  std::from_chars(wire.kept.data() + at + 6, wire.kept.data() + wire.kept.size(), told);
+  const auto chunk = [&](const std::string& body) {
+    char size[20];
+    const auto end = std::to_chars(size, size + sizeof size, body.size(), 16).ptr;
+    wire.write(std::string(size, end) + "\r\n" + body + "\r\n");
+  };
+  wire.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+  Instant heardAt = loop_.now();
+  while (!wire.over) {
+    if (!silent && told < version_) {
+      chunk(list(told, false));
+      told = version_;
+      heardAt = loop_.now();
+    } else if (!silent && loop_.now() - heardAt > Span::millis(2000)) {
+      chunk("\n");
+      heardAt = loop_.now();
+    }
+    co_await loop_.sleepUntil(loop_.now() + Span::millis(5));
+    wire.read();
+  }
+}
+
+}  // namespace gulltrestle::standins
--- /dev/null
+++ b/src/standins/node.h
@@ -0,0 +1,84 @@
+// A stand-in for a database node behind a proxy: HTTP/1.1 on a loopback address, one request at a time on a
+// connection. It counts how often each txn ran, by the id that its client gave it, and when it was sent what.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/time.h"
+#include "loop/loop.h"
+
+namespace gulltrestle::standins {
+
+// What a node does with a request, on command.
+enum class Fault {
+  none,
+  turnAway,    // answers 503 untouched, and says so
+  missAnswer,  // answers that it is the wrong node, untouched
+  error,       // runs it, then answers 500
+  cutBefore,   // closes before it runs anything
+  cutAfter,    // runs it, then closes without an answer
+  hang,        // runs it, and never answers
+};
+
+class Node {
+ public:
+  Node(loop::Loop& loop, std::string id, bool primary);
+  ~Node();
+
+  const std::string& id() const { return id_; }
+  std::string address() const;
+
+  // For each request in turn; none once it gives none.
+  std::function<Fault(const std::string& txn)> fault;
+  Span work = Span::millis(1);
+  bool primary;
+  // How far a replica is behind.
+  Span lag = Span::millis(2);
+
+  // --- What was seen
+  std::map<std::string, unsigned> runs;  // by the client's id
+  std::uint64_t requests = 0, writesAsReplica = 0;
+  Instant lastSentAt;  // when the last request's first byte came
+
+ private:
+  loop::Task accept();
+  loop::Task serve(loop::Descriptor descriptor);
+  std::string head(int status, const std::string& outcome) const;
+
+  loop::Loop& loop_;
+  std::string id_;
+  std::unique_ptr<loop::Stream> listener_;
+};
+
+// A stand-in for discovery: the list over HTTP, whole or as a watch that brings each change.
+class Discovery {
+ public:
+  explicit Discovery(loop::Loop& loop);
+  ~Discovery();
+  std::string address() const;
+
+  struct Entry {
+    std::string id, address, state = "up";
+    bool primary = false;
+    std::uint64_t group = 1;
+  };
+  // The entry counts from now on, and is told to all that watch.
+  void set(const Entry& entry);
+  bool silent = false;  // tells nothing, and goes on accepting
+
+ private:
+  loop::Task accept();
+  loop::Task serve(loop::Descriptor descriptor);
+  std::string list(std::uint64_t after, bool whole) const;
+
+  loop::Loop& loop_;
+  std::unique_ptr<loop::Stream> listener_;
+  std::map<std::string, std::pair<std::uint64_t, Entry>> entries_;  // with the version that last changed each
+  std::uint64_t version_ = 1;
+};
+
+}  // namespace gulltrestle::standins
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -136,6 +136,8 @@
   told.zone = settings.find("zone").value_or("");
   told.idleLimit = span(settings, "limits.connIdle", 15'000'000);
   told.connectLimit = span(settings, "limits.connectTimeout", 250'000);
+  told.drainGrace = span(settings, "rules.drainGrace", 1'000'000);
+  told.toldWithin = span(settings, "rules.askWithin", 0);
   return told;
 }
 
--- a/src/terms/terms.h
+++ b/src/terms/terms.h
@@ -56,6 +56,9 @@
   std::string zone;                    // this router's own
   Span idleLimit;                      // nodes close connections that were idle for this long
   Span connectLimit;                   // what is not up by then does not come up
+  Span drainGrace;                     // nothing new to a node later than this after it was told to drain
+  Span
+      toldWithin;  // what a list has to tell counts as told so long after it was due; zero: only when it came
   bool operator==(const Told&) const = default;
 };
 
--- /dev/null
+++ b/tests/day.cpp
@@ -0,0 +1,204 @@
+// The external processor as a process of its own on loopback, between a stand-in proxy, stand-in nodes and a
+// discovery that stand in for real ones. Run as `day CASE`: prints what must hold on every run; counts and
+// times differ from run to run and stay out of the trace.
+#include <arpa/inet.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+#include "loop/sockets.h"
+#include "standins/node.h"
+#include "standins/proxy.h"
+
+using namespace gulltrestle;
+using standins::Fault;
+
+namespace {
+
+Span ms(std::int64_t n) { return Span::millis(n); }
+
+std::string freeAddress() {
+  const loop::Descriptor held = loop::listenOn("127.0.0.1", 0);
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(held.number(), reinterpret_cast<sockaddr*>(&address), &size);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+// The program, started and ended as often as the case wants.
+class Program {
+ public:
+  Program(const std::string& discovery, const std::string& more) : processor_(freeAddress()) {
+    const char* tmp = std::getenv("TMPDIR");
+    base_ = std::string(tmp && *tmp ? tmp : "/tmp") + "/gulltrestle-day-" + std::to_string(getpid());
+    std::ofstream(base_ + ".json") << R"({"name":"day","listen":")" << freeAddress() << R"(","discovery":")"
+                                   << discovery << R"(","seed":"5eed",
+      "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":null,"settings":{"zone":"a","round":5000,
+      "balancers":1,"limits":{"probes":false,"cancel":true,"secondCopies":true,"retryAfter":true,
+      "maxAttempts":6,"maxRetryAfter":500000,"connIdle":30000000,"connectTimeout":250000},
+      "lanes":[{"name":"look","effect":"idempotent","objective":300000,"deadline":1000000,"worth":1},
+      {"name":"own","effect":"idempotent","objective":400000,"deadline":1000000,"worth":1},
+      {"name":"book-charge","effect":"at_most_once","objective":400000,"deadline":3000000,"worth":3,"lateShare":0.7}],
+      "rules":{"coldFrom":0.2,"cold":10000000,"drainGrace":1000000},
+      "specifics":{"readLevel":["loose","own_writes","update"],"lagAllowed":[0,0,0],"sessionMarks":"client",
+      "guards":"off"}}})";
+    std::ofstream(base_ + ".ext.json") << R"({"listen":")" << processor_ << "\"" << more << "}";
+  }
+  ~Program() {
+    kill();
+    unlink((base_ + ".json").c_str());
+    unlink((base_ + ".ext.json").c_str());
+  }
+
+  void start() {
+    child_ = fork();
+    if (child_ != 0) return;
+    setenv("BALANCER_CONFIG", (base_ + ".json").c_str(), 1);
+    setenv("GULLTRESTLE_EXT_PROC", (base_ + ".ext.json").c_str(), 1);
+    if (!std::getenv("DAY_LOG") && !freopen("/dev/null", "w", stdout)) _exit(127);
+    execl(GULLTRESTLE_PROGRAM, GULLTRESTLE_PROGRAM, static_cast<char*>(nullptr));
+    _exit(127);
+  }
+  void kill() { end(SIGKILL); }
+  // Told to end; true if it ended by itself with code 0.
+  void tell() { ::kill(child_, SIGTERM); }
+  bool endsWell() {
+    int status = 0;
+    waitpid(std::exchange(child_, -1), &status, 0);
+    return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  }
+  bool runs() const { return child_ > 0 && waitpid(child_, nullptr, WNOHANG) == 0; }
+  const std::string& processor() const { return processor_; }
+
+ private:
+  void end(int signal) {
+    if (child_ <= 0) return;
+    ::kill(child_, signal);
+    waitpid(std::exchange(child_, -1), nullptr, 0);
+  }
+  std::string processor_, base_;
+  pid_t child_ = -1;
+};
+
+// A group of three nodes, its list, a program and a proxy, all on one loop.
+struct Fleet {
+  explicit Fleet(standins::ProxySetup setup = {}, const std::string& more = "")
+      : discovery(loop),
+        p(loop, "p", true),
+        a(loop, "a", false),
+        b(loop, "b", false),
+        program(discovery.address(), more),
+        proxy(loop, with(std::move(setup), program.processor())) {
+    for (auto* node : {&p, &a, &b}) list(*node, "up");
+  }
+  static standins::ProxySetup with(standins::ProxySetup setup, const std::string& processor) {
+    setup.processor = processor;
+    return setup;
+  }
+  void list(standins::Node& node, const std::string& state) {
+    discovery.set({node.id(), node.address(), state, node.primary, 1});
+  }
+
+  void ask(const std::string& type, const std::string& id, Span patience = ms(900)) {
+    ++asked;
+    if (type == "book-charge") onceOnly.insert(id);
+    proxy.ask({{":method", "GET"},
+               {"x-txn-id", id},
+               {"x-txn-type", type},
+               {"x-txn-group", "1"},
+               {"x-txn-session", "s" + id}},
+              type == "book-charge", patience, [this](standins::Answer answer) { take(answer); });
+  }
+  void take(const standins::Answer& answer) {
+    ++answers[answer.txn];
+    last = answer;
+    if (answer.outcome == "declined") declined.insert(answer.txn);
+    if (answer.outcome == "committed") committed.insert(answer.txn);
+  }
+  unsigned runsOf(const std::string& id) {
+    unsigned sum = 0;
+    for (auto* node : {&p, &a, &b})
+      if (const auto at = node->runs.find(id); at != node->runs.end()) sum += at->second;
+    return sum;
+  }
+
+  // Plays `script` on the loop until it has ended.
+  void play(std::function<loop::Task(Fleet&)> script) {
+    loop.spawn(script(*this));
+    loop.run([](Instant) { return Instant(); },
+             [](std::exception_ptr failure) {
+               try {
+                 std::rethrow_exception(failure);
+               } catch (const std::exception& bad) { std::cout << "failed: " << bad.what() << "\n"; }
+             });
+  }
+  auto pause(std::int64_t millis) { return loop.sleepUntil(loop.now() + ms(millis)); }
+
+  static void say(const std::string& what, bool holds) {
+    std::cout << what << (holds ? ": yes" : ": NO") << "\n";
+  }
+  void tellRules() {
+    std::size_t twice = 0, declinedRan = 0, lost = 0;
+    for (const auto& id : onceOnly) {
+      twice += runsOf(id) > 1;
+      declinedRan += declined.contains(id) && runsOf(id) > 0;
+      lost += committed.contains(id) && runsOf(id) != 1;
+    }
+    bool once = answers.size() == asked;
+    for (const auto& [id, count] : answers) once = once && count == 1;
+    say("each txn has one final answer", once);
+    say("no once-only txn ran twice", twice == 0);
+    say("no declined once-only txn ran", declinedRan == 0);
+    say("each committed once-only txn ran", lost == 0);
+    if (!std::getenv("DAY_COUNTS")) return;
+    for (const auto& [what, count] : proxy.seen) std::cerr << count << " " << what << "\n";
+    std::cerr << asked << " asked " << committed.size() << " committed " << declined.size() << " declined\n";
+  }
+
+  loop::Loop loop;
+  standins::Discovery discovery;
+  standins::Node p, a, b;
+  Program program;
+  standins::Proxy proxy;
+  std::size_t asked = 0;
+  std::map<std::string, unsigned> answers;
+  std::set<std::string> onceOnly, declined, committed;
+  standins::Answer last;
+};
+
+// One request end to end.
+loop::Task oneTask(Fleet& f) {
+  f.program.start();
+  co_await f.pause(400);
+  f.ask("look", "r1");
+  co_await f.pause(100);
+  std::cout << "a read: " << f.last.status << " " << f.last.outcome
+            << ", from a replica: " << (f.last.from == f.a.address() || f.last.from == f.b.address()) << "\n";
+  f.ask("book-charge", "w1");
+  co_await f.pause(100);
+  std::cout << "a write: " << f.last.status << " " << f.last.outcome
+            << ", from the primary: " << (f.last.from == f.p.address()) << "\n";
+  f.tellRules();
+  f.loop.stop();
+}
+
+void one() {
+  Fleet f;
+  f.play(oneTask);
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  const std::string name = count > 1 ? words[1] : "";
+  if (name == "one")
+    one();
+  else
+    return 2;
+}
