--- /dev/null
+++ b/examples/toy_proxy.cpp
@@ -0,0 +1,82 @@
+// A proxy that asks an external processor for each request, the nodes behind it, and discovery: to try
+// gulltrestle as an external processor with. Everything stays on 127.0.0.1.
+#include <csignal>
+#include <iostream>
+
+#include "standins/node.h"
+#include "standins/proxy.h"
+
+using namespace gulltrestle;
+
+namespace {
+
+constexpr unsigned short kDiscoveryPort = 8500;  // as examples/config.json has it
+
+struct Toy {
+  loop::Loop loop;
+  standins::Discovery discovery{loop, kDiscoveryPort};
+  standins::Node primary{loop, "primary", true}, one{loop, "replica-1", false}, two{loop, "replica-2", false};
+  standins::Proxy proxy{loop, setup()};
+  int asked = 0;
+
+  static standins::ProxySetup setup() {
+    standins::ProxySetup made;
+    made.processor = "127.0.0.1:9002";
+    return made;
+  }
+
+  void ask(const std::string& type, const std::string& writeAge) {
+    const std::string id = "toy-" + std::to_string(loop.now().inMicros()) + "-" + std::to_string(++asked);
+    ext_proc::Headers headers{{":method", type == "order" ? "POST" : "GET"},
+                              {":path", "/" + type},
+                              {"x-txn-id", id},
+                              {"x-txn-type", type},
+                              {"x-txn-group", "1"},
+                              {"x-txn-session", "toy"}};
+    if (!writeAge.empty()) headers.push_back({"x-txn-write-age-ms", writeAge});
+    proxy.ask(headers, type == "order", Span::millis(900), [this, type](const standins::Answer& answer) {
+      std::string from = "nobody";
+      for (const auto* node : {&primary, &one, &two})
+        if (node->address() == answer.from) from = node->id();
+      std::cout << type << ": " << answer.status << " " << answer.outcome << ", answered by " << from
+                << std::endl;
+    });
+  }
+};
+
+loop::Task play(Toy& toy) {
+  // Once for every tenth request.
+  const auto busy = [&toy, last = 0](const std::string&) mutable {
+    if (toy.asked % 10 != 0 || toy.asked == last) return standins::Fault::none;
+    last = toy.asked;
+    return standins::Fault::turnAway;
+  };
+  for (auto* node : {&toy.primary, &toy.one, &toy.two}) {
+    toy.discovery.set({node->id(), node->address(), "up", node->primary, 1});
+    node->fault = busy;
+    node->lag = Span::millis(300);
+  }
+  for (;;) {
+    toy.ask("order", "");
+    co_await toy.loop.sleepUntil(toy.loop.now() + Span::millis(500));
+    toy.ask("my-own", "500");
+    co_await toy.loop.sleepUntil(toy.loop.now() + Span::millis(500));
+    toy.ask("browse", "");
+    co_await toy.loop.sleepUntil(toy.loop.now() + Span::millis(1000));
+  }
+}
+
+}  // namespace
+
+int main() {
+  try {
+    std::signal(SIGPIPE, SIG_IGN);
+    Toy toy;
+    toy.loop.spawn(play(toy));
+    toy.loop.run([](Instant) { return Instant(); },
+                 [](std::exception_ptr failure) { std::rethrow_exception(failure); });
+  } catch (const std::exception& bad) {
+    std::cerr << "toy_proxy: " << bad.what() << std::endl;
+    return 1;
+  }
+}
--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -119,8 +119,8 @@
 
 // --- Discovery
 
-Discovery::Discovery(loop::Loop& loop)
-    : loop_(loop), listener_(std::make_unique<loop::Stream>(loop, loop::listenOn(kHost, 0))) {
+Discovery::Discovery(loop::Loop& loop, unsigned short port)
+    : loop_(loop), listener_(std::make_unique<loop::Stream>(loop, loop::listenOn(kHost, port))) {
   loop_.spawn(accept());
 }
 Discovery::~Discovery() = default;
--- a/src/standins/node.h
+++ b/src/standins/node.h
@@ -56,7 +56,8 @@
 // A stand-in for discovery: the list over HTTP, whole or as a watch that brings each change.
 class Discovery {
  public:
-  explicit Discovery(loop::Loop& loop);
+  // Any port: one that is free.
+  explicit Discovery(loop::Loop& loop, unsigned short port = 0);
   ~Discovery();
   std::string address() const;
 
