Reduced service: levels by group, entered by standing waits and left by trials

When replicas fall behind and traffic jumps, each txn was judged alone; operators could not see that service is reduced, nor what is refused first. New: levels (the decision: lower quarter of the shares of SLA time, thresholds with hysteresis, shortest stays, trials, a bound on changes; and the table of what a level refuses), reduced (configuration, log, status document, SIGHUP), on the ledger. The module takes a level's row as an input and refuses by it in place of its shedding by chance; off, it is as it was. Refused clients are told the level. Rows now let in what a node can do at once.

--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -10,7 +10,15 @@
     : router_(terms, seed),
       mostBytes_(mostBytes),
       askForList_(std::move(askForList)),
-      nodes_(!terms.onlyDrainingBinds) {}
+      nodes_(!terms.onlyDrainingBinds) {
+  for (const auto& type : terms.types) slaTimes_.push_back(type.slaTime);
+}
+
+void Ledger::reduceBy(levels::Levels& levels, levels::Table table, Changed changed) {
+  levels_ = &levels;
+  table_ = std::move(table);
+  changed_ = std::move(changed);
+}
 
 void Ledger::see(Instant now) { now_ = std::max(now_, now); }
 
@@ -23,6 +31,10 @@
   live.owner = owner;
   live.carrier = &carrier;
   live.message = std::move(message);
+  live.group = txn.group;
+  live.type = txn.type;
+  live.takenAt = now_;
+  live.slaTime = std::max(slaTimes_.at(txn.type), Span::micros(1));
   heldBytes_ += live.message.bytes.size();
   if (!live.id().empty()) openIds_.insert(live.id());
   arrived([txn](Router& router) { router.taken(txn); });
@@ -76,6 +88,8 @@
 }
 
 void Ledger::commit(TxnId txn, const Value& value) {
+  if (const Live* live = owed(txn); live && levels_)
+    levels_->answered(now_, live->group, live->type, waitedShare(*live));
   finish(txn, [&](Front& front, OwnerId owner) { front.committed(owner, value); });
 }
 
@@ -108,12 +122,32 @@
   arrived([](Router& router) { router.listFailed(); });
 }
 
+// The levels decide anew, and the module is told what has changed.
+void Ledger::reduce() {
+  for (const auto& change : levels_->decide(now_))
+    if (changed_) changed_(change);
+  const auto row = [&](levels::Level level) { return level == 0 ? Reduction() : table_.at(level - 1); };
+  for (const auto& [id, now] : levels_->all()) {
+    auto& told = reduced_[id];
+    if (told == std::pair(now.level, now.trial)) continue;
+    told = {now.level, now.trial};
+    arrived([id = id, level = row(now.level), below = row(now.level > 0 ? now.level - 1 : 0),
+             trial = now.trial](Router& router) { router.reduced(id, level, below, trial); });
+  }
+}
+
 Instant Ledger::endTurn() {
+  // Long after the turn that was asked for: this process was held up, and measures its own delay.
+  constexpr Span kHeldUp = Span::millis(50);
+  if (levels_ && wakeAt_ != Instant() && now_ - wakeAt_ > kHeldUp) levels_->stoodStill(now_);
+  if (levels_ && (levels_->nextDue() == Instant() || now_ >= levels_->nextDue())) reduce();
   if (!arrivals_.empty() || (wakeAt_ != Instant() && wakeAt_ <= now_)) {
     if (wakeAt_ <= now_) wakeAt_ = Instant();
     router_.round(now_, *this, *this);
   }
-  return arrivals_.empty() ? wakeAt_ : now_;
+  if (!arrivals_.empty()) return now_;
+  const Instant due = levels_ ? levels_->nextDue() : Instant();
+  return wakeAt_ == Instant() || (due != Instant() && due < wakeAt_) ? due : wakeAt_;
 }
 
 void Ledger::deliver(Router& router) {
@@ -136,10 +170,17 @@
 }
 
 void Ledger::decline(TxnId txn, Span comeBackAfter) {
-  finish(txn, [&](Front& front, OwnerId owner) { front.declined(owner, comeBackAfter); });
+  unsigned level = 0;
+  if (const Live* live = owed(txn); live && levels_) {
+    levels_->gaveUp(now_, live->group, live->type, waitedShare(*live));
+    if (live->submissions.empty() && live->takenAt == now_) level = levels_->of(live->group).level;
+  }
+  finish(txn, [&](Front& front, OwnerId owner) { front.declined(owner, comeBackAfter, level); });
 }
 
 void Ledger::rollBack(TxnId txn) {
+  if (const Live* live = owed(txn); live && levels_)
+    levels_->gaveUp(now_, live->group, live->type, waitedShare(*live));
   finish(txn, [&](Front& front, OwnerId owner) { front.rolledBack(owner); });
 }
 
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -18,6 +18,7 @@
 
 #include "core/connection_end.h"
 #include "core/nodes.h"
+#include "levels/table.h"
 #include "routing/router.h"
 
 namespace gulltrestle::core {
@@ -47,7 +48,8 @@
  public:
   virtual ~Front() = default;
   virtual void committed(OwnerId owner, const Value& value) = 0;
-  virtual void declined(OwnerId owner, Span comeBackAfter) = 0;
+  // `level`: of reduced service, where that is why it was refused as it came; 0: it is not.
+  virtual void declined(OwnerId owner, Span comeBackAfter, unsigned level) = 0;
   virtual void rolledBack(OwnerId owner) = 0;
 };
 
@@ -80,6 +82,11 @@
 
   const Nodes& nodes() const { return nodes_; }
 
+  // Levels of reduced service, which are told what is observed and asked each turn; `changed` is told of each
+  // change. Where the terms say that levels reduce.
+  using Changed = std::function<void(const levels::Change&)>;
+  void reduceBy(levels::Levels& levels, levels::Table table, Changed changed);
+
   // --- For fronts
 
   struct Submission {
@@ -124,6 +131,10 @@
     Carrier* carrier = nullptr;
     Message message;
     std::vector<Submission> submissions;
+    GroupId group = 0;
+    std::size_t type = 0;
+    Instant takenAt;
+    Span slaTime;
     std::string_view id() const {
       return std::string_view(message.bytes).substr(message.idAt, message.idSize);
     }
@@ -140,6 +151,9 @@
   void followList() override;
   void forget(const NodeId& node) override;
 
+  void reduce();
+  double waitedShare(const Live& live) const { return (now_ - live.takenAt) / live.slaTime; }
+
   using Arrival = std::function<void(Router&)>;
   void arrived(Arrival call) { arrivals_.push_back(std::move(call)); }
   Live* owed(TxnId txn);
@@ -151,6 +165,11 @@
   std::size_t mostBytes_;
   std::function<void()> askForList_;
   Nodes nodes_;
+  std::vector<Span> slaTimes_;  // a row a txn type
+  levels::Levels* levels_ = nullptr;
+  levels::Table table_;
+  Changed changed_;
+  std::map<GroupId, std::pair<levels::Level, double>> reduced_;  // as the module was last told
   std::vector<Carrier*> carriers_;
   Carrier* prober_ = nullptr;
   Instant now_, wakeAt_;
--- a/src/fronts/ext_proc/streams.cpp
+++ b/src/fronts/ext_proc/streams.cpp
@@ -214,7 +214,10 @@
 // --- Answers
 
 void Streams::committed(core::OwnerId owner, const core::Value&) { decided(owner, Outcome::committed, {}); }
-void Streams::declined(core::OwnerId owner, Span after) { decided(owner, Outcome::declined, after); }
+void Streams::declined(core::OwnerId owner, Span after, unsigned level) {
+  if (const auto at = streams_.find(owner); at != streams_.end()) at->second.level = level;
+  decided(owner, Outcome::declined, after);
+}
 void Streams::rolledBack(core::OwnerId owner) { decided(owner, Outcome::rolledBack, {}); }
 
 void Streams::decided(StreamKey key, Outcome outcome, Span comeBackAfter) {
@@ -254,6 +257,7 @@
     answer.headers.push_back({"retry-after", std::to_string((millis + 999) / 1000)});
     answer.headers.push_back({names.retryAfterMs, std::to_string(millis)});
   }
+  if (stream.level > 0) answer.headers.push_back({"x-txn-level", std::to_string(stream.level)});
   answer.details = "txn_" + std::string(outcome == Outcome::declined ? "declined" : "rolled_back");
   answer.body = std::string(nameOf(outcome)) + (why.empty() ? "" : ": " + std::string(why)) + "\n";
   effects_.send(key, wire::answered(answer));
--- a/src/fronts/ext_proc/streams.h
+++ b/src/fronts/ext_proc/streams.h
@@ -85,13 +85,14 @@
     carriers::delegated::Grant grant;
     std::optional<grants::Outcome> given;  // by the module, while nothing could be told
     Span comeBackAfter;
+    unsigned level = 0;  // of reduced service, by which it was refused
     bool halfClosed = false, endTold = false;
     Instant due;  // never: nothing is awaited
   };
 
   // Front.
   void committed(core::OwnerId owner, const core::Value& value) override;
-  void declined(core::OwnerId owner, Span comeBackAfter) override;
+  void declined(core::OwnerId owner, Span comeBackAfter, unsigned level) override;
   void rolledBack(core::OwnerId owner) override;
   // Granting.
   bool granted(TxnId txn, const carriers::delegated::Grant& grant) override;
--- a/src/fronts/pg/clients.cpp
+++ b/src/fronts/pg/clients.cpp
@@ -274,8 +274,9 @@
   answered(owner);
 }
 
-void Clients::declined(core::OwnerId owner, Span comeBackAfter) {
-  effects_.writeClient(owner, {wire::declined(comeBackAfter.inMicros() / 1000), wire::readyForQuery()});
+void Clients::declined(core::OwnerId owner, Span comeBackAfter, unsigned level) {
+  effects_.writeClient(owner,
+                       {wire::declined(comeBackAfter.inMicros() / 1000, level), wire::readyForQuery()});
   answered(owner);
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -103,6 +103,11 @@
   effects_.log("configuration not taken, all goes on as it was: " + std::string(fault));
 }
 
+void Gateway::readAnew(Instant now) {
+  ledger_.see(now);
+  for (Part* part : parts_) part->readAnew();
+}
+
 // --- Turns
 
 void Gateway::shutDown(Instant now) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,7 +23,7 @@
   std::size_t mostAsking = 0;  // connections that clients keep for txns; 0: any number
 };
 
-// A further front on the same ledger, with sockets of its own.
+// A part beside the clients on the same ledger: a further front with sockets of its own, or what watches.
 class Part {
  public:
   virtual ~Part() = default;
@@ -33,6 +33,7 @@
   virtual Instant nextDue() const = 0;
   virtual void stop() = 0;         // nothing new is taken
   virtual bool empty() const = 0;  // all is answered after stop()
+  virtual void readAnew() {}       // its configuration, as a signal asks for
 };
 
 class Gateway final {
@@ -61,6 +62,7 @@
   void configured(Instant now, const std::string& discovery, const std::vector<std::string>& kept);
   // It can't be used: all goes on as it was.
   void misconfigured(Instant now, std::string_view fault);
+  void readAnew(Instant now);  // the parts' own configurations
   void shutDown(Instant now);
 
   // The end of a turn: what has come due happens, and the decision module has its round if anything came in
--- /dev/null
+++ b/src/levels/levels.cpp
@@ -0,0 +1,192 @@
+#include "levels/levels.h"
+
+#include <algorithm>
+
+namespace gulltrestle::levels {
+
+namespace {
+
+// An interval is as long as it takes to tell a standing wait from chance, within these: eight txns, a lower
+// quarter of which is two; no less than a queue takes to show, no more than an operator waits for a change.
+constexpr std::size_t kFewest = 8;
+constexpr Span kShortest = Span::millis(500), kLongest = Span::millis(3000);
+// Samples that an interval keeps: a busy group has thousands, and the last tell what is.
+constexpr std::size_t kMostKept = 256;
+// A txn that was let in and given up counts as if it had taken this many times its SLA time.
+constexpr double kGivenUp = 2;
+// One that was given up before this share of its SLA time was over did not wait: it was refused, by a level
+// or as it came too late. It tells nothing of the load. Guards against clients that come again at once, whose
+// storm would hold a level up; may hurt where nodes turn away at once what they can't take: their answers to
+// the others show it.
+constexpr double kWaited = 0.1;
+// Groups that are kept: clients may name any, lists name far fewer.
+constexpr std::size_t kMostGroups = 10'000;
+
+}  // namespace
+
+std::string_view nameOf(Cause cause) {
+  switch (cause) {
+    case Cause::none:
+      return "none";
+    case Cause::waits:
+      return "waits";
+    case Cause::calm:
+      return "calm";
+    case Cause::silence:
+      return "silence";
+    case Cause::pinned:
+      return "pinned";
+    case Cause::capped:
+      return "capped";
+  }
+  return "unknown";
+}
+
+Levels::Levels(Bounds bounds, std::uint64_t seed) : bounds_(bounds), seed_(seed) {}
+
+Levels::Group& Levels::groupOf(GroupId id) {
+  const auto at = groups_.find(id);
+  if (at != groups_.end()) return at->second;
+  if (groups_.size() >= kMostGroups) groups_.erase(groups_.begin());
+  Group& made = groups_[id];
+  // Up to a third longer, by group and router.
+  const std::uint64_t mixed = (seed_ ^ id * 0x9E3779B97F4A7C15u) * 0xBF58476D1CE4E5B9u;
+  made.stretch = 1 + static_cast<double>(mixed >> 40) / static_cast<double>(1 << 24) / 3;
+  return made;
+}
+
+Levels::Counts& Levels::countsOf(Group& group, std::size_t type) {
+  if (group.types.size() <= type) group.types.resize(type + 1);
+  return group.types[type];
+}
+
+void Levels::answered(Instant now, GroupId id, std::size_t type, double share) {
+  Group& group = groupOf(id);
+  if (group.beganAt == Instant()) group.beganAt = now;
+  keepLast(group.shares, {now, share}, kMostKept);
+  ++countsOf(group, type).answered;
+}
+
+void Levels::gaveUp(Instant now, GroupId id, std::size_t type, double share) {
+  Group& group = groupOf(id);
+  if (share < kWaited) {
+    ++countsOf(group, type).refused;
+    return;
+  }
+  if (group.beganAt == Instant()) group.beganAt = now;
+  keepLast(group.shares, {now, kGivenUp}, kMostKept);
+  ++group.gaveUp;
+  ++countsOf(group, type).gaveUp;
+}
+
+// Guards against a pause of the process or its machine, which looks like a queue at every node at once.
+void Levels::stoodStill(Instant) {
+  for (auto& [id, group] : groups_) {
+    group.shares.clear();
+    group.gaveUp = 0;
+    group.beganAt = Instant();
+  }
+}
+
+void Levels::forget(GroupId id) {
+  groups_.erase(id);
+  shown_.erase(id);
+}
+
+Levels::Now Levels::of(GroupId id) const {
+  const auto at = shown_.find(id);
+  return at == shown_.end() ? Now{} : at->second;
+}
+
+void Levels::change(Instant now, GroupId id, Group& group, Level to, Cause cause, Change& out) {
+  out = {id, group.level, to, cause, group.wait, group.shares.size()};
+  group.level = to;
+  group.cause = cause;
+  group.trial = false;
+  group.since = now;
+  group.calmSince = Instant();
+  group.changes.push_back(now);
+}
+
+// The standing wait is the lower quarter of the interval's shares: a burst leaves some quick answers among
+// the slow ones, a queue that stands leaves none (CoDel's minimum, with some allowance for chance). Guards
+// against levels that follow bursts; may hurt where a quarter of the txns never queue, as they go to nodes of
+// their own.
+bool Levels::decideOne(Instant now, GroupId id, Group& group, Change& out) {
+  while (!group.changes.empty() && now - group.changes.front() > Span::millis(60'000))
+    group.changes.pop_front();
+  if (bounds_.pinned && group.level != *bounds_.pinned) {
+    change(now, id, group, *bounds_.pinned, Cause::pinned, out);
+    return true;
+  }
+  if (bounds_.pinned) return false;
+  if (group.level > bounds_.cap) {
+    change(now, id, group, bounds_.cap, Cause::capped, out);
+    return true;
+  }
+  const Span length = group.beganAt == Instant() ? Span() : now - group.beganAt;
+  const bool whole = length >= kLongest || (length >= kShortest && group.shares.size() >= kFewest);
+  if (!whole) return false;
+  // Nothing was answered at all: a hang, a cut, a change of primary. Refusing some types helps no other then,
+  // and the module leaves out who is silent. Guards against levels that a hang raises, and that outlast it.
+  const bool silent = group.gaveUp == group.shares.size();
+  if (!group.shares.empty() && !silent) group.wait = quantile(group.shares, 4);
+  const std::size_t txns = group.shares.size();
+  const bool told = txns >= kFewest && !silent;
+  const auto end = [&] {
+    group.shares.clear();
+    group.gaveUp = 0;
+    group.beganAt = Instant();
+  };
+  if (silent && txns > 0) {
+    group.calmSince = Instant();
+    group.trial = false;
+    end();
+    return false;
+  }
+  const bool stayed = group.since == Instant() || now - group.since >= bounds_.shortestStay * group.stretch;
+  const bool mayChange = group.changes.size() < bounds_.mostChanges;
+  // Up: at once from full service, else after the stay. Where changes are used up it stays the higher.
+  if (told && group.wait >= bounds_.up && group.level < bounds_.cap && stayed && mayChange) {
+    change(now, id, group, group.level + 1, Cause::waits, out);
+    end();
+    return true;
+  }
+  // Few txns are calm, too: nothing waits where hardly anyone asks.
+  const bool calm = group.wait < bounds_.down || txns == 0;
+  if (group.level > 0 && !calm) {
+    group.calmSince = Instant();
+    group.trial = false;
+  } else if (group.level > 0 && group.calmSince == Instant()) {
+    group.calmSince = now;
+  } else if (group.level > 0 && !group.trial && now - group.calmSince >= bounds_.calm && stayed) {
+    group.trial = true;
+    group.trialSince = now;
+  } else if (group.trial && now - group.trialSince >= bounds_.trial && mayChange) {
+    change(now, id, group, group.level - 1, Cause::calm, out);
+    end();
+    return true;
+  }
+  end();
+  return false;
+}
+
+std::vector<Change> Levels::decide(Instant now) {
+  std::vector<Change> changes;
+  nextDue_ = Instant();
+  for (auto& [id, group] : groups_) {
+    // Where nobody asks an interval begins by itself while there is a level to leave.
+    if (group.beganAt == Instant() && group.level > 0) group.beganAt = now;
+    Change change;
+    if (decideOne(now, id, group, change)) changes.push_back(change);
+    Now& shown = shown_[id];
+    shown = {group.level, group.trial ? bounds_.trialShare : 0, group.cause, group.since, group.wait,
+             group.types};
+    const bool wants = group.level > 0 || group.beganAt != Instant();
+    const Instant due = now + kShortest;
+    if (wants && (nextDue_ == Instant() || due < nextDue_)) nextDue_ = due;
+  }
+  return changes;
+}
+
+}  // namespace gulltrestle::levels
--- /dev/null
+++ b/src/levels/table.h
@@ -0,0 +1,34 @@
+// What each level refuses, by txn type: a table that the settings give by default and a configuration may
+// replace. It can only refuse: whatever is let in keeps the rules of its type. No I/O, no clock.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "levels/levels.h"
+
+namespace gulltrestle::levels {
+
+// A row a level above 0, as the module takes it.
+using Table = std::vector<Reduction>;
+
+// A table that can't be taken; the message names the level and the txn type.
+class BadTable : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// From the settings alone: 1 spares copies and probes, and lets long any reads in only where a node has room;
+// 2 the same for session and bounded reads, which are neither held nor sent to the primary then; 3 lets reads
+// that pay less than the better half for their time in only where a node has half of its room free; 4 all
+// reads but those that pay most, and these where one has room. None refuses what a node could do at once.
+Table tableOf(const std::vector<TxnType>& types);
+
+// Throws BadTable where a higher level would let in what a lower one refuses, or where one refuses a write
+// that may not run twice: its client could not tell whether to come again.
+void check(const Table& table, const std::vector<TxnType>& types);
+
+std::string_view nameOf(Admit admit);
+
+}  // namespace gulltrestle::levels
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,14 +1,14 @@
 #include <spdlog/spdlog.h>
 
+#include <cstdlib>
 #include <iostream>
+#include <memory>
 
+#include "reduced/reduced.h"
 #include "server/server.h"
 #include "startup/startup.h"
 
 #ifdef GULLTRESTLE_EXT_PROC
-#include <cstdlib>
-#include <memory>
-
 #include "processor/processor.h"
 #endif
 
@@ -16,20 +16,47 @@
 
 using namespace gulltrestle;
 
+std::string named(const char* variable) {
+  const char* path = std::getenv(variable);
+  return path ? path : "";
+}
+
 void serve() {
   const startup::Start start = startup::readStart();
+  const auto& told = start.told;
+  const std::string levels = named("GULLTRESTLE_LEVELS");
+  const auto readLevels = [levels, &told] {
+    return reduced::readSetupFile(levels, told.terms.types, told.typeNames);
+  };
+  server::Beside beside;
+  beside.reducedByLevel = !levels.empty();
+  const reduced::Setup levelsSetup = levels.empty() ? reduced::Setup() : readLevels();
+#ifdef GULLTRESTLE_EXT_PROC
+  const std::string processorFile = named("GULLTRESTLE_EXT_PROC");
+  const auto setup = processorFile.empty() ? processor::Setup() : processor::readSetupFile(processorFile);
+  if (!processorFile.empty()) {
+    beside.descriptors = setup.mostConnections + processor::kMostProbes;
+    beside.openTxns = setup.streams.mostStreams;
+  }
+#endif
+  server::Server server(start, beside);
+  std::unique_ptr<reduced::Reduced> service;
+  if (!levels.empty()) {
+    service = std::make_unique<reduced::Reduced>(server.ledger(), levelsSetup, told.typeNames, start.seed,
+                                                 readLevels,
+                                                 [](const std::string& line) { spdlog::info("{}", line); });
+    server.add(*service);
+  }
 #ifdef GULLTRESTLE_EXT_PROC
-  if (const char* path = std::getenv("GULLTRESTLE_EXT_PROC"); path && *path) {
-    const processor::Setup setup = processor::readSetupFile(path);
-    server::Server server(start, {setup.mostConnections + processor::kMostProbes, setup.streams.mostStreams});
+  std::unique_ptr<processor::Processor> part;
+  if (!processorFile.empty()) {
     // Names this start in the tokens of its grants: the time in microseconds tells two starts apart.
     const std::string name = start.name + "." + std::to_string(server.loop().now().inMicros());
-    processor::Processor part(server.loop(), server.ledger(), start.told, setup, name);
-    server.add(part);
-    return server.run();
+    part = std::make_unique<processor::Processor>(server.loop(), server.ledger(), told, setup, name);
+    server.add(*part);
   }
 #endif
-  server::Server(start).run();
+  server.run();
 }
 
 }  // namespace
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -183,8 +183,10 @@
   }
 }
 
-std::string declined(std::int64_t comeBackAfterMs) {
-  return error("ERROR", kDeclined, "declined: trying again is harmless",
+std::string declined(std::int64_t comeBackAfterMs, unsigned level) {
+  const std::string reduced =
+      level > 0 ? ", service is reduced to level " + std::to_string(level) : std::string();
+  return error("ERROR", kDeclined, "declined: trying again is harmless" + reduced,
                comeBackAfterMs > 0 ? std::to_string(comeBackAfterMs) : std::string());
 }
 
--- /dev/null
+++ b/src/reduced/reduced.h
@@ -0,0 +1,47 @@
+// Reduced service of a running process: holds its levels, logs each change, tells the state at intervals in
+// the log and in a status document, and takes a configuration that was read anew.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "core/ledger.h"
+#include "gateway/gateway.h"
+#include "reduced/setup.h"
+
+namespace gulltrestle::reduced {
+
+class Reduced final : public gateway::Part {
+ public:
+  using Log = std::function<void(const std::string& line)>;
+  // `read`: reads the configuration anew; it may throw startup::BadKey.
+  Reduced(core::Ledger& ledger, Setup setup, std::vector<std::string> typeNames, std::uint64_t seed,
+          std::function<Setup()> read, Log log);
+
+  void listHeard() override {}
+  void endTurn() override;
+  void flush() override {}
+  Instant nextDue() const override { return toldAt_ == Instant() ? Instant() : toldAt_ + setup_.statusEvery; }
+  void stop() override {}
+  bool empty() const override { return true; }
+  // What can't be used is logged with its key, and all goes on as it was.
+  void readAnew() override;
+
+  // The status document, as JSON.
+  std::string status(Instant now) const;
+
+ private:
+  void changed(const levels::Change& change);
+  std::string by() const;
+
+  core::Ledger& ledger_;
+  Setup setup_;
+  std::vector<std::string> typeNames_;
+  std::function<Setup()> read_;
+  Log log_;
+  levels::Levels levels_;
+  Instant toldAt_, loggedAt_;
+};
+
+}  // namespace gulltrestle::reduced
--- /dev/null
+++ b/src/reduced/setup.h
@@ -0,0 +1,27 @@
+// The configuration file of reduced service: read, checked key by key, and given defaults from the settings.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "levels/table.h"
+#include "startup/startup.h"
+
+namespace gulltrestle::reduced {
+
+struct Setup {
+  levels::Bounds bounds;
+  levels::Table table;
+  std::string pinnedBy, cappedBy;  // who did, for those who wonder
+  std::string statusFile;          // empty: none is written
+  Span statusEvery = Span::millis(5000);
+};
+
+// Throws startup::BadKey, which names the key.
+Setup readSetup(std::string_view text, const std::vector<TxnType>& types,
+                const std::vector<std::string>& typeNames);
+Setup readSetupFile(const std::string& path, const std::vector<TxnType>& types,
+                    const std::vector<std::string>& typeNames);
+
+}  // namespace gulltrestle::reduced
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -58,6 +58,8 @@
 struct Group {
   std::vector<Member*> members;
   Instant askedAt;                  // when its replicas were last probed for held reads
+  Reduction level, below;           // of service, and what a level less would be
+  double trial = 0;                 // the part of txns that is judged by the latter
   Samples strains, primaryStrains;  // the last latencies of its replicas, its primary, by SLA time
 };
 
@@ -266,11 +268,25 @@
   // One of many routers has none or one in flight to a member, so its own bound never binds. It keeps to a
   // part of one by chance, sending on the part of a group's reads that brings latency down to the time a txn
   // may spend there. Guards a group asked for more than it can serve; may hurt where slowness is no queue.
+  // Where levels say what is refused, chance does not; their lists can't be told of by each txn alone.
   bool shed(const Live& txn) {
+    if (terms.reducedByLevel) return refusedByLevel(txn);
     const double strained = typeOf(txn).level < ReadLevel::fresh ? strain(groupOf(txn.txn.group).strains) : 0;
     return strained > 0.35 && draw01() > 0.35 / strained;
   }
 
+  bool refusedByLevel(const Live& txn) {
+    Group& group = groupOf(txn.txn.group);
+    const Reduction& level = group.trial > 0 && draw01() < group.trial ? group.below : group.level;
+    const Admit admit = level.admits.empty() ? Admit::all : level.admits[txn.txn.type];
+    if (admit == Admit::all || admit == Admit::none) return admit == Admit::none;
+    const double part = admit == Admit::ready ? 1 : 0.5;
+    const Member* primary = primaryOf(txn.txn.group);
+    return std::none_of(group.members.begin(), group.members.end(), [&](Member* m) {
+      return m != primary && m->position >= targetNow(txn) && usable(*m, txn, part);
+    });
+  }
+
   bool usable(Member& m, const Live& txn, double part = 1) {
     // Of few routers each leaves half the room of a replica on its way out of the bound, to apply the log.
     if (!oneOfMany() && m.lag > shortestBound * 0.33 && m.lag < shortestBound * 1.2) part *= 0.5;
@@ -435,7 +451,7 @@
   // next two 25 ms later, each once in 100 ms, about as often as reports are renewed. Chance decides between
   // equals: else all routers would ask, and crowd, the same two.
   void probeForPosition(Group& group, const Member* primary) {
-    if (now - group.askedAt < paced(25)) return;
+    if (now - group.askedAt < paced(25) * (group.level.sparing ? 2 : 1)) return;
     group.askedAt = now;
     auto asked = group.members;
     std::erase_if(asked, [&](const Member* m) {
@@ -498,6 +514,7 @@
       // A read whose node has been silent for long gets a second copy elsewhere, once.
       const Instant copyAt = txn->lastSentAt + patience(txn->txn.type);
       const bool mayCopy = txn->out == 1 && txn->submissions == 1 && terms.secondCopies &&
+                           !groupOf(txn->txn.group).level.sparing &&
                            typeOf(*txn).effect == Effect::repeatable && !hopeless(*txn);
       if (mayCopy && now <= copyAt) next = std::min(next, copyAt + terms.roundLength);
       if (txn->out > 0 && (!mayCopy || now <= copyAt)) continue;
@@ -679,6 +696,15 @@
   state_->live.erase(found);
 }
 
+void Router::reduced(GroupId id, const Reduction& level, const Reduction& below, double trial) {
+  auto& s = *state_;
+  const auto at = s.groups.find(id);
+  if (at == s.groups.end()) return;
+  at->second.level = level;
+  at->second.below = below;
+  at->second.trial = trial;
+}
+
 void Router::streamStarted(TxnId id) {
   if (const auto at = state_->live.find(id); at != state_->live.end()) at->second.streaming = true;
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -60,6 +60,7 @@
   bool sessionAgeCarried =
       false;  // reads carry the age of their session's last write; else it is remembered here
   bool listMustBeAsked = false;
+  bool reducedByLevel = false;  // levels say what is refused in an overload, in place of chance (reduced())
   bool operator==(const Terms&) const = default;
 };
 
@@ -84,6 +85,17 @@
   std::optional<Span> hold;  // how long it may go without a submission; none: as long as its patience
 };
 
+// Which txns of a type are let in while service is reduced; the further down, the fewer.
+// Ready: reads that some replica with room can answer at once; spare: that one with half of its room free
+// can.
+enum class Admit { all, ready, spare, none };
+
+// What one level of reduced service asks for, in one group.
+struct Reduction {
+  std::vector<Admit> admits;  // a row a txn type; empty: all are let in
+  bool sparing = false;       // no second copies, and replicas are asked for their position half as often
+};
+
 enum class Health { live, draining, gone };
 
 struct ListEntry {
@@ -159,6 +171,9 @@
   void taken(const Txn& txn);
   void clientLeft(TxnId txn);
   void streamStarted(TxnId txn);
+  // Service of the group is reduced so from now on; `trial` of its txns are judged by the level `below`. It
+  // can only refuse what comes: what is let in, and what was, keeps to the rules of its type.
+  void reduced(GroupId group, const Reduction& level, const Reduction& below, double trial);
   void ended(TxnId txn, unsigned submission, const NodeId& node, End how, bool txnOver, Span latency,
              const Standing& answer, const Standing& report);
   void probed(const NodeId& node, End how, const Standing& report);
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -29,10 +29,11 @@
 // carry.
 constexpr std::size_t kTxnsPart = 3;
 
-Terms termsOf(const startup::Start& start, std::size_t openElsewhere) {
+Terms termsOf(const startup::Start& start, const Beside& beside) {
   Terms terms = start.told.terms;
   terms.ownConnections = true;
-  terms.mostOpen = start.descriptors / kTxnsPart + openElsewhere;
+  terms.mostOpen = start.descriptors / kTxnsPart + beside.openTxns;
+  terms.reducedByLevel = beside.reducedByLevel;
   return terms;
 }
 
@@ -117,17 +118,16 @@
   Connection& connection_;
 };
 
-Server::Server(startup::Start start, Reserved reserved)
+Server::Server(startup::Start start, Beside beside)
     : start_(std::move(start)),
       signals_(std::make_unique<loop::Stream>(loop_, loop::signals())),
       listener_(std::make_unique<loop::Stream>(loop_, listenAt(start_.listen))),
       mostClients_(start_.descriptors - kReserved - linksOf(start_)),
       mostBytes_(bytesOf(start_)),
-      gateway_(termsOf(start_, reserved.openTxns), start_.told.typeNames, start_.seed, boundsOf(start_),
-               *this) {
-  if (mostClients_ <= reserved.descriptors)
+      gateway_(termsOf(start_, beside), start_.told.typeNames, start_.seed, boundsOf(start_), *this) {
+  if (mostClients_ <= beside.descriptors)
     throw startup::BadKey("limits.sockets", "leaves none for clients beside the other fronts' connections");
-  mostClients_ -= reserved.descriptors;
+  mostClients_ -= beside.descriptors;
   for (const auto& type : start_.told.terms.types) longestExpiry_ = std::max(longestExpiry_, type.expiry);
 }
 
@@ -425,6 +425,7 @@
 
 // Guards against whatever the file holds by then: it may be missing, half written or wrong.
 void Server::readAnew() {
+  gateway_.readAnew(loop_.now());
   try {
     const auto read = startup::readStart(startup::First::file);
     gateway_.configured(loop_.now(), read.discovery.host + ":" + std::to_string(read.discovery.port),
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -13,15 +13,16 @@
 
 namespace gulltrestle::server {
 
-// What another front on the same process takes of its limits.
-struct Reserved {
+// What other parts of the same process take of its limits, and whether one of them reduces service by levels.
+struct Beside {
   std::size_t descriptors = 0, openTxns = 0;
+  bool reducedByLevel = false;
 };
 
 class Server final : private gateway::Effects {
  public:
   // Throws where the address to listen on can't be had.
-  explicit Server(startup::Start start, Reserved reserved = {});
+  explicit Server(startup::Start start, Beside beside = {});
   ~Server() override;
 
   // For a front that is added before run(), and outlives the server.
--- a/tests/day.cpp
+++ b/tests/day.cpp
@@ -16,6 +16,7 @@
 #include "loop/sockets.h"
 #include "standins/node.h"
 #include "standins/proxy.h"
+#include "startup/startup.h"
 
 using namespace gulltrestle;
 using standins::Fault;
@@ -253,6 +254,77 @@
   f.play(killedTask);
 }
 
+// Asked once a request: one grant, and what ends without effect is declined for good.
+loop::Task requestTask(Fleet& f) {
+  f.program.start();
+  co_await f.pause(300);
+  int left = 0;
+  f.p.fault = f.a.fault =
+      f.b.fault = [&left](const std::string&) { return left-- > 0 ? Fault::turnAway : Fault::none; };
+  for (const int faults : {0, 1}) {
+    for (const std::string type : {"look", "book-charge"}) {
+      left = faults;
+      f.ask(type, type + std::to_string(faults));
+      co_await f.pause(400);
+      std::cout << type << (faults ? " turned away: " : ": ") << f.last.status << " " << f.last.outcome
+                << "\n";
+    }
+  }
+  f.tellRules();
+  f.loop.stop();
+}
+
+void request() {
+  standins::ProxySetup setup;
+  setup.asksForTries = false;
+  Fleet f(setup, R"(,"placement":"request")");
+  f.play(requestTask);
+}
+
+// One connection floods the program with all it can think of; the proxy beside it is served as ever.
+loop::Task floodTask(Fleet& f) {
+  f.program.start();
+  co_await f.pause(300);
+  const auto at = startup::readAddress("processor", f.program.processor());
+  const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + std::string("\0\0\0\4\0\0\0\0\0", 9);
+  const std::string ping(
+      "\0\0\10\6\0\0\0\0\0"
+      "12345678",
+      17);
+  std::string pings;
+  for (int i = 0; i < 1000; ++i) pings += ping;
+  int ended = 0;
+  for (const std::string& bytes : {pings, std::string(100'000, 'x'), std::string(100'000, '\0')}) {
+    loop::Descriptor flood = loop::startConnecting(at.host, at.port);
+    co_await f.pause(20);
+    std::string_view first = preface;
+    loop::writeFrom(flood.number(), {&first, 1});
+    for (int i = 0; i < 300; ++i) {
+      std::string_view part = bytes;
+      const auto done = loop::writeFrom(flood.number(), {&part, 1});
+      if (done.how == loop::Io::failed) {
+        ++ended;
+        break;
+      }
+      for (int n = 0; n < 4 && i % 10 == 0; ++n)
+        f.ask(n % 2 ? "look" : "book-charge",
+              "f" + std::to_string(ended) + "." + std::to_string(i) + "." + std::to_string(n));
+      co_await f.pause(3);
+    }
+  }
+  co_await f.pause(1000);
+  std::cout << "floods that were ended: " << ended << "\n";
+  Fleet::say("all others were committed", f.committed.size() == f.asked && f.asked >= 12);
+  f.tellRules();
+  Fleet::say("the program runs", f.program.runs());
+  f.loop.stop();
+}
+
+void flood() {
+  Fleet f;
+  f.play(floodTask);
+}
+
 // A day of some seconds with everything that can go wrong, by chance from a fixed seed.
 loop::Task dayTask(Fleet& f) {
   std::knuth_b chance(16);
@@ -335,7 +407,8 @@
 }  // namespace
 
 int main(int count, char** words) {
-  const std::map<std::string, void (*)()> cases{{"one", one}, {"killed", killed}, {"day", day}};
+  const std::map<std::string, void (*)()> cases{
+      {"one", one}, {"killed", killed}, {"request", request}, {"flood", flood}, {"day", day}};
   const auto found = cases.find(count > 1 ? words[1] : "");
   if (found == cases.end()) return 2;
   found->second();
