Levels at many routers: shedding by chance is a part of them from level 1 on

With levels on, the module's shedding by chance was off. Levels off, nothing changes. The router's own limits are a cause of levels, too. Traces for a jump, its storm, a restart at its height, replicas behind, late news.

--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -9,6 +9,7 @@
                std::function<void()> askForList)
     : router_(terms, seed),
       mostBytes_(mostBytes),
+      mostOpen_(terms.mostOpen),
       askForList_(std::move(askForList)),
       nodes_(!terms.onlyDrainingBinds) {
   for (const auto& type : terms.types) slaTimes_.push_back(type.slaTime);
@@ -124,6 +125,10 @@
 
 // The levels decide anew, and the module is told what has changed.
 void Ledger::reduce() {
+  const auto part = [](std::size_t taken, std::size_t most) {
+    return most > 0 ? static_cast<double>(taken) / static_cast<double>(most) : 0.0;
+  };
+  levels_->own(std::max(part(live_.size(), mostOpen_), part(heldBytes_, mostBytes_)));
   for (const auto& change : levels_->decide(now_))
     if (changed_) changed_(change);
   const auto row = [&](levels::Level level) { return level == 0 ? Reduction() : table_.at(level - 1); };
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -162,7 +162,7 @@
   void forget(TxnId txn);
 
   Router router_;
-  std::size_t mostBytes_;
+  std::size_t mostBytes_, mostOpen_;
   std::function<void()> askForList_;
   Nodes nodes_;
   std::vector<Span> slaTimes_;  // a row a txn type
--- a/src/levels/levels.cpp
+++ b/src/levels/levels.cpp
@@ -19,6 +19,10 @@
 // storm would hold a level up; may hurt where nodes turn away at once what they can't take: their answers to
 // the others show it.
 constexpr double kWaited = 0.1;
+// Where so much of this router's own limits is taken, every group that has txns waiting counts as waiting:
+// beyond, clients and txns would be turned away blindly. Above the three quarters at which the module makes
+// room by itself, so that a level comes only where that was not enough.
+constexpr double kOwnFull = 0.85;
 // Groups that are kept: clients may name any, lists name far fewer.
 constexpr std::size_t kMostGroups = 10'000;
 
@@ -32,8 +36,8 @@
       return "waits";
     case Cause::calm:
       return "calm";
-    case Cause::silence:
-      return "silence";
+    case Cause::limits:
+      return "limits";
     case Cause::pinned:
       return "pinned";
     case Cause::capped:
@@ -146,9 +150,11 @@
   }
   const bool stayed = group.since == Instant() || now - group.since >= bounds_.shortestStay * group.stretch;
   const bool mayChange = group.changes.size() < bounds_.mostChanges;
+  const bool full = own_ >= kOwnFull && group.wait >= bounds_.down;
   // Up: at once from full service, else after the stay. Where changes are used up it stays the higher.
-  if (told && group.wait >= bounds_.up && group.level < bounds_.cap && stayed && mayChange) {
-    change(now, id, group, group.level + 1, Cause::waits, out);
+  if (told && (full || group.wait >= bounds_.up) && group.level < bounds_.cap && stayed && mayChange) {
+    change(now, id, group, group.level + 1, full && group.wait < bounds_.up ? Cause::limits : Cause::waits,
+           out);
     end();
     return true;
   }
--- a/src/levels/levels.h
+++ b/src/levels/levels.h
@@ -40,7 +40,7 @@
   Level cap = kMostLevel;           // by an operator: none above it
 };
 
-enum class Cause { none, waits, calm, silence, pinned, capped };
+enum class Cause { none, waits, limits, calm, pinned, capped };
 std::string_view nameOf(Cause cause);
 
 struct Change {
@@ -61,6 +61,8 @@
   void answered(Instant now, GroupId group, std::size_t type, double share);
   // A txn was given up after it had waited for this share.
   void gaveUp(Instant now, GroupId group, std::size_t type, double share);
+  // The part of this router's own limits (open txns, bytes that are held) that is taken, the fullest of them.
+  void own(double part) { own_ = part; }
   // This router stood still: what it measured is its own delay.
   void stoodStill(Instant now);
   // New bounds, from a configuration that was read anew.
@@ -106,6 +108,7 @@
 
   Bounds bounds_;
   std::uint64_t seed_;
+  double own_ = 0;
   std::map<GroupId, Group> groups_;
   std::map<GroupId, Now> shown_;
   Instant nextDue_;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -268,9 +268,11 @@
   // One of many routers has none or one in flight to a member, so its own bound never binds. It keeps to a
   // part of one by chance, sending on the part of a group's reads that brings latency down to the time a txn
   // may spend there. Guards a group asked for more than it can serve; may hurt where slowness is no queue.
-  // Where levels say what is refused, chance does not; their lists can't be told of by each txn alone.
+  // Where levels say what is refused it is the second half of what they do, from the first level on: one of
+  // many routers sees room at a node that all others see, too.
   bool shed(const Live& txn) {
-    if (terms.reducedByLevel) return refusedByLevel(txn);
+    if (terms.reducedByLevel && refusedByLevel(txn)) return true;
+    if (terms.reducedByLevel && groupOf(txn.txn.group).level.admits.empty()) return false;
     const double strained = typeOf(txn).level < ReadLevel::fresh ? strain(groupOf(txn.txn.group).strains) : 0;
     return strained > 0.35 && draw01() > 0.35 / strained;
   }
--- a/tests/levels.cpp
+++ b/tests/levels.cpp
@@ -155,6 +155,14 @@
   pinned.run(20'000, pinned.load(2));
   pinned.levels().bound({});
   pinned.run(7000, pinned.load(2));
+  Steps full;
+  full.say(
+      "this router's own limits are nearly taken: a group whose txns wait a little is reduced, an idle one "
+      "not");
+  full.levels().own(0.9);
+  full.run(3000, [&](Instant at, int) {
+    for (int i = 0; i < 4; ++i) full.levels().answered(at, 1, 0, 0.4), full.levels().answered(at, 2, 0, 0.05);
+  });
   Steps quiet;
   quiet.say("nobody asks any more: the level goes");
   quiet.run(9000, quiet.load(0.9));
@@ -365,14 +373,36 @@
 struct Result {
   double value = 0;
   unsigned changes = 0, mostAMinute = 0, mostLevel = 0;
-  std::uint64_t broken = 0;
+  std::uint64_t broken = 0, right = 0, wrong = 0;
+  double worst = 1;           // the least part of a 10 s window's txns that was committed
+  double up = -1, down = -1;  // s from the first second at full load to level 1, and from its end to level 0
+};
+
+// What happens beside the load.
+struct Trouble {
+  double behindFrom = -1, behindTo = -1;  // s in which all replicas are 1.5 s behind
+  double newsLate = 0;                    // s by which what nodes tell of their position is late
+  bool comeAgain = false;                 // declined clients ask again at once, three times
+  double restartAt = -1;                  // s at which each router starts anew, knowing nothing
+  double jumpAt = -1, jumpEnds = -1;      // s that the load's jump is timed from
 };
 
 class Fleet {
  public:
-  Fleet(std::size_t routers, Mode mode, std::uint64_t seed) : chance_(static_cast<unsigned>(seed)) {
-    for (std::size_t i = 0; i < routers; ++i)
-      routers_.push_back(std::make_unique<One>(*this, i, routers, mode));
+  Fleet(std::size_t routers, Mode mode, std::uint64_t seed, Trouble trouble = {})
+      : chance_(static_cast<unsigned>(seed)), mode_(mode), trouble_(trouble) {
+    for (std::size_t i = 0; i < routers; ++i) routers_.push_back(nullptr);
+    start();
+  }
+
+  // All routers from nothing; what they had out goes on at the nodes and is told to nobody.
+  void start() {
+    ++starts_;
+    const std::size_t routers = routers_.size();
+    for (std::size_t i = 0; i < routers; ++i) {
+      if (routers_[i]) changesBefore_ += routers_[i]->changes;
+      routers_[i] = std::make_unique<One>(*this, i, routers, mode_);
+    }
     for (auto& one : routers_) {
       std::vector<core::Addressed> list;
       for (std::size_t n = 0; n < 3; ++n) {
@@ -393,6 +423,21 @@
     std::deque<Instant> lastChanges;
     for (std::int64_t t = 0; t < millis; t += 5) {
       now_ = now_ + ms(5);
+      second_ = static_cast<double>(t) / 1000;
+      if (t == static_cast<std::int64_t>(trouble_.restartAt * 1000)) start();
+      if (t % 10'000 == 0 && t > 0) {
+        if (window_.first > 50) result.worst = std::min(result.worst, window_.second / window_.first);
+        window_ = {};
+      }
+      while (!again_.empty() && again_.front().first <= now_) {
+        const auto [type, tries] = again_.front().second;
+        again_.pop_front();
+        ask(type, tries);
+      }
+      const bool reduced = routers_.front()->levels.of(1).level > 0;
+      if (reduced && result.up < 0 && second_ >= trouble_.jumpAt) result.up = second_ - trouble_.jumpAt;
+      if (!reduced && result.up >= 0 && result.down < 0 && second_ >= trouble_.jumpEnds)
+        result.down = second_ - trouble_.jumpEnds;
       // Three nodes at 27 ms a txn in the mean.
       std::poisson_distribution<int> arrivals(demand(static_cast<double>(t) / 1000) * 110 * 0.005);
       for (int n = arrivals(chance_); n > 0; --n) ask();
@@ -417,9 +462,12 @@
         one->told = one->changes;
       }
     }
+    result.changes = changesBefore_;
     for (auto& one : routers_) result.changes += one->changes;
     result.value = earned_ / asked_;
     result.broken = broken_;
+    result.right = right_;
+    result.wrong = wrong_;
     return result;
   }
 
@@ -427,6 +475,7 @@
   struct Ending {
     Instant at;
     std::size_t router;
+    int start;
     core::Job job;
     NodeId node;
     bool operator<(const Ending& other) const { return at > other.at; }
@@ -450,7 +499,10 @@
       return made;
     }
     void committed(core::OwnerId owner, const core::Value&) override { fleet.answered(*this, owner, true); }
-    void declined(core::OwnerId owner, Span, unsigned) override { fleet.answered(*this, owner, false); }
+    void declined(core::OwnerId owner, Span, unsigned level) override {
+      if (level > 0) fleet.judge(asked.at(owner).type);
+      fleet.answered(*this, owner, false);
+    }
     void rolledBack(core::OwnerId owner) override { fleet.answered(*this, owner, false); }
     void carry(core::Job job, const NodeId& node) override { fleet.carry(*this, job, node); }
     void callOff(core::Job job, const NodeId& node) override { ledger.ended(job, node, End::calledOff); }
@@ -468,16 +520,23 @@
     struct Asked {
       std::size_t type;
       Instant at;
+      int tries;
     };
     std::map<core::OwnerId, Asked> asked;
     core::OwnerId last = 0;
   };
 
   void ask() {
-    One& one = *routers_[chance_() % routers_.size()];
     // Bounded 30%, session 25%, any 25%, long 4%, writes 16%.
     const auto kind = chance_() % 100;
     const std::size_t type = kind < 30 ? 0 : kind < 55 ? 1 : kind < 80 ? 2 : kind < 84 ? 3 : 4;
+    asked_ += hanul_[type].value;
+    ++window_.first;
+    ask(type, 0);
+  }
+
+  void ask(std::size_t type, int tries) {
+    One& one = *routers_[chance_() % routers_.size()];
     Txn txn;
     txn.type = type;
     txn.group = 1;
@@ -488,10 +547,16 @@
     }
     if (type == 4) txn.session = chance_() % 50;
     one.ledger.see(now_);
-    one.asked[++one.last] = {type, now_};
+    one.asked[++one.last] = {type, now_, tries};
     typeOf_[{one.number, one.ledger.take(one, one.last, one, txn, {})}] = type;
     one.touched = true;
-    asked_ += one.types[type].value;
+  }
+
+  // An observer who sees the nodes' queues: a refusal was right if no node could have begun it within a third
+  // of its SLA time.
+  void judge(std::size_t type) {
+    const auto free = [&](std::size_t node) { return busyUntil_[node] - now_ < hanul_[type].slaTime * 0.35; };
+    ++(free(1) || free(2) ? wrong_ : right_);
   }
 
   void carry(One& one, core::Job job, const NodeId& node) {
@@ -502,17 +567,20 @@
     // 20 ms of work, ten times that for long reads.
     const double long10 = typeOf_[{one.number, job.txn}] == 3 ? 10 : 1;
     busyUntil_[at] = begin + Span::micros(10'000 + static_cast<std::int64_t>(chance_() % 20'000)) * long10;
-    ends_.push({busyUntil_[at], one.number, job, node});
+    ends_.push({busyUntil_[at], one.number, starts_, job, node});
   }
 
   void finish(const Ending& end) {
+    if (end.start != starts_) return;
     One& one = *routers_[end.router];
     one.ledger.see(now_);
     one.touched = true;
     if (one.ledger.isOwed(end.job.txn)) one.ledger.commit(end.job.txn, {});
     const bool primary = end.node == "p";
+    const bool behind = second_ >= trouble_.behindFrom && second_ < trouble_.behindTo;
+    const Span lag = (primary ? Span() : behind ? ms(1500) : ms(40)) + Span::seconds(trouble_.newsLate);
     one.ledger.ended(end.job, end.node, End::committed,
-                     {primary ? Role::primary : Role::replica, now_ - (primary ? Span() : ms(40))});
+                     {primary ? Role::primary : Role::replica, now_ - lag});
   }
 
   void answered(One& one, core::OwnerId owner, bool committed) {
@@ -520,11 +588,25 @@
     one.asked.erase(owner);
     const TxnType& type = one.types[asked.type];
     if (now_ - asked.at > type.expiry) ++broken_;
-    if (!committed) return;
+    if (!committed) {
+      if (trouble_.comeAgain && asked.tries < 3)
+        again_.push_back({now_ + ms(20), {asked.type, asked.tries + 1}});
+      return;
+    }
+    ++window_.second;
     earned_ += type.value * (now_ - asked.at <= type.slaTime ? 1 : type.lateShare);
   }
 
   std::knuth_b chance_;
+  Mode mode_;
+  Trouble trouble_;
+  const std::vector<TxnType> hanul_ = hanulTypes();
+  int starts_ = 0;
+  unsigned changesBefore_ = 0;
+  double second_ = 0;
+  std::pair<double, double> window_;  // asked and committed in this one
+  std::deque<std::pair<Instant, std::pair<std::size_t, int>>> again_;
+  std::uint64_t right_ = 0, wrong_ = 0;
   Instant now_ = kStart;
   std::vector<std::unique_ptr<One>> routers_;
   std::map<std::pair<std::size_t, TxnId>, std::size_t> typeOf_;
@@ -534,6 +616,41 @@
   std::uint64_t broken_ = 0;
 };
 
+// Troubles beside the load, each with levels and as before.
+void troubles() {
+  const auto flat = [](double at) { return [at](double) { return at; }; };
+  const auto jump = [](double t) { return t >= 20 && t < 60 ? 2.0 : 0.5; };
+  const auto tell = [](const std::string& what, std::size_t routers,
+                       const std::function<double(double)>& demand, Trouble trouble) {
+    const Result with = Fleet(routers, Mode::levels, 9, trouble).run(120'000, demand);
+    const Result before = Fleet(routers, Mode::before, 9, trouble).run(120'000, demand);
+    std::cout << std::fixed << std::setprecision(2) << what << ", " << routers << ": value " << with.value
+              << " (before " << before.value << "), worst 10 s " << with.worst << " (" << before.worst
+              << "), changes " << with.changes << ", highest level " << with.mostLevel << ", refusals right "
+              << with.right << " wrong " << with.wrong << ", past the expiry " << with.broken + before.broken;
+    if (trouble.jumpAt >= 0) std::cout << "; up after " << with.up << " s, back after " << with.down << " s";
+    std::cout << "\n";
+  };
+  for (const std::size_t routers : {1, 4}) {
+    Trouble jumped;
+    jumped.jumpAt = 20, jumped.jumpEnds = 60;
+    tell("a jump to twice the capacity for 40 s", routers, jump, jumped);
+    Trouble again = jumped;
+    again.comeAgain = true;
+    tell("the same, clients come again at once", routers, jump, again);
+    Trouble restarted = jumped;
+    restarted.restartAt = 40;
+    tell("the same, all routers start anew at its height", routers, jump, restarted);
+    Trouble behind;
+    behind.behindFrom = 20, behind.behindTo = 80;
+    tell("replicas behind at normal load", routers, flat(0.5), behind);
+    tell("replicas behind and the load at capacity", routers, flat(1), behind);
+    Trouble late;
+    late.newsLate = 2;
+    tell("news late by 2 s at normal load", routers, flat(0.5), late);
+  }
+}
+
 void swinging(std::int64_t minutes, const std::vector<std::size_t>& sizes) {
   const std::map<std::string, std::function<double(double)>> shapes{
       {"sine", [](double t) { return 1 + 0.8 * std::sin(t * 2 * 3.14159265358979 / 40); }},
@@ -575,6 +692,7 @@
   if (name == "taken") return taken(), 0;
   if (name == "configurations") return configurations(), 0;
   if (name == "seen") return seen(), 0;
+  if (name == "troubles") return troubles(), 0;
   if (name == "swinging") {
     if (count > 2)
       swinging(std::atoi(words[2]), {1, 4, 40});
