--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -1,5 +1,6 @@
 // The external processor's front without a socket, on a ledger of its own: what a proxy says in, what it is
 // told out. Run as `ext_proc CASE`: prints the case's trace.
+#include <algorithm>
 #include <iostream>
 #include <memory>
 #include <random>
@@ -686,10 +687,15 @@
 
 void sameDecisions() {
   const std::string pg = Both::go(false), proxy = Both::go(true);
+  const auto lines = std::count(proxy.begin(), proxy.end(), '\n');
   std::cout << "through PostgreSQL and through the external processor the same: "
-            << (pg == proxy ? "yes" : "NO") << "\n"
-            << proxy;
-  if (pg != proxy) std::cout << "through PostgreSQL:\n" << pg;
+            << (pg == proxy ? "yes" : "NO") << ", " << lines << " turns with decisions; the first 40:\n";
+  std::size_t end = 0;
+  for (int line = 0; line < 40; ++line) end = proxy.find('\n', end) + 1;
+  std::cout << proxy.substr(0, end);
+  const auto differ = std::mismatch(pg.begin(), pg.end(), proxy.begin(), proxy.end());
+  if (pg != proxy)
+    std::cout << "they differ from here: " << std::string(differ.first, pg.end()).substr(0, 200) << "\n";
 }
 
 void configurations() {
--- a/tests/levels.cpp
+++ b/tests/levels.cpp
@@ -6,13 +6,12 @@
 #include <cstdlib>
 #include <iomanip>
 #include <iostream>
-#include <memory>
-#include <queue>
 #include <random>
 #include <utility>
 
 #include "core/ledger.h"
 #include "levels/table.h"
+#include "model/fleet.h"
 #include "reduced/reduced.h"
 #include "trace.h"
 
@@ -366,293 +365,64 @@
   run(1000, 20);
 }
 
-// --- Minutes of swinging load on one modelled group: a primary and two replicas, each one queue.
+// --- Minutes of swinging load on a modelled group.
 
-enum class Mode { levels, before, none };
-
-struct Result {
-  double value = 0;
-  unsigned changes = 0, mostAMinute = 0, mostLevel = 0;
-  std::uint64_t broken = 0, right = 0, wrong = 0;
-  double worst = 1;           // the least part of a 10 s window's txns that was committed
-  double up = -1, down = -1;  // s from the first second at full load to level 1, and from its end to level 0
-};
-
-// What happens beside the load.
-struct Trouble {
-  double behindFrom = -1, behindTo = -1;  // s in which all replicas are 1.5 s behind
-  double newsLate = 0;                    // s by which what nodes tell of their position is late
-  bool comeAgain = false;                 // declined clients ask again at once, three times
-  double restartAt = -1;                  // s at which each router starts anew, knowing nothing
-  double jumpAt = -1, jumpEnds = -1;      // s that the load's jump is timed from
-};
-
-class Fleet {
- public:
-  Fleet(std::size_t routers, Mode mode, std::uint64_t seed, Trouble trouble = {})
-      : chance_(static_cast<unsigned>(seed)), mode_(mode), trouble_(trouble) {
-    for (std::size_t i = 0; i < routers; ++i) routers_.push_back(nullptr);
-    start();
-  }
-
-  // All routers from nothing; what they had out goes on at the nodes and is told to nobody.
-  void start() {
-    ++starts_;
-    const std::size_t routers = routers_.size();
-    for (std::size_t i = 0; i < routers; ++i) {
-      if (routers_[i]) changesBefore_ += routers_[i]->changes;
-      routers_[i] = std::make_unique<One>(*this, i, routers, mode_);
-    }
-    for (auto& one : routers_) {
-      std::vector<core::Addressed> list;
-      for (std::size_t n = 0; n < 3; ++n) {
-        ListEntry entry;
-        entry.node = std::string(1, "pab"[n]);
-        entry.group = 1;
-        entry.primary = n == 0;
-        list.push_back({entry, "x"});
-      }
-      one->ledger.see(now_);
-      one->ledger.listed(ListKind::whole, list);
-    }
-  }
-
-  // Demand by time, as a multiple of what the nodes can do.
-  Result run(std::int64_t millis, const std::function<double(double)>& demand) {
-    Result result;
-    std::deque<Instant> lastChanges;
-    for (std::int64_t t = 0; t < millis; t += 5) {
-      now_ = now_ + ms(5);
-      second_ = static_cast<double>(t) / 1000;
-      if (t == static_cast<std::int64_t>(trouble_.restartAt * 1000)) start();
-      if (t % 10'000 == 0 && t > 0) {
-        if (window_.first > 50) result.worst = std::min(result.worst, window_.second / window_.first);
-        window_ = {};
-      }
-      while (!again_.empty() && again_.front().first <= now_) {
-        const auto [type, tries] = again_.front().second;
-        again_.pop_front();
-        ask(type, tries);
-      }
-      const bool reduced = routers_.front()->levels.of(1).level > 0;
-      if (reduced && result.up < 0 && second_ >= trouble_.jumpAt) result.up = second_ - trouble_.jumpAt;
-      if (!reduced && result.up >= 0 && result.down < 0 && second_ >= trouble_.jumpEnds)
-        result.down = second_ - trouble_.jumpEnds;
-      // Three nodes at 27 ms a txn in the mean.
-      std::poisson_distribution<int> arrivals(demand(static_cast<double>(t) / 1000) * 110 * 0.005);
-      for (int n = arrivals(chance_); n > 0; --n) ask();
-      while (!ends_.empty() && ends_.top().at <= now_) {
-        const Ending end = ends_.top();
-        ends_.pop();
-        finish(end);
-      }
-      for (auto& one : routers_) {
-        if (!one->touched && (one->due == Instant() || one->due > now_)) continue;
-        one->touched = false;
-        one->ledger.see(now_);
-        one->due = one->ledger.endTurn();
-        result.mostLevel = std::max(result.mostLevel, one->levels.of(1).level);
-        if (one->changes == one->told) continue;
-        // The first router's, as each is held to so many a minute by itself.
-        if (one == routers_.front()) {
-          lastChanges.push_back(now_);
-          while (now_ - lastChanges.front() > ms(60'000)) lastChanges.pop_front();
-          result.mostAMinute = std::max(result.mostAMinute, static_cast<unsigned>(lastChanges.size()));
-        }
-        one->told = one->changes;
-      }
-    }
-    result.changes = changesBefore_;
-    for (auto& one : routers_) result.changes += one->changes;
-    result.value = earned_ / asked_;
-    result.broken = broken_;
-    result.right = right_;
-    result.wrong = wrong_;
-    return result;
-  }
-
- private:
-  struct Ending {
-    Instant at;
-    std::size_t router;
-    int start;
-    core::Job job;
-    NodeId node;
-    bool operator<(const Ending& other) const { return at > other.at; }
-  };
-  struct One final : core::Front, core::Carrier {
-    One(Fleet& of, std::size_t index, std::size_t routers, Mode mode)
-        : fleet(of),
-          number(index),
-          types(hanulTypes()),
-          levels({}, index + 1),
-          ledger(terms(routers, mode, types), index + 7, 1 << 20, [] {}) {
-      ledger.add(*this);
-      if (mode == Mode::levels) ledger.reduceBy(levels, tableOf(types), [this](const Change&) { ++changes; });
-    }
-    static Terms terms(std::size_t routers, Mode mode, const std::vector<TxnType>& types) {
-      Terms made = trace::usualTerms(types);
-      made.routers = static_cast<unsigned>(routers);
-      made.reducedByLevel = mode != Mode::before;
-      made.probesAllowed = false;
-      made.cancelAllowed = false;
-      return made;
-    }
-    void committed(core::OwnerId owner, const core::Value&) override { fleet.answered(*this, owner, true); }
-    void declined(core::OwnerId owner, Span, unsigned level) override {
-      if (level > 0) fleet.judge(asked.at(owner).type);
-      fleet.answered(*this, owner, false);
-    }
-    void rolledBack(core::OwnerId owner) override { fleet.answered(*this, owner, false); }
-    void carry(core::Job job, const NodeId& node) override { fleet.carry(*this, job, node); }
-    void callOff(core::Job job, const NodeId& node) override { ledger.ended(job, node, End::calledOff); }
-    void listed(const std::vector<NodeId>&) override {}
-    void forget(const NodeId&) override {}
-
-    Fleet& fleet;
-    std::size_t number;
-    std::vector<TxnType> types;
-    Levels levels;
-    core::Ledger ledger;
-    Instant due;
-    bool touched = true;
-    unsigned changes = 0, told = 0;
-    struct Asked {
-      std::size_t type;
-      Instant at;
-      int tries;
-    };
-    std::map<core::OwnerId, Asked> asked;
-    core::OwnerId last = 0;
-  };
-
-  void ask() {
-    // Bounded 30%, session 25%, any 25%, long 4%, writes 16%.
-    const auto kind = chance_() % 100;
-    const std::size_t type = kind < 30 ? 0 : kind < 55 ? 1 : kind < 80 ? 2 : kind < 84 ? 3 : 4;
-    asked_ += hanul_[type].value;
-    ++window_.first;
-    ask(type, 0);
-  }
-
-  void ask(std::size_t type, int tries) {
-    One& one = *routers_[chance_() % routers_.size()];
-    Txn txn;
-    txn.type = type;
-    txn.group = 1;
-    txn.patience = one.types[type].expiry;
-    if (type == 1) {
-      txn.session = chance_() % 50;
-      txn.writeAge = ms(static_cast<std::int64_t>(chance_() % 400));
-    }
-    if (type == 4) txn.session = chance_() % 50;
-    one.ledger.see(now_);
-    one.asked[++one.last] = {type, now_, tries};
-    typeOf_[{one.number, one.ledger.take(one, one.last, one, txn, {})}] = type;
-    one.touched = true;
-  }
-
-  // An observer who sees the nodes' queues: a refusal was right if no node could have begun it within a third
-  // of its SLA time.
-  void judge(std::size_t type) {
-    const auto free = [&](std::size_t node) { return busyUntil_[node] - now_ < hanul_[type].slaTime * 0.35; };
-    ++(free(1) || free(2) ? wrong_ : right_);
-  }
-
-  void carry(One& one, core::Job job, const NodeId& node) {
-    const std::size_t at = std::string("pab").find(node);
-    const Instant begin = std::max(now_, busyUntil_[at]);
-    // A node turns away what would wait for more than two seconds.
-    if (begin - now_ > ms(2000)) return one.ledger.ended(job, node, End::turnedAway);
-    // 20 ms of work, ten times that for long reads.
-    const double long10 = typeOf_[{one.number, job.txn}] == 3 ? 10 : 1;
-    busyUntil_[at] = begin + Span::micros(10'000 + static_cast<std::int64_t>(chance_() % 20'000)) * long10;
-    ends_.push({busyUntil_[at], one.number, starts_, job, node});
-  }
-
-  void finish(const Ending& end) {
-    if (end.start != starts_) return;
-    One& one = *routers_[end.router];
-    one.ledger.see(now_);
-    one.touched = true;
-    if (one.ledger.isOwed(end.job.txn)) one.ledger.commit(end.job.txn, {});
-    const bool primary = end.node == "p";
-    const bool behind = second_ >= trouble_.behindFrom && second_ < trouble_.behindTo;
-    const Span lag = (primary ? Span() : behind ? ms(1500) : ms(40)) + Span::seconds(trouble_.newsLate);
-    one.ledger.ended(end.job, end.node, End::committed,
-                     {primary ? Role::primary : Role::replica, now_ - lag});
-  }
+model::Sheet sheet(std::size_t routers, model::Refusing refusing, model::Trouble trouble = {}) {
+  const auto types = hanulTypes();
+  model::Sheet made;
+  const double shares[] = {0.30, 0.25, 0.25, 0.04, 0.16};
+  for (std::size_t row = 0; row < types.size(); ++row)
+    made.kinds.push_back({types[row], shares[row], row == 3 ? ms(200) : ms(20)});
+  made.routers = routers;
+  made.refusing = refusing;
+  made.trouble = trouble;
+  made.seed = 5;
+  return made;
+}
 
-  void answered(One& one, core::OwnerId owner, bool committed) {
-    const auto asked = one.asked.at(owner);
-    one.asked.erase(owner);
-    const TxnType& type = one.types[asked.type];
-    if (now_ - asked.at > type.expiry) ++broken_;
-    if (!committed) {
-      if (trouble_.comeAgain && asked.tries < 3)
-        again_.push_back({now_ + ms(20), {asked.type, asked.tries + 1}});
-      return;
-    }
-    ++window_.second;
-    earned_ += type.value * (now_ - asked.at <= type.slaTime ? 1 : type.lateShare);
-  }
+using Demand = std::function<double(double)>;
+using model::Refusing;
 
-  std::knuth_b chance_;
-  Mode mode_;
-  Trouble trouble_;
-  const std::vector<TxnType> hanul_ = hanulTypes();
-  int starts_ = 0;
-  unsigned changesBefore_ = 0;
-  double second_ = 0;
-  std::pair<double, double> window_;  // asked and committed in this one
-  std::deque<std::pair<Instant, std::pair<std::size_t, int>>> again_;
-  std::uint64_t right_ = 0, wrong_ = 0;
-  Instant now_ = kStart;
-  std::vector<std::unique_ptr<One>> routers_;
-  std::map<std::pair<std::size_t, TxnId>, std::size_t> typeOf_;
-  std::array<Instant, 3> busyUntil_{};
-  std::priority_queue<Ending> ends_;
-  double asked_ = 0, earned_ = 0;
-  std::uint64_t broken_ = 0;
-};
+model::Result play(std::size_t routers, Refusing refusing, double seconds, const Demand& demand,
+                   model::Trouble trouble = {}) {
+  return model::Fleet(sheet(routers, refusing, trouble)).run(seconds, demand);
+}
 
 // Troubles beside the load, each with levels and as before.
 void troubles() {
   const auto flat = [](double at) { return [at](double) { return at; }; };
-  const auto jump = [](double t) { return t >= 20 && t < 60 ? 2.0 : 0.5; };
-  const auto tell = [](const std::string& what, std::size_t routers,
-                       const std::function<double(double)>& demand, Trouble trouble) {
-    const Result with = Fleet(routers, Mode::levels, 9, trouble).run(120'000, demand);
-    const Result before = Fleet(routers, Mode::before, 9, trouble).run(120'000, demand);
+  const Demand jump = [](double t) { return t >= 20 && t < 60 ? 2.0 : 0.5; };
+  const auto tell = [](const std::string& what, std::size_t routers, const Demand& demand,
+                       model::Trouble trouble) {
+    const auto with = play(routers, Refusing::byLevels, 120, demand, trouble);
+    const auto before = play(routers, Refusing::byModule, 120, demand, trouble);
     std::cout << std::fixed << std::setprecision(2) << what << ", " << routers << ": value " << with.value
               << " (before " << before.value << "), worst 10 s " << with.worst << " (" << before.worst
               << "), changes " << with.changes << ", highest level " << with.mostLevel << ", refusals right "
-              << with.right << " wrong " << with.wrong << ", past the expiry " << with.broken + before.broken;
-    if (trouble.jumpAt >= 0) std::cout << "; up after " << with.up << " s, back after " << with.down << " s";
+              << with.right << " wrong " << with.wrong << ", rules broken "
+              << with.broken.sum() + before.broken.sum() << "; the first router's levels:";
+    for (const auto& [second, level] : with.levels) std::cout << " " << level << " at " << second;
     std::cout << "\n";
   };
   for (const std::size_t routers : {1, 4}) {
-    Trouble jumped;
-    jumped.jumpAt = 20, jumped.jumpEnds = 60;
-    tell("a jump to twice the capacity for 40 s", routers, jump, jumped);
-    Trouble again = jumped;
-    again.comeAgain = true;
-    tell("the same, clients come again at once", routers, jump, again);
-    Trouble restarted = jumped;
+    model::Trouble again, restarted, behind, late, drained;
+    again.comeAgain = 3;
     restarted.restartAt = 40;
-    tell("the same, all routers start anew at its height", routers, jump, restarted);
-    Trouble behind;
     behind.behindFrom = 20, behind.behindTo = 80;
-    tell("replicas behind at normal load", routers, flat(0.5), behind);
-    tell("replicas behind and the load at capacity", routers, flat(1), behind);
-    Trouble late;
     late.newsLate = 2;
-    tell("news late by 2 s at normal load", routers, flat(0.5), late);
+    drained.drainAt = 30;
+    tell("a jump to twice the capacity from 20 to 60 s", routers, jump, {});
+    tell("the same, clients come again at once", routers, jump, again);
+    tell("the same, all routers start anew at its height", routers, jump, restarted);
+    tell("the same, a replica drains in it", routers, jump, drained);
+    tell("replicas stand still from 20 to 80 s at half load", routers, flat(0.5), behind);
+    tell("replicas stand still from 20 to 80 s at full load", routers, flat(1), behind);
+    tell("news late by 2 s at half load", routers, flat(0.5), late);
   }
 }
 
-void swinging(std::int64_t minutes, const std::vector<std::size_t>& sizes) {
-  const std::map<std::string, std::function<double(double)>> shapes{
+void swinging(int minutes, const std::vector<std::size_t>& sizes) {
+  const std::map<std::string, Demand> shapes{
       {"sine", [](double t) { return 1 + 0.8 * std::sin(t * 2 * 3.14159265358979 / 40); }},
       {"square", [](double t) { return std::fmod(t, 50) < 25 ? 0.5 : 1.8; }},
       {"sawtooth", [](double t) { return 0.3 + 1.6 * std::fmod(t, 30) / 30; }},
@@ -660,23 +430,22 @@
          double at = 1;
          std::knuth_b steps(3);
          for (int i = 0; i < static_cast<int>(t / 2); ++i)
-           at = std::clamp(at + (steps() % 3 - 1.0) * 0.2, 0.3, 2.0);
+           at = std::clamp(at + (static_cast<double>(steps() % 3) - 1.0) * 0.2, 0.3, 2.0);
          return at;
        }}};
   std::cout
-      << "shape, routers: value with levels, as before, with none; changes a router and minute, most in one; "
-         "highest level; answers past the expiry\n";
+      << "shape, routers: value with levels, as before, with none; changes a router and minute, most in "
+         "one; highest level; rules broken\n";
   for (const auto& [name, demand] : shapes) {
     for (const std::size_t routers : sizes) {
-      Result with = Fleet(routers, Mode::levels, 5).run(minutes * 60'000, demand);
-      Result before = Fleet(routers, Mode::before, 5).run(minutes * 60'000, demand);
-      Result none = Fleet(routers, Mode::none, 5).run(minutes * 60'000, demand);
+      const auto with = play(routers, Refusing::byLevels, minutes * 60, demand);
+      const auto before = play(routers, Refusing::byModule, minutes * 60, demand);
+      const auto none = play(routers, Refusing::nobody, minutes * 60, demand);
       std::cout << std::fixed << std::setprecision(2) << name << ", " << routers << ": " << with.value << " "
                 << before.value << " " << none.value << "; "
-                << static_cast<double>(with.changes) / static_cast<double>(routers) /
-                       static_cast<double>(minutes)
-                << ", " << with.mostAMinute << "; " << with.mostLevel << "; "
-                << with.broken + before.broken + none.broken << "\n";
+                << static_cast<double>(with.changes) / static_cast<double>(routers) / minutes << ", "
+                << with.mostAMinute << "; " << with.mostLevel << "; "
+                << with.broken.sum() + before.broken.sum() + none.broken.sum() << "\n";
     }
   }
 }
