One place each for the phases of a message and for accepting in stand-ins

The same phases were told apart in four switches of the messages, and two stand-ins accepted alike; found by looking for repeated lines.

--- a/src/ext_proc/messages.cpp
+++ b/src/ext_proc/messages.cpp
@@ -41,6 +41,43 @@
   for (const auto& name : removed) to.add_remove_headers(name);
 }
 
+// Begins what a phase is about, in a message of either side; null for the phases that have no headers.
+template <typename Message>
+auto begin(Message& message, Phase phase) -> decltype(message.mutable_request_headers()) {
+  switch (phase) {
+    case Phase::requestHeaders:
+      return message.mutable_request_headers();
+    case Phase::responseHeaders:
+      return message.mutable_response_headers();
+    case Phase::requestBody:
+      message.mutable_request_body();
+      break;
+    case Phase::responseBody:
+      message.mutable_response_body();
+      break;
+    case Phase::requestTrailers:
+      message.mutable_request_trailers();
+      break;
+    case Phase::responseTrailers:
+      message.mutable_response_trailers();
+      break;
+    case Phase::none:
+      break;
+  }
+  return nullptr;
+}
+
+// Which phase it is about.
+template <typename Message>
+Phase phaseOf(const Message& message) {
+  if (message.has_request_headers()) return Phase::requestHeaders;
+  if (message.has_response_headers()) return Phase::responseHeaders;
+  if (message.has_request_body()) return Phase::requestBody;
+  if (message.has_response_body()) return Phase::responseBody;
+  if (message.has_request_trailers()) return Phase::requestTrailers;
+  return message.has_response_trailers() ? Phase::responseTrailers : Phase::none;
+}
+
 Headers read(const wire::HeaderMutation& from) {
   Headers made;
   for (const auto& option : from.set_headers()) {
@@ -58,58 +95,15 @@
     throw Malformed("the message can't be read");
   Request made;
   made.wantsNoAnswer = message.observability_mode();
-  switch (message.request_case()) {
-    case ProcessingRequest::kRequestHeaders:
-      made.phase = Phase::requestHeaders;
-      made.headers = read(message.request_headers().headers());
-      break;
-    case ProcessingRequest::kResponseHeaders:
-      made.phase = Phase::responseHeaders;
-      made.headers = read(message.response_headers().headers());
-      break;
-    case ProcessingRequest::kRequestBody:
-      made.phase = Phase::requestBody;
-      break;
-    case ProcessingRequest::kResponseBody:
-      made.phase = Phase::responseBody;
-      break;
-    case ProcessingRequest::kRequestTrailers:
-      made.phase = Phase::requestTrailers;
-      break;
-    case ProcessingRequest::kResponseTrailers:
-      made.phase = Phase::responseTrailers;
-      break;
-    case ProcessingRequest::REQUEST_NOT_SET:
-      break;
-  }
+  made.phase = phaseOf(message);
+  if (made.phase == Phase::requestHeaders) made.headers = read(message.request_headers().headers());
+  if (made.phase == Phase::responseHeaders) made.headers = read(message.response_headers().headers());
   return made;
 }
 
 std::string continued(Phase phase, const Headers& set, const std::vector<std::string>& removed) {
   ProcessingResponse message;
-  wire::HeadersResponse* headers = nullptr;
-  switch (phase) {
-    case Phase::requestHeaders:
-      headers = message.mutable_request_headers();
-      break;
-    case Phase::responseHeaders:
-      headers = message.mutable_response_headers();
-      break;
-    case Phase::requestBody:
-      message.mutable_request_body();
-      break;
-    case Phase::responseBody:
-      message.mutable_response_body();
-      break;
-    case Phase::requestTrailers:
-      message.mutable_request_trailers();
-      break;
-    case Phase::responseTrailers:
-      message.mutable_response_trailers();
-      break;
-    case Phase::none:
-      break;
-  }
+  auto* headers = begin(message, phase);
   if (headers && (!set.empty() || !removed.empty())) {
     auto& response = *headers->mutable_response();
     write(*response.mutable_header_mutation(), set, removed);
@@ -140,29 +134,7 @@
 std::string request(const Request& request, bool raw) {
   ProcessingRequest message;
   message.set_observability_mode(request.wantsNoAnswer);
-  wire::HttpHeaders* headers = nullptr;
-  switch (request.phase) {
-    case Phase::requestHeaders:
-      headers = message.mutable_request_headers();
-      break;
-    case Phase::responseHeaders:
-      headers = message.mutable_response_headers();
-      break;
-    case Phase::requestBody:
-      message.mutable_request_body();
-      break;
-    case Phase::responseBody:
-      message.mutable_response_body();
-      break;
-    case Phase::requestTrailers:
-      message.mutable_request_trailers();
-      break;
-    case Phase::responseTrailers:
-      message.mutable_response_trailers();
-      break;
-    case Phase::none:
-      break;
-  }
+  auto* headers = begin(message, request.phase);
   if (headers) {
     for (const auto& [name, value] : request.headers) {
       auto& header = *headers->mutable_headers()->add_headers();
@@ -181,40 +153,19 @@
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     throw Malformed("the message can't be read");
   Response made;
-  const auto take = [&](Phase phase, const wire::HeadersResponse& headers) {
-    made.phase = phase;
+  made.phase = phaseOf(message);
+  if (made.phase == Phase::requestHeaders || made.phase == Phase::responseHeaders) {
+    const auto& headers =
+        made.phase == Phase::requestHeaders ? message.request_headers() : message.response_headers();
     const auto& mutation = headers.response().header_mutation();
     made.set = read(mutation);
     made.removed.assign(mutation.remove_headers().begin(), mutation.remove_headers().end());
-  };
-  switch (message.response_case()) {
-    case ProcessingResponse::kRequestHeaders:
-      take(Phase::requestHeaders, message.request_headers());
-      break;
-    case ProcessingResponse::kResponseHeaders:
-      take(Phase::responseHeaders, message.response_headers());
-      break;
-    case ProcessingResponse::kRequestBody:
-      made.phase = Phase::requestBody;
-      break;
-    case ProcessingResponse::kResponseBody:
-      made.phase = Phase::responseBody;
-      break;
-    case ProcessingResponse::kRequestTrailers:
-      made.phase = Phase::requestTrailers;
-      break;
-    case ProcessingResponse::kResponseTrailers:
-      made.phase = Phase::responseTrailers;
-      break;
-    case ProcessingResponse::kImmediateResponse: {
-      const auto& immediate = message.immediate_response();
-      made.isImmediate = true;
-      made.immediate = {immediate.status().code(), read(immediate.headers()), immediate.body(),
-                        immediate.details()};
-      break;
-    }
-    case ProcessingResponse::RESPONSE_NOT_SET:
-      break;
+  }
+  if (message.has_immediate_response()) {
+    const auto& immediate = message.immediate_response();
+    made.isImmediate = true;
+    made.immediate = {immediate.status().code(), read(immediate.headers()), immediate.body(),
+                      immediate.details()};
   }
   const auto& wait = message.override_message_timeout();
   made.wait = Span::micros(wait.seconds() * 1'000'000 + wait.nanos() / 1000);
--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -42,6 +42,17 @@
   }
 };
 
+// Serves each connection that comes, for as long as the loop runs.
+loop::Task acceptAll(loop::Stream& listener, std::function<void(loop::Descriptor)> serve) {
+  for (;;) {
+    loop::Descriptor taken;
+    if (loop::accept(listener.descriptor(), taken) == loop::Io::some)
+      serve(std::move(taken));
+    else
+      co_await listener.changed();
+  }
+}
+
 // A head's first line and the value of a field, both in lower case names.
 std::string field(std::string_view head, std::string_view name) {
   const auto at = head.find("\r\n" + std::string(name) + ": ");
@@ -57,7 +68,8 @@
       loop_(loop),
       id_(std::move(id)),
       listener_(std::make_unique<loop::Stream>(loop, loop::listenOn(kHost, 0))) {
-  loop_.spawn(accept());
+  loop_.spawn(
+      acceptAll(*listener_, [this](loop::Descriptor taken) { loop_.spawn(serve(std::move(taken))); }));
 }
 Node::~Node() = default;
 
@@ -70,16 +82,6 @@
          "\r\ncontent-length: 0\r\n\r\n";
 }
 
-loop::Task Node::accept() {
-  for (;;) {
-    loop::Descriptor taken;
-    if (loop::accept(listener_->descriptor(), taken) == loop::Io::some)
-      loop_.spawn(serve(std::move(taken)));
-    else
-      co_await listener_->changed();
-  }
-}
-
 loop::Task Node::serve(loop::Descriptor descriptor) {
   Wire wire(loop_, std::move(descriptor));
   while (!wire.over) {
@@ -121,7 +123,8 @@
 
 Discovery::Discovery(loop::Loop& loop, unsigned short port)
     : loop_(loop), listener_(std::make_unique<loop::Stream>(loop, loop::listenOn(kHost, port))) {
-  loop_.spawn(accept());
+  loop_.spawn(
+      acceptAll(*listener_, [this](loop::Descriptor taken) { loop_.spawn(serve(std::move(taken))); }));
 }
 Discovery::~Discovery() = default;
 
@@ -143,16 +146,6 @@
          R"(,"servers":[)" + servers + "]}\n";
 }
 
-loop::Task Discovery::accept() {
-  for (;;) {
-    loop::Descriptor taken;
-    if (loop::accept(listener_->descriptor(), taken) == loop::Io::some)
-      loop_.spawn(serve(std::move(taken)));
-    else
-      co_await listener_->changed();
-  }
-}
-
 loop::Task Discovery::serve(loop::Descriptor descriptor) {
   Wire wire(loop_, std::move(descriptor));
   for (wire.read(); !wire.over && wire.kept.find("\r\n\r\n") == std::string::npos; wire.read())
--- a/src/standins/node.h
+++ b/src/standins/node.h
@@ -44,7 +44,6 @@
   std::uint64_t requests = 0, writesAsReplica = 0, probes = 0;
 
  private:
-  loop::Task accept();
   loop::Task serve(loop::Descriptor descriptor);
   std::string head(int status, const std::string& outcome) const;
 
@@ -71,7 +70,6 @@
   bool silent = false;  // tells nothing, and goes on accepting
 
  private:
-  loop::Task accept();
   loop::Task serve(loop::Descriptor descriptor);
   std::string list(std::uint64_t after, bool whole) const;
 
