--- a/src/reduced/reduced.cpp
+++ b/src/reduced/reduced.cpp
@@ -13,6 +13,12 @@
 // Groups in one log line; the status document has them all.
 constexpr std::size_t kMostLogged = 20;
 
+// The part of a txn type's txns that was refused as it came, since the start.
+double refusedOf(const levels::Levels::Counts& counts) {
+  const auto asked = counts.answered + counts.gaveUp + counts.refused;
+  return asked > 0 ? static_cast<double>(counts.refused) / static_cast<double>(asked) : 0;
+}
+
 std::string figure(double value) {
   char text[32];
   std::snprintf(text, sizeof text, "%.2f", value);
@@ -79,12 +85,10 @@
     one["wait"] = std::stod(figure(group.wait));
     for (std::size_t type = 0; type < group.types.size() && type < typeNames_.size(); ++type) {
       const auto& counts = group.types[type];
-      const double asked = static_cast<double>(counts.answered + counts.gaveUp + counts.refused);
-      one["types"][typeNames_[type]] = {
-          {"answered", counts.answered},
-          {"given_up", counts.gaveUp},
-          {"refused", counts.refused},
-          {"share_refused", asked > 0 ? std::stod(figure(static_cast<double>(counts.refused) / asked)) : 0}};
+      one["types"][typeNames_[type]] = {{"answered", counts.answered},
+                                        {"given_up", counts.gaveUp},
+                                        {"refused", counts.refused},
+                                        {"share_refused", std::stod(figure(refusedOf(counts)))}};
     }
     all["groups"].push_back(std::move(one));
   }
@@ -112,6 +116,9 @@
   for (const auto& [id, group] : levels_.all()) {
     if (group.level == 0 || ++reduced > kMostLogged) continue;
     line += " group" + std::to_string(id) + "=" + std::to_string(group.level) + (group.trial > 0 ? "t" : "");
+    for (std::size_t type = 0; type < group.types.size() && type < typeNames_.size(); ++type)
+      if (const double share = refusedOf(group.types[type]); share > 0)
+        line += "," + typeNames_[type] + ":" + figure(share);
   }
   if (reduced == 0) return;
   loggedAt_ = now;
--- a/tests/levels.cpp
+++ b/tests/levels.cpp
@@ -357,6 +357,7 @@
   std::cout << "refused at once, by the level that was told:";
   for (const auto& [level, count] : nobody.refusals) std::cout << " " << level << (count > 0 ? ": some" : "");
   std::cout << "\n";
+  run(25'000, 270);
   file = R"({"pin":{"level":0,"by":"kim"}})";
   part.readAnew();
   run(1000, 20);
