Groups that nobody serves keep no level; one hash of session names for both fronts

Found on reading the change once more: clients may name any group, and each given-up txn of an unknown one made an entry in the levels, which was bounded by pushing out real groups, and one in the ledger without a bound. Now only a group that has answered is kept, and the ledger forgets with the levels.

--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -132,6 +132,7 @@
   for (const auto& change : levels_->decide(now_))
     if (changed_) changed_(change);
   const auto row = [&](levels::Level level) { return level == 0 ? Reduction() : table_.at(level - 1); };
+  std::erase_if(reduced_, [&](const auto& told) { return !levels_->all().contains(told.first); });
   for (const auto& [id, now] : levels_->all()) {
     auto& told = reduced_[id];
     if (told == std::pair(now.level, now.trial)) continue;
--- a/src/fronts/ext_proc/mapping.cpp
+++ b/src/fronts/ext_proc/mapping.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "core/session.h"
+
 namespace gulltrestle::fronts::ext_proc {
 
 namespace {
@@ -41,14 +43,6 @@
   return *value;
 }
 
-// Sessions are told apart by a number; equal names give equal ones (FNV-1a). Two that share one make a read
-// wait for the other's write at the worst.
-SessionId sessionOf(std::string_view name) {
-  SessionId hash = 14695981039346656037U;
-  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
-  return hash;
-}
-
 grants::Written writtenOf(std::string_view word) {
   if (word == "none") return grants::Written::nothing;
   return word == "some" || word == "whole" ? grants::Written::something : grants::Written::unknown;
@@ -76,14 +70,14 @@
   asked.txn.patience = asked.ask.patience =
       std::min(Span::millis(static_cast<std::int64_t>(patience)), type.expiry);
   if (type.level == ReadLevel::session) {
-    asked.txn.session = sessionOf(need(headers, names_.session));
+    asked.txn.session = core::sessionOf(need(headers, names_.session));
     asked.txn.writeAge = Span();  // it owes nothing
     if (const auto* age = find(headers, names_.writeAge); age && carried_) {
       const auto millis = number(names_.writeAge, *age, kMostMs);
       if (millis > 0) asked.txn.writeAge = Span::millis(static_cast<std::int64_t>(millis));
     }
   } else if (type.level == ReadLevel::write) {
-    if (const auto* session = find(headers, names_.session)) asked.txn.session = sessionOf(*session);
+    if (const auto* session = find(headers, names_.session)) asked.txn.session = core::sessionOf(*session);
   }
   if (const auto* attempt = find(headers, names_.attempt))
     asked.ask.attempt =
--- a/src/fronts/pg/clients.cpp
+++ b/src/fronts/pg/clients.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/session.h"
 #include "pg/answer.h"
 #include "pg/statement.h"
 
@@ -26,14 +27,6 @@
 // What one client may have looked at in a turn. Clients that wait for their answers send one or two.
 constexpr int kMessagesATurn = 4;
 
-// Sessions are told apart by a number; equal keys give equal ones (FNV-1a). Two keys that share one make a
-// read wait for the other's write at the worst.
-SessionId sessionOf(std::string_view key) {
-  SessionId hash = 14695981039346656037U;
-  for (const char c : key) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
-  return hash;
-}
-
 }  // namespace
 
 Clients::Clients(core::Ledger& ledger, core::Carrier& carrier, const Terms& terms,
@@ -164,7 +157,8 @@
     asking_ += !std::exchange(client.asked, true);
     txn.type = type->second;
     txn.group = statement.group;
-    if (level >= ReadLevel::write || level == ReadLevel::session) txn.session = sessionOf(statement.key);
+    if (level >= ReadLevel::write || level == ReadLevel::session)
+      txn.session = core::sessionOf(statement.key);
     if (level == ReadLevel::session) {
       txn.writeAge = Span();  // it owes nothing
       if (statement.afterMs.value_or(0) > 0)
--- a/src/levels/levels.cpp
+++ b/src/levels/levels.cpp
@@ -23,7 +23,7 @@
 // beyond, clients and txns would be turned away blindly. Above the three quarters at which the module makes
 // room by itself, so that a level comes only where that was not enough.
 constexpr double kOwnFull = 0.85;
-// Groups that are kept: clients may name any, lists name far fewer.
+// Groups that are kept; lists name far fewer.
 constexpr std::size_t kMostGroups = 10'000;
 
 }  // namespace
@@ -51,7 +51,7 @@
 Levels::Group& Levels::groupOf(GroupId id) {
   const auto at = groups_.find(id);
   if (at != groups_.end()) return at->second;
-  if (groups_.size() >= kMostGroups) groups_.erase(groups_.begin());
+  if (groups_.size() >= kMostGroups) forget(groups_.begin()->first);
   Group& made = groups_[id];
   // Up to a third longer, by group and router.
   const std::uint64_t mixed = (seed_ ^ id * 0x9E3779B97F4A7C15u) * 0xBF58476D1CE4E5B9u;
@@ -71,8 +71,12 @@
   ++countsOf(group, type).answered;
 }
 
+// Clients may name any group, but only one that has nodes ever answers: the others are not kept. Guards
+// against names without an end, which would fill the table and push real groups out of it.
 void Levels::gaveUp(Instant now, GroupId id, std::size_t type, double share) {
-  Group& group = groupOf(id);
+  const auto known = groups_.find(id);
+  if (known == groups_.end()) return;
+  Group& group = known->second;
   if (share < kWaited) {
     ++countsOf(group, type).refused;
     return;
--- a/tests/levels.cpp
+++ b/tests/levels.cpp
@@ -142,6 +142,12 @@
     still.levels().stoodStill(still.now);
   }
   std::cout << still.changes << " changes\n";
+  Steps named;
+  named.say("clients name groups that nobody serves: none is kept");
+  named.run(50, named.load(0.1));
+  for (GroupId group = 2; group < 20'000; ++group) named.levels().gaveUp(named.now, group, 0, 2);
+  named.run(1000, named.load(0.1));
+  std::cout << named.levels().all().size() << " group\n";
   Steps pinned;
   pinned.say("an operator pins, caps, lets go");
   Bounds bounds;
