The ledger asks a guard before a once-only txn comes to the module, where there is one

Whoever keeps ids across routers needs one place in front of both fronts. Change: core::Guard is asked from Ledger::take() for once-only txns and told the fate of each (committed with its value, never ran, unknown) once nothing of it is out; a wait for its word is part of the client's time. A txn that a proxy says may have run elsewhere is never told as one that never ran. Measured: no guard exists yet in the program; tests/guard prints what is held, admitted, refused and told.

--- /dev/null
+++ b/src/core/guard.h
@@ -0,0 +1,31 @@
+// Whether a txn that may run only once may run at all: asked by the ledger before such a txn comes to the
+// module, told what became of it. For installations where a client's repeat may reach another router, or this
+// one after a crash. Where there is none, nothing is asked.
+#pragma once
+
+#include <array>
+#include <string_view>
+
+#include "routing/router.h"
+
+namespace gulltrestle::core {
+
+// What a node answered, as its carrier read it, in up to three slices. Valid during the call only.
+using Value = std::array<std::string_view, 3>;
+
+// What became of a txn here, once nothing of it is out any more.
+enum class Fate { committed, neverRan, unknown };
+
+class Guard {
+ public:
+  virtual ~Guard() = default;
+  // The client named the txn so, and waits for it for `patience` from now. Answered in a later call, by
+  // Ledger::admit() or Ledger::refuse(), unless over() comes first; within its patience.
+  virtual void asked(TxnId txn, std::string_view id, Span patience) = 0;
+  // A node committed it, with this value. Comes ahead of over().
+  virtual void commits(TxnId txn, const Value& value) = 0;
+  // Told once for each that was asked for.
+  virtual void over(TxnId txn, Fate fate) = 0;
+};
+
+}  // namespace gulltrestle::core
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -12,7 +12,10 @@
       mostOpen_(terms.mostOpen),
       askForList_(std::move(askForList)),
       nodes_(!terms.onlyDrainingBinds) {
-  for (const auto& type : terms.types) slaTimes_.push_back(type.slaTime);
+  for (const auto& type : terms.types) {
+    slaTimes_.push_back(type.slaTime);
+    onceOnly_.push_back(type.effect == Effect::onceOnly);
+  }
 }
 
 void Ledger::reduceBy(levels::Levels& levels, levels::Table table, Changed changed) {
@@ -25,7 +28,8 @@
 
 // --- Fronts
 
-TxnId Ledger::take(Front& front, OwnerId owner, Carrier& carrier, Txn txn, Message message) {
+TxnId Ledger::take(Front& front, OwnerId owner, Carrier& carrier, Txn txn, Message message,
+                   std::string_view id) {
   txn.id = ++lastTxn_;
   Live& live = live_[txn.id];
   live.front = &front;
@@ -38,15 +42,81 @@
   live.slaTime = std::max(slaTimes_.at(txn.type), Span::micros(1));
   heldBytes_ += live.message.bytes.size();
   if (!live.id().empty()) openIds_.insert(live.id());
-  arrived([txn](Router& router) { router.taken(txn); });
+  live.guarded = guard_ && onceOnly_.at(txn.type);
+  live.earlierMayHaveRun = txn.earlier.mayHaveRunFor.has_value();
+  if (live.guarded) {
+    live.waiting = txn;
+    guard_->asked(txn.id, id.empty() ? live.id() : id, txn.patience);
+  } else {
+    arrived([txn](Router& router) { router.taken(txn); });
+  }
   return txn.id;
 }
 
+// --- The guard
+
+void Ledger::admit(TxnId id) {
+  Live* live = owed(id);
+  if (!live || !live->waiting) return;
+  Txn txn = *std::exchange(live->waiting, std::nullopt);
+  // What waiting for the guard took is part of the client's time.
+  const Span waited = now_ - live->takenAt;
+  txn.patience = txn.patience - waited;
+  if (txn.hold) txn.hold = *txn.hold - waited;
+  arrived([txn](Router& router) { router.taken(txn); });
+}
+
+bool Ledger::stopWaiting(TxnId txn) {
+  Live* live = owed(txn);
+  return live && std::exchange(live->waiting, std::nullopt).has_value();
+}
+
+void Ledger::refuseCommitted(TxnId txn, const Value& value) {
+  const bool empty = std::all_of(value.begin(), value.end(), [](auto part) { return part.empty(); });
+  if (!stopWaiting(txn)) return;
+  finish(txn, [&](Front& f, OwnerId owner) {
+    empty && f.needsValue() ? f.rolledBack(owner) : f.committed(owner, value);
+  });
+}
+
+void Ledger::refuseDeclined(TxnId txn, Span comeBackAfter) {
+  if (stopWaiting(txn)) finish(txn, [&](Front& f, OwnerId owner) { f.declined(owner, comeBackAfter, 0); });
+}
+
+void Ledger::refuseRolledBack(TxnId txn) {
+  if (stopWaiting(txn)) finish(txn, [&](Front& f, OwnerId owner) { f.rolledBack(owner); });
+}
+
+// Nothing that a proxy says of earlier tries elsewhere is taken for a proof that it never ran.
+Fate Ledger::fateOf(const Live& live) const {
+  bool mayHaveRun = live.earlierMayHaveRun;
+  for (const Submission& submission : live.submissions) {
+    switch (submission.how) {
+      case End::committed:
+        return Fate::committed;
+      case End::turnedAway:
+      case End::noConnection:
+      case End::notSent:
+      case End::notHere:
+        break;
+      case End::error:
+      case End::noAnswer:
+      case End::connectionLost:
+      case End::calledOff:
+        mayHaveRun = true;
+    }
+  }
+  return mayHaveRun ? Fate::unknown : Fate::neverRan;
+}
+
+// --- Fronts and carriers
+
 void Ledger::leave(TxnId txn) {
   Live* live = owed(txn);
   if (!live) return;
   live->front = nullptr;
-  arrived([txn](Router& router) { router.clientLeft(txn); });
+  if (!std::exchange(live->waiting, std::nullopt))
+    arrived([txn](Router& router) { router.clientLeft(txn); });
   forget(txn);
 }
 
@@ -75,6 +145,7 @@
   if (at == live_.end() || at->second.front) return;
   const auto& all = at->second.submissions;
   if (!std::all_of(all.begin(), all.end(), [](auto& s) { return s.over; })) return;
+  if (at->second.guarded) guard_->over(txn, fateOf(at->second));
   heldBytes_ -= at->second.message.bytes.size();
   if (!at->second.id().empty()) openIds_.erase(at->second.id());
   live_.erase(at);
@@ -89,6 +160,7 @@
 }
 
 void Ledger::commit(TxnId txn, const Value& value) {
+  if (const auto at = live_.find(txn); at != live_.end() && at->second.guarded) guard_->commits(txn, value);
   if (const Live* live = owed(txn); live && levels_)
     levels_->answered(now_, live->group, live->type, waitedShare(*live));
   finish(txn, [&](Front& front, OwnerId owner) { front.committed(owner, value); });
@@ -101,6 +173,7 @@
   if (at == live_.end() || job.submission >= at->second.submissions.size()) return;
   Submission& submission = at->second.submissions[job.submission];
   if (std::exchange(submission.over, true)) return;
+  submission.how = how;
   const Span latency = now_ - submission.sentAt;
   const bool txnOver = !at->second.front;
   arrived([=](Router& router) {
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "core/connection_end.h"
+#include "core/guard.h"
 #include "core/nodes.h"
 #include "levels/table.h"
 #include "routing/router.h"
@@ -26,9 +27,6 @@
 using OwnerId = std::uint64_t;  // whom a front owes an answer, by the front's own number; never 0
 using Parts = std::initializer_list<std::string_view>;
 
-// What a node answered, as its carrier read it, in up to three slices. Valid during the call only.
-using Value = std::array<std::string_view, 3>;
-
 struct Job {      // what a carrier has in hand
   TxnId txn = 0;  // 0: a probe
   unsigned submission = 0;
@@ -51,6 +49,8 @@
   // `level`: of reduced service, where that is why it was refused as it came; 0: it is not.
   virtual void declined(OwnerId owner, Span comeBackAfter, unsigned level) = 0;
   virtual void rolledBack(OwnerId owner) = 0;
+  // Committed means nothing to its clients without the value that a node answered.
+  virtual bool needsValue() const { return true; }
 };
 
 // Who takes a submission to a node and tells how it ended, by Ledger::ended(), once; at once or later.
@@ -87,18 +87,32 @@
   using Changed = std::function<void(const levels::Change&)>;
   void reduceBy(levels::Levels& levels, levels::Table table, Changed changed);
 
+  // Asked before a txn that may run only once comes to the module. Null: none is asked. Before the first txn.
+  void guardBy(Guard* guard) { guard_ = guard; }
+
+  // --- For the guard, from outside its own calls. A txn that is not waiting for it is passed over.
+
+  void admit(TxnId txn);
+  // It may not run, and this is its final answer: committed where that and its value are known, declined
+  // where trying again is harmless, else rolled back.
+  void refuseCommitted(TxnId txn, const Value& value);
+  void refuseDeclined(TxnId txn, Span comeBackAfter);
+  void refuseRolledBack(TxnId txn);
+
   // --- For fronts
 
   struct Submission {
     NodeId node;
     Instant sentAt, sendBy, cutAt;
     bool over = false;
+    End how = End::notSent;  // once it is over
   };
 
   bool isOpen(std::string_view id) const { return openIds_.contains(id); }
   bool hasRoomFor(std::size_t bytes) const { return heldBytes_ + bytes <= mostBytes_; }
-  // The txn gets its number here.
-  TxnId take(Front& front, OwnerId owner, Carrier& carrier, Txn txn, Message message);
+  // The txn gets its number here. `id`: by which its client names it, where the message doesn't say.
+  TxnId take(Front& front, OwnerId owner, Carrier& carrier, Txn txn, Message message,
+             std::string_view id = {});
   // Its owner gave up: it gets no answer and nothing new is sent for it.
   void leave(TxnId txn);
 
@@ -135,6 +149,8 @@
     std::size_t type = 0;
     Instant takenAt;
     Span slaTime;
+    bool guarded = false, earlierMayHaveRun = false;
+    std::optional<Txn> waiting;  // for the guard's word: the module has not seen it
     std::string_view id() const {
       return std::string_view(message.bytes).substr(message.idAt, message.idSize);
     }
@@ -157,6 +173,8 @@
   using Arrival = std::function<void(Router&)>;
   void arrived(Arrival call) { arrivals_.push_back(std::move(call)); }
   Live* owed(TxnId txn);
+  bool stopWaiting(TxnId txn);
+  Fate fateOf(const Live& live) const;
   template <typename Answer>
   void finish(TxnId txn, Answer answer);
   void forget(TxnId txn);
@@ -166,6 +184,8 @@
   std::function<void()> askForList_;
   Nodes nodes_;
   std::vector<Span> slaTimes_;  // a row a txn type
+  std::vector<bool> onceOnly_;  // likewise
+  Guard* guard_ = nullptr;
   levels::Levels* levels_ = nullptr;
   levels::Table table_;
   Changed changed_;
--- a/src/fronts/ext_proc/streams.cpp
+++ b/src/fronts/ext_proc/streams.cpp
@@ -161,7 +161,7 @@
   txn.earlier = verdict.earlier;
   txn.mostHere = 1;
   txn.hold = stream.hold.answerBy - ledger_.now();
-  stream.txn = ledger_.take(*this, key, carrier_, txn, {});
+  stream.txn = ledger_.take(*this, key, carrier_, txn, {}, stream.asked.ask.id);
   owners_[stream.txn] = key;
   setDue(key, stream, stream.hold.askAt != Instant() ? stream.hold.askAt : stream.hold.answerBy);
 }
--- a/src/fronts/ext_proc/streams.h
+++ b/src/fronts/ext_proc/streams.h
@@ -94,6 +94,7 @@
   void committed(core::OwnerId owner, const core::Value& value) override;
   void declined(core::OwnerId owner, Span comeBackAfter, unsigned level) override;
   void rolledBack(core::OwnerId owner) override;
+  bool needsValue() const override { return false; }
   // Granting.
   bool granted(TxnId txn, const carriers::delegated::Grant& grant) override;
 
--- /dev/null
+++ b/tests/guard.cpp
@@ -0,0 +1,149 @@
+// The ledger with a guard: which txns are held for its word, and what it is told of each. Run as
+// `guard CASE`: prints the case's trace.
+#include "core/guard.h"
+
+#include <utility>
+
+#include "core/ledger.h"
+#include "trace.h"
+
+using namespace gulltrestle;
+using namespace gulltrestle::core;
+using trace::ms;
+
+namespace {
+
+// A ledger between a front, a carrier and a guard that all print what they are told.
+class World final : Front, Carrier, Guard {
+ public:
+  World() : ledger_(terms(), 7, 1 << 20, [] {}) {
+    ledger_.see(now_);
+    ledger_.add(*this);
+    ledger_.guardBy(this);
+    ListEntry entry;
+    entry.node = "p";
+    entry.group = 1;
+    entry.primary = true;
+    ledger_.listed(ListKind::whole, {{entry, "127.0.0.1:1"}});
+    ledger_.endTurn();
+  }
+
+  TxnId take(std::size_t type, const std::string& id, bool mayHaveRunEarlier = false) {
+    Txn txn;
+    txn.type = type;
+    txn.group = 1;
+    txn.patience = ms(2000);
+    if (mayHaveRunEarlier) txn.earlier.mayHaveRunFor = ms(10);
+    const TxnId made = ledger_.take(*this, ++owner_, *this, txn, {"text", 0, 0, 0, 0}, id);
+    std::cout << id << " is taken\n";
+    turn();
+    return made;
+  }
+  void turn(std::int64_t later = 0) {
+    now_ = now_ + ms(later);
+    ledger_.see(now_);
+    ledger_.endTurn();
+  }
+  void end(TxnId txn, End how) {
+    if (how == End::committed) ledger_.commit(txn, {"va", "lue", ""});
+    ledger_.ended({txn, 0}, "p", how);
+    turn();
+  }
+  Ledger& ledger() { return ledger_; }
+  bool wantsValue = true;
+
+ private:
+  static Terms terms() {
+    return trace::usualTerms({trace::type(ReadLevel::write, Effect::onceOnly), trace::type(ReadLevel::any)});
+  }
+  void committed(OwnerId owner, const Value& v) override {
+    std::cout << "  front " << owner << ": committed '" << v[0] << v[1] << v[2] << "'\n";
+  }
+  void declined(OwnerId owner, Span after, unsigned) override {
+    std::cout << "  front " << owner << ": declined, come back after " << after.inMicros() / 1000 << "\n";
+  }
+  void rolledBack(OwnerId owner) override { std::cout << "  front " << owner << ": rolled back\n"; }
+  bool needsValue() const override { return wantsValue; }
+  void carry(Job job, const NodeId& node) override {
+    if (job.txn != 0) std::cout << "  carrier: " << job.txn << " to " << node << "\n";
+  }
+  void callOff(Job, const NodeId&) override {}
+  void listed(const std::vector<NodeId>&) override {}
+  void forget(const NodeId&) override {}
+  void asked(TxnId txn, std::string_view id, Span patience) override {
+    std::cout << "  guard: asked for " << txn << ", " << id << ", " << patience.inMicros() / 1000 << " ms\n";
+  }
+  void commits(TxnId txn, const Value& v) override {
+    std::cout << "  guard: " << txn << " committed '" << v[0] << v[1] << v[2] << "'\n";
+  }
+  void over(TxnId txn, Fate fate) override {
+    constexpr const char* kFates[] = {"committed", "never ran", "unknown"};
+    std::cout << "  guard: " << txn << " over, " << kFates[static_cast<int>(fate)] << "\n";
+  }
+
+  Ledger ledger_;
+  Instant now_ = Instant() + ms(1'000'000);
+  OwnerId owner_ = 0;
+};
+
+void admitted() {
+  World world;
+  world.take(1, "any read");
+  const TxnId first = world.take(0, "b1");
+  world.turn(30);
+  world.ledger().admit(first);
+  world.ledger().admit(first);
+  world.turn();
+  world.end(first, End::committed);
+  for (const End how : {End::connectionLost, End::notSent}) {
+    const TxnId txn = world.take(0, "b2");
+    world.ledger().admit(txn);
+    world.turn();
+    world.end(txn, how);
+    world.turn(3000);
+  }
+}
+
+void refused() {
+  World world;
+  world.ledger().refuseDeclined(world.take(0, "b1"), ms(200));
+  world.ledger().refuseRolledBack(world.take(0, "b2"));
+  world.ledger().refuseCommitted(world.take(0, "b3"), {"known", "", ""});
+  world.ledger().refuseCommitted(world.take(0, "b4"), {});
+  world.wantsValue = false;
+  world.ledger().refuseCommitted(world.take(0, "b5"), {});
+  std::cout << "a word that comes late\n";
+  world.ledger().admit(6);
+  world.ledger().refuseRolledBack(6);
+  world.turn();
+  std::cout << "open: " << world.ledger().open() << "\n";
+}
+
+void left() {
+  World world;
+  const TxnId waiting = world.take(0, "b1");
+  world.ledger().leave(waiting);
+  world.ledger().admit(waiting);
+  world.turn();
+  const TxnId out = world.take(0, "b2");
+  world.ledger().admit(out);
+  world.turn();
+  world.ledger().leave(out);
+  world.end(out, End::calledOff);
+  std::cout << "tried elsewhere before\n";
+  const TxnId again = world.take(0, "b3", true);
+  world.ledger().admit(again);
+  world.turn();
+  std::cout << "open: " << world.ledger().open() << "\n";
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::map<std::string, std::function<void()>> cases{
+      {"admitted", admitted}, {"refused", refused}, {"left", left}};
+  const auto at = cases.find(argc > 1 ? argv[1] : "");
+  if (at == cases.end()) return 2;
+  at->second();
+  return 0;
+}
