Claims: routers settle among themselves whether a once-only txn may run, by keepers' votes

Change: src/claims, decisions without I/O or clock. A claimant asks all keepers and sends with the votes of more than half; a keeper gives one vote an id, durable before it is told, and after a start is silent until it knows that its disk is the one it last had, or until what it may have forgotten counts no more.

--- /dev/null
+++ b/src/claims/claimant.h
@@ -0,0 +1,112 @@
+// A claimant's decisions: whether a txn that may run only once may be sent, by the votes of the keepers. No
+// I/O, no clock.
+//
+//   state     what it is                          ends by
+//   claiming  its votes are being asked for       admitted: it has those of more than half of the keepers
+//                                                 committed: a keeper knows that another claim was
+//                                                 rolled back: another claim has a vote, and more than half
+//                                                   can't be had any more, or not within its time
+//                                                 declined: likewise, and no other claim was seen; or too few
+//                                                   keepers can be reached to begin with
+//   admitted  it may be sent, and is told as      over: committed, never ran (its votes are given back), or
+//             ended when its txn is               unknown (they are kept)
+//
+// What ends without being admitted gives back the votes that it may have got: it was never sent. Nothing that
+// one keeper or a minority says, or keeps silent about, lets a txn run. A keeper that tells falsely can make
+// txns be declined, rolled back or answered as committed; it takes more than half of them to run one twice.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "claims/words.h"
+
+namespace gulltrestle::claims {
+
+using TxnKey = std::uint64_t;  // whatever the caller names a txn by
+using ClaimNumber = std::uint64_t;
+using KeeperNumber = std::size_t;  // row in the list of keepers
+
+struct ClaimantBounds {
+  std::size_t keepers = 0;
+  Span retention;                          // the keepers' own
+  std::size_t most = 65536;                // claims open at a time, admitted ones included
+  Span longestWait = Span::millis(1000);   // for votes
+  Span comeBack = Span::millis(250);       // what declined txns are told, give or take half of it
+};
+
+class Claimant {
+ public:
+  Claimant(ClaimantBounds bounds, std::uint64_t seed);
+
+  struct Decision {
+    enum class What { admit, committed, rollBack, decline } what = What::decline;
+    TxnKey txn = 0;
+    std::string value;  // committed: empty where it is not known
+    Span comeBack;      // declined
+    std::string_view why;
+  };
+  // What is to be said to a keeper, in this order.
+  struct Word {
+    enum class What { claim, release, committed } what = What::claim;
+    KeeperNumber keeper = 0;
+    std::string id;
+    ClaimNumber number = 0;
+    std::string value;  // committed
+  };
+
+  // Who can be reached from now on; all claims that wait for the vote of one that can't be are judged anew.
+  void reached(KeeperNumber keeper, bool can);
+
+  void begin(Instant now, TxnKey txn, const std::string& id, Span patience);
+  void voted(KeeperNumber keeper, ClaimNumber number, const Vote& vote);
+  // The txn was committed with this value. Ahead of over().
+  void commits(TxnKey txn, std::string value);
+  enum class Fate { committed, neverRan, unknown };
+  // Nothing of the txn is out any more, whether it was decided here or not.
+  void over(TxnKey txn, Fate fate);
+
+  Instant due(Instant now);
+
+  std::vector<Decision> takeDecisions() { return std::exchange(decisions_, {}); }
+  std::vector<Word> takeWords() { return std::exchange(words_, {}); }
+
+  std::size_t open() const { return claims_.size(); }
+  std::size_t reachable() const { return reachable_.size(); }
+  struct Counts {
+    std::uint64_t asked = 0, admitted = 0, committed = 0, rolledBack = 0, declined = 0;
+  };
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Claim {
+    TxnKey txn = 0;
+    std::string id;
+    Instant until;
+    bool decided = false, admitted = false, told = false;
+    std::set<KeeperNumber> yours, taken, none;
+  };
+  void judge(ClaimNumber number, bool late);
+  void decide(ClaimNumber number, Decision::What what, std::string value, std::string_view why);
+  void tellAll(Word::What what, const Claim& claim, ClaimNumber number, const std::string& value = {});
+  Span comeBack();
+
+  ClaimantBounds bounds_;
+  std::knuth_b chance_;
+  std::set<KeeperNumber> reachable_;
+  std::map<ClaimNumber, Claim> claims_;
+  std::map<TxnKey, ClaimNumber> ofTxn_;
+  std::multimap<Instant, ClaimNumber> due_;
+  ClaimNumber last_ = 0;
+  std::vector<Decision> decisions_;
+  std::vector<Word> words_;
+  Counts counts_;
+};
+
+}  // namespace gulltrestle::claims
--- /dev/null
+++ b/src/claims/keeper.h
@@ -0,0 +1,128 @@
+// A keeper's decisions: which claim of an id has its vote. No I/O, no clock; what must be durable before it is
+// told is handed to whoever writes, who says when it is.
+//
+//   state     what it is                                 gives votes  goes to
+//   unheard   it has started, and does not know whether  no           votes, or silent: more than half of the
+//             its disk is the one it last had                         keepers, itself counted, have told the
+//                                                                     newest start of it that they knew of; it
+//                                                                     is silent if its disk knows none such
+//   silent    votes that it gave may be lost: its disk   no           votes: after the time of retention, when
+//             is new, or older than what others know                  none of those votes counts any more
+//   votes     it knows all votes that it gave            yes
+//
+// A vote for an id, by what is held of it:
+//
+//   nothing          the claim gets the vote, once it is durable
+//   the same claim   the vote once more, once it is durable
+//   another claim    taken, and committed where that is known
+//
+// Guards against a router whose disk is lost, swapped or restored voting a second time for an id that it no
+// longer knows. Hurts for the time of retention after that: one keeper fewer; and after a loss of more than
+// half of the disks at once all once-only txns are declined for so long. What it can't notice: an old copy of the
+// disk put back, while those that were told of its newest start are all among the few that it does not hear (of
+// three keepers, one of the two others was away during all of that start; it takes two of four, of five); and a
+// copy that was made during the newest start itself. Operators are told to remove a disk's file, not to put an
+// old one back: a file that is missing is always noticed.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "claims/words.h"
+
+namespace gulltrestle::claims {
+
+struct KeeperBounds {
+  // How long a vote counts, by the keeper's own running clock and anew from each start, as no clock of the day
+  // can be trusted over a power loss. Longer than any txn or client's repeat can take.
+  Span retention = Span::millis(600'000);
+  std::size_t most = 1'000'000;  // ids that are held; beyond that no vote is given
+  std::size_t longestValue = 4096;
+};
+
+// What a disk held when the keeper started.
+struct Kept {
+  std::vector<Start> own;         // the starts that this disk has seen, the present one last, durable there
+  std::uint64_t newSince = 0;     // starts below this number were another disk's, and count no more
+  bool whole = false;             // all votes it ever gave that still count are among the entries
+  std::vector<Entry> entries;
+  std::map<std::string, Start> starts;  // of other keepers, the newest that were told
+};
+
+class Keeper {
+ public:
+  enum class State { unheard, silent, votes };
+
+  // `others`: names of the other keepers.
+  Keeper(Instant now, const std::set<std::string>& others, KeeperBounds bounds, Kept kept);
+
+  State state() const { return state_; }
+  const Start& start() const { return own_.back(); }
+  std::size_t size() const { return entries_.size(); }
+  // Whom it has not heard, while it is unheard.
+  std::vector<std::string> unheard() const;
+
+  // --- Among keepers
+
+  // Another keeper has this start. Returns the newest that was known before, which is to be told back once all
+  // changes up to here are durable.
+  Start greeted(const std::string& keeper, const Start& start);
+  // Another keeper's answer to our greeting with the start of number `ours`. True: our start's number has grown,
+  // and is to be told to all anew once it is durable.
+  bool heard(Instant now, const std::string& keeper, std::uint64_t ours, const Start& knewOfUs);
+
+  // --- Claims
+
+  // None: it is told by written().
+  std::optional<Vote> claimed(const std::string& id, const Token& token);
+  // Its entry is durable, or can't be made so. None: that vote is not wanted any more.
+  std::optional<Vote> written(const std::string& id, const Token& token, bool durable);
+  void committed(Instant now, const std::string& id, const Token& token, std::string value);
+  // The claim's txn surely never ran: its id is free again.
+  void released(const std::string& id, const Token& token);
+
+  // What has come due. Returns when there is more; never: nothing is.
+  Instant due(Instant now);
+
+  // --- What is to be made durable, in this order, since it was last asked.
+
+  struct Change {
+    enum class What { put, drop, start, voting } what = What::put;
+    std::string id;      // drop; start: the keeper's name, empty for this one's own
+    Entry entry;         // put
+    Start start;         // start; voting: newSince is its number
+    bool whole = false;  // voting
+  };
+  std::vector<Change> takeChanges() { return std::exchange(changes_, {}); }
+
+ private:
+  struct Held {
+    Entry entry;
+    bool durable = false;
+  };
+  void put(const Entry& entry);
+  void remember(Instant now, const std::string& id);
+  void begin(Instant now);
+  Vote taken(const Entry& entry) const { return {Vote::What::taken, entry.committed, entry.value}; }
+
+  KeeperBounds bounds_;
+  State state_ = State::unheard;
+  bool whole_;
+  std::vector<Start> own_;
+  std::uint64_t newSince_;
+  std::set<std::string> others_, heard_;
+  std::map<std::string, Start> starts_;
+  std::unordered_map<std::string, Held> entries_;
+  std::deque<std::pair<Instant, std::pair<std::string, Token>>> oldest_;  // when which may go
+  Instant now_, silentUntil_;
+  std::vector<Change> changes_;
+};
+
+}  // namespace gulltrestle::claims
--- /dev/null
+++ b/tests/claims.cpp
@@ -0,0 +1,675 @@
+// Claims among routers: the keepers' and claimants' decisions, step by step and in simulated worlds. Run as
+// `claims CASE [SEEDS]`: prints the case's trace.
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <queue>
+
+#include "claims/claimant.h"
+#include "claims/keeper.h"
+
+using namespace gulltrestle;
+using namespace gulltrestle::claims;
+
+namespace {
+
+Span ms(std::int64_t n) { return Span::millis(n); }
+
+// --- Worlds: routers, some of them keepers, that talk over links which break and stall, lose their power and
+// their disks, and clients that repeat their ids anywhere. The world knows what truly ran.
+
+// Faults that are built into a world, to see that its verdict finds them.
+enum class Bug { none, toldBeforeDurable, silenceForgotten, oldTakenForNew, sameTokens, halfIsEnough, freesUnknown };
+constexpr const char* kBugs[] = {"none",
+                                 "a vote is told before it is durable",
+                                 "a keeper that was to be silent votes after its next start",
+                                 "an old copy of a disk is taken for the newest",
+                                 "a start repeats the tokens of an earlier one",
+                                 "some claimants think that there are fewer keepers",
+                                 "the end of what may have run is told as never ran"};
+
+struct Seen {
+  std::uint64_t asked = 0, ran = 0, admitted = 0, told = 0, repeats = 0, kills = 0, powerLosses = 0, lost = 0,
+                restored = 0, stalls = 0;
+};
+
+class World {
+ public:
+  // `shown`: an id whose history is printed, to find out why a seed fails.
+  World(std::uint64_t seed, Bug bug, Seen& seen, std::string shown = {})
+      : chance_(seed), bug_(bug), seen_(seen), shown_(std::move(shown)) {
+    keepers_ = 1 + 2 * pick(3);
+    routers_.resize(std::max<std::size_t>(keepers_, 3 + pick(7)));
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      if (i < keepers_) disk(i).whole = true;  // a new installation, by an operator's word
+      boot(i);
+    }
+  }
+
+  // What broke; empty: nothing.
+  std::string play() {
+    constexpr std::int64_t kEnd = 40'000;
+    for (std::int64_t at = 0; at < kEnd; at += 20 + static_cast<std::int64_t>(pick(200)))
+      later(ms(at), [this] { ask(); });
+    for (int i = 0; i < 30; ++i) later(ms(static_cast<std::int64_t>(pick(kEnd))), [this] { trouble(); });
+    run(ms(kEnd));
+    // All is well again, and has been for the time of retention: a new id is admitted at every router.
+    calm_ = true;
+    run(kRetention + kRetention + ms(10'000));
+    admits_.clear();
+    for (std::size_t i = 0; i < routers_.size(); ++i) later(Span(), [=, this] { askAt(i, "new" + name(i)); });
+    run(ms(2000));
+    if (fault_.empty() && admits_.size() < routers_.size())
+      broken("only " + std::to_string(admits_.size()) + " of " + std::to_string(routers_.size()) +
+             " routers serve when all is well again");
+    return fault_;
+  }
+
+ private:
+  static constexpr Span kRetention = Span::millis(20'000);
+  struct Disk {  // what is durable
+    std::vector<Start> own;
+    std::uint64_t newSince = 0;
+    bool whole = false;
+    std::map<std::string, Entry> entries;
+    std::map<std::string, Start> starts;
+  };
+  struct Router {
+    bool up = false;
+    std::uint64_t life = 0;  // counts its starts; what was under way for an earlier one is void
+    std::unique_ptr<Keeper> keeper;
+    std::unique_ptr<Claimant> claimant;
+    std::uint64_t start = 0;  // for tokens
+    Disk disk, copy;          // copy: as it was when the last start began
+    std::deque<std::pair<std::vector<Keeper::Change>, std::function<void()>>> writes;
+    bool writing = false;
+    Instant lostAt;                               // never: its disk was not touched
+    std::map<std::size_t, std::uint64_t> link;    // to each keeper: its generation; odd: up
+    std::map<std::size_t, Instant> clear;         // when the last word on it arrives
+    std::map<TxnKey, std::string> open;           // txns that wait for a decision
+  };
+
+  void say(const std::string& id, const std::string& what) const {
+    if (!shown_.empty() && (id.empty() || id == shown_))
+      std::cout << (now_ - Instant()).inMicros() / 1000 - 1'000'000 << " " << what << "\n";
+  }
+  std::size_t pick(std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(chance_); }
+  bool one(std::size_t in) { return pick(in) == 0; }
+  Disk& disk(std::size_t i) { return routers_[i].disk; }
+  static std::string name(std::size_t i) { return "r" + std::to_string(i); }
+
+  void later(Span after, std::function<void()> call) {
+    events_.push({now_ + after, ++order_, std::move(call)});
+  }
+  // Only if that router has not been down meanwhile.
+  void laterAt(std::size_t i, Span after, std::function<void()> call) {
+    later(after, [this, i, life = routers_[i].life, call = std::move(call)] {
+      if (routers_[i].up && routers_[i].life == life) call();
+    });
+  }
+  void run(Span span) {
+    const Instant end = now_ + span;
+    while (fault_.empty() && events_.top().at < end) {
+      const auto event = events_.top();
+      events_.pop();
+      now_ = std::max(now_, event.at);
+      event.call();
+    }
+    now_ = end;
+  }
+
+  // --- A router's life
+
+  void boot(std::size_t i) {
+    Router& r = routers_[i];
+    say("", name(i) + (i < keepers_ ? " starts as a keeper" : " starts") +
+                (r.disk.entries.contains(shown_) ? ", holds it for " + r.disk.entries[shown_].token.router : ""));
+    r.up = true;
+    ++r.life;
+    r.start = bug_ == Bug::sameTokens ? 1 : chance_() * 4096ULL + i;
+    ClaimantBounds bounds;
+    bounds.keepers = bug_ == Bug::halfIsEnough && keepers_ > 1 && i % 2 == 1 ? keepers_ - 2 : keepers_;
+    bounds.retention = kRetention;
+    r.claimant = std::make_unique<Claimant>(bounds, chance_());
+    r.open.clear();
+    r.writes.clear();
+    r.writing = false;
+    if (i < keepers_) {
+      r.copy = r.disk;
+      r.disk.own.push_back({r.disk.own.empty() ? 1 : r.disk.own.back().number + 1, chance_()});
+      Kept kept{r.disk.own, r.disk.newSince, r.disk.whole || bug_ == Bug::silenceForgotten, {}, r.disk.starts};
+      for (const auto& [id, entry] : r.disk.entries) kept.entries.push_back(entry);
+      std::set<std::string> others;
+      for (std::size_t k = 0; k < keepers_; ++k)
+        if (k != i) others.insert(name(k));
+      KeeperBounds keeperBounds;
+      keeperBounds.retention = kRetention;
+      r.keeper = std::make_unique<Keeper>(now_, others, keeperBounds, std::move(kept));
+    }
+    for (std::size_t k = 0; k < keepers_; ++k) connect(i, k);
+    tick(i);
+  }
+  void tick(std::size_t i) {
+    Router& r = routers_[i];
+    if (r.keeper) r.keeper->due(now_);
+    r.claimant->due(now_);
+    settle(i);
+    laterAt(i, ms(50), [this, i] { tick(i); });
+  }
+  void kill(std::size_t i) {
+    Router& r = routers_[i];
+    if (!r.up) return;
+    say("", name(i) + " is killed");
+    r.up = false;
+    // Of what was not durable yet any part from the front may be.
+    for (auto& [changes, then] : r.writes) {
+      if (one(2)) break;
+      apply(r.disk, changes);
+    }
+    for (std::size_t j = 0; j < routers_.size(); ++j)
+      if (j != i && i < keepers_) cut(j, i);
+    r.link.clear();
+    r.claimant.reset();
+    r.keeper.reset();
+  }
+
+  // --- Links: words arrive in order, or the link breaks and those under way are lost
+
+  void connect(std::size_t from, std::size_t to) {
+    Router& r = routers_[from];
+    if (r.link[to] & 1) return;
+    if (!routers_[to].up) return laterAt(from, ms(200), [this, from, to] { connect(from, to); });
+    ++r.link[to];
+    r.claimant->reached(to, true);
+    greet(from, to);
+    settle(from);
+  }
+  void cut(std::size_t from, std::size_t to) {
+    Router& r = routers_[from];
+    if (!r.up || !(r.link[to] & 1)) return;
+    ++r.link[to];
+    r.claimant->reached(to, false);
+    settle(from);
+    laterAt(from, ms(100 + static_cast<std::int64_t>(pick(1000))), [this, from, to] { connect(from, to); });
+  }
+  void send(std::size_t from, std::size_t to, std::size_t owner, std::size_t keeper, std::function<void()> call) {
+    Router& r = routers_[owner];
+    const auto generation = r.link[keeper];
+    if (!(generation & 1)) return;
+    Instant& clear = r.clear[keeper * 2 + (from == owner)];
+    clear = std::max(clear, now_ + ms(1 + static_cast<std::int64_t>(pick(20))));
+    // What was said on a link that broke since may arrive all the same, late, when it is a claimant's word.
+    const bool strays = from == owner && one(3);
+    later(clear - now_, [=, this, life = routers_[to].life, call = std::move(call)] {
+      Router& at = routers_[owner];
+      const bool same = at.up && at.link[keeper] == generation;
+      if (routers_[to].up && routers_[to].life == life && (same || strays)) call();
+    });
+  }
+  void greet(std::size_t from, std::size_t to) {
+    if (from >= keepers_ || from == to) return;
+    const Start start = routers_[from].keeper->start();
+    send(from, to, from, to, [=, this] {
+      const Start knew = routers_[to].keeper->greeted(name(from), start);
+      write(to, [=, this] {
+        send(to, from, from, to, [=, this] {
+          Keeper& keeper = *routers_[from].keeper;
+          Start told = knew;
+          if (bug_ == Bug::oldTakenForNew) told = {};
+          if (keeper.heard(now_, name(to), start.number, told))
+            write(from, [=, this] {
+              for (std::size_t k = 0; k < keepers_; ++k) greet(from, k);
+            });
+        });
+      });
+      settle(to);
+    });
+  }
+
+  // --- Disks: what the keeper has changed up to now, in order, then the call
+
+  void write(std::size_t i, std::function<void()> then) {
+    Router& r = routers_[i];
+    r.writes.emplace_back(r.keeper->takeChanges(), std::move(then));
+    if (r.writing) return;
+    r.writing = true;
+    drain(i);
+  }
+  void drain(std::size_t i) {
+    laterAt(i, ms(!calm_ && one(20) ? 800 : 1 + static_cast<std::int64_t>(pick(10))), [this, i] {
+      Router& r = routers_[i];
+      const auto [changes, then] = std::move(r.writes.front());
+      r.writes.pop_front();
+      apply(r.disk, changes);
+      then();
+      if (r.writes.empty())
+        r.writing = false;
+      else
+        drain(i);
+    });
+  }
+  static void apply(Disk& disk, const std::vector<Keeper::Change>& changes) {
+    for (const auto& change : changes) {
+      using What = Keeper::Change::What;
+      if (change.what == What::put) disk.entries[change.id] = change.entry;
+      if (change.what == What::drop) disk.entries.erase(change.id);
+      if (change.what == What::voting) disk.whole = change.whole, disk.newSince = change.start.number;
+      if (change.what != What::start) continue;
+      if (change.id.empty())
+        disk.own.push_back(change.start);
+      else
+        disk.starts[change.id] = change.start;
+    }
+  }
+
+  // --- Claims
+
+  void settle(std::size_t i) {
+    Router& r = routers_[i];
+    for (const auto& word : r.claimant->takeWords()) {
+      const Token token{name(i), r.start, word.number};
+      const std::size_t k = word.keeper;
+      constexpr const char* kWords[] = {" claims ", " gives back ", " tells as committed "};
+      say(word.id, name(i) + kWords[static_cast<int>(word.what)] + std::to_string(word.number) + " at " + name(k));
+      send(i, k, i, k, [=, this, life = r.life] {
+        Keeper& keeper = *routers_[k].keeper;
+        if (word.what == Claimant::Word::What::release) keeper.released(word.id, token);
+        if (word.what == Claimant::Word::What::committed) keeper.committed(now_, word.id, token, word.value);
+        if (word.what == Claimant::Word::What::claim) {
+          const auto vote = keeper.claimed(word.id, token);
+          // On the connection that it came on, or not at all.
+          const auto tell = [=, this](const Vote& told) {
+            constexpr const char* kVotes[] = {" yours", " taken", " silent"};
+            say(word.id, name(k) + " to " + name(i) + kVotes[static_cast<int>(told.what)]);
+            if (routers_[i].life != life) return;
+            send(k, i, i, k, [=, this] {
+              routers_[i].claimant->voted(k, word.number, told);
+              settle(i);
+            });
+          };
+          if (vote) return tell(*vote);
+          if (bug_ == Bug::toldBeforeDurable) tell({Vote::What::yours, false, ""});
+          return write(k, [=, this] {
+            const auto durable = routers_[k].keeper->written(word.id, token, calm_ || !one(50));
+            if (durable && bug_ != Bug::toldBeforeDurable) tell(*durable);
+          });
+        }
+        write(k, [] {});
+      });
+    }
+    for (const auto& decision : r.claimant->takeDecisions()) decided(i, decision);
+  }
+  void decided(std::size_t i, const Claimant::Decision& decision) {
+    Router& r = routers_[i];
+    const auto at = r.open.find(decision.txn);
+    if (at == r.open.end()) return broken("decided twice");
+    const std::string id = at->second;
+    r.open.erase(at);
+    say(id, name(i) + " decides " + std::to_string(static_cast<int>(decision.what)) + " " + std::string(decision.why));
+    using What = Claimant::Decision::What;
+    if (decision.what == What::committed) {
+      ++seen_.told;
+      if (!ran_[id]) broken(id + " told as committed and never ran");
+      if (!decision.value.empty() && decision.value != "value of " + id) broken(id + " told with a wrong value");
+    }
+    if (decision.what != What::admit) return over(i, decision.txn, Claimant::Fate::neverRan);
+    ++seen_.admitted;
+    admits_.insert(i);
+    // It is sent after a while, and what comes of it is known after another; a kill may come between.
+    const TxnKey txn = decision.txn;
+    if (one(6)) return laterAt(i, ms(30), [=, this] { over(i, txn, Claimant::Fate::neverRan); });
+    laterAt(i, ms(static_cast<std::int64_t>(pick(60))), [=, this] {
+      const bool runs = !one(8);
+      later(ms(static_cast<std::int64_t>(pick(100))), [=, this] {
+        say(id, (runs ? "runs for " : "is lost for ") + name(i));
+        if (runs && ++ran_[id] > 1) broken(id + " ran twice");
+        if (runs) ++seen_.ran;
+        const bool answered = runs && !one(4);
+        laterAt(i, ms(30), [=, this] {
+          if (answered) {
+            routers_[i].claimant->commits(txn, one(3) ? "" : "value of " + id);
+            settle(i);
+          }
+          const auto fate = answered                     ? Claimant::Fate::committed
+                            : bug_ == Bug::freesUnknown ? Claimant::Fate::neverRan
+                                                        : Claimant::Fate::unknown;
+          over(i, txn, fate);
+        });
+      });
+    });
+  }
+  void over(std::size_t i, TxnKey txn, Claimant::Fate fate) {
+    routers_[i].claimant->over(txn, fate);
+    laterAt(i, Span(), [this, i] { settle(i); });
+  }
+  void broken(const std::string& what) {
+    if (fault_.empty()) fault_ = what;
+  }
+
+  // A client asks: for a new id, or once more for one of the last few, at any router, or at two at once.
+  void ask() {
+    const bool repeats = !ids_.empty() && !one(4);
+    if (repeats) ++seen_.repeats;
+    std::size_t id = ids_.size();
+    if (repeats) {
+      // What is repeated later than that is more than a client may do.
+      std::size_t first = ids_.size() - 1;
+      while (first > 0 && now_ - ids_[first - 1] < kRetention - ms(3000)) --first;
+      id = one(2) ? ids_.size() - 1 - pick(std::min<std::size_t>(ids_.size() - first, 6))
+                  : first + pick(ids_.size() - first);
+    } else {
+      ids_.push_back(now_);
+    }
+    for (std::size_t n = 1 + pick(2); n > 0; --n) askAt(pick(routers_.size()), "b" + std::to_string(id));
+  }
+  void askAt(std::size_t i, const std::string& id) {
+    Router& r = routers_[i];
+    if (!r.up) return;
+    ++seen_.asked;
+    const TxnKey txn = ++lastTxn_;
+    r.open[txn] = id;
+    r.claimant->begin(now_, txn, id, ms(2000));
+    settle(i);
+    laterAt(i, ms(2000), [this, i, txn, id] {
+      if (routers_[i].open.contains(txn)) broken(id + " got no decision in its time");
+    });
+  }
+
+  // --- Troubles
+
+  bool mayLose(std::size_t i) const {
+    std::size_t spoilt = 1;
+    for (std::size_t k = 0; k < keepers_; ++k)
+      if (k != i && routers_[k].lostAt != Instant() && now_ - routers_[k].lostAt < kRetention * 3) ++spoilt;
+    return spoilt < majorityOf(keepers_);
+  }
+  // An old copy is noticed by whoever was told of the newest start: all but fewer than it has to hear.
+  bool enoughKnow(std::size_t k) {
+    if (disk(k).own.empty()) return false;
+    std::size_t know = 0;
+    for (std::size_t j = 0; j < keepers_; ++j)
+      if (j != k && disk(j).starts[name(k)].draw == disk(k).own.back().draw) ++know;
+    return keepers_ > 1 && know + majorityOf(keepers_) - 1 > keepers_ - 1;
+  }
+  void trouble() {
+    const std::size_t i = pick(routers_.size());
+    const auto pause = ms(50 + static_cast<std::int64_t>(pick(3000)));
+    switch (pick(6)) {
+      case 0:
+        ++seen_.kills;
+        return killFor(i, pause);
+      case 1: {  // power: all, or all but one, and each comes back when it does
+        ++seen_.powerLosses;
+        const std::size_t spared = one(3) ? i : routers_.size();
+        for (std::size_t j = 0; j < routers_.size(); ++j)
+          if (j != spared) killFor(j, ms(50 + static_cast<std::int64_t>(pick(3000))));
+        return;
+      }
+      case 2:  // a keeper's disk is lost, or an old copy is put in its place
+      case 3: {
+        const std::size_t k = pick(keepers_);
+        if (!mayLose(k)) return;
+        kill(k);
+        Router& r = routers_[k];
+        r.lostAt = now_;
+        const bool old = one(2) && enoughKnow(k);
+        r.disk = old ? r.copy : Disk();
+        ++(old ? seen_.restored : seen_.lost);
+        say("", name(k) + (old ? " gets an old copy of its disk" : " has lost its disk"));
+        return later(pause, [this, k] {
+          if (!routers_[k].up) boot(k);
+        });
+      }
+      case 4:
+        return cut(i, pick(keepers_));
+      case 5: {  // nothing arrives for a while, in one direction
+        ++seen_.stalls;
+        Instant& clear = routers_[i].clear[pick(keepers_) * 2 + pick(2)];
+        clear = std::max(clear, now_ + pause);
+      }
+    }
+  }
+  void killFor(std::size_t i, Span pause) {
+    kill(i);
+    later(pause, [this, i] {
+      if (!routers_[i].up) boot(i);
+    });
+  }
+
+  struct Event {
+    Instant at;
+    std::uint64_t order;
+    std::function<void()> call;
+    bool operator<(const Event& other) const {
+      return std::pair(other.at, other.order) < std::pair(at, order);
+    }
+  };
+  std::knuth_b chance_;
+  Bug bug_;
+  Seen& seen_;
+  std::string shown_;
+  std::size_t keepers_ = 0;
+  std::vector<Router> routers_;
+  Instant now_ = Instant() + Span::millis(1'000'000);
+  std::uint64_t order_ = 0;
+  std::priority_queue<Event> events_;
+  std::vector<Instant> ids_;  // when each was asked for first
+  std::map<std::string, int> ran_;
+  std::set<std::size_t> admits_;  // routers that have sent something
+  TxnKey lastTxn_ = 0;
+  bool calm_ = false;  // disks are quick and whole
+  std::string fault_;
+};
+
+void worlds(std::uint64_t seeds) {
+  Seen seen;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    World world(seed, Bug::none, seen);
+    if (const std::string fault = world.play(); !fault.empty()) {
+      World(seed, Bug::none, seen, fault.substr(0, fault.find(' '))).play();
+      std::cout << "seed " << seed << ": " << fault << "\n";
+      return;
+    }
+  }
+  std::cout << seeds << " worlds: nothing ran twice, nothing false was told, each got its decision\n"
+            << "asked " << seen.asked << " (repeats " << seen.repeats << "), admitted " << seen.admitted << ", ran "
+            << seen.ran << ", told from the keepers " << seen.told << "\nkills " << seen.kills << ", power losses "
+            << seen.powerLosses << ", disks lost " << seen.lost << ", restored " << seen.restored << ", stalls "
+            << seen.stalls << "\n";
+}
+
+// A verdict that can't fail shows nothing: each fault that is built in has to be found.
+void bugs(std::uint64_t seeds) {
+  for (int bug = 1; bug < 7; ++bug) {
+    Seen seen;
+    std::string found = "NOT FOUND";
+    for (std::uint64_t seed = 1; seed <= seeds && found == "NOT FOUND"; ++seed) {
+      World world(seed, static_cast<Bug>(bug), seen);
+      if (const std::string fault = world.play(); !fault.empty())
+        found = "found by seed " + std::to_string(seed) + ": " + fault;
+    }
+    std::cout << kBugs[bug] << ": " << found << "\n";
+  }
+}
+
+// --- Step by step
+
+const Instant kBegin = Instant() + Span::millis(1'000'000);
+
+std::string shown(const Vote& vote) {
+  constexpr const char* kWhat[] = {"yours", "taken", "silent"};
+  return std::string(kWhat[static_cast<int>(vote.what)]) + (vote.committed ? " committed '" + vote.value + "'" : "");
+}
+std::string shown(const std::optional<Vote>& vote) { return vote ? shown(*vote) : "once it is durable"; }
+
+void shown(Keeper& keeper) {
+  constexpr const char* kStates[] = {"unheard", "silent", "votes"};
+  constexpr const char* kWhat[] = {"put", "drop", "start", "voting"};
+  std::cout << "  " << kStates[static_cast<int>(keeper.state())] << ", start " << keeper.start().number << ", holds "
+            << keeper.size();
+  for (const auto& name : keeper.unheard()) std::cout << ", waits for " << name;
+  std::cout << "; to disk:";
+  for (const auto& change : keeper.takeChanges()) {
+    std::cout << " " << kWhat[static_cast<int>(change.what)] << " " << change.id;
+    if (change.what == Keeper::Change::What::put)
+      std::cout << " of " << change.entry.token.router << (change.entry.committed ? " committed" : "");
+    if (change.what == Keeper::Change::What::start) std::cout << "=" << change.start.number;
+    if (change.what == Keeper::Change::What::voting) std::cout << (change.whole ? "yes" : "no");
+  }
+  std::cout << "\n";
+}
+
+void keeper(std::uint64_t) {
+  KeeperBounds bounds;
+  bounds.retention = ms(60'000);
+  bounds.longestValue = 8;
+  bounds.most = 4;
+  const Token a{"a", 11, 1}, b{"b", 22, 1};
+  Keeper one(kBegin, {"k2", "k3"}, bounds, {{{4, 8}, {5, 1}}, 0, true, {{"old", a, true, "v"}}, {}});
+  std::cout << "it has started: " << shown(one.claimed("id1", a)) << "; of what it holds: "
+            << shown(one.claimed("old", b)) << "\n";
+  shown(one);
+  std::cout << "an answer to an older greeting, one of a stranger, then one of its own start\n";
+  one.heard(kBegin, "k2", 4, {});
+  one.heard(kBegin, "k9", 5, {});
+  shown(one);
+  one.heard(kBegin, "k2", 5, {4, 8});
+  shown(one);
+  std::cout << "a claims id1: " << shown(one.claimed("id1", a)) << "; b: " << shown(one.claimed("id1", b)) << "\n";
+  shown(one);
+  std::cout << "durable: " << shown(one.written("id1", a, true)) << "; a again: " << shown(one.claimed("id1", a))
+            << "\n";
+  std::cout << "b gives back what it never had, a what it has; b: ";
+  one.released("id1", b);
+  one.released("id1", a);
+  std::cout << shown(one.claimed("id1", b)) << "; not durable: " << shown(one.written("id1", b, false))
+            << "; b again: " << shown(one.claimed("id1", b)) << "\n";
+  shown(one);
+  std::cout << "committed by b, with a value; its end again by a release; a asks\n";
+  one.committed(kBegin, "id1", b, "value");
+  one.released("id1", b);
+  std::cout << "  " << shown(one.claimed("id1", a)) << "\n";
+  std::cout << "committed by a elsewhere, with a value that is too long\n";
+  one.committed(kBegin, "id2", a, "a value of some length");
+  shown(one);
+  std::cout << "it is full: " << shown(one.claimed("id3", a)) << "\n";
+  std::cout << "after the time of retention\n";
+  one.due(kBegin + ms(60'000));
+  shown(one);
+  std::cout << "others know a start of it that its disk doesn't\n";
+  Keeper two(kBegin, {"k2", "k3"}, bounds, {{{5, 1}}, 0, true, {}, {}});
+  std::cout << "  to be told anew: " << two.heard(kBegin, "k2", 5, {3, 9}) << "\n";
+  shown(two);
+  two.heard(kBegin, "k2", 5, {});
+  two.heard(kBegin, "k3", 6, {3, 9});
+  shown(two);
+  std::cout << "  " << shown(two.claimed("id1", a)) << "\n";
+  two.due(kBegin + ms(60'000));
+  shown(two);
+  std::cout << "others greet: knew " << two.greeted("k2", {3, 1}).number << ", then " << two.greeted("k2", {2, 5}).number
+            << ", then " << two.greeted("k2", {4, 5}).number << "; a stranger " << two.greeted("k9", {4, 5}).number
+            << "\n";
+  shown(two);
+}
+
+void shown(Claimant& claimant) {
+  constexpr const char* kWhat[] = {"admit", "committed", "roll back", "decline"};
+  constexpr const char* kWords[] = {"claim", "release", "committed"};
+  for (const auto& d : claimant.takeDecisions()) {
+    std::cout << "  " << d.txn << ": " << kWhat[static_cast<int>(d.what)];
+    if (d.what == Claimant::Decision::What::committed) std::cout << " '" << d.value << "'";
+    if (d.what == Claimant::Decision::What::decline)
+      std::cout << (d.comeBack >= ms(125) && d.comeBack <= ms(375) ? ", come back" : ", come back when?");
+    std::cout << (d.why.empty() ? "" : ", ") << d.why << "\n";
+  }
+  std::string line;
+  for (const auto& w : claimant.takeWords())
+    line += " " + std::string(kWords[static_cast<int>(w.what)]) + " " + w.id + "/" + std::to_string(w.number) + " to " +
+            std::to_string(w.keeper) + (w.value.empty() ? "" : " '" + w.value + "'") + ";";
+  if (!line.empty()) std::cout << "  said:" << line << "\n";
+}
+
+void claimant(std::uint64_t) {
+  ClaimantBounds bounds;
+  bounds.keepers = 3;
+  bounds.retention = ms(60'000);
+  Claimant one(bounds, 7);
+  const Vote yours{Vote::What::yours, false, ""}, taken{Vote::What::taken, false, ""}, silent{};
+  const auto begin = [&](TxnKey txn, const std::string& id) {
+    std::cout << "txn " << txn << ", " << id << "\n";
+    one.begin(kBegin, txn, id, ms(2000));
+    shown(one);
+  };
+  const auto vote = [&](KeeperNumber keeper, ClaimNumber number, const Vote& told) {
+    std::cout << " keeper " << keeper << ": " << shown(told) << "\n";
+    one.voted(keeper, number, told);
+    shown(one);
+  };
+  one.reached(0, true);
+  begin(1, "a");
+  one.reached(1, true);
+  begin(2, "b");
+  vote(0, 1, yours);
+  vote(0, 1, yours);
+  vote(1, 1, yours);
+  vote(1, 1, taken);
+  one.commits(2, "done");
+  one.over(2, Claimant::Fate::committed);
+  shown(one);
+  one.reached(2, true);
+  begin(3, "c");
+  vote(0, 2, taken);
+  vote(1, 2, taken);
+  vote(2, 2, {Vote::What::taken, true, "done"});
+  one.over(3, Claimant::Fate::neverRan);
+  begin(4, "d");
+  vote(0, 3, taken);
+  vote(1, 3, yours);
+  vote(2, 3, silent);
+  one.over(4, Claimant::Fate::neverRan);
+  begin(5, "e");
+  vote(2, 4, silent);
+  std::cout << " keeper 1 is gone\n";
+  one.reached(1, false);
+  shown(one);
+  one.over(5, Claimant::Fate::neverRan);
+  begin(6, "f");
+  vote(0, 5, yours);
+  std::cout << " time goes by\n";
+  one.due(kBegin + ms(799));
+  shown(one);
+  one.due(kBegin + ms(800));
+  shown(one);
+  vote(2, 5, yours);
+  one.over(6, Claimant::Fate::neverRan);
+  for (const auto fate : {Claimant::Fate::neverRan, Claimant::Fate::unknown}) {
+    begin(7, "g");
+    const ClaimNumber number = fate == Claimant::Fate::neverRan ? 6 : 7;
+    vote(0, number, yours);
+    vote(2, number, yours);
+    std::cout << " it is over, " << (fate == Claimant::Fate::unknown ? "unknown" : "never ran") << "\n";
+    one.over(7, fate);
+    shown(one);
+  }
+  begin(8, "h");
+  std::cout << " its client leaves\n";
+  one.over(8, Claimant::Fate::neverRan);
+  shown(one);
+  begin(9, "");
+  std::cout << "one that would be sent after its votes were forgotten\n";
+  one.begin(kBegin, 10, "i", ms(40'000));
+  shown(one);
+  std::cout << "open: " << one.open() << "\n";
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::map<std::string, std::pair<std::function<void(std::uint64_t)>, std::uint64_t>> cases{
+      {"keeper", {keeper, 0}}, {"claimant", {claimant, 0}}, {"worlds", {worlds, 400}}, {"bugs", {bugs, 3000}}};
+  const auto at = cases.find(argc > 1 ? argv[1] : "");
+  if (at == cases.end()) return 2;
+  at->second.first(argc > 2 ? std::stoull(argv[2]) : at->second.second);
+  return 0;
+}
