A store for keepers' votes: SQLite, a checksum over all rows, group commits

What it does not check, bytes of rows, is checked by one checksum over all rows (xxhash); a file that is damaged is set aside and the keeper silent.

--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,101 @@
+// What a keeper's disk holds: votes, its own starts and those of others it was told, in an SQLite database of
+// one file in a folder of its own. A thread writes what is queued, in groups, and tells when it is durable.
+//
+// Each row has a checksum, and the database one over all rows: a file that was cut, of which a byte was
+// flipped, or that another program wrote to is noticed when it is opened. It is then set aside under another
+// name and an empty one begun, which is not whole: the keeper is silent for the time of retention.
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "claims/keeper.h"
+
+namespace gulltrestle::store {
+
+// The folder can't be used at all: why, in words for an operator.
+class Unusable : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Figures {
+  std::uint64_t commits = 0, changes = 0, failures = 0;
+  std::size_t queued = 0;        // changes that are not durable yet
+  Span longest;                  // the longest commit
+  std::string fault;             // of the last commit, if it failed
+};
+
+class Database;
+
+class Store {
+ public:
+  using Ticket = std::uint64_t;
+
+  // Opens the folder of the keeper of that name, and makes this start durable in it. Throws Unusable: the
+  // folder is not there, another process has it, it is another keeper's or of a newer version.
+  Store(const std::string& folder, const std::string& keeper, std::uint64_t draw);
+  Store(const Store&) = delete;
+  Store& operator=(const Store&) = delete;
+  // What is queued is written first, if the disk lets it.
+  ~Store();
+
+  const claims::Kept& kept() const { return kept_; }
+  void forgetKept() { kept_.entries.clear(); }
+  // What was found damaged and set aside; empty: nothing was.
+  const std::string& setAside() const { return setAside_; }
+
+  // Readable when done() has something to tell.
+  int descriptor() const { return descriptor_; }
+  // Changes go to disk in the order in which they were queued. One ticket for all of them.
+  Ticket write(std::vector<claims::Keeper::Change> changes);
+  // `durable`: these changes and all that were queued before are. Else the disk failed: they may be or not;
+  // they stay queued and are tried again, but nobody is told.
+  struct Done {
+    Ticket ticket;
+    bool durable;
+  };
+  std::vector<Done> done();
+  Figures figures() const;
+
+ private:
+  struct Queued {
+    Ticket ticket;
+    std::vector<claims::Keeper::Change> changes;
+    bool told = false;
+  };
+  void run();
+  bool commit(const std::vector<Queued>& group);
+
+  std::string folder_, keeper_, setAside_;
+  claims::Kept kept_;
+  std::unique_ptr<Database> database_;  // the thread's, once it runs; null while the disk fails
+  int descriptor_ = -1;
+  mutable std::mutex mutex_;
+  std::condition_variable wanted_;
+  std::vector<Queued> queue_;
+  std::vector<Done> done_;
+  Figures figures_;
+  Ticket last_ = 0;
+  bool ending_ = false;
+  std::thread thread_;
+};
+
+// For operators, with no router on the folder. Each throws Unusable.
+// An empty store of a keeper that never was: its votes count at once. Refused where there is one already.
+void create(const std::string& folder, const std::string& keeper);
+struct Contents {
+  std::string keeper;
+  claims::Kept kept;
+  std::string damage;  // empty: none
+};
+// Changes nothing.
+Contents read(const std::string& folder);
+
+}  // namespace gulltrestle::store
--- /dev/null
+++ b/tests/store.cpp
@@ -0,0 +1,303 @@
+// The store of claims: power lost at every operation on a simulated disk, files cut and flipped at every byte,
+// disks that fail and heal, folders that are not its own. Run as `store CASE`: prints the case's trace.
+#include "store/store.h"
+
+#include <poll.h>
+#include <signal.h>
+#include <sys/resource.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+#include "disk.h"
+#include "store/database.h"
+
+using namespace gulltrestle;
+using namespace gulltrestle::store;
+using claims::Keeper;
+using disk::Disk;
+
+namespace {
+
+using Changes = std::vector<Keeper::Change>;
+using What = Keeper::Change::What;
+constexpr const char* kFile = "claims.db";
+
+Keeper::Change put(int id, int router, bool committed = false) {
+  const std::string name = "b" + std::to_string(id);
+  return {What::put,
+          name,
+          {name, {"r" + std::to_string(router), 77, static_cast<std::uint64_t>(id)}, committed,
+           committed ? std::string(static_cast<std::size_t>(40 * id % 3000), 'v') : ""},
+          {},
+          false};
+}
+Keeper::Change drop(int id) { return {What::drop, "b" + std::to_string(id), {}, {}, false}; }
+
+// What is committed one after the other; grows, drops, starts, and pages that split.
+std::vector<Changes> script() {
+  std::vector<Changes> all{{{What::start, "", {}, {1, 5}, false}}, {{What::start, "k2", {}, {3, 9}, false}}};
+  int next = 0;
+  for (int group = 0; group < 10; ++group) {
+    Changes changes;
+    for (int n = 0; n <= group % 4 * 6; ++n) changes.push_back(put(++next, group));
+    if (group % 3 == 1) changes.push_back(put(next - 1, group, true));
+    if (group % 4 == 3)
+      for (int n = 1; n < 9; ++n) changes.push_back(drop(next - 2 * n));
+    if (group == 5) changes.push_back({What::voting, "", {}, {4, 0}, false});
+    all.push_back(changes);
+  }
+  return all;
+}
+
+// All that is known, as one text: equal where the stores are.
+std::string shown(const claims::Kept& kept) {
+  std::map<std::string, std::string> rows;
+  for (const auto& e : kept.entries)
+    rows[e.id] = e.token.router + "/" + std::to_string(e.token.number) + (e.committed ? "=" + e.value : "");
+  std::string out = (kept.whole ? "whole " : "silent ") + std::to_string(kept.newSince);
+  for (const auto& s : kept.own) out += " own" + std::to_string(s.number) + "/" + std::to_string(s.draw);
+  for (const auto& [name, s] : kept.starts) out += " " + name + std::to_string(s.number);
+  for (const auto& [id, row] : rows) out += " " + id + ":" + row;
+  return out;
+}
+
+// Plays the script; returns how many commits were told as durable, 0 where the beginning was not.
+std::size_t play(const std::vector<Changes>& all) {
+  std::size_t done = 0;
+  try {
+    Database database(kFile, Database::For::writing);
+    if (database.isNew()) database.begin("k1", true);
+    database.load();
+    done = 1;
+    for (const Changes& changes : all) {
+      database.commit({&changes});
+      ++done;
+    }
+  } catch (const std::exception&) {}
+  return done;
+}
+
+// After each commit, as it must be found again.
+std::vector<std::string> states(const std::vector<Changes>& all) {
+  std::vector<std::string> out{""};
+  for (std::size_t n = 0; n <= all.size(); ++n) {
+    Disk::the().reset();
+    play({all.begin(), all.begin() + static_cast<std::ptrdiff_t>(n)});
+    out.push_back(shown(Database(kFile, Database::For::writing).load()));
+  }
+  return out;
+}
+
+std::string loaded() {
+  Database database(kFile, Database::For::writing);
+  return database.isNew() ? "" : shown(database.load());
+}
+
+struct Search {
+  std::uint64_t points = 0, again = 0;
+  std::string fault;
+};
+
+// Power is lost at each operation of the script, several times with another part of what was not synced; and
+// once more at an operation of the recovery after that.
+Search search(int times, bool lies) {
+  const auto all = script();
+  const auto known = states(all);
+  Search out;
+  for (std::uint64_t at = 1;; ++at) {
+    std::uint64_t operations = 0;
+    for (int time = 0; time < times; ++time) {
+      std::mt19937 chance(static_cast<unsigned>(at * 1000 + static_cast<std::uint64_t>(time)));
+      Disk::the().reset();
+      Disk::the().liesAboutSyncs = lies;
+      Disk::the().dieAt = at;
+      const std::size_t done = play(all);
+      operations = Disk::the().operations;
+      if (!Disk::the().dead && at > operations) return out;
+      Disk::the().restore(chance);
+      ++out.points;
+      if (time % 2 == 1) {
+        Disk::the().dieAt = Disk::the().operations + 1 + chance() % 4;
+        try {
+          loaded();
+        } catch (const std::exception&) {}
+        Disk::the().restore(chance);
+        ++out.again;
+      }
+      std::string found;
+      try {
+        found = loaded();
+      } catch (const std::exception& bad) { found = std::string("damaged: ") + bad.what(); }
+      // What was told as durable is there, and at most the commit under way beside it.
+      if (found != known[done] && (done + 1 >= known.size() || found != known[done + 1])) {
+        out.fault = "operation " + std::to_string(at) + ", time " + std::to_string(time) + ", after commit " +
+                    std::to_string(done) + ": " + found.substr(0, 60);
+        return out;
+      }
+    }
+  }
+}
+
+void power() {
+  Disk::install();
+  const Search found = search(12, false);
+  std::cout << "power lost at " << found.points << " points, " << found.again
+            << " times again during recovery: " << (found.fault.empty() ? "nothing invented, lost or doubled" : found.fault)
+            << "\n";
+  const Search lying = search(12, true);
+  std::cout << "a disk that says that it synced and did not: " << (lying.fault.empty() ? "NOT FOUND" : "found after ")
+            << (lying.fault.empty() ? "" : std::to_string(lying.points)) << " points\n";
+}
+
+// Each byte of the file changed, and the file cut at each: found as it was, or known as damaged.
+void bytes() {
+  Disk::install();
+  const auto all = script();
+  Disk::the().reset();
+  play(all);
+  const std::string whole = Disk::the().files.at(kFile)->now, right = loaded();
+  std::uint64_t same = 0, damaged = 0, wrong = 0;
+  const auto look = [&](const std::string& file) {
+    Disk::the().reset();
+    Disk::the().files[kFile] = std::make_shared<disk::File>(disk::File{file, file, true});
+    try {
+      ++(loaded() == right ? same : wrong);
+    } catch (const std::exception&) { ++damaged; }
+  };
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    std::string file = whole;
+    file[at] = static_cast<char>(file[at] ^ (1 << at % 8));
+    look(file);
+  }
+  std::cout << whole.size() << " bytes flipped: as it was or known as damaged " << same + damaged << ", wrong " << wrong
+            << "; damaged " << (damaged > 1000 ? "many" : "FEW") << "\n";
+  same = damaged = wrong = 0;
+  for (std::size_t size = 1; size < whole.size(); ++size) look(whole.substr(0, size));
+  std::cout << "cut at each byte: damaged " << (damaged > whole.size() / 2 ? "most" : "FEW") << ", wrong " << wrong
+            << "\n";
+}
+
+// Operations that fail with an error, a sync that fails once and then succeeds among them; the store opens its
+// file anew and goes on.
+void failing() {
+  Disk::install();
+  const auto all = script();
+  const auto known = states(all);
+  Disk::the().reset();
+  play(all);
+  const std::uint64_t operations = Disk::the().operations;
+  std::uint64_t tried = 0, wrong = 0;
+  for (std::uint64_t at = 1; at <= operations; ++at) {
+    Disk::the().reset();
+    Disk::the().failing = {at};
+    const std::size_t done = play(all);
+    Disk::the().failing.clear();
+    ++tried;
+    std::string found;
+    try {
+      found = loaded();
+    } catch (const std::exception& bad) { found = bad.what(); }
+    if (found != known[done] && (done + 1 >= known.size() || found != known[done + 1])) ++wrong;
+  }
+  std::cout << tried << " operations failed, each once: wrong after it " << wrong << "\n";
+}
+
+// A folder of its own, on the true disk.
+class Folder {
+ public:
+  Folder() {
+    const char* tmp = std::getenv("TMPDIR");
+    std::string name = std::string(tmp && *tmp ? tmp : "/tmp") + "/gulltrestle-store-XXXXXX";
+    path_ = mkdtemp(name.data());
+  }
+  ~Folder() { std::filesystem::remove_all(path_); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+bool written(Store& store, Changes changes) {
+  const auto ticket = store.write(std::move(changes));
+  for (;;) {
+    pollfd ready{store.descriptor(), POLLIN, 0};
+    poll(&ready, 1, 10'000);
+    for (const auto& done : store.done())
+      if (done.ticket == ticket) return done.durable;
+  }
+}
+
+std::string without(std::string text, const std::string& path) {
+  for (std::size_t at; (at = text.find(path)) != std::string::npos;) text.replace(at, path.size(), "FOLDER");
+  return text;
+}
+
+void folders() {
+  const Folder folder;
+  const auto tried = [&](const std::string& what, const std::function<void()>& call) {
+    try {
+      call();
+      std::cout << what << ": taken\n";
+    } catch (const Unusable& bad) { std::cout << what << ": " << without(bad.what(), folder.path()) << "\n"; }
+  };
+  tried("no folder", [&] { Store(folder.path() + "/none", "k1", 1); });
+  create(folder.path(), "k1");
+  tried("made twice", [&] { create(folder.path(), "k1"); });
+  tried("another's", [&] { Store(folder.path(), "k2", 1); });
+  {
+    Store store(folder.path(), "k1", 11);
+    std::cout << "new, by an operator's word: " << shown(store.kept()) << "\n";
+    std::cout << "durable: " << written(store, {put(1, 4), put(2, 5)}) << "\n";
+    tried("in use", [&] { Store(folder.path(), "k1", 2); });
+    tried("a look while in use", [&] { read(folder.path()); });
+    store.write({put(2, 5, true)});
+  }
+  Store(folder.path(), "k1", 12);
+  const Contents contents = read(folder.path());
+  std::cout << "after two starts, " << contents.keeper << ": " << shown(contents.kept).substr(0, 70) << "\n";
+  {
+    std::fstream file(folder.path() + "/claims.db", std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(-60, std::ios::end);
+    file << "something else";
+  }
+  std::cout << "damaged: " << (read(folder.path()).damage.empty() ? "NOT SEEN" : "seen") << "\n";
+  Store store(folder.path(), "k1", 13);
+  std::cout << "started on it: " << shown(store.kept()) << "; set aside: " << !store.setAside().empty() << "\n";
+}
+
+// The disk is full for a while, as no file of this process may grow: the store says so, and goes on by itself.
+void healing() {
+  const Folder folder;
+  create(folder.path(), "k1");
+  Store store(folder.path(), "k1", 11);
+  std::cout << "durable: " << written(store, {put(1, 4)}) << "\n";
+  signal(SIGXFSZ, SIG_IGN);
+  rlimit before{};
+  getrlimit(RLIMIT_FSIZE, &before);
+  const rlimit none{512, before.rlim_max};
+  setrlimit(RLIMIT_FSIZE, &none);
+  std::cout << "full: " << written(store, {put(2, 4)}) << ", " << written(store, {put(3, 4)}) << "\n";
+  const Figures figures = store.figures();
+  std::cout << "queued " << figures.queued << ", a fault is told " << !figures.fault.empty() << "\n";
+  setrlimit(RLIMIT_FSIZE, &before);
+  bool durable = false;
+  for (int n = 0; n < 40 && !durable; ++n) durable = written(store, {put(4, 4)});
+  std::cout << "healed: " << durable << ", queued " << store.figures().queued << "\n";
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::map<std::string, std::function<void()>> cases{
+      {"power", power}, {"bytes", bytes}, {"failing", failing}, {"folders", folders}, {"healing", healing}};
+  const auto at = cases.find(argc > 1 ? argv[1] : "");
+  if (at == cases.end()) return 2;
+  at->second();
+  return 0;
+}
