--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -145,7 +145,7 @@
   if (at == live_.end() || at->second.front) return;
   const auto& all = at->second.submissions;
   if (!std::all_of(all.begin(), all.end(), [](auto& s) { return s.over; })) return;
-  if (at->second.guarded) guard_->over(txn, fateOf(at->second));
+  if (at->second.guarded && guard_) guard_->over(txn, fateOf(at->second));
   heldBytes_ -= at->second.message.bytes.size();
   if (!at->second.id().empty()) openIds_.erase(at->second.id());
   live_.erase(at);
@@ -160,7 +160,7 @@
 }
 
 void Ledger::commit(TxnId txn, const Value& value) {
-  if (const auto at = live_.find(txn); at != live_.end() && at->second.guarded) guard_->commits(txn, value);
+  if (const auto at = live_.find(txn); at != live_.end() && at->second.guarded && guard_) guard_->commits(txn, value);
   if (const Live* live = owed(txn); live && levels_)
     levels_->answered(now_, live->group, live->type, waitedShare(*live));
   finish(txn, [&](Front& front, OwnerId owner) { front.committed(owner, value); });
--- /dev/null
+++ b/src/listener/listener.cpp
@@ -0,0 +1,216 @@
+#include "listener/listener.h"
+
+#include <spdlog/spdlog.h>
+
+#include <system_error>
+
+#include "loop/sockets.h"
+
+namespace gulltrestle::listener {
+
+using loop::Io;
+
+namespace {
+
+// A client that takes nothing of what is written to it for so long is gone, or may as well be.
+constexpr Span kStuck = Span::millis(10000);
+// New connections that are taken in a turn.
+constexpr int kAcceptsATurn = 8;
+
+loop::Descriptor listenAt(const startup::Address& at) {
+  try {
+    return loop::listenOn(at.host, at.port);
+  } catch (const std::system_error& fault) {
+    throw startup::BadKey("listen", at.host + ":" + std::to_string(at.port) + ": " + fault.what());
+  }
+}
+
+}  // namespace
+
+struct Listener::Connection final : grpc::Receiver {
+  Connection(Listener& owner, ConnectionId number, loop::Descriptor descriptor)
+      : listener(owner),
+        id(number),
+        stream(owner.loop_, std::move(descriptor)),
+        calls(owner.method_, owner.bounds_.calls, *this) {}
+
+  CallKey key(grpc::CallId call) const {
+    return static_cast<CallKey>(id) << 32 | static_cast<std::uint32_t>(call);
+  }
+  void opened(grpc::CallId call) override {
+    listener.receiver_.seen(listener.loop_.now());
+    listener.receiver_.opened(key(call));
+  }
+  void message(grpc::CallId call, std::string_view bytes) override {
+    listener.receiver_.message(key(call), bytes);
+  }
+  void halfClosed(grpc::CallId call) override { listener.receiver_.halfClosed(key(call)); }
+  void ended(grpc::CallId call, bool) override { listener.receiver_.ended(key(call)); }
+
+  Listener& listener;
+  ConnectionId id;
+  loop::Stream stream;
+  grpc::Calls calls;
+  std::string unsent;
+  bool broken = false, closing = false;
+  Instant idleSince, stuckAt;
+};
+
+Listener::Listener(loop::Loop& loop, const startup::Address& at, std::string method, Bounds bounds, std::string name,
+                   Receiver& receiver)
+    : loop_(loop),
+      method_(std::move(method)),
+      bounds_(bounds),
+      name_(std::move(name)),
+      receiver_(receiver),
+      socket_(std::make_unique<loop::Stream>(loop, listenAt(at))) {
+  loop_.spawn(accept());
+}
+
+Listener::Connection* Listener::of(CallKey call) {
+  const auto at = connections_.find(static_cast<ConnectionId>(call >> 32));
+  if (at == connections_.end()) return nullptr;
+  touched_.insert(at->first);
+  return at->second;
+}
+
+void Listener::send(CallKey call, std::string_view message) {
+  if (Connection* connection = of(call))
+    connection->calls.send(static_cast<grpc::CallId>(call & 0xFFFFFFFF), message);
+}
+
+void Listener::finish(CallKey call, grpc::Status status, std::string_view why) {
+  if (Connection* connection = of(call))
+    connection->calls.finish(static_cast<grpc::CallId>(call & 0xFFFFFFFF), status, why);
+}
+
+void Listener::flush() {
+  for (const ConnectionId id : std::exchange(touched_, {}))
+    if (const auto at = connections_.find(id); at != connections_.end()) write(*at->second);
+}
+
+void Listener::stop() {
+  stopped_ = true;
+  if (socket_) socket_->wake();
+  for (auto& [id, connection] : connections_) {
+    connection->calls.goAway();
+    touched_.insert(id);
+    connection->stream.wake();
+  }
+}
+
+// What was taken from the session is written before more is: what a client doesn't read waits in the session,
+// which bounds it.
+void Listener::write(Connection& to) {
+  while (!to.broken) {
+    if (to.unsent.empty()) to.unsent = to.calls.output();
+    if (to.unsent.empty()) break;
+    const std::string_view all = to.unsent;
+    const auto done = loop::writeFrom(to.stream.descriptor(), {&all, 1});
+    if (done.how == Io::failed) to.broken = true;
+    if (done.how != Io::some) to.stream.canWrite = false;
+    if (done.how != Io::some) break;
+    to.unsent.erase(0, done.size);
+  }
+  if (to.broken || (to.unsent.empty() && to.calls.done())) to.stream.wake();
+  if (to.unsent.empty()) to.stuckAt = Instant();
+  if (to.unsent.empty() || to.stuckAt != Instant()) return;
+  to.stuckAt = loop_.now() + kStuck;
+  to.stream.wakeAt(to.stuckAt);
+}
+
+// --- Connections
+
+// The one that has had no stream for longest makes room; false: all have some.
+bool Listener::makeRoom() {
+  Connection* oldest = nullptr;
+  for (auto& [id, connection] : connections_)
+    if (connection->calls.open() == 0 && !connection->closing &&
+        (!oldest || connection->idleSince < oldest->idleSince))
+      oldest = connection;
+  if (!oldest) return false;
+  oldest->closing = true;
+  oldest->stream.wake();
+  return true;
+}
+
+loop::Task Listener::accept() {
+  int taken = 0;  // in this turn
+  while (!stopped_) {
+    if (++taken > kAcceptsATurn) {
+      taken = 0;
+      socket_->wake();
+      co_await socket_->changed();
+      continue;
+    }
+    loop::Descriptor descriptor;
+    const Io how = loop::accept(socket_->descriptor(), descriptor);
+    if (how == Io::some) {
+      // At the bound a new one is closed at once, and the oldest idle one goes, so that the next comes in.
+      if (connections_.size() >= bounds_.mostConnections) {
+        const bool room = makeRoom();
+        spdlog::warn("event={}.connections_full connections={} one_idle={}", name_, connections_.size(), room);
+        continue;
+      }
+      loop_.spawn(serve(++lastConnection_, std::move(descriptor)));
+    } else if (how == Io::wouldBlock) {
+      taken = 0;
+      co_await socket_->changed();
+    } else {
+      spdlog::warn("event={}.accept_failed why=\"{}\"", name_,
+                   how == Io::noDescriptor ? "no descriptor is left" : "the listening socket failed");
+      co_await loop_.sleepUntil(loop_.now() + Span::millis(10));
+    }
+  }
+  socket_.reset();
+}
+
+loop::Task Listener::serve(ConnectionId id, loop::Descriptor descriptor) {
+  try {
+    Connection connection(*this, id, std::move(descriptor));
+    struct Place {
+      Listener& listener;
+      Connection& connection;
+      ~Place() {
+        connection.calls.connectionEnded();
+        listener.connections_.erase(connection.id);
+      }
+    };
+    connections_[id] = &connection;
+    const Place place{*this, connection};
+    connection.idleSince = loop_.now();
+    if (stopped_) connection.calls.goAway();
+    write(connection);
+    bool ended = false;
+    while (!connection.broken && !ended && !(connection.unsent.empty() && connection.calls.done()) &&
+           !(connection.closing && connection.calls.open() == 0)) {
+      if (connection.stuckAt != Instant() && loop_.now() >= connection.stuckAt) break;
+      // One read a turn: the others have theirs. What is not written yet holds up what is read: a client that
+      // does not take its answers may ask no more.
+      if (connection.stream.canRead && connection.unsent.empty()) {
+        const auto got = loop::readInto(connection.stream.descriptor(), buffer_);
+        if (got.how == Io::wouldBlock) connection.stream.canRead = false;
+        if (got.how == Io::failed) connection.broken = true;
+        if (got.how == Io::ended) ended = true;
+        if (got.how == Io::some) {
+          const Instant now = loop_.now();
+          receiver_.seen(now);
+          connection.calls.received(now, {buffer_.data(), got.size});
+          if (connection.calls.open() > 0) connection.idleSince = now;
+          if (got.size == buffer_.size() || connection.stream.readEnds)
+            connection.stream.wake();
+          else
+            connection.stream.canRead = false;
+        }
+      }
+      if (connection.stream.canWrite) write(connection);
+      if (connection.broken || ended || (connection.unsent.empty() && connection.calls.done())) break;
+      co_await connection.stream.changed();
+    }
+  } catch (const std::exception& bad) {
+    spdlog::error("event={}.connection_failed why=\"{}\"", name_, bad.what());
+  }
+  receiver_.seen(loop_.now());
+}
+
+}  // namespace gulltrestle::listener
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,10 @@
 #include "processor/processor.h"
 #endif
 
+#ifdef GULLTRESTLE_FLEET
+#include "peers/peers.h"
+#endif
+
 namespace {
 
 using namespace gulltrestle;
@@ -35,9 +39,20 @@
   const std::string processorFile = named("GULLTRESTLE_EXT_PROC");
   const auto setup = processorFile.empty() ? processor::Setup() : processor::readSetupFile(processorFile);
   if (!processorFile.empty()) {
-    beside.descriptors = setup.mostConnections + processor::kMostProbes;
+    beside.descriptors += setup.mostConnections + processor::kMostProbes;
     beside.openTxns = setup.streams.mostStreams;
   }
+#endif
+#ifdef GULLTRESTLE_FLEET
+  const std::string fleetFile = named("GULLTRESTLE_FLEET");
+  peers::Setup fleet;
+  if (!fleetFile.empty()) {
+    Span longest;
+    for (const auto& type : told.terms.types)
+      if (type.effect == Effect::onceOnly) longest = std::max(longest, type.expiry);
+    fleet = peers::readSetupFile(fleetFile, start.name, longest);
+    beside.descriptors += peers::Peers::descriptors(fleet);
+  }
 #endif
   server::Server server(start, beside);
   std::unique_ptr<reduced::Reduced> service;
@@ -55,6 +70,13 @@
     part = std::make_unique<processor::Processor>(server.loop(), server.ledger(), told, setup, name);
     server.add(*part);
   }
+#endif
+#ifdef GULLTRESTLE_FLEET
+  std::unique_ptr<peers::Peers> others;
+  if (!fleetFile.empty()) {
+    others = std::make_unique<peers::Peers>(server.loop(), server.ledger(), fleet, start.name);
+    server.add(*others);
+  }
 #endif
   server.run();
 }
--- /dev/null
+++ b/src/peers/desk.cpp
@@ -0,0 +1,238 @@
+#include "peers/desk.h"
+
+#include <algorithm>
+
+namespace gulltrestle::peers {
+
+using claims::Claimant;
+using claims::Keeper;
+using claims::Vote;
+
+namespace {
+
+// A keeper that may write no more than this many answers behind its disk gives no votes until that catches up.
+constexpr std::size_t kMostWaiting = 100'000;
+
+std::set<std::string> othersOf(const Setup& setup, const std::string& name) {
+  std::set<std::string> others;
+  for (const auto& keeper : setup.keepers)
+    if (keeper.name != name) others.insert(keeper.name);
+  return others;
+}
+
+std::string joined(const core::Value& value) {
+  return std::string(value[0]).append(value[1]).append(value[2]);
+}
+
+std::string_view nameOf(Keeper::State state) {
+  switch (state) {
+    case Keeper::State::unheard:
+      return "unheard";
+    case Keeper::State::silent:
+      return "silent";
+    case Keeper::State::votes:
+      return "votes";
+  }
+  return "";
+}
+
+}  // namespace
+
+Desk::Desk(core::Ledger& ledger, const Setup& setup, const std::string& name, std::uint64_t draw,
+           std::optional<claims::Kept> kept, Effects& effects)
+    : ledger_(ledger),
+      setup_(setup),
+      name_(name),
+      draw_(draw),
+      effects_(effects),
+      claimant_(setup.claimant, draw) {
+  if (kept) keeper_.emplace(ledger.now(), othersOf(setup, name), setup.keeper, std::move(*kept));
+  for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
+    if (setup_.keepers[i].name == name) own_ = i;
+  if (own_) claimant_.reached(*own_, true);
+}
+
+// --- Streams of other routers
+
+void Desk::said(StreamKey stream, std::string_view bytes) {
+  try {
+    const Word word = readWord(bytes);
+    if (!keeper_) return effects_.refuse(stream, "this router is no keeper");
+    if (const auto* hello = std::get_if<Hello>(&word)) return greet(stream, *hello);
+    const auto speaker = speakers_.find(stream);
+    if (speaker == speakers_.end()) return effects_.refuse(stream, "a greeting comes first");
+    hear(stream, speaker->second, word);
+  } catch (const Malformed& bad) { effects_.refuse(stream, bad.what()); }
+}
+
+void Desk::ended(StreamKey stream) { speakers_.erase(stream); }
+
+void Desk::greet(StreamKey stream, const Hello& hello) {
+  if (!setup_.routers.contains(hello.router)) {
+    effects_.log("peers.stranger", "router=\"" + hello.router.substr(0, 40) + "\"");
+    return effects_.refuse(stream, "this router is not on the list");
+  }
+  if (hello.keepers != setup_.list()) {
+    effects_.log("peers.other_list", "router=" + hello.router + " its=\"" + hello.keepers.substr(0, 200) +
+                                         "\" ours=\"" + setup_.list() + "\"");
+    return effects_.refuse(stream, "the lists of keepers differ");
+  }
+  speakers_[stream] = {hello.router, hello.draw};
+  Waiting waiting{Waiting::What::heard, stream, hello.keeper.number, "", {}, {}};
+  if (hello.keeper.number > 0) waiting.knew = keeper_->greeted(hello.router, hello.keeper);
+  toDisk(std::move(waiting));
+}
+
+void Desk::hear(StreamKey stream, const Speaker& speaker, const Word& word) {
+  const auto token = [&](std::uint64_t number) { return claims::Token{speaker.router, speaker.draw, number}; };
+  if (const auto* claim = std::get_if<Claim>(&word)) {
+    if (waiting_.size() >= kMostWaiting) return give(stream, claim->number, Vote{});
+    const auto vote = keeper_->claimed(claim->id, token(claim->number));
+    if (vote) return give(stream, claim->number, *vote);
+    return toDisk(Waiting{Waiting::What::vote, stream, claim->number, claim->id, token(claim->number), {}});
+  }
+  if (const auto* release = std::get_if<Release>(&word)) keeper_->released(release->id, token(release->number));
+  if (const auto* committed = std::get_if<Committed>(&word))
+    keeper_->committed(ledger_.now(), committed->id, token(committed->number), committed->value);
+  toDisk();
+}
+
+void Desk::give(StreamKey stream, std::uint64_t number, const Vote& vote) {
+  if (stream == 0) return claimant_.voted(*own_, number, vote);
+  effects_.reply(stream, VoteOf{number, vote});
+}
+
+// What the keeper has changed goes to disk; whoever waits is told once all up to here is durable.
+void Desk::toDisk(std::optional<Waiting> waiting) {
+  auto changes = keeper_->takeChanges();
+  if (changes.empty() && !waiting) return;
+  const Ticket ticket = effects_.write(std::move(changes));
+  if (waiting) waiting_[ticket] = std::move(*waiting);
+}
+
+void Desk::wrote(Ticket ticket, bool durable) {
+  const auto at = waiting_.find(ticket);
+  if (at == waiting_.end()) return;
+  const Waiting waiting = std::move(at->second);
+  waiting_.erase(at);
+  switch (waiting.what) {
+    case Waiting::What::heard:
+      // A start that is not durable here was not heard: the other asks again on its next connection.
+      if (durable) return effects_.reply(waiting.stream, Heard{waiting.number, waiting.knew});
+      return effects_.refuse(waiting.stream, "the disk of this keeper fails");
+    case Waiting::What::vote: {
+      const auto vote = keeper_->written(waiting.id, waiting.token, durable);
+      if (vote) give(waiting.stream, waiting.number, *vote);
+      return;
+    }
+    case Waiting::What::hello:
+      if (!durable) return toDisk(waiting);
+      for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
+        if (i != own_) effects_.toKeeper(i, hello());
+  }
+}
+
+// --- Streams to keepers
+
+Word Desk::hello() const {
+  return Hello{name_, setup_.list(), draw_, keeper_ ? keeper_->start() : claims::Start{}};
+}
+
+void Desk::replied(claims::KeeperNumber number, std::string_view bytes) {
+  const Reply reply = readReply(bytes);
+  const std::string& name = setup_.keepers.at(number).name;
+  if (const auto* vote = std::get_if<VoteOf>(&reply)) {
+    claimant_.voted(number, vote->number, vote->vote);
+    return settle();
+  }
+  const auto& heard = std::get<Heard>(reply);
+  claimant_.reached(number, true);
+  if (!std::exchange(heard_[number], name).empty() && !keeper_) return;
+  effects_.log("peers.heard", "keeper=" + name + " reached=" + std::to_string(claimant_.reachable()) + " of=" +
+                                  std::to_string(setup_.keepers.size()));
+  if (!keeper_ || !keeper_->heard(ledger_.now(), name, heard.number, heard.knew)) return logState();
+  effects_.log("claims.disk_is_not_ours", "told_by=" + name + " knew_start=" + std::to_string(heard.knew.number));
+  toDisk(Waiting{Waiting::What::hello, 0, 0, "", {}, {}});
+  logState();
+}
+
+void Desk::lost(claims::KeeperNumber keeper) {
+  claimant_.reached(keeper, false);
+  if (heard_.erase(keeper) > 0)
+    effects_.log("peers.lost", "keeper=" + setup_.keepers.at(keeper).name + " reached=" +
+                                   std::to_string(claimant_.reachable()) + " of=" +
+                                   std::to_string(setup_.keepers.size()));
+  settle();
+}
+
+// --- The ledger
+
+void Desk::asked(TxnId txn, std::string_view id, Span patience) {
+  claimant_.begin(ledger_.now(), txn, std::string(id), patience);
+}
+
+void Desk::commits(TxnId txn, const core::Value& value) { claimant_.commits(txn, joined(value)); }
+
+void Desk::over(TxnId txn, core::Fate fate) {
+  claimant_.over(txn, fate == core::Fate::committed  ? Claimant::Fate::committed
+                      : fate == core::Fate::neverRan ? Claimant::Fate::neverRan
+                                                     : Claimant::Fate::unknown);
+}
+
+// Words go out, also to this router's own keeper, which may answer at once.
+void Desk::settle() {
+  for (auto words = claimant_.takeWords(); !words.empty(); words = claimant_.takeWords())
+    for (auto& word : words) {
+      Word out = Claim{word.id, word.number};
+      if (word.what == Claimant::Word::What::release) out = Release{word.id, word.number};
+      if (word.what == Claimant::Word::What::committed)
+        out = Committed{word.id, word.number, std::move(word.value)};
+      if (word.keeper == own_)
+        hear(0, {name_, draw_}, out);
+      else
+        effects_.toKeeper(word.keeper, out);
+    }
+}
+
+void Desk::endTurn() {
+  const Instant now = ledger_.now();
+  Instant due = claimant_.due(now);
+  if (keeper_) {
+    const Instant other = keeper_->due(now);
+    if (due == Instant() || (other != Instant() && other < due)) due = other;
+    toDisk();
+    logState();
+  }
+  due_ = due;
+  settle();
+  for (const auto& decision : claimant_.takeDecisions()) {
+    using What = Claimant::Decision::What;
+    switch (decision.what) {
+      case What::admit:
+        ledger_.admit(decision.txn);
+        break;
+      case What::committed:
+        ledger_.refuseCommitted(decision.txn, {decision.value, "", ""});
+        break;
+      case What::rollBack:
+        ledger_.refuseRolledBack(decision.txn);
+        break;
+      case What::decline:
+        ledger_.refuseDeclined(decision.txn, decision.comeBack);
+    }
+  }
+  settle();
+}
+
+void Desk::logState() {
+  if (!keeper_ || logged_ == keeper_->state()) return;
+  logged_ = keeper_->state();
+  std::string fields = "state=" + std::string(nameOf(keeper_->state())) + " start=" +
+                       std::to_string(keeper_->start().number) + " holds=" + std::to_string(keeper_->size());
+  for (const auto& name : keeper_->unheard()) fields += " waits_for=" + name;
+  if (keeper_->state() == Keeper::State::silent)
+    fields += " for_ms=" + std::to_string(setup_.keeper.retention.inMicros() / 1000);
+  effects_.log("claims.keeper", fields);
+}
+
+}  // namespace gulltrestle::peers
--- /dev/null
+++ b/src/peers/desk.h
@@ -0,0 +1,100 @@
+// Where words between routers are handed on: from streams to this router's keeper and back once its disk has
+// them, from the ledger to its claimant and back. A reducer: events in, effects out; decides nothing.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "claims/claimant.h"
+#include "claims/keeper.h"
+#include "core/guard.h"
+#include "core/ledger.h"
+#include "peers/setup.h"
+#include "peers/words.h"
+
+namespace gulltrestle::peers {
+
+using StreamKey = std::uint64_t;  // of a router's stream to this keeper; 0: this router itself
+using Ticket = std::uint64_t;
+
+class Effects {
+ public:
+  virtual ~Effects() = default;
+  virtual void toKeeper(claims::KeeperNumber keeper, const Word& word) = 0;
+  virtual void reply(StreamKey stream, const Reply& reply) = 0;
+  // Ends a stream of somebody who does not belong, or says what makes no sense.
+  virtual void refuse(StreamKey stream, std::string_view why) = 0;
+  // To be made durable; wrote() tells.
+  virtual Ticket write(std::vector<claims::Keeper::Change> changes) = 0;
+  virtual void log(std::string_view event, const std::string& fields) = 0;
+};
+
+class Desk final : public core::Guard {
+ public:
+  // `kept`: where this router is a keeper. `draw`: of this start, from all 64-bit numbers.
+  Desk(core::Ledger& ledger, const Setup& setup, const std::string& name, std::uint64_t draw,
+       std::optional<claims::Kept> kept, Effects& effects);
+
+  // --- Streams of other routers to this keeper
+  void said(StreamKey stream, std::string_view bytes);
+  void ended(StreamKey stream);
+  // --- This router's streams to other keepers
+  Word hello() const;
+  void replied(claims::KeeperNumber keeper, std::string_view bytes);  // throws Malformed
+  void lost(claims::KeeperNumber keeper);
+  // --- The disk
+  void wrote(Ticket ticket, bool durable);
+
+  // --- The ledger. What is decided is told to it at the end of a turn.
+  void asked(TxnId txn, std::string_view id, Span patience) override;
+  void commits(TxnId txn, const core::Value& value) override;
+  void over(TxnId txn, core::Fate fate) override;
+
+  void endTurn();
+  // What the ledger has told since.
+  void sayOn() { settle(); }
+  Instant nextDue() const { return due_; }
+
+  const claims::Claimant& claimant() const { return claimant_; }
+  const claims::Keeper* keeper() const { return keeper_ ? &*keeper_ : nullptr; }
+  std::optional<claims::KeeperNumber> own() const { return own_; }
+
+ private:
+  struct Speaker {
+    std::string router;
+    std::uint64_t draw = 0;
+  };
+  struct Waiting {  // for the disk
+    enum class What { heard, vote, hello } what = What::vote;
+    StreamKey stream = 0;
+    std::uint64_t number = 0;
+    std::string id;
+    claims::Token token;
+    claims::Start knew;
+  };
+  void hear(StreamKey stream, const Speaker& speaker, const Word& word);
+  void greet(StreamKey stream, const Hello& hello);
+  void give(StreamKey stream, std::uint64_t number, const claims::Vote& vote);
+  void toDisk(std::optional<Waiting> waiting = {});
+  void settle();
+  void logState();
+
+  core::Ledger& ledger_;
+  Setup setup_;
+  std::string name_;
+  std::uint64_t draw_;
+  Effects& effects_;
+  claims::Claimant claimant_;
+  std::optional<claims::Keeper> keeper_;
+  std::optional<claims::KeeperNumber> own_;  // this router's row among the keepers
+  std::map<StreamKey, Speaker> speakers_;    // those that have greeted
+  std::map<Ticket, Waiting> waiting_;
+  std::map<claims::KeeperNumber, std::string> heard_;
+  Instant due_;
+  std::optional<claims::Keeper::State> logged_;
+};
+
+}  // namespace gulltrestle::peers
--- /dev/null
+++ b/src/peers/peers.cpp
@@ -0,0 +1,252 @@
+#include "peers/peers.h"
+
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include "loop/sockets.h"
+
+namespace gulltrestle::peers {
+
+using loop::Io;
+
+namespace {
+
+// A keeper that could not be reached is tried again after this, at first and at most; give or take half of it,
+// so that routers that lost it together don't return in step.
+constexpr Span kAgainFirst = Span::millis(100), kAgainMost = Span::millis(2000);
+// A stream on which a claim was made and nothing came for so long is broken off: a path that swallows what is
+// sent shows no other sign.
+constexpr Span kDeaf = Span::millis(3000);
+// What waits to be written to a keeper. A stream beyond it is broken off.
+constexpr std::size_t kMostUnsent = 1 << 20;
+constexpr std::size_t kLongestMessage = 128 * 1024;
+// How often the counts are logged while there is anything new.
+constexpr Span kCountsPause = Span::millis(60'000);
+
+std::uint64_t drawn() {
+  std::random_device chance;
+  return static_cast<std::uint64_t>(chance()) << 32 | chance();
+}
+
+std::unique_ptr<store::Store> storeOf(const Setup& setup, const std::string& name, std::uint64_t draw) {
+  if (setup.folder.empty()) return nullptr;
+  try {
+    return std::make_unique<store::Store>(setup.folder, name, draw);
+  } catch (const store::Unusable& bad) { throw startup::BadKey("store", bad.what()); }
+}
+
+listener::Bounds boundsOf(const Setup& setup) {
+  listener::Bounds bounds;
+  bounds.calls.connection.mostStreams = 4;
+  bounds.calls.longestMessage = kLongestMessage;
+  bounds.mostConnections = setup.mostConnections;
+  return bounds;
+}
+
+}  // namespace
+
+struct Peers::Talk final : http2::Handler {
+  Talk(loop::Loop& onLoop, loop::Descriptor descriptor)
+      : stream(onLoop, std::move(descriptor)), session(http2::Session::Side::client, {}, *this) {}
+
+  void headers(http2::StreamId, http2::Headers) override {}
+  void data(http2::StreamId, std::string_view bytes) override { kept += bytes; }
+  void halfClosed(http2::StreamId) override { over = true; }
+  void closed(http2::StreamId, http2::Code) override { over = true; }
+
+  void flush() {
+    if (!up || over) return;
+    unsent += session.output();
+    while (!unsent.empty()) {
+      const std::string_view all = unsent;
+      const auto done = loop::writeFrom(stream.descriptor(), {&all, 1});
+      if (done.how == Io::failed) over = true;
+      if (done.how != Io::some) break;
+      unsent.erase(0, done.size);
+    }
+    if (unsent.size() > kMostUnsent) over = true;
+    if (over) stream.wake();
+  }
+
+  loop::Stream stream;
+  http2::Session session;
+  http2::StreamId call = 0;
+  std::string kept, unsent;
+  bool up = false, over = false;
+  Instant deafAt;  // never: no answer is awaited
+};
+
+Peers::Peers(loop::Loop& loop, core::Ledger& ledger, const Setup& setup, const std::string& name)
+    : loop_(loop), ledger_(ledger), setup_(setup), chance_(drawn()) {
+  const std::uint64_t draw = drawn();
+  store_ = storeOf(setup_, name, draw);
+  ledger_.see(loop_.now());
+  std::optional<claims::Kept> kept;
+  if (store_) {
+    if (!store_->setAside().empty()) spdlog::error("event=store.damaged set_aside=\"{}\"", store_->setAside());
+    spdlog::info("event=store.opened folder={} start={} whole={} ids={}", setup_.folder,
+                 store_->kept().own.back().number, store_->kept().whole, store_->kept().entries.size());
+    kept = store_->kept();
+    store_->forgetKept();
+  }
+  Effects& effects = *this;
+  listener::Receiver& receiver = *this;
+  desk_ = std::make_unique<Desk>(ledger_, setup_, name, draw, std::move(kept), effects);
+  for (claims::KeeperNumber keeper = 0; keeper < setup_.keepers.size(); ++keeper)
+    if (keeper == desk_->own())
+      listener_ = std::make_unique<listener::Listener>(loop_, setup_.keepers[keeper].address, std::string(kMethod),
+                                                       boundsOf(setup_), "peers", receiver);
+    else
+      loop_.spawn(talk(keeper));
+  if (store_) loop_.spawn(watchDisk());
+  ledger_.guardBy(desk_.get());
+  spdlog::info("event=peers.on keepers=\"{}\" routers={} keeper={}", setup_.list(), setup_.routers.size(),
+               store_ != nullptr);
+}
+
+// Its coroutines refer to it.
+Peers::~Peers() {
+  ledger_.guardBy(nullptr);
+  loop_.endTasks();
+}
+
+// --- Effects
+
+void Peers::toKeeper(claims::KeeperNumber keeper, const Word& word) {
+  const auto at = talks_.find(keeper);
+  if (at == talks_.end()) return;
+  Talk& talk = *at->second;
+  talk.session.send(talk.call, grpc::framed(encoded(word)));
+  if (talk.deafAt == Instant() && !std::holds_alternative<Release>(word) && !std::holds_alternative<Committed>(word)) {
+    talk.deafAt = loop_.now() + kDeaf;
+    talk.stream.wakeAt(talk.deafAt);
+  }
+}
+
+void Peers::reply(StreamKey stream, const Reply& said) { listener_->send(stream, encoded(said)); }
+
+void Peers::refuse(StreamKey stream, std::string_view why) {
+  listener_->finish(stream, grpc::Status::invalidArgument, why);
+}
+
+void Peers::log(std::string_view event, const std::string& fields) { spdlog::info("event={} {}", event, fields); }
+
+// --- Turns
+
+void Peers::endTurn() {
+  desk_->endTurn();
+  logCounts(ledger_.now());
+}
+
+void Peers::flush() {
+  // What the ledger has told since the desk's turn goes out now, too.
+  desk_->sayOn();
+  if (listener_) listener_->flush();
+  for (auto& [keeper, talk] : talks_) talk->flush();
+}
+
+void Peers::logCounts(Instant now) {
+  const auto& counts = desk_->claimant().counts();
+  if (now - saidAt_ < kCountsPause || counts.asked == saidAsked_) return;
+  saidAt_ = now;
+  saidAsked_ = counts.asked;
+  spdlog::info("event=claims.counts asked={} admitted={} committed={} rolled_back={} declined={} open={} reached={}",
+               counts.asked, counts.admitted, counts.committed, counts.rolledBack, counts.declined,
+               desk_->claimant().open(), desk_->claimant().reachable());
+  if (!store_) return;
+  const auto figures = store_->figures();
+  spdlog::info("event=store.counts commits={} changes={} failures={} queued={} longest_ms={} ids={}", figures.commits,
+               figures.changes, figures.failures, figures.queued, figures.longest.inMicros() / 1000,
+               desk_->keeper()->size());
+}
+
+loop::Task Peers::watchDisk() {
+  const int own = ::dup(store_->descriptor());
+  if (own < 0) throw std::runtime_error("no descriptor for the store");
+  loop::Stream stream(loop_, loop::Descriptor(own));
+  for (;;) {
+    stream.canRead = false;
+    ledger_.see(loop_.now());
+    for (const auto& done : store_->done()) desk_->wrote(done.ticket, done.durable);
+    const auto fault = store_->figures().fault;
+    if (fault.empty() == faulty_) {
+      faulty_ = !fault.empty();
+      if (faulty_)
+        spdlog::error("event=store.fails why=\"{}\"", fault);
+      else
+        spdlog::info("event=store.heals");
+    }
+    co_await stream.changed();
+  }
+}
+
+// --- A stream to a keeper, begun anew whenever it is gone
+
+loop::Task Peers::talk(claims::KeeperNumber keeper) {
+  const auto& place = setup_.keepers[keeper];
+  Span pause = kAgainFirst;
+  for (;;) {
+    try {
+      loop::Descriptor descriptor = loop::startConnecting(place.address.host, place.address.port);
+      if (descriptor) {
+        Talk talk(loop_, std::move(descriptor));
+        talk.stream.wakeAt(loop_.now() + kDeaf);
+        const Instant by = loop_.now() + kDeaf;
+        while (!talk.stream.canWrite && loop_.now() < by) co_await talk.stream.changed();
+        talk.up = talk.stream.canWrite && loop::isConnected(talk.stream.descriptor());
+        if (talk.up) {
+          talk.call = talk.session.request({{":method", "POST"},
+                                            {":scheme", "http"},
+                                            {":path", std::string(kMethod)},
+                                            {":authority", place.name},
+                                            {"content-type", "application/grpc"},
+                                            {"te", "trailers"}});
+          struct Up {
+            Peers& peers;
+            claims::KeeperNumber keeper;
+            ~Up() {
+              peers.talks_.erase(keeper);
+              peers.desk_->lost(keeper);
+            }
+          };
+          talks_[keeper] = &talk;
+          const Up place_up{*this, keeper};
+          toKeeper(keeper, desk_->hello());
+          talk.flush();
+          while (!talk.over) {
+            if (talk.deafAt != Instant() && loop_.now() >= talk.deafAt) break;
+            if (talk.stream.canRead) {
+              char bytes[16384];
+              const auto got = loop::readInto(talk.stream.descriptor(), bytes);
+              if (got.how == Io::wouldBlock) talk.stream.canRead = false;
+              if (got.how == Io::ended || got.how == Io::failed) break;
+              if (got.how == Io::some) {
+                const Instant now = loop_.now();
+                ledger_.see(now);
+                talk.deafAt = Instant();
+                if (!talk.session.received(now, {bytes, got.size})) talk.over = true;
+                std::string_view left = talk.kept, message;
+                grpc::Cut cut;
+                while ((cut = grpc::cutMessage(left, kLongestMessage, message)) == grpc::Cut::message) {
+                  desk_->replied(keeper, message);
+                  pause = kAgainFirst;
+                }
+                if (cut != grpc::Cut::none) break;
+                talk.kept.erase(0, talk.kept.size() - left.size());
+              }
+            }
+            talk.flush();
+            if (!talk.over && !talk.stream.canRead) co_await talk.stream.changed();
+          }
+        }
+      }
+    } catch (const std::exception& bad) {
+      spdlog::warn("event=peers.talk_failed keeper={} why=\"{}\"", place.name, bad.what());
+    }
+    ledger_.see(loop_.now());
+    co_await loop_.sleepUntil(loop_.now() + pause * std::uniform_real_distribution<double>(0.5, 1.5)(chance_));
+    pause = std::min(pause * 2, kAgainMost);
+  }
+}
+
+}  // namespace gulltrestle::peers
--- /dev/null
+++ b/src/peers/peers.h
@@ -0,0 +1,71 @@
+// What routers settle among themselves, on sockets and a disk: a stream to each keeper, kept up; a listener and
+// a store where this router is a keeper. For a private network: whoever can reach the listener and knows the
+// list may speak.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "gateway/gateway.h"
+#include "listener/listener.h"
+#include "loop/loop.h"
+#include "peers/desk.h"
+#include "peers/setup.h"
+#include "store/store.h"
+
+namespace gulltrestle::peers {
+
+class Peers final : public gateway::Part, private Effects, private listener::Receiver {
+ public:
+  // Throws startup::BadKey where the store or the address to listen on can't be had.
+  Peers(loop::Loop& loop, core::Ledger& ledger, const Setup& setup, const std::string& name);
+  ~Peers() override;
+
+  // Descriptors that it may take.
+  static std::size_t descriptors(const Setup& setup) {
+    return setup.keepers.size() + (setup.folder.empty() ? 0 : setup.mostConnections + 8);
+  }
+
+  void listHeard() override {}
+  void endTurn() override;
+  void flush() override;
+  Instant nextDue() const override { return desk_->nextDue(); }
+  // Keepers go on for the others' sake until this router's own txns are answered.
+  void stop() override {}
+  bool empty() const override { return true; }
+
+ private:
+  struct Talk;  // a stream to a keeper
+
+  void toKeeper(claims::KeeperNumber keeper, const Word& word) override;
+  void reply(StreamKey stream, const Reply& reply) override;
+  void refuse(StreamKey stream, std::string_view why) override;
+  Ticket write(std::vector<claims::Keeper::Change> changes) override { return store_->write(std::move(changes)); }
+  void log(std::string_view event, const std::string& fields) override;
+
+  void seen(Instant now) override { ledger_.see(now); }
+  void opened(listener::CallKey) override {}
+  void message(listener::CallKey call, std::string_view bytes) override { desk_->said(call, bytes); }
+  void halfClosed(listener::CallKey call) override { listener_->finish(call, grpc::Status::ok, ""); }
+  void ended(listener::CallKey call) override { desk_->ended(call); }
+
+  loop::Task talk(claims::KeeperNumber keeper);
+  loop::Task watchDisk();
+  void logCounts(Instant now);
+
+  loop::Loop& loop_;
+  core::Ledger& ledger_;
+  Setup setup_;
+  std::unique_ptr<store::Store> store_;
+  std::unique_ptr<Desk> desk_;
+  std::unique_ptr<listener::Listener> listener_;
+  std::map<claims::KeeperNumber, Talk*> talks_;  // those that are up
+  std::mt19937_64 chance_;
+  Instant saidAt_;
+  std::uint64_t saidAsked_ = 0;
+  bool faulty_ = false;  // the disk, as it was last logged
+};
+
+}  // namespace gulltrestle::peers
--- /dev/null
+++ b/src/peers/setup.cpp
@@ -0,0 +1,79 @@
+#include "peers/setup.h"
+
+#include <algorithm>
+
+#include "startup/section.h"
+
+namespace gulltrestle::peers {
+
+namespace {
+
+using startup::BadKey;
+using startup::Section;
+
+// A keeper talks to each of the others, and each router to all of them; more don't make it safer.
+constexpr std::size_t kMostKeepers = 9;
+// The votes for a txn must outlast it, and what a client may repeat, by a good deal.
+constexpr double kRetentionAtLeast = 4;
+
+Setup read(const json::Value& all, const std::string& name, Span longest) {
+  Section top(all, "");
+  Setup setup;
+  Section keepers = top.section("keepers");
+  if (keepers.keys().empty()) throw BadKey("keepers", "names none");
+  if (keepers.keys().size() > kMostKeepers) throw BadKey("keepers", "are more than 9");
+  if (keepers.keys().size() % 2 == 0) throw BadKey("keepers", "are an even number: one of them is of no use");
+  for (const auto& key : keepers.keys()) {
+    setup.keepers.push_back({key, startup::readAddress(keepers.path(key), keepers.text(key, ""))});
+    setup.routers.insert(key);
+  }
+  std::sort(setup.keepers.begin(), setup.keepers.end(), [](auto& a, auto& b) { return a.name < b.name; });
+  if (top.has("routers")) {
+    const json::Value& routers = *all.find("routers");
+    if (routers.kind != json::Value::Kind::list) throw BadKey("routers", "is no list of names");
+    for (const auto& router : routers.items) {
+      if (router.kind != json::Value::Kind::text || router.text.empty()) throw BadKey("routers", "is no list of names");
+      setup.routers.insert(router.text);
+    }
+  }
+  if (!setup.routers.contains(name)) throw BadKey("routers", "'" + name + "', this router, is not among them");
+  const bool isKeeper =
+      std::any_of(setup.keepers.begin(), setup.keepers.end(), [&](auto& keeper) { return keeper.name == name; });
+  setup.folder = top.text("store", "");
+  if (isKeeper && setup.folder.empty()) throw BadKey("store", "is missing: a keeper needs a folder that lasts");
+  if (!isKeeper) setup.folder.clear();
+  auto& retention = setup.keeper.retention;
+  retention = top.millis("retention_ms", retention, 1000, 7 * 24 * 3'600'000LL);
+  if (retention < longest * kRetentionAtLeast)
+    throw BadKey("retention_ms", "is under 4 times the longest expiry of a txn that may run only once, " +
+                                     std::to_string(longest.inMicros() / 1000) + " ms");
+  setup.claimant.keepers = setup.keepers.size();
+  setup.claimant.retention = retention;
+  setup.claimant.longestWait = top.millis("longest_wait_ms", setup.claimant.longestWait, 10, 60'000);
+  setup.claimant.comeBack = top.millis("come_back_ms", setup.claimant.comeBack, 0, 60'000);
+  Section limits = top.section("limits");
+  setup.keeper.most = limits.whole("ids", setup.keeper.most, 1000, 100'000'000);
+  setup.keeper.longestValue = limits.whole("value_bytes", setup.keeper.longestValue, 0, 64 * 1024);
+  setup.claimant.most = limits.whole("open_claims", setup.claimant.most, 10, 1'000'000);
+  setup.mostConnections = limits.whole("connections", 2 * setup.routers.size(), 1, 10'000);
+  limits.end();
+  top.end();
+  return setup;
+}
+
+}  // namespace
+
+std::string Setup::list() const {
+  std::string out;
+  for (const auto& place : keepers) out += (out.empty() ? "" : " ") + place.name;
+  return out;
+}
+
+Setup readSetup(std::string_view text, const std::string& name, Span longest) {
+  return read(startup::readText(text), name, longest);
+}
+Setup readSetupFile(const std::string& path, const std::string& name, Span longest) {
+  return read(startup::readFile(path), name, longest);
+}
+
+}  // namespace gulltrestle::peers
--- /dev/null
+++ b/src/peers/setup.h
@@ -0,0 +1,37 @@
+// The configuration of what several routers settle among themselves: read, checked key by key, and given
+// defaults.
+#pragma once
+
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "claims/claimant.h"
+#include "claims/keeper.h"
+#include "startup/startup.h"
+
+namespace gulltrestle::peers {
+
+struct Setup {
+  struct Place {
+    std::string name;
+    startup::Address address;
+  };
+  std::vector<Place> keepers;     // in the order of their names
+  std::set<std::string> routers;  // all that belong, keepers included
+  std::string folder;             // of this router's store; empty: it is no keeper
+  claims::KeeperBounds keeper;
+  claims::ClaimantBounds claimant;
+  std::size_t mostConnections = 0;  // to this keeper; by default twice as many as there are routers, for what lingers
+
+  // All keepers, as both ends of a stream must have them.
+  std::string list() const;
+};
+
+// `name`: of this router; `longest`: that a client waits for a txn that may run only once. Throws
+// startup::BadKey, which names the key. Keys that are not known are faults, too.
+Setup readSetup(std::string_view text, const std::string& name, Span longest);
+Setup readSetupFile(const std::string& path, const std::string& name, Span longest);
+
+}  // namespace gulltrestle::peers
--- /dev/null
+++ b/src/peers/words.cpp
@@ -0,0 +1,105 @@
+#include "peers/words.h"
+
+#include "words.pb.h"
+
+namespace gulltrestle::peers {
+
+namespace {
+
+void set(wire::Start& to, const claims::Start& start) {
+  to.set_number(start.number);
+  to.set_draw(start.draw);
+}
+claims::Start read(const wire::Start& from) { return {from.number(), from.draw()}; }
+
+template <typename Message>
+Message parsed(std::string_view bytes) {
+  Message message;
+  if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    throw Malformed("a message that can't be read");
+  return message;
+}
+
+template <typename... Cases>
+struct Each : Cases... {
+  using Cases::operator()...;
+};
+template <typename... Cases>
+Each(Cases...) -> Each<Cases...>;
+
+}  // namespace
+
+std::string encoded(const Word& word) {
+  wire::Word out;
+  std::visit(Each{[&](const Hello& w) {
+                    auto& hello = *out.mutable_hello();
+                    hello.set_router(w.router);
+                    hello.set_keepers(w.keepers);
+                    hello.set_draw(w.draw);
+                    if (w.keeper.number > 0) set(*hello.mutable_keeper(), w.keeper);
+                  },
+                  [&](const Claim& w) {
+                    out.mutable_claim()->set_id(w.id);
+                    out.mutable_claim()->set_number(w.number);
+                  },
+                  [&](const Release& w) {
+                    out.mutable_release()->set_id(w.id);
+                    out.mutable_release()->set_number(w.number);
+                  },
+                  [&](const Committed& w) {
+                    auto& committed = *out.mutable_committed();
+                    committed.set_id(w.id);
+                    committed.set_number(w.number);
+                    committed.set_value(w.value);
+                  }},
+             word);
+  return out.SerializeAsString();
+}
+
+std::string encoded(const Reply& reply) {
+  wire::Reply out;
+  std::visit(Each{[&](const Heard& r) {
+                    out.mutable_heard()->set_number(r.number);
+                    set(*out.mutable_heard()->mutable_knew(), r.knew);
+                  },
+                  [&](const VoteOf& r) {
+                    auto& vote = *out.mutable_vote();
+                    vote.set_number(r.number);
+                    vote.set_what(r.vote.what == claims::Vote::What::yours   ? wire::Vote::YOURS
+                                  : r.vote.what == claims::Vote::What::taken ? wire::Vote::TAKEN
+                                                                             : wire::Vote::SILENT);
+                    vote.set_committed(r.vote.committed);
+                    vote.set_value(r.vote.value);
+                  }},
+             reply);
+  return out.SerializeAsString();
+}
+
+Word readWord(std::string_view bytes) {
+  const auto in = parsed<wire::Word>(bytes);
+  switch (in.word_case()) {
+    case wire::Word::kHello:
+      return Hello{in.hello().router(), in.hello().keepers(), in.hello().draw(), read(in.hello().keeper())};
+    case wire::Word::kClaim:
+      return Claim{in.claim().id(), in.claim().number()};
+    case wire::Word::kRelease:
+      return Release{in.release().id(), in.release().number()};
+    case wire::Word::kCommitted:
+      return Committed{in.committed().id(), in.committed().number(), in.committed().value()};
+    case wire::Word::WORD_NOT_SET:
+      break;
+  }
+  throw Malformed("a word that is not known");
+}
+
+Reply readReply(std::string_view bytes) {
+  const auto in = parsed<wire::Reply>(bytes);
+  if (in.has_heard()) return Heard{in.heard().number(), read(in.heard().knew())};
+  if (!in.has_vote()) throw Malformed("a reply that is not known");
+  VoteOf vote{in.vote().number(), {claims::Vote::What::silent, in.vote().committed(), in.vote().value()}};
+  if (in.vote().what() == wire::Vote::YOURS) vote.vote.what = claims::Vote::What::yours;
+  if (in.vote().what() == wire::Vote::TAKEN) vote.vote.what = claims::Vote::What::taken;
+  return vote;
+}
+
+}  // namespace gulltrestle::peers
--- /dev/null
+++ b/src/peers/words.h
@@ -0,0 +1,56 @@
+// The messages between routers and keepers, as values. Protobuf's types stay within words.cpp.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "claims/words.h"
+
+namespace gulltrestle::peers {
+
+constexpr std::string_view kMethod = "/gulltrestle.peers.Keeper/Talk";
+
+class Malformed : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Hello {
+  std::string router, keepers;
+  std::uint64_t draw = 0;
+  claims::Start keeper;  // number 0: it is none
+};
+struct Claim {
+  std::string id;
+  std::uint64_t number = 0;
+};
+struct Release {
+  std::string id;
+  std::uint64_t number = 0;
+};
+struct Committed {
+  std::string id;
+  std::uint64_t number = 0;
+  std::string value;
+};
+using Word = std::variant<Hello, Claim, Release, Committed>;
+
+struct Heard {
+  std::uint64_t number = 0;
+  claims::Start knew;
+};
+struct VoteOf {
+  std::uint64_t number = 0;
+  claims::Vote vote;
+};
+using Reply = std::variant<Heard, VoteOf>;
+
+std::string encoded(const Word& word);
+std::string encoded(const Reply& reply);
+// Throw Malformed where it is none, or one that is not known.
+Word readWord(std::string_view bytes);
+Reply readReply(std::string_view bytes);
+
+}  // namespace gulltrestle::peers
--- a/src/processor/processor.h
+++ b/src/processor/processor.h
@@ -1,17 +1,14 @@
 // The external processor on sockets: listens for proxies, carries their gRPC streams to the front and its
-// answers back. Each connection is one coroutine, which owns its descriptor.
+// answers back.
 #pragma once
 
-#include <array>
 #include <map>
-#include <memory>
-#include <set>
 #include <string>
 
 #include "carriers/http/probes.h"
 #include "fronts/ext_proc/streams.h"
 #include "gateway/gateway.h"
-#include "grpc/calls.h"
+#include "listener/listener.h"
 #include "loop/loop.h"
 #include "processor/setup.h"
 
@@ -21,6 +18,7 @@
 constexpr std::size_t kMostProbes = 32;
 
 class Processor final : public gateway::Part,
+                        private listener::Receiver,
                         private fronts::ext_proc::Effects,
                         private carriers::http::Effects {
  public:
@@ -31,14 +29,17 @@
 
   void listHeard() override { streams_.listHeard(); }
   void endTurn() override;
-  void flush() override;
+  void flush() override { listener_.flush(); }
   Instant nextDue() const override;
   void stop() override;
-  bool empty() const override { return streams_.empty() && connections_.empty(); }
+  bool empty() const override { return streams_.empty() && listener_.empty(); }
 
  private:
-  using ConnectionId = std::uint32_t;
-  struct Connection;
+  void seen(Instant now) override { ledger_.see(now); }
+  void opened(listener::CallKey call) override { streams_.opened(call); }
+  void message(listener::CallKey call, std::string_view bytes) override { streams_.message(call, bytes); }
+  void halfClosed(listener::CallKey call) override { streams_.halfClosed(call); }
+  void ended(listener::CallKey call) override { streams_.ended(call); }
 
   void send(fronts::ext_proc::StreamKey stream, std::string_view message) override;
   void close(fronts::ext_proc::StreamKey stream, fronts::ext_proc::Close how, std::string_view why) override;
@@ -47,27 +48,17 @@
   void askNode(carriers::http::ProbeId probe, const std::string& address) override;
   void drop(carriers::http::ProbeId probe) override;
 
-  loop::Task accept();
-  loop::Task serve(ConnectionId id, loop::Descriptor descriptor);
   loop::Task probe(carriers::http::ProbeId id, std::string address);
-  void write(Connection& connection);
-  bool makeRoom();
-  Connection* of(fronts::ext_proc::StreamKey stream);
 
   loop::Loop& loop_;
   core::Ledger& ledger_;
   Setup setup_;
-  std::unique_ptr<loop::Stream> listener_;
+  listener::Listener listener_;
   fronts::ext_proc::Streams streams_;
   carriers::http::Probes probes_;
   std::map<carriers::http::ProbeId, loop::Stream*> asking_;  // probes that are out, and their connections
-  std::map<ConnectionId, Connection*> connections_;
-  std::set<ConnectionId> touched_;  // may have something to write
-  ConnectionId lastConnection_ = 0;
-  bool stopped_ = false;
   Instant saidAt_;
   fronts::ext_proc::Streams::Counts said_;
-  std::array<char, 64 * 1024> buffer_;  // what was just read, of any connection
 };
 
 }  // namespace gulltrestle::processor
--- a/src/store/database.cpp
+++ b/src/store/database.cpp
@@ -153,7 +153,7 @@
 claims::Kept Database::load() {
   {
     Statement check(*this, "PRAGMA quick_check(1)");
-    if (!check.step() || check.text(0) != "ok") throw Damaged("its structure: " + check.text(0));
+    if (!check.step() || check.text(0) != "ok") throw Damaged("its structure is not sound");
   }
   claims::Kept kept;
   digest_ = 0;
--- /dev/null
+++ b/tests/fleet/fleet.cpp
@@ -0,0 +1,468 @@
+// Days of a fleet of real processes with power lost, links cut, processes stopped and disks spoilt, each fault
+// placed by what was seen before it. Run as `fleet CASE [SEEDS [FROM]]`: prints what must hold on every run; counts
+// and times differ from run to run and go to standard error.
+#include <ctime>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+#include "rig.h"
+#include "standins/node.h"
+#include "standins/proxy.h"
+
+using namespace gulltrestle;
+using namespace gulltrestle::fleet;
+
+namespace {
+
+enum class Trouble {
+  powerAll,
+  powerAllButOne,
+  powerInAWave,
+  powerAgainWhileStarting,
+  powerBetweenRunAndAnswer,
+  answersLost,
+  stoppedThroughIt,
+  onePairCut,
+  hearsAndIsNotHeard,
+  isHeardAndDoesNotHear,
+  halves,
+  oneOfAllLeft,
+  oneNeverReturns,
+  diskLost,
+  diskOfAnother,
+  diskTorn
+};
+constexpr const char* kTroubles[] = {"power lost at all",
+                                     "power lost at all but one",
+                                     "power lost in a wave",
+                                     "power lost again while they start",
+                                     "power lost between a run and its answer",
+                                     "answers lost, and a router killed",
+                                     "one stopped through a power loss",
+                                     "one pair cut off from each other",
+                                     "one hears all and is not heard",
+                                     "one is heard and hears none",
+                                     "two halves",
+                                     "one of all left",
+                                     "a keeper never returns while the others serve",
+                                     "a keeper's disk lost",
+                                     "a keeper with the disk of another",
+                                     "a keeper's disk torn"};
+constexpr int kKinds = 16;
+
+// Nothing takes so long unless it is wedged.
+constexpr Span kBound = Span::millis(60'000);
+constexpr Span kTick = Span::millis(2);
+// How long clients repeat an id: what the time of retention, 4 s here, allows with their wait of 1 s.
+constexpr Span kRepeats = Span::millis(2500);
+
+struct Sum {
+  std::uint64_t asked = 0, committed = 0, declined = 0, rolledBack = 0, none = 0, ran = 0, losses = 0;
+};
+
+class World {
+ public:
+  World(std::uint64_t seed, Trouble trouble, Shape shape, Sum& sum)
+      : rig_(loop_, seed, shape), trouble_(trouble), settles_(shape.settles), sum_(sum) {}
+
+  std::string play(int rounds) {
+    loop_.spawn(scene(rounds));
+    for (int client = 0; client < 6; ++client) loop_.spawn(askOn(client));
+    loop_.run([](Instant) { return Instant(); },
+              [this](std::exception_ptr failure) {
+                try {
+                  std::rethrow_exception(failure);
+                } catch (const std::exception& bad) { broken(std::string("the rig: ") + bad.what()); }
+                loop_.stop();
+              });
+    if (!fault_.empty()) rig_.keep();
+    for (std::size_t row = 0; row < rig_.rows(); ++row) {
+      const Asked& asked = rig_.asked(row);
+      ++sum_.asked;
+      ++(asked.outcome == Outcome::committed    ? sum_.committed
+         : asked.outcome == Outcome::declined   ? sum_.declined
+         : asked.outcome == Outcome::rolledBack ? sum_.rolledBack
+                                                : sum_.none);
+    }
+    sum_.ran += rig_.writes();
+    return fault_;
+  }
+  std::string path() const { return rig_.path(); }
+
+ private:
+  void broken(const std::string& what) {
+    if (fault_.empty()) fault_ = what;
+  }
+  auto tick() { return loop_.sleepUntil(loop_.now() + kTick); }
+  // True once it has come to this; nothing may wait for ever.
+  bool waited(bool come, Instant by, const char* what) {
+    if (!come && loop_.now() >= by) broken(std::string("waited in vain: ") + what);
+    return come || !fault_.empty();
+  }
+
+  loop::Task askOn(int client) {
+    while (!ending_) {
+      const bool repeats = !ids_.empty() && rig_.pick(3) > 0;
+      if (!repeats) ids_.push_back({"c" + std::to_string(client) + "n" + std::to_string(ids_.size()), loop_.now()});
+      // Of the last few, or of all that a client may still repeat.
+      std::size_t first = ids_.size() - 1;
+      while (first > 0 && loop_.now() - ids_[first - 1].second < kRepeats) --first;
+      const std::size_t among = std::min<std::size_t>(ids_.size() - first, rig_.pick(2) ? 8 : ids_.size());
+      const std::string id = ids_[ids_.size() - 1 - (repeats ? rig_.pick(among) : 0)].first;
+      const std::size_t row = rig_.ask(rig_.pick(rig_.routers()), id);
+      // One that was stopped answers when it goes on; its client asks elsewhere meanwhile.
+      while (!rig_.asked(row).over && rig_.isUp(rig_.asked(row).router)) co_await tick();
+      const bool refused = rig_.asked(row).outcome == Outcome::none;
+      co_await loop_.sleepUntil(loop_.now() + (refused ? kTick * 5 : kTick));
+    }
+  }
+
+  // The scene: some writes, the trouble, and all serve again; and so on.
+  loop::Task scene(int rounds) {
+    rig_.startAll();
+    for (int round = 0; round <= rounds && fault_.empty(); ++round) {
+      // Each router commits a new txn.
+      std::set<std::size_t> serving = without_;
+      const Instant by = loop_.now() + kBound;
+      for (std::size_t i = 0; !waited(serving.size() == rig_.routers(), by, "a router that serves again");
+           i = (i + 1) % rig_.routers()) {
+        if (serving.contains(i)) continue;
+        const std::size_t row = rig_.ask(i, "new" + std::to_string(++probes_));
+        while (!rig_.asked(row).over) co_await tick();
+        if (rig_.asked(row).outcome == Outcome::committed) serving.insert(i);
+        if (const std::string died = rig_.died(); !died.empty()) broken(died);
+        co_await tick();
+      }
+      if (round == rounds || !fault_.empty()) break;
+      const std::uint64_t target = rig_.writes() + 1 + rig_.pick(25);
+      const Instant then = loop_.now() + kBound;
+      while (!waited(rig_.writes() >= target, then, "writes")) co_await tick();
+
+      // --- The trouble
+      const std::size_t one = rig_.pick(rig_.routers()), keeper = rig_.pick(rig_.keepers());
+      std::vector<std::size_t> order;
+      for (std::size_t i = 0; i < rig_.routers(); ++i) order.push_back(i);
+      std::shuffle(order.begin(), order.end(), rig_.chance);
+      std::vector<std::size_t> others;
+      for (const std::size_t i : order)
+        if (i != one) others.push_back(i);
+      switch (trouble_) {
+        case Trouble::powerAll:
+          lose(order);
+          break;
+        case Trouble::powerAllButOne:
+          lose(others);
+          break;
+        case Trouble::powerInAWave:
+          for (const std::size_t i : order) {
+            lose({i});
+            const std::size_t rows = rig_.rows() + rig_.pick(6);
+            const Instant until = loop_.now() + kBound;
+            while (!waited(rig_.rows() >= rows, until, "questions")) co_await tick();
+          }
+          break;
+        case Trouble::powerAgainWhileStarting:
+          lose(order);
+          for (int again = 0; again < 2; ++again) {
+            std::map<std::size_t, std::size_t> before;
+            for (const std::size_t i : order) before[i] = rig_.log(i).size();
+            for (const std::size_t i : order) rig_.start(i);
+            // One of them has opened its store, or has just been heard: some have, some have not.
+            const char* event = again == 0 ? "store.opened" : "peers.heard";
+            const std::size_t k = keeper;
+            const Instant until = loop_.now() + kBound;
+            while (!waited(rig_.log(k).find(event, before[k]) != std::string::npos, until, event)) co_await tick();
+            lose(order);
+          }
+          break;
+        case Trouble::powerBetweenRunAndAnswer: {
+          bool lost = false;
+          rig_.onWrite = [&](const std::string&) {
+            if (!std::exchange(lost, true)) lose(order);
+          };
+          const Instant until = loop_.now() + kBound;
+          while (!waited(lost, until, "a write")) co_await tick();
+          rig_.onWrite = nullptr;
+          break;
+        }
+        case Trouble::answersLost: {
+          rig_.swallowAnswers = true;
+          const std::uint64_t some = rig_.writes() + 5;
+          const Instant until = loop_.now() + kBound;
+          while (!waited(rig_.writes() >= some, until, "writes")) co_await tick();
+          rig_.kill(one);
+          rig_.swallowAnswers = false;
+          break;
+        }
+        case Trouble::stoppedThroughIt:
+          rig_.stop(one);
+          lose(others);
+          break;
+        case Trouble::onePairCut:
+          if (one < rig_.keepers()) rig_.flow((one + 1) % rig_.keepers(), one, Flow::cut);
+          rig_.flow(one, one < rig_.keepers() ? (one + 1) % rig_.keepers() : keeper, Flow::cut);
+          break;
+        case Trouble::hearsAndIsNotHeard:
+        case Trouble::isHeardAndDoesNotHear:
+          for (std::size_t k = 0; k < rig_.keepers(); ++k)
+            rig_.flow(one, k, trouble_ == Trouble::hearsAndIsNotHeard ? Flow::deafThere : Flow::deafBack);
+          break;
+        case Trouble::halves:
+          for (std::size_t i = 0; i < rig_.routers(); ++i)
+            for (std::size_t k = 0; k < rig_.keepers(); ++k)
+              if ((i < rig_.keepers() ? i == 0 : i % 2 == 1) != (k == 0)) rig_.flow(i, k, Flow::cut);
+          break;
+        case Trouble::oneOfAllLeft:
+          lose(others);
+          break;
+        case Trouble::oneNeverReturns:
+          lose({keeper});
+          without_ = {keeper};
+          break;
+        case Trouble::diskLost:
+          rig_.kill(keeper);
+          std::filesystem::remove_all(rig_.folder(keeper));
+          std::filesystem::create_directory(rig_.folder(keeper));
+          break;
+        case Trouble::diskOfAnother: {
+          const std::size_t other = (keeper + 1) % rig_.keepers();
+          lose({keeper, other});
+          swap(keeper, other);
+          for (const std::size_t i : {keeper, other}) {
+            rig_.start(i);
+            if (rig_.endsWith(i) != 1 || rig_.log(i).find("is the store of the keeper") == std::string::npos)
+              broken("started on the disk of another");
+          }
+          swap(keeper, other);
+          break;
+        }
+        case Trouble::diskTorn:
+          rig_.kill(keeper);
+          spoil(rig_.folder(keeper) + "/claims.db");
+          break;
+      }
+
+      // --- While it lasts, some are asked all the same
+      const std::size_t rows = rig_.rows() + 12 + rig_.pick(12);
+      const Instant until = loop_.now() + kBound;
+      while (!waited(rig_.rows() >= rows, until, "questions")) co_await tick();
+      if (trouble_ == Trouble::oneOfAllLeft && settles_ && rig_.writes() != writesAtLoss_)
+        broken("a minority ran a txn");
+
+      // --- They come back in any order, some after the others serve
+      rig_.flowAll(Flow::open);
+      const std::size_t late = rig_.pick(3);
+      for (std::size_t n = 0; n < order.size(); ++n) {
+        if (without_.contains(order[n]) || n + late >= order.size()) continue;
+        rig_.start(order[n]);
+        const std::size_t more = rig_.rows() + rig_.pick(4);
+        const Instant soon = loop_.now() + kBound;
+        while (!waited(rig_.rows() >= more, soon, "questions")) co_await tick();
+      }
+      for (const std::size_t i : order) rig_.goOn(i);
+      for (const std::size_t i : order)
+        if (!without_.contains(i)) rig_.start(i);
+    }
+    ending_ = true;
+    const Instant by = loop_.now() + kBound;
+    while (!waited(rig_.open() == 0, by, "the last answers")) co_await tick();
+    if (fault_.empty()) fault_ = rig_.judge();
+    loop_.stop();
+  }
+
+  void lose(const std::vector<std::size_t>& routers) {
+    ++sum_.losses;
+    rig_.losePower(routers);
+    writesAtLoss_ = rig_.writes();
+  }
+  void swap(std::size_t a, std::size_t b) const {
+    std::filesystem::rename(rig_.folder(a), rig_.path() + "/swap");
+    std::filesystem::rename(rig_.folder(b), rig_.folder(a));
+    std::filesystem::rename(rig_.path() + "/swap", rig_.folder(b));
+  }
+  static void spoil(const std::string& path) {
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    for (std::streamoff at = 4000; at < static_cast<std::streamoff>(std::filesystem::file_size(path)); at += 512) {
+      file.seekp(at);
+      file << "no longer what was written here";
+    }
+  }
+
+  loop::Loop loop_;
+  Rig rig_;
+  Trouble trouble_;
+  bool settles_;
+  Sum& sum_;
+  std::vector<std::pair<std::string, Instant>> ids_;  // when each was asked for first
+  std::set<std::size_t> without_;  // routers that never return
+  std::uint64_t probes_ = 0;
+  std::uint64_t writesAtLoss_ = 0;  // that the node had run when power was last lost
+  bool ending_ = false;
+  std::string fault_;
+};
+
+Shape shapeOf(std::uint64_t seed) {
+  Shape shape;
+  shape.routers = seed % 4 == 0 ? 9 : seed % 2 == 0 ? 5 : 3;
+  return shape;
+}
+
+std::string played(std::uint64_t seed, Trouble trouble, Shape shape, Sum& sum) {
+  const bool spoilsDisk = trouble >= Trouble::oneNeverReturns;
+  World world(seed, trouble, shape, sum);
+  const std::string fault = world.play(spoilsDisk ? 1 : 2);
+  if (!fault.empty())
+    std::cerr << "seed " << seed << ", " << kTroubles[static_cast<int>(trouble)] << ": " << fault << "; logs in "
+              << world.path() << "\n";
+  return fault;
+}
+
+void say(const Sum& sum) {
+  std::cerr << "asked " << sum.asked << ", ran " << sum.ran << ", committed " << sum.committed << ", declined "
+            << sum.declined << ", rolled back " << sum.rolledBack << ", none " << sum.none << ", power losses "
+            << sum.losses << "\n";
+}
+
+// Every trouble, with as many seeds as are asked for.
+int each(std::uint64_t seeds, std::uint64_t from) {
+  Sum sum;
+  bool ok = true;
+  for (int kind = 0; kind < kKinds; ++kind) {
+    std::string fault;
+    const auto began = std::time(nullptr);
+    for (std::uint64_t seed = from; seed < from + seeds && fault.empty(); ++seed)
+      fault = played(seed + static_cast<std::uint64_t>(kind) * 7, static_cast<Trouble>(kind),
+                     shapeOf(seed + static_cast<std::uint64_t>(kind)), sum);
+    std::cout << kTroubles[kind] << ": "
+              << (fault.empty() ? "nothing ran twice, one answer each, all serve again" : fault) << "\n";
+    std::cerr << kTroubles[kind] << ": " << std::time(nullptr) - began << " s\n";
+    ok = ok && fault.empty();
+  }
+  say(sum);
+  return ok ? 0 : 1;
+}
+
+// A verdict that can't fail shows nothing: routers that settle nothing, and a disk that lies, must be found.
+int bugs(std::uint64_t seeds, std::uint64_t from) {
+  const auto found = [&](const char* what, Trouble trouble, Shape shape) {
+    Sum sum;
+    std::string fault;
+    for (std::uint64_t seed = from; seed < from + seeds && fault.empty(); ++seed)
+      fault = played(seed, trouble, shape, sum);
+    std::cout << what << ": " << (fault.starts_with("ran twice") ? "found, a txn ran twice" : "NOT FOUND") << "\n";
+  };
+  Shape alone;
+  alone.settles = false;
+  found("routers that settle nothing among themselves", Trouble::powerAll, alone);
+  Shape lying;
+  lying.lyingDisk = true;
+  found("disks that say that they synced and did not", Trouble::powerAll, lying);
+  return 0;
+}
+
+// The same id asked at two routers that are external processors, with nothing told of the first grant's end.
+class Grants {
+ public:
+  explicit Grants(bool settles)
+      : discovery_(loop_), node_(loop_, "p", true), rig_(loop_, 1, shape(settles)), settles_(settles) {
+    discovery_.set({node_.id(), node_.address(), "up", true, 1});
+    for (std::size_t i = 0; i < 2; ++i) {
+      standins::ProxySetup setup;
+      setup.processor = rig_.processor(i);
+      setup.messageTimeout = Span::millis(2000);
+      proxies_.push_back(std::make_unique<standins::Proxy>(loop_, setup));
+      proxies_[i]->faults.neverReport = [this] { return quiet_; };
+    }
+  }
+  void play() {
+    loop_.spawn(scene());
+    loop_.run([](Instant) { return Instant(); }, [this](std::exception_ptr) { loop_.stop(); });
+  }
+
+ private:
+  static constexpr int kCases = 20;
+  Shape shape(bool settles) const {
+    Shape made;
+    made.settles = settles;
+    made.discovery = discovery_.address();
+    return made;
+  }
+  void ask(std::size_t router, const std::string& id) {
+    ++open_;
+    proxies_[router]->ask(
+        {{":method", "POST"}, {"x-txn-id", id}, {"x-txn-type", "book-charge"}, {"x-txn-group", "1"}}, true,
+        Span::millis(900), [this](standins::Answer answer) {
+          --open_;
+          committed_ += answer.outcome == "committed" || answer.status == 200;
+        });
+  }
+  // Asked until one is granted: the router serves.
+  loop::Task scene() {
+    rig_.startAll();
+    for (const std::string way : {"at the second after the first", "at both at once", "at the first after kill -9"}) {
+      for (std::size_t router = 0; router < 2; ++router)
+        for (const auto before = committed_; committed_ == before;) {
+          ask(router, "serves" + std::to_string(++probes_));
+          while (open_ > 0) co_await loop_.sleepUntil(loop_.now() + kTick);
+        }
+      quiet_ = true;
+      std::vector<std::string> ids;
+      for (int n = 0; n < kCases; ++n) ids.push_back(way.substr(0, 7) + way.substr(way.size() - 3) + std::to_string(n));
+      for (const auto& id : ids) {
+        ask(0, id);
+        if (way == "at both at once") ask(1, id);
+        while (open_ > 0) co_await loop_.sleepUntil(loop_.now() + kTick);
+        if (way == "at the second after the first") ask(1, id);
+        while (open_ > 0) co_await loop_.sleepUntil(loop_.now() + kTick);
+      }
+      if (way == "at the first after kill -9") {
+        rig_.kill(0);
+        rig_.start(0);
+        quiet_ = false;
+        for (const auto before = committed_; committed_ == before;) {
+          ask(0, "serves" + std::to_string(++probes_));
+          while (open_ > 0) co_await loop_.sleepUntil(loop_.now() + kTick);
+        }
+        quiet_ = true;
+        for (const auto& id : ids) {
+          ask(0, id);
+          while (open_ > 0) co_await loop_.sleepUntil(loop_.now() + kTick);
+        }
+      }
+      quiet_ = false;
+      int ran = 0, twice = 0;
+      for (const auto& id : ids) ran += node_.runs[id] > 0, twice += node_.runs[id] > 1;
+      std::cout << way << (settles_ ? "" : ", nothing settled") << ": ran " << (ran * 2 > kCases ? "most" : "FEW")
+                << ", twice " << (settles_ ? std::to_string(twice) : twice > 0 ? "some" : "NONE") << "\n";
+      std::cerr << way << ": ran " << ran << ", twice " << twice << " of " << kCases << "\n";
+    }
+    loop_.stop();
+  }
+
+  loop::Loop loop_;
+  standins::Discovery discovery_;
+  standins::Node node_;
+  Rig rig_;
+  bool settles_;
+  std::vector<std::unique_ptr<standins::Proxy>> proxies_;
+  bool quiet_ = false;  // proxies tell nothing of what became of a grant
+  std::size_t open_ = 0;
+  std::uint64_t committed_ = 0, probes_ = 0;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::string name = argc > 1 ? argv[1] : "";
+  const auto argument = [&](int at, std::uint64_t otherwise) { return argc > at ? std::stoull(argv[at]) : otherwise; };
+  if (name == "each") return each(argument(2, 1), argument(3, 1));
+  if (name == "bugs") return bugs(argument(2, 20), argument(3, 1));
+  if (name == "grants") {
+    Grants(false).play();
+    Grants(true).play();
+    return 0;
+  }
+  return 2;
+}
--- /dev/null
+++ b/tests/fleet/rig.cpp
@@ -0,0 +1,482 @@
+#include "rig.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <system_error>
+
+#include "loop/sockets.h"
+#include "pg/messages.h"
+#include "pg/statement.h"
+#include "startup/startup.h"
+#include "store/store.h"
+
+namespace gulltrestle::fleet {
+
+using loop::Io;
+
+namespace {
+
+// A loopback address of this process's own, and on it ports below those that outgoing connections take: a
+// router is to have its port again after a restart.
+const std::string kHost = [] {
+  const auto id = static_cast<unsigned>(getpid());
+  return "127." + std::to_string(1 + id / 62500 % 250) + "." + std::to_string(id / 250 % 250) + "." +
+         std::to_string(2 + id % 250);
+}();
+constexpr std::size_t kLongest = 256 * 1024;
+constexpr std::size_t kSector = 512;
+// A client waits for its answer for so long in the protocol; far longer here, so that a busy machine is not
+// taken for a lost answer.
+constexpr int kPatienceMs = 1000;
+constexpr Span kWedged = Span::millis(20'000);
+
+unsigned short portOf(int descriptor) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+std::string address(unsigned short port) { return kHost + ":" + std::to_string(port); }
+std::string freeAddress() {
+  static unsigned short last = 10'000;
+  for (;;) try {
+      last = last < 30'000 ? static_cast<unsigned short>(last + 1) : 10'000;
+      loop::listenOn(kHost, last);
+      return address(last);
+    } catch (const std::system_error&) {}
+}
+
+std::string number(std::uint32_t n, int bytes) {
+  std::string made;
+  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) made += static_cast<char>(n >> shift & 0xFF);
+  return made;
+}
+std::string status(std::string_view name, std::string_view value) {
+  return pg::message('S', std::string(name) + '\0' + std::string(value) + '\0');
+}
+std::string row(const std::string& value) {
+  const std::string column =
+      std::string("body") + '\0' + number(0, 4) + number(0, 2) + number(17, 4) + number(0xFFFF, 2) + number(0xFFFFFFFF, 4) + number(0, 2);
+  return pg::message('T', number(1, 2) + column) +
+         pg::message('D', number(1, 2) + number(static_cast<std::uint32_t>(value.size()), 4) + value) +
+         pg::message('C', std::string("INSERT 0 1") + '\0');
+}
+
+bool readAll(loop::Stream& from, std::string& kept, std::size_t most = kLongest) {
+  while (from.canRead && kept.size() < most) {
+    char bytes[16384];
+    const auto got = loop::readInto(from.descriptor(), bytes);
+    if (got.how == Io::some) kept.append(bytes, got.size);
+    if (got.how == Io::wouldBlock) from.canRead = false;
+    if (got.how == Io::ended || got.how == Io::failed) return false;
+  }
+  return true;
+}
+bool write(loop::Stream& to, std::string& unsent) {
+  while (!unsent.empty()) {
+    const std::string_view all = unsent;
+    const auto done = loop::writeFrom(to.descriptor(), {&all, 1});
+    if (done.how != Io::some) return done.how == Io::wouldBlock;
+    unsent.erase(0, done.size);
+  }
+  return true;
+}
+
+std::string contentOf(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+}  // namespace
+
+struct Rig::Process {
+  pid_t id = -1;
+  std::string front, keeper, processor;
+  bool stopped = false;
+};
+
+struct Rig::Relay {
+  std::size_t router = 0, keeper = 0;
+  std::string address;
+  Flow flow = Flow::open;
+  std::vector<loop::Stream*> streams;  // to wake when the flow changes
+};
+
+Rig::Rig(loop::Loop& loop, std::uint64_t seed, Shape shape) : chance(seed), loop_(loop), shape_(shape) {
+  const char* tmp = std::getenv("TMPDIR");
+  path_ = std::string(tmp && *tmp ? tmp : "/tmp") + "/gulltrestle-fleet-XXXXXX";
+  if (!mkdtemp(path_.data())) throw std::runtime_error("no folder for the rig");
+  const auto listen = [&](auto serve) {
+    loop::Descriptor made = loop::listenOn(kHost, 0);
+    const std::string at = address(portOf(made.number()));
+    loop_.spawn(acceptAll(std::move(made), serve));
+    return at;
+  };
+  node_ = listen([this](loop::Descriptor taken) { return serveNode(std::move(taken)); });
+  discovery_ = listen([this](loop::Descriptor taken) { return serveDiscovery(std::move(taken)); });
+  if (!shape_.discovery.empty()) discovery_ = shape_.discovery;
+  for (std::size_t i = 0; i < shape_.routers; ++i) {
+    processes_.push_back(std::make_unique<Process>());
+    processes_[i]->front = freeAddress();
+    processes_[i]->processor = freeAddress();
+    if (i < shape_.keepers) {
+      processes_[i]->keeper = freeAddress();
+      store::create(folder(i), "r" + std::to_string(i));
+      std::filesystem::copy_file(folder(i) + "/claims.db", folder(i) + "/claims.db.synced");
+    }
+  }
+  for (std::size_t i = 0; i < shape_.routers; ++i) {
+    std::string keepers, routers;
+    for (std::size_t k = 0; k < shape_.keepers; ++k) {
+      auto relay = std::make_unique<Relay>();
+      relay->router = i;
+      relay->keeper = k;
+      relay->address = i == k ? processes_[k]->keeper
+                              : listen([this, at = relay.get()](loop::Descriptor taken) {
+                                  return serveRelay(*at, std::move(taken));
+                                });
+      keepers += (k ? ",\"r" : "\"r") + std::to_string(k) + "\":\"" + relay->address + "\"";
+      relays_.push_back(std::move(relay));
+    }
+    for (std::size_t j = 0; j < shape_.routers; ++j) routers += (j ? ",\"r" : "\"r") + std::to_string(j) + "\"";
+    const std::string base = path_ + "/r" + std::to_string(i);
+    std::ofstream(base + ".json") << R"({"name":"r)" << i << R"(","listen":")" << processes_[i]->front
+                                  << R"(","discovery":")" << discovery_ << R"(","seed":"5eed",
+      "limits":{"cores":1.0,"memory_mb":192,"sockets":512},"known":null,"settings":{"zone":"a","round":5000,
+      "balancers":3,"limits":{"probes":true,"cancel":true,"secondCopies":true,"retryAfter":true,
+      "maxAttempts":4,"maxRetryAfter":500000,"connIdle":30000000,"connectTimeout":250000},
+      "lanes":[{"name":"book-charge","effect":"at_most_once","objective":400000,"deadline":1000000,"worth":3,"lateShare":0.7}],
+      "rules":{"coldFrom":0.2,"cold":1000000,"drainGrace":1000000},
+      "specifics":{"readLevel":["update"],"lagAllowed":[0],"sessionMarks":"client","guards":"off"}}})";
+    std::ofstream(base + ".ext.json") << R"({"listen":")" << processes_[i]->processor
+                                      << R"(","probe_path":"/standing"})";
+    std::ofstream(base + ".fleet.json") << "{\"keepers\":{" << keepers << "},\"routers\":[" << routers
+                                        << "],\"store\":\"" << folder(i)
+                                        << "\",\"retention_ms\":4000,\"longest_wait_ms\":800}";
+  }
+}
+
+Rig::~Rig() {
+  for (std::size_t i = 0; i < processes_.size(); ++i) kill(i);
+  loop_.endTasks();
+  if (!keep_) std::filesystem::remove_all(path_);
+}
+
+// --- Processes
+
+void Rig::start(std::size_t i) {
+  Process& process = *processes_[i];
+  if (process.id > 0) return;
+  const std::string base = path_ + "/r" + std::to_string(i);
+  std::cout.flush();
+  const pid_t parent = getpid();
+  process.id = fork();
+  if (process.id != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);  // it has one owner, and ends with it
+  if (getppid() != parent) _exit(127);
+  setenv("BALANCER_CONFIG", (base + ".json").c_str(), 1);
+  if (shape_.settles) setenv("GULLTRESTLE_FLEET", (base + ".fleet.json").c_str(), 1);
+  if (!shape_.discovery.empty()) setenv("GULLTRESTLE_EXT_PROC", (base + ".ext.json").c_str(), 1);
+  if (shape_.lyingDisk) setenv("RIG_LYING_DISK", "1", 1);
+  const int out = ::open((base + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  if (out < 0 || dup2(out, 1) < 0 || dup2(out, 2) < 0) _exit(127);
+  execl(GULLTRESTLE_RIGGED, GULLTRESTLE_RIGGED, static_cast<char*>(nullptr));
+  _exit(127);
+}
+
+void Rig::startAll() {
+  for (std::size_t i = 0; i < routers(); ++i) start(i);
+}
+
+void Rig::excuse(std::size_t i) {
+  for (const auto& asked : book_)
+    if (!asked->over && asked->router == i) asked->excused = true;
+}
+
+void Rig::kill(std::size_t i) {
+  Process& process = *processes_[i];
+  if (process.id <= 0) return;
+  ::kill(process.id, SIGKILL);
+  waitpid(process.id, nullptr, 0);
+  process.id = -1;
+  process.stopped = false;
+  excuse(i);
+}
+
+void Rig::stop(std::size_t i) {
+  Process& process = *processes_[i];
+  if (process.id <= 0) return;
+  ::kill(process.id, SIGSTOP);
+  process.stopped = true;
+  excuse(i);
+}
+
+void Rig::goOn(std::size_t i) {
+  Process& process = *processes_[i];
+  if (process.id <= 0 || !std::exchange(process.stopped, false)) return;
+  excuse(i);
+  ::kill(process.id, SIGCONT);
+}
+
+bool Rig::isUp(std::size_t i) const { return processes_[i]->id > 0 && !processes_[i]->stopped; }
+
+int Rig::endsWith(std::size_t i) {
+  Process& process = *processes_[i];
+  for (int n = 0; n < 1000; ++n) {
+    int how = 0;
+    if (waitpid(process.id, &how, WNOHANG) == process.id) {
+      process.id = -1;
+      return WIFEXITED(how) ? WEXITSTATUS(how) : -2;
+    }
+    usleep(10'000);
+  }
+  return -1;
+}
+
+std::string Rig::processor(std::size_t i) const { return processes_[i]->processor; }
+
+std::string Rig::log(std::size_t i) const { return contentOf(path_ + "/r" + std::to_string(i) + ".log"); }
+
+// Of each sector that differs from what was synced, one or the other is on disk; so with the length.
+void Rig::tear(const std::string& file) {
+  const std::string now = contentOf(file), synced = contentOf(file + ".synced");
+  std::filesystem::remove(file + ".syncing");
+  const std::size_t mode = shape_.lyingDisk ? 1 : pick(4);  // all of it, nothing, any part, any part
+  std::string made = mode == 0 ? now : synced;
+  if (mode > 1) {
+    made.resize(pick(2) ? now.size() : synced.size());
+    for (std::size_t at = 0; at < made.size(); at += kSector)
+      if (at < now.size() && pick(2)) made.replace(at, kSector, now.substr(at, kSector));
+  }
+  std::ofstream(file, std::ios::binary | std::ios::trunc) << made;
+  std::ofstream(file + ".synced", std::ios::binary | std::ios::trunc) << made;
+}
+
+void Rig::losePower(const std::vector<std::size_t>& all) {
+  for (const std::size_t i : all)
+    if (processes_[i]->id > 0) ::kill(processes_[i]->id, SIGKILL);
+  for (const std::size_t i : all) kill(i);
+  for (const std::size_t i : all)
+    if (i < keepers())
+      for (const char* name : {"/claims.db", "/claims.db-journal"})
+        if (std::filesystem::exists(folder(i) + name) && std::filesystem::exists(folder(i) + name + ".synced"))
+          tear(folder(i) + name);
+}
+
+// --- Links
+
+void Rig::flow(std::size_t router, std::size_t keeper, Flow how) {
+  Relay& relay = *relays_[router * shape_.keepers + keeper];
+  relay.flow = how;
+  for (loop::Stream* stream : relay.streams) stream->wake();
+}
+
+void Rig::flowAll(Flow how) {
+  for (std::size_t i = 0; i < routers(); ++i)
+    for (std::size_t k = 0; k < keepers(); ++k) flow(i, k, how);
+}
+
+template <typename Serve>
+loop::Task Rig::acceptAll(loop::Descriptor descriptor, Serve serve) {
+  loop::Stream listener(loop_, std::move(descriptor));
+  for (;;) {
+    loop::Descriptor taken;
+    if (loop::accept(listener.descriptor(), taken) == Io::some)
+      loop_.spawn(serve(std::move(taken)));
+    else
+      co_await listener.changed();
+  }
+}
+
+loop::Task Rig::serveRelay(Relay& relay, loop::Descriptor descriptor) {
+  if (relay.flow == Flow::cut) co_return;
+  loop::Stream here(loop_, std::move(descriptor));
+  const auto at = startup::readAddress("keeper", processes_[relay.keeper]->keeper);
+  loop::Stream there(loop_, loop::startConnecting(at.host, at.port));
+  struct Listed {
+    Relay& relay;
+    loop::Stream* stream;
+    Listed(Relay& r, loop::Stream& s) : relay(r), stream(&s) { relay.streams.push_back(stream); }
+    ~Listed() { std::erase(relay.streams, stream); }
+  } listed(relay, here);
+  std::string out, back;
+  // Both ends are looked at whenever either has changed.
+  while (!there.canWrite && !there.hungUp) {
+    if (relay.flow == Flow::cut) co_return;
+    co_await loop_.sleepUntil(loop_.now() + Span::millis(2));
+  }
+  if (!loop::isConnected(there.descriptor())) co_return;
+  for (;;) {
+    if (relay.flow == Flow::cut) co_return;
+    const bool ends = !readAll(here, out) || !readAll(there, back);
+    if (relay.flow != Flow::deafThere && !write(there, out)) co_return;
+    if (relay.flow != Flow::deafBack && !write(here, back)) co_return;
+    if (ends) co_return;
+    co_await loop_.sleepUntil(loop_.now() + Span::millis(1));
+  }
+}
+
+// --- The node and discovery
+
+int Rig::ran(const std::string& id) const {
+  const auto at = ran_.find(id);
+  return at == ran_.end() ? 0 : at->second;
+}
+
+loop::Task Rig::serveNode(loop::Descriptor descriptor) {
+  loop::Stream stream(loop_, std::move(descriptor));
+  std::string kept, unsent;
+  bool started = false;
+  while (readAll(stream, kept)) {
+    std::string_view bytes = kept;
+    if (!started && (started = pg::takeOpening(bytes).has_value())) unsent += pg::welcome();
+    while (started) {
+      const auto message = pg::takeMessage(bytes, kLongest);
+      if (!message) break;
+      if (message->type == 'X') co_return;
+      if (message->type != 'Q') continue;
+      auto body = message->body;
+      const std::string text(pg::takeText(body));
+      const std::string position = std::to_string(loop_.now().inMicros() / 1000 + 1);
+      const std::string told = status("part", "master") + status("caught_up_to", position) + pg::readyForQuery();
+      if (pg::isBlank(text) || text == "SELECT 1") {
+        unsent += pg::isBlank(text) ? pg::emptyQueryResponse() + pg::readyForQuery() : row("1") + told;
+        continue;
+      }
+      if (text.starts_with("SHOW")) {
+        unsent += row("x0=" + std::to_string((loop_.now() - Instant()).inSeconds()) + ",x1=1") + told;
+        continue;
+      }
+      const std::string id(pg::readStatement(text).id);
+      ++ran_[id];
+      ++writes_;
+      std::ofstream(path_ + "/node.log", std::ios::app) << "ran " << id << "\n";
+      if (onWrite) onWrite(id);
+      if (swallowAnswers) co_return;
+      unsent += row("value of " + id) + told;
+    }
+    kept.erase(0, kept.size() - bytes.size());
+    if (!write(stream, unsent)) co_return;
+    co_await stream.changed();
+  }
+}
+
+loop::Task Rig::serveDiscovery(loop::Descriptor descriptor) {
+  loop::Stream stream(loop_, std::move(descriptor));
+  std::string kept, unsent;
+  bool watching = false;
+  while (readAll(stream, kept)) {
+    if (const auto end = kept.find("\r\n\r\n"); end != std::string::npos && !watching) {
+      watching = kept.find("stream=1") < kept.find("\r\n");
+      kept.erase(0, end + 4);
+      const std::string body = R"({"version":1,"full":true,"servers":[{"id":"p1","addr":")" + node_ +
+                               R"(","zone":"a","kind":"m","cell":1,"state":"up","weight":1,"started_ms":0,"part":"master"}]})";
+      std::ostringstream size;
+      size << std::hex << body.size() + 1;
+      unsent += watching ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + body + "\n\r\n"
+                         : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    if (!write(stream, unsent)) co_return;
+    co_await stream.changed();
+  }
+}
+
+// --- Clients
+
+std::size_t Rig::ask(std::size_t router, const std::string& id) {
+  auto asked = std::make_shared<Asked>();
+  asked->id = id;
+  asked->router = router;
+  asked->excused = !isUp(router);
+  book_.push_back(asked);
+  ++open_;
+  loop_.spawn(askAt(asked));
+  return book_.size() - 1;
+}
+
+loop::Task Rig::askAt(std::shared_ptr<Asked> asked) {
+  {
+    const auto at = startup::readAddress("front", processes_[asked->router]->front);
+    loop::Stream stream(loop_, loop::startConnecting(at.host, at.port));
+    const Instant by = loop_.now() + kWedged;
+    stream.wakeAt(by);
+    std::string unsent = pg::startup("worker", "catalog") +
+                         pg::message('Q', "INSERT INTO objects (oid, body) VALUES ('k', '\\x9f') RETURNING body /* id=" +
+                                              asked->id + ",c=book-charge,t=a,d=" + std::to_string(kPatienceMs) +
+                                              ",cluster=1 */" + std::string(1, '\0'));
+    std::string kept;
+    bool connected = false, welcomed = false, answered = false;
+    while (!answered && loop_.now() < by) {
+      if (!connected && stream.canWrite) {
+        connected = loop::isConnected(stream.descriptor());
+        if (!connected) {  // nobody took it
+          asked->excused = true;
+          break;
+        }
+      }
+      if (connected && !write(stream, unsent)) break;
+      const bool on = readAll(stream, kept);
+      std::string_view bytes = kept;
+      while (const auto message = pg::takeMessage(bytes, kLongest)) {
+        if (message->type == 'Z' && !std::exchange(welcomed, true)) continue;
+        if (message->type == 'D') asked->value = std::string(message->body.substr(6));
+        if (message->type == 'C') asked->outcome = Outcome::committed;
+        if (message->type == 'E') {
+          const std::string code(pg::readError(message->body).code);
+          asked->outcome = code == "53300" || code == "57P03" ? Outcome::declined : Outcome::rolledBack;
+        }
+        answered = asked->outcome != Outcome::none && (message->type == 'Z' || message->type == 'E');
+        if (answered) break;
+      }
+      kept.erase(0, kept.size() - bytes.size());
+      if (!on && !answered) break;
+      if (!answered) co_await stream.changed();
+    }
+  }
+  asked->over = true;
+  --open_;
+  constexpr const char* kOutcomes[] = {"committed", "declined", "rolled back", "no answer"};
+  std::ofstream(path_ + "/clients.log", std::ios::app)
+      << asked->id << " at r" << asked->router << ": " << kOutcomes[static_cast<int>(asked->outcome)]
+      << (asked->excused ? " (excused)" : "") << "\n";
+}
+
+// --- The verdict
+
+std::string Rig::judge() const {
+  for (const auto& [id, times] : ran_)
+    if (times > 1) return "ran twice: " + id;
+  std::map<std::string, bool> mayHaveRun;  // by an answer, or by none
+  for (const auto& asked : book_) {
+    if (asked->outcome == Outcome::none && !asked->excused) return "no final answer: " + asked->id;
+    if (asked->outcome == Outcome::committed && ran(asked->id) == 0) return "committed and never ran: " + asked->id;
+    if (asked->outcome == Outcome::committed && asked->value != "value of " + asked->id)
+      return "a wrong value: " + asked->id;
+    if (asked->outcome != Outcome::declined) mayHaveRun[asked->id] = true;
+  }
+  for (const auto& [id, times] : ran_)
+    if (!mayHaveRun[id]) return "ran, and all were told that it did not: " + id;
+  return died();
+}
+
+std::string Rig::died() const {
+  for (std::size_t i = 0; i < processes_.size(); ++i)
+    if (processes_[i]->id > 0 && waitpid(processes_[i]->id, nullptr, WNOHANG) == processes_[i]->id) {
+      processes_[i]->id = -1;
+      return "r" + std::to_string(i) + " ended by itself";
+    }
+  return "";
+}
+
+}  // namespace gulltrestle::fleet
--- /dev/null
+++ b/tests/fleet/rig.h
@@ -0,0 +1,110 @@
+// A fleet of real processes of the program on loopback: routers, some of them keepers, a relay on every link
+// between them, a stand-in node that logs what ran, discovery, and clients that repeat their ids anywhere.
+// Everything but the routers lives in this process, on one loop. What was seen is judged afterwards, by the
+// node's log and the clients' books alone.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "loop/loop.h"
+
+namespace gulltrestle::fleet {
+
+struct Shape {
+  std::size_t routers = 3, keepers = 3;
+  bool settles = true;      // with the file of the fleet; else each router stands by itself
+  bool lyingDisk = false;   // a built-in fault
+  std::string discovery;    // of stand-in nodes that speak HTTP: routers are external processors for them
+};
+
+enum class Outcome { committed, declined, rolledBack, none };
+
+struct Asked {  // in a client's book
+  std::string id, value;
+  std::size_t router = 0;
+  Outcome outcome = Outcome::none;
+  bool over = false, excused = false;  // excused: its router was killed or stopped meanwhile
+};
+
+enum class Flow { open, cut, deafThere, deafBack };  // of a relay: deaf: what is sent that way waits
+
+class Rig {
+ public:
+  Rig(loop::Loop& loop, std::uint64_t seed, Shape shape);
+  ~Rig();
+
+  std::mt19937_64 chance;
+  std::size_t pick(std::size_t n) { return chance() % n; }
+  std::size_t routers() const { return shape_.routers; }
+  std::size_t keepers() const { return shape_.keepers; }
+
+  // --- Processes
+  void start(std::size_t router);
+  void startAll();
+  void kill(std::size_t router);   // its files stay as the system has them
+  void stop(std::size_t router);   // SIGSTOP
+  void goOn(std::size_t router);   // SIGCONT
+  bool isUp(std::size_t router) const;
+  // Ends by itself within 10 s of being started: its exit code; -1: it runs. For one that must not start.
+  int endsWith(std::size_t router);
+  // Power is lost at these, all in one moment: what they had not synced is there in part.
+  void losePower(const std::vector<std::size_t>& routers);
+  std::string processor(std::size_t router) const;  // its address
+  std::string folder(std::size_t router) const { return path_ + "/store" + std::to_string(router); }
+  std::string log(std::size_t router) const;  // all that it wrote
+
+  // --- Links: from a router to a keeper
+  void flow(std::size_t router, std::size_t keeper, Flow how);
+  void flowAll(Flow how);
+
+  // --- The node
+  std::function<void(const std::string& id)> onWrite;  // after it ran, before it is answered
+  bool swallowAnswers = false;                         // what ran is not answered: the connection ends
+  std::uint64_t writes() const { return writes_; }
+  int ran(const std::string& id) const;
+
+  // --- Clients
+  // Asks, and writes what came of it into the book. Returns its row.
+  std::size_t ask(std::size_t router, const std::string& id);
+  const Asked& asked(std::size_t row) const { return *book_[row]; }
+  std::size_t open() const { return open_; }
+  std::size_t rows() const { return book_.size(); }
+
+  // What broke, in a sentence; empty: nothing. Call when no question is open.
+  std::string judge() const;
+  std::string died() const;  // which router ended by itself; empty: none
+  std::string path() const { return path_; }
+  // The folder of logs is left where something broke.
+  void keep() { keep_ = true; }
+
+ private:
+  struct Process;
+  struct Relay;
+  loop::Task serveNode(loop::Descriptor descriptor);
+  loop::Task serveDiscovery(loop::Descriptor descriptor);
+  loop::Task serveRelay(Relay& relay, loop::Descriptor descriptor);
+  loop::Task askAt(std::shared_ptr<Asked> asked);
+  template <typename Serve>
+  loop::Task acceptAll(loop::Descriptor listener, Serve serve);
+  void excuse(std::size_t router);
+  void tear(const std::string& file);
+
+  loop::Loop& loop_;
+  Shape shape_;
+  std::string path_, node_, discovery_;
+  std::vector<std::unique_ptr<Process>> processes_;
+  std::vector<std::unique_ptr<Relay>> relays_;
+  std::map<std::string, int> ran_;
+  std::uint64_t writes_ = 0;
+  std::vector<std::shared_ptr<Asked>> book_;
+  std::size_t open_ = 0;
+  bool keep_ = false;
+};
+
+}  // namespace gulltrestle::fleet
