Command line: gulltrestle store create, check and show; configurations and strangers tried

Need: an installation of several routers begins with keepers whose votes count at once, which only an operator can say, and a folder has to be looked at without a router. Change: src/commands on CLI11; what does not belong to the fleet is logged once a second at most. Measured: tests/setups prints each fault of the fleet's file with its key, each command's answer and exit code, and what a keeper says to nonsense, strangers, other lists, a disk that fails and a start that its disk does not know.

--- /dev/null
+++ b/src/commands/store.h
@@ -0,0 +1,13 @@
+// `gulltrestle store`: a keeper's folder, while no router is on it.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <functional>
+#include <iosfwd>
+
+namespace gulltrestle::commands {
+
+// Adds the sub-command. What was asked for is left in `todo`, which returns the exit code.
+void addStore(CLI::App& app, std::ostream& out, std::function<int()>& todo);
+
+}  // namespace gulltrestle::commands
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,7 @@
 #endif
 
 #ifdef GULLTRESTLE_FLEET
+#include "commands/commands.h"
 #include "peers/peers.h"
 #endif
 
@@ -83,8 +84,11 @@
 
 }  // namespace
 
-int main() {
+int main([[maybe_unused]] int count, [[maybe_unused]] char** words) {
   try {
+#ifdef GULLTRESTLE_FLEET
+    if (count > 1) return commands::run(count, words, std::cout, std::cerr);
+#endif
     spdlog::set_pattern("%H:%M:%S.%e %L %v");
     spdlog::flush_on(spdlog::level::info);
     serve();
--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -12,6 +12,8 @@
 
 // A keeper that may write no more than this many answers behind its disk gives no votes until that catches up.
 constexpr std::size_t kMostWaiting = 100'000;
+// How often somebody who does not belong is logged.
+constexpr Span kStrangersPause = Span::millis(1000);
 
 std::set<std::string> othersOf(const Setup& setup, const std::string& name) {
   std::set<std::string> others;
@@ -69,11 +71,11 @@
 
 void Desk::greet(StreamKey stream, const Hello& hello) {
   if (!setup_.routers.contains(hello.router)) {
-    effects_.log("peers.stranger", "router=\"" + hello.router.substr(0, 40) + "\"");
+    logOnce("peers.stranger", "router=\"" + hello.router.substr(0, 40) + "\"");
     return effects_.refuse(stream, "this router is not on the list");
   }
   if (hello.keepers != setup_.list()) {
-    effects_.log("peers.other_list", "router=" + hello.router + " its=\"" + hello.keepers.substr(0, 200) +
+    logOnce("peers.other_list", "router=" + hello.router + " its=\"" + hello.keepers.substr(0, 200) +
                                          "\" ours=\"" + setup_.list() + "\"");
     return effects_.refuse(stream, "the lists of keepers differ");
   }
@@ -83,6 +85,13 @@
   toDisk(std::move(waiting));
 }
 
+// Whoever knocks again and again fills no log.
+void Desk::logOnce(std::string_view event, const std::string& fields) {
+  if (strangerAt_ != Instant() && ledger_.now() - strangerAt_ < kStrangersPause) return;
+  strangerAt_ = ledger_.now();
+  effects_.log(event, fields);
+}
+
 void Desk::hear(StreamKey stream, const Speaker& speaker, const Word& word) {
   const auto token = [&](std::uint64_t number) { return claims::Token{speaker.router, speaker.draw, number}; };
   if (const auto* claim = std::get_if<Claim>(&word)) {
--- a/src/peers/desk.h
+++ b/src/peers/desk.h
@@ -81,6 +81,7 @@
   void toDisk(std::optional<Waiting> waiting = {});
   void settle();
   void logState();
+  void logOnce(std::string_view event, const std::string& fields);
 
   core::Ledger& ledger_;
   Setup setup_;
@@ -93,7 +94,7 @@
   std::map<StreamKey, Speaker> speakers_;    // those that have greeted
   std::map<Ticket, Waiting> waiting_;
   std::map<claims::KeeperNumber, std::string> heard_;
-  Instant due_;
+  Instant due_, strangerAt_;  // when one who does not belong was last logged
   std::optional<claims::Keeper::State> logged_;
 };
 
--- /dev/null
+++ b/tests/setups.cpp
@@ -0,0 +1,180 @@
+// The fleet's configuration with each kind of fault, the command line, and what a keeper says to strangers and
+// nonsense. Run as `setups CASE`: prints the case's trace.
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+#include "commands/commands.h"
+#include "peers/desk.h"
+#include "peers/setup.h"
+#include "store/store.h"
+#include "trace.h"
+
+using namespace gulltrestle;
+using namespace gulltrestle::peers;
+using trace::ms;
+
+namespace {
+
+void configurations() {
+  const auto tried = [](const std::string& text, const std::string& name = "a") {
+    try {
+      const Setup setup = readSetup(text, name, ms(3000));
+      std::cout << "taken: keepers " << setup.list() << "; routers " << setup.routers.size() << "; store '"
+                << setup.folder << "'; connections " << setup.mostConnections << "\n";
+    } catch (const startup::BadKey& bad) { std::cout << bad.what() << "\n"; }
+  };
+  const std::string three = R"("keepers":{"c":"127.0.0.1:3","a":"127.0.0.1:1","b":"127.0.0.1:2"})";
+  tried("{" + three + R"(,"store":"/s"})");
+  tried("{" + three + R"(,"store":"/s","routers":["d","e"]})", "d");
+  tried("{}");
+  tried(R"({"keepers":{"a":"127.0.0.1:1","b":"127.0.0.1:2"}})");
+  tried(R"({"keepers":{"a":"nowhere"}})");
+  tried("{" + three + "}");
+  tried("{" + three + R"(,"store":"/s"})", "z");
+  tried("{" + three + R"(,"store":"/s","routers":"d"})");
+  tried("{" + three + R"(,"store":"/s","routers":["d",4]})");
+  tried("{" + three + R"(,"store":"/s","retention_ms":11999})");
+  tried("{" + three + R"(,"store":"/s","limits":{"ids":10}})");
+  tried("{" + three + R"(,"store":"/s","retentoin_ms":60000})");
+  tried("{" + three + R"(,"store":"/s")");
+}
+
+void commandLine() {
+  const char* tmp = std::getenv("TMPDIR");
+  std::string made = std::string(tmp && *tmp ? tmp : "/tmp") + "/gulltrestle-commands-XXXXXX";
+  const std::string base = mkdtemp(made.data()), folder = base + "/s";
+  const auto tried = [&](std::vector<const char*> words) {
+    std::ostringstream out, complaints;
+    words.insert(words.begin(), "gulltrestle");
+    const int code = commands::run(static_cast<int>(words.size()), words.data(), out, complaints);
+    std::string all = out.str() + complaints.str();
+    for (std::size_t at; (at = all.find(base)) != std::string::npos;) all.replace(at, base.size(), "BASE");
+    std::cout << "--";
+    for (std::size_t i = 1; i < words.size(); ++i) std::cout << " " << (words[i] == folder ? "BASE/s" : words[i]);
+    std::cout << "\n" << all << "exit " << code << "\n";
+  };
+  tried({"serve"});
+  tried({"store"});
+  tried({"store", "check", folder.c_str()});
+  tried({"store", "create", folder.c_str()});
+  tried({"store", "create", folder.c_str(), "--keeper", "r1"});
+  tried({"store", "create", folder.c_str(), "--keeper", "r1"});
+  tried({"store", "check", folder.c_str()});
+  {
+    store::Store store(folder, "r1", 5);
+    claims::Keeper::Change put;
+    put.id = put.entry.id = "b1";
+    put.entry.token.router = "r2";
+    put.entry.committed = true;
+    put.entry.value = "abc";
+    store.write({put});
+    put.id = put.entry.id = "b2";
+    put.entry.committed = false;
+    claims::Keeper::Change start;
+    start.what = claims::Keeper::Change::What::start;
+    start.id = "r3";
+    start.start.number = 4;
+    store.write({put, start});
+  }
+  tried({"store", "check", folder.c_str()});
+  tried({"store", "show", folder.c_str(), "--most", "1"});
+  std::filesystem::resize_file(folder + "/claims.db", 5000);
+  tried({"store", "check", folder.c_str()});
+  std::filesystem::remove_all(base);
+}
+
+// A keeper's desk, with others' words put on it by hand.
+class World final : public Effects {
+ public:
+  World() : ledger_(trace::usualTerms({trace::type(ReadLevel::write, Effect::onceOnly)}), 7, 1 << 20, [] {}) {
+    const Setup setup = readSetup(
+        R"({"keepers":{"a":"127.0.0.1:1","b":"127.0.0.1:2","c":"127.0.0.1:3"},"routers":["d"],"store":"/s"})", "a",
+        ms(2000));
+    claims::Kept kept;
+    kept.own = {{1, 50}};
+    kept.whole = true;
+    desk_ = std::make_unique<Desk>(ledger_, setup, "a", 99, kept, *this);
+  }
+  void say(StreamKey stream, const std::string& what, const std::string& bytes) {
+    std::cout << what << "\n";
+    desk_->said(stream, bytes);
+  }
+  void durable(bool is) {
+    std::cout << (is ? "durable\n" : "the disk fails\n");
+    for (const Ticket ticket : std::exchange(tickets_, {})) desk_->wrote(ticket, is);
+  }
+  Desk& desk() { return *desk_; }
+
+ private:
+  void toKeeper(claims::KeeperNumber keeper, const Word&) override { std::cout << "  to keeper " << keeper << "\n"; }
+  void reply(StreamKey stream, const Reply& reply) override {
+    std::cout << "  to stream " << stream << ": ";
+    if (const auto* heard = std::get_if<Heard>(&reply))
+      std::cout << "heard " << heard->number << ", knew " << heard->knew.number << "\n";
+    else
+      std::cout << "vote on " << std::get<VoteOf>(reply).number << ": "
+                << static_cast<int>(std::get<VoteOf>(reply).vote.what) << "\n";
+  }
+  void refuse(StreamKey stream, std::string_view why) override {
+    std::cout << "  stream " << stream << " refused: " << why << "\n";
+  }
+  Ticket write(std::vector<claims::Keeper::Change> changes) override {
+    std::cout << "  to disk: " << changes.size() << "\n";
+    tickets_.push_back(++last_);
+    return last_;
+  }
+  void log(std::string_view event, const std::string& fields) override {
+    std::cout << "  " << event << " " << fields << "\n";
+  }
+  core::Ledger ledger_;
+  std::unique_ptr<Desk> desk_;
+  std::vector<Ticket> tickets_;
+  Ticket last_ = 0;
+};
+
+void strangers() {
+  World world;
+  const std::string list = "a b c";
+  world.say(1, "nonsense", "\xff\xff\xff");
+  world.say(1, "an empty word", "");
+  world.say(1, "a claim before a greeting", encoded(Word(Claim{"b1", 1})));
+  world.say(1, "a stranger greets", encoded(Word(Hello{"z", list, 5, {}})));
+  world.say(1, "a router with another list", encoded(Word(Hello{"d", "a b", 5, {}})));
+  world.say(1, "a router greets", encoded(Word(Hello{"d", list, 5, {}})));
+  world.durable(true);
+  world.say(1, "it claims, and the keeper has not heard the others", encoded(Word(Claim{"b1", 1})));
+  std::cout << "a keeper answers with nonsense: ";
+  try {
+    world.desk().replied(1, "\xff\xff");
+  } catch (const Malformed& bad) { std::cout << bad.what() << "\n"; }
+  std::cout << "one answers\n";
+  world.desk().replied(1, encoded(Reply(Heard{1, {}})));
+  world.say(1, "it claims", encoded(Word(Claim{"b1", 2})));
+  world.durable(false);
+  world.say(2, "a keeper greets, and its start can't be kept", encoded(Word(Hello{"b", list, 6, {3, 60}})));
+  world.durable(false);
+  world.say(3, "it greets again", encoded(Word(Hello{"b", list, 6, {3, 60}})));
+  world.durable(true);
+  world.say(3, "it claims the same", encoded(Word(Claim{"b1", 1})));
+  world.desk().ended(3);
+  world.say(3, "a claim on a stream that ended", encoded(Word(Claim{"b2", 2})));
+  std::cout << "another keeper knows a start of this one that its disk doesn't\n";
+  world.desk().replied(2, encoded(Reply(Heard{1, {9, 70}})));
+  world.durable(true);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::map<std::string, std::function<void()>> cases{
+      {"configurations", configurations}, {"commands", commandLine}, {"strangers", strangers}};
+  const auto at = cases.find(argc > 1 ? argv[1] : "");
+  if (at == cases.end()) return 2;
+  at->second();
+  return 0;
+}
