A primary to which only writes come is tried again once a second after it failed

Ruled out: claims (admitted 421, open 7), the list (told again), the node (committed for the others). Cause: src/routing/router.cpp, usable() and place(): a member whose last few submissions failed gets trials with reads alone, and writes want it well; where only writes come to a primary nothing ever tries it, and probes don't count.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -48,6 +48,7 @@
   double inHand = 0;
   Instant fullAt, behindAt;     // when it last turned a txn away unseen; a read, for being too far behind
   Instant overtookAt, triedAt;  // when the last it answered was sent; when it was last tried while unwell
+  Instant failedAt;             // when a submission to it last failed
   Instant coldUntil;            // while cold, it gets its next txn after this
   Samples answers;              // latencies as multiples of what is usual for the txn type
   std::deque<bool> successes;
@@ -295,9 +296,12 @@
     if (leaving(m) || inFlight(m) >= inFlightBound(m, part)) return false;
     // One that was full rests for a quarter of a second: what it turns away takes work, too.
     if (now - m.fullAt < paced(250) || crowded(m) || !coldRoom(m, txn.txn.type)) return false;
-    // An unwell node gets a trial with a repeatable txn, four a second over all routers: it may be full.
-    const bool mayFail = typeOf(txn).effect == Effect::repeatable && typeOf(txn).level != ReadLevel::fresh;
-    return well(m) || (mayFail && now - m.triedAt > paced(250) * terms.routers);
+    // An unwell node gets a trial with a repeatable read, four a second over all routers: it may be full. With
+    // any other txn once a second: where no read comes to a primary, it would be left for ever.
+    const bool mayFail = typeOf(txn).effect == Effect::repeatable && typeOf(txn).level < ReadLevel::fresh;
+    if (well(m) || (silent(m) && !mayFail)) return well(m);
+    const Instant last = mayFail ? m.triedAt : std::max(m.triedAt, m.failedAt);
+    return now - last > paced(mayFail ? 250 : 1000) * terms.routers;
   }
 
   // The member last known to be primary and not leaving. Without any, the list's word, which is late.
@@ -356,8 +360,7 @@
 
   Member* place(const Live& txn) {
     Member* primary = primaryOf(txn.txn.group);
-    if (typeOf(txn).level >= ReadLevel::fresh)
-      return primary && usable(*primary, txn) && well(*primary) ? primary : nullptr;
+    if (typeOf(txn).level >= ReadLevel::fresh) return primary && usable(*primary, txn) ? primary : nullptr;
     if (Member* replica = draw(txn, primary, false)) return replica;
     // Held for a third of the SLA time, so that the primary has time to answer; it keeps room for its writes.
     if (now < holdEnd(txn)) return nullptr;
@@ -760,6 +763,7 @@
   if (committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
   const bool failed = late || how == End::noAnswer || how == End::turnedAway || how == End::noConnection ||
                       how == End::connectionLost;
+  if (failed) m.failedAt = s.now;
   if (committed || (failed && !s.stalled)) keepLast(m.successes, committed, 8);
   if (how == End::error) s.erred(m, txn);
   if (!txn) return;
