Probes for a position are spaced by the number of routers beyond a dozen

Cause: probeForPosition in src/routing/router.cpp spaces what each router asks by time alone. Checked before: the guess of the issue, both spacings by routers / 12.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -452,15 +452,18 @@
     writer->probe(m.listed.node);
   }
 
+  // What each of many routers asks of nodes for itself is spaced by their number beyond a dozen.
+  Span shared(std::int64_t millis) const { return paced(millis) * std::max(1.0, terms.routers / 12.0); }
+
   // Held reads share probes: the two replicas that were furthest within the last second are asked first, the
   // next two 25 ms later, each once in 100 ms, about as often as reports are renewed. Chance decides between
   // equals: else all routers would ask, and crowd, the same two.
   void probeForPosition(Group& group, const Member* primary) {
-    if (now - group.askedAt < paced(25) * (group.level.sparing ? 2 : 1)) return;
+    if (now - group.askedAt < shared(25) * (group.level.sparing ? 2 : 1)) return;
     group.askedAt = now;
     auto asked = group.members;
     std::erase_if(asked, [&](const Member* m) {
-      return m == primary || leaving(*m) || !well(*m) || now - m->probedAt < paced(100);
+      return m == primary || leaving(*m) || !well(*m) || now - m->probedAt < shared(100);
     });
     std::shuffle(asked.begin(), asked.end(), chance);
     const auto lately = [&](const Member* m) { return std::max(m->position, now - Span::seconds(1)); };
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -1,6 +1,7 @@
 // Days of a fleet of real processes with power lost, links cut, processes stopped and disks spoilt, each fault
 // placed by what was seen before it. Run as `fleet CASE [SEEDS [FROM]]`, or `fleet trouble KIND SEED` for one: prints what must hold on every run; counts
 // and times differ from run to run and go to standard error.
+#include <algorithm>
 #include <ctime>
 #include <filesystem>
 #include <fstream>
@@ -453,6 +454,61 @@
   std::uint64_t committed_ = 0, probes_ = 0;
 };
 
+// What settling costs: the time of a once-only txn, connection included, alone and at several at a time, spread
+// over three routers. A measurement, no test.
+class Price {
+ public:
+  Price(bool settles, std::size_t keepers) : rig_(loop_, 1, shape(settles, keepers)), settles_(settles) {}
+  void play() {
+    loop_.spawn(scene());
+    loop_.run([](Instant) { return Instant(); }, [this](std::exception_ptr) { loop_.stop(); });
+  }
+
+ private:
+  static Shape shape(bool settles, std::size_t keepers) {
+    Shape made;
+    made.settles = settles;
+    made.routers = std::max<std::size_t>(3, keepers);
+    made.keepers = keepers;
+    return made;
+  }
+  loop::Task scene() {
+    rig_.startAll();
+    for (std::size_t row = rig_.ask(0, "first");; row = rig_.ask(0, "first" + std::to_string(row))) {
+      while (!rig_.asked(row).over) co_await loop_.sleepUntil(loop_.now() + kTick);
+      if (rig_.asked(row).outcome == Outcome::committed && row > 300) break;
+    }
+    for (const std::size_t together : {1, 10, 50}) {
+      const std::size_t from = rig_.rows(), count = together == 1 ? 1000 : 5000;
+      const Instant began = loop_.now();
+      for (std::size_t n = 0; n < count || rig_.open() > 0;) {
+        while (n < count && rig_.open() < together) {
+          rig_.ask(n % 3, "t" + std::to_string(together) + "n" + std::to_string(n));
+          ++n;
+        }
+        co_await loop_.sleepUntil(loop_.now() + Span::micros(200));
+      }
+      const double seconds = (loop_.now() - began).inSeconds();
+      std::vector<double> took;
+      std::size_t committed = 0;
+      for (std::size_t row = from; row < rig_.rows(); ++row) {
+        took.push_back(rig_.asked(row).took.inSeconds() * 1000);
+        committed += rig_.asked(row).outcome == Outcome::committed;
+      }
+      std::sort(took.begin(), took.end());
+      std::cout << (settles_ ? std::to_string(rig_.keepers()) + " keepers" : "nothing settled") << ", " << together
+                << " at a time: p50 " << took[took.size() / 2] << " ms, p99 " << took[took.size() * 99 / 100] << " ms, "
+                << static_cast<double>(committed) / seconds << " committed a second, " << committed << " of "
+                << took.size() << std::endl;
+    }
+    loop_.stop();
+  }
+
+  loop::Loop loop_;
+  Rig rig_;
+  bool settles_;
+};
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -467,6 +523,11 @@
     std::cout << kTroubles[kind] << ": " << (fault.empty() ? "holds" : fault) << "\n";
     return fault.empty() ? 0 : 1;
   }
+  if (name == "price") {
+    Price(false, 3).play();
+    for (const std::size_t keepers : {1, 3, 5}) Price(true, keepers).play();
+    return 0;
+  }
   if (name == "grants") {
     Grants(false).play();
     Grants(true).play();
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -408,6 +408,7 @@
 }
 
 loop::Task Rig::askAt(std::shared_ptr<Asked> asked) {
+  const Instant began = loop_.now();
   {
     const auto at = startup::readAddress("front", processes_[asked->router]->front);
     loop::Stream stream(loop_, loop::startConnecting(at.host, at.port));
@@ -447,6 +448,7 @@
     }
   }
   asked->over = true;
+  asked->took = loop_.now() - began;
   --open_;
   constexpr const char* kOutcomes[] = {"committed", "declined", "rolled back", "no answer"};
   std::ofstream(path_ + "/clients.log", std::ios::app)
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -30,6 +30,7 @@
   std::size_t router = 0;
   Outcome outcome = Outcome::none;
   bool over = false, excused = false;  // excused: its router was killed or stopped meanwhile
+  Span took;
 };
 
 enum class Flow { open, cut, deafThere, deafBack };  // of a relay: deaf: what is sent that way waits
