A drain told to any router binds all, also one that starts and is shown an older list

Change: src/recovery (Leaving: which nodes leave, by the version of the list that said so; no I/O, no clock), told to the keepers, on their disks, and given to whoever greets ahead of any vote; the ledger asks its guard before it takes a list over.

--- a/src/claims/keeper.h
+++ b/src/claims/keeper.h
@@ -54,6 +54,7 @@
   bool whole = false;             // all votes it ever gave that still count are among the entries
   std::vector<Entry> entries;
   std::map<std::string, Start> starts;  // of other keepers, the newest that were told
+  std::map<std::string, std::pair<std::uint64_t, bool>> nodes;  // by which version of a list each leaves or stays
 };
 
 class Keeper {
@@ -94,11 +95,12 @@
   // --- What is to be made durable, in this order, since it was last asked.
 
   struct Change {
-    enum class What { put, drop, start, voting } what = What::put;
-    std::string id;      // drop; start: the keeper's name, empty for this one's own
+    // node: no matter of the keeper's, kept on the same disk: which nodes leave.
+    enum class What { put, drop, start, voting, node } what = What::put;
+    std::string id;      // drop; start: the keeper's name, empty for this one's own; node: its id
     Entry entry;         // put
-    Start start;         // start; voting: newSince is its number
-    bool whole = false;  // voting
+    Start start;         // start; voting: newSince is its number; node: the list's version is its number
+    bool whole = false;  // voting; node: it leaves
   };
   std::vector<Change> takeChanges() { return std::exchange(changes_, {}); }
 
--- a/src/core/guard.h
+++ b/src/core/guard.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <string_view>
 
+#include "core/nodes.h"
 #include "routing/router.h"
 
 namespace gulltrestle::core {
@@ -26,6 +27,8 @@
   virtual void commits(TxnId txn, const Value& value) = 0;
   // Told once for each that was asked for.
   virtual void over(TxnId txn, Fate fate) = 0;
+  // A list came, before anybody has taken it over. Where others know better of a node, its entry is changed.
+  virtual void listed(ListKind kind, std::uint64_t version, std::vector<Addressed>& list) = 0;
 };
 
 }  // namespace gulltrestle::core
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -184,7 +184,26 @@
 
 // --- Lists and turns
 
-void Ledger::listed(ListKind kind, const std::vector<Addressed>& list) {
+void Ledger::listed(ListKind kind, std::vector<Addressed> list, std::uint64_t version) {
+  if (guard_) guard_->listed(kind, version, list);
+  if (guard_) {
+    if (kind != ListKind::changes) last_.clear();
+    for (const auto& entry : list) last_[entry.entry.node] = entry;
+  }
+  takeOver(kind, list);
+}
+
+void Ledger::leave(const std::vector<NodeId>& nodes) {
+  std::vector<Addressed> changed;
+  for (const auto& id : nodes)
+    if (const auto at = last_.find(id); at != last_.end() && at->second.entry.health == Health::live) {
+      at->second.entry.health = Health::draining;
+      changed.push_back(at->second);
+    }
+  if (!changed.empty()) takeOver(ListKind::changes, changed);
+}
+
+void Ledger::takeOver(ListKind kind, const std::vector<Addressed>& list) {
   const auto moved = nodes_.listed(kind, list);
   for (Carrier* carrier : carriers_) carrier->listed(moved);
   std::vector<ListEntry> entries;
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -130,7 +130,10 @@
 
   // --- Lists and turns
 
-  void listed(ListKind kind, const std::vector<Addressed>& list);
+  // `version`: of the list, as discovery counts them.
+  void listed(ListKind kind, std::vector<Addressed> list, std::uint64_t version = 0);
+  // The guard has learnt of these nodes: they leave, whatever the last list said.
+  void leave(const std::vector<NodeId>& nodes);
   void listFailed();
   // The module has its round if anything came in or its wake is due. Returns when it wants the next one;
   // never: not before something comes in.
@@ -172,6 +175,7 @@
 
   using Arrival = std::function<void(Router&)>;
   void arrived(Arrival call) { arrivals_.push_back(std::move(call)); }
+  void takeOver(ListKind kind, const std::vector<Addressed>& list);
   Live* owed(TxnId txn);
   bool stopWaiting(TxnId txn);
   Fate fateOf(const Live& live) const;
@@ -186,6 +190,7 @@
   std::vector<Span> slaTimes_;  // a row a txn type
   std::vector<bool> onceOnly_;  // likewise
   Guard* guard_ = nullptr;
+  std::map<NodeId, Addressed> last_;  // of each node that lists name, where there is a guard
   levels::Levels* levels_ = nullptr;
   levels::Table table_;
   Changed changed_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -70,9 +70,9 @@
   links_.ended(id, how);
 }
 
-void Gateway::listed(Instant now, ListKind kind, const std::vector<Addressed>& list) {
+void Gateway::listed(Instant now, ListKind kind, std::vector<Addressed> list, std::uint64_t version) {
   ledger_.see(now);
-  ledger_.listed(kind, list);
+  ledger_.listed(kind, std::move(list), version);
   if (!ledger_.nodes().all().empty()) clients_.listKnown();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,7 +55,7 @@
   void linkWritten(Instant now, LinkId link);
   std::size_t linkSent(Instant now, LinkId link, std::string_view bytes);
   void linkEnded(Instant now, LinkId link, ConnectionEnd how);
-  void listed(Instant now, ListKind kind, const std::vector<Addressed>& list);
+  void listed(Instant now, ListKind kind, std::vector<Addressed> list, std::uint64_t version = 0);
   void listFailed(Instant now);
   void listHeard(Instant now);
   // The configuration was read, at the start or anew. `kept`: keys that differ and wait for a restart.
--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -48,6 +48,8 @@
       draw_(draw),
       effects_(effects),
       claimant_(setup.claimant, draw) {
+  if (kept)
+    for (const auto& [node, known] : kept->nodes) leaving_.learn({node, known.first, known.second});
   if (kept) keeper_.emplace(ledger.now(), othersOf(setup, name), setup.keeper, std::move(*kept));
   for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
     if (setup_.keepers[i].name == name) own_ = i;
@@ -80,6 +82,8 @@
     return effects_.refuse(stream, "the lists of keepers differ");
   }
   speakers_[stream] = {hello.router, hello.draw};
+  // Ahead of the greeting's answer, and so of any vote.
+  if (const Nodes all = leaving_.all(); !all.empty()) effects_.reply(stream, all);
   Waiting waiting{Waiting::What::heard, stream, hello.keeper.number, "", {}, {}};
   if (hello.keeper.number > 0) waiting.knew = keeper_->greeted(hello.router, hello.keeper);
   toDisk(std::move(waiting));
@@ -100,6 +104,7 @@
     if (vote) return give(stream, claim->number, *vote);
     return toDisk(Waiting{Waiting::What::vote, stream, claim->number, claim->id, token(claim->number), {}});
   }
+  if (const auto* nodes = std::get_if<Nodes>(&word)) return learn(*nodes, speaker.router);
   if (const auto* release = std::get_if<Release>(&word)) keeper_->released(release->id, token(release->number));
   if (const auto* committed = std::get_if<Committed>(&word))
     keeper_->committed(ledger_.now(), committed->id, token(committed->number), committed->value);
@@ -154,9 +159,12 @@
     claimant_.voted(number, vote->number, vote->vote);
     return settle();
   }
+  if (const auto* nodes = std::get_if<Nodes>(&reply)) return learn(*nodes, name);
   const auto& heard = std::get<Heard>(reply);
   claimant_.reached(number, true);
-  if (!std::exchange(heard_[number], name).empty() && !keeper_) return;
+  const bool isNew = std::exchange(heard_[number], name).empty();
+  if (const Nodes all = leaving_.all(); isNew && !all.empty()) effects_.toKeeper(number, all);
+  if (!isNew && !keeper_) return;
   effects_.log("peers.heard", "keeper=" + name + " reached=" + std::to_string(claimant_.reachable()) + " of=" +
                                   std::to_string(setup_.keepers.size()));
   if (!keeper_ || !keeper_->heard(ledger_.now(), name, heard.number, heard.knew)) return logState();
@@ -188,6 +196,48 @@
                                                      : Claimant::Fate::unknown);
 }
 
+void Desk::listed(ListKind kind, std::uint64_t version, std::vector<core::Addressed>& list) {
+  std::vector<ListEntry*> entries;
+  std::size_t named = 0, later = 0;
+  for (auto& [entry, address] : list) {
+    entries.push_back(&entry);
+    named += entry.health != Health::live;
+  }
+  const Nodes news = leaving_.listed(kind, version, entries);
+  for (const ListEntry* entry : entries) later += entry->health != Health::live;
+  if (later > named)
+    effects_.log("peers.old_list", "version=" + std::to_string(version) + " newest=" +
+                                       std::to_string(leaving_.newest()) + " kept_draining=" +
+                                       std::to_string(later - named));
+  if (news.empty()) return;
+  keep(news);
+  for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
+    if (i != own_) effects_.toKeeper(i, news);
+}
+
+void Desk::learn(const Nodes& news, std::string_view from) {
+  Nodes fresh;
+  std::vector<NodeId> leave;
+  for (const auto& one : news)
+    if (leaving_.learn(one)) {
+      fresh.push_back(one);
+      if (one.leaving) leave.push_back(one.node);
+    }
+  if (fresh.empty()) return;
+  effects_.log("peers.nodes_learnt", "from=" + std::string(from) + " leaving=" + std::to_string(leave.size()) +
+                                         " staying=" + std::to_string(fresh.size() - leave.size()));
+  keep(fresh);
+  ledger_.leave(leave);
+}
+
+void Desk::keep(const Nodes& news) {
+  if (!keeper_) return;
+  std::vector<Keeper::Change> changes;
+  for (const auto& one : news)
+    changes.push_back({Keeper::Change::What::node, one.node, {}, {one.version, 0}, one.leaving});
+  effects_.write(std::move(changes));
+}
+
 // Words go out, also to this router's own keeper, which may answer at once.
 void Desk::settle() {
   for (auto words = claimant_.takeWords(); !words.empty(); words = claimant_.takeWords())
--- a/src/peers/desk.h
+++ b/src/peers/desk.h
@@ -52,6 +52,7 @@
   void asked(TxnId txn, std::string_view id, Span patience) override;
   void commits(TxnId txn, const core::Value& value) override;
   void over(TxnId txn, core::Fate fate) override;
+  void listed(ListKind kind, std::uint64_t version, std::vector<core::Addressed>& list) override;
 
   void endTurn();
   // What the ledger has told since.
@@ -80,6 +81,9 @@
   void give(StreamKey stream, std::uint64_t number, const claims::Vote& vote);
   void toDisk(std::optional<Waiting> waiting = {});
   void settle();
+  // News of nodes: those that are new here are kept, and their drains bind.
+  void learn(const Nodes& news, std::string_view from);
+  void keep(const Nodes& news);
   void logState();
   void logOnce(std::string_view event, const std::string& fields);
 
@@ -90,6 +94,7 @@
   Effects& effects_;
   claims::Claimant claimant_;
   std::optional<claims::Keeper> keeper_;
+  recovery::Leaving leaving_;
   std::optional<claims::KeeperNumber> own_;  // this router's row among the keepers
   std::map<StreamKey, Speaker> speakers_;    // those that have greeted
   std::map<Ticket, Waiting> waiting_;
--- a/src/peers/words.cpp
+++ b/src/peers/words.cpp
@@ -12,6 +12,20 @@
 }
 claims::Start read(const wire::Start& from) { return {from.number(), from.draw()}; }
 
+void set(wire::Nodes& to, const Nodes& nodes) {
+  for (const auto& news : nodes) {
+    auto& node = *to.add_nodes();
+    node.set_id(news.node);
+    node.set_version(news.version);
+    node.set_leaving(news.leaving);
+  }
+}
+Nodes read(const wire::Nodes& from) {
+  Nodes nodes;
+  for (const auto& node : from.nodes()) nodes.push_back({node.id(), node.version(), node.leaving()});
+  return nodes;
+}
+
 template <typename Message>
 Message parsed(std::string_view bytes) {
   Message message;
@@ -51,7 +65,8 @@
                     committed.set_id(w.id);
                     committed.set_number(w.number);
                     committed.set_value(w.value);
-                  }},
+                  },
+                  [&](const Nodes& w) { set(*out.mutable_nodes(), w); }},
              word);
   return out.SerializeAsString();
 }
@@ -70,7 +85,8 @@
                                                                              : wire::Vote::SILENT);
                     vote.set_committed(r.vote.committed);
                     vote.set_value(r.vote.value);
-                  }},
+                  },
+                  [&](const Nodes& r) { set(*out.mutable_nodes(), r); }},
              reply);
   return out.SerializeAsString();
 }
@@ -86,6 +102,8 @@
       return Release{in.release().id(), in.release().number()};
     case wire::Word::kCommitted:
       return Committed{in.committed().id(), in.committed().number(), in.committed().value()};
+    case wire::Word::kNodes:
+      return read(in.nodes());
     case wire::Word::WORD_NOT_SET:
       break;
   }
@@ -95,6 +113,7 @@
 Reply readReply(std::string_view bytes) {
   const auto in = parsed<wire::Reply>(bytes);
   if (in.has_heard()) return Heard{in.heard().number(), read(in.heard().knew())};
+  if (in.has_nodes()) return read(in.nodes());
   if (!in.has_vote()) throw Malformed("a reply that is not known");
   VoteOf vote{in.vote().number(), {claims::Vote::What::silent, in.vote().committed(), in.vote().value()}};
   if (in.vote().what() == wire::Vote::YOURS) vote.vote.what = claims::Vote::What::yours;
--- a/src/peers/words.h
+++ b/src/peers/words.h
@@ -5,8 +5,10 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "claims/words.h"
+#include "recovery/leaving.h"
 
 namespace gulltrestle::peers {
 
@@ -35,7 +37,8 @@
   std::uint64_t number = 0;
   std::string value;
 };
-using Word = std::variant<Hello, Claim, Release, Committed>;
+using Nodes = std::vector<recovery::News>;  // to a keeper, and back
+using Word = std::variant<Hello, Claim, Release, Committed, Nodes>;
 
 struct Heard {
   std::uint64_t number = 0;
@@ -45,7 +48,7 @@
   std::uint64_t number = 0;
   claims::Vote vote;
 };
-using Reply = std::variant<Heard, VoteOf>;
+using Reply = std::variant<Heard, VoteOf, Nodes>;
 
 std::string encoded(const Word& word);
 std::string encoded(const Reply& reply);
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -448,7 +448,8 @@
   if (!list.nodes.empty())
     spdlog::info("list version {}: {} nodes{}", list.version, list.nodes.size(),
                  list.whole ? "" : " changed");
-  gateway_.listed(loop_.now(), kind, addressed(std::move(list)));
+  const std::uint64_t version = list.version;
+  gateway_.listed(loop_.now(), kind, addressed(std::move(list)), version);
 }
 
 // Asks for the whole list, then watches it; whenever that ends or fails, again after a pause. Where discovery
--- a/src/store/database.cpp
+++ b/src/store/database.cpp
@@ -26,6 +26,9 @@
 std::uint64_t sumOf(const std::string& keeper, const claims::Start& s) {
   return sumOf("start " + part(keeper) + part(std::to_string(s.number)) + part(std::to_string(s.draw)));
 }
+std::uint64_t sumOfNode(const std::string& id, std::uint64_t version, bool leaving) {
+  return sumOf("node " + part(id) + part(std::to_string(version)) + (leaving ? "1" : "0"));
+}
 std::uint64_t sumOf(const char* key, const std::string& value) { return sumOf("meta " + part(key) + part(value)); }
 
 std::int64_t whole(std::uint64_t n) { return static_cast<std::int64_t>(n); }
@@ -137,7 +140,8 @@
   run("CREATE TABLE meta (key BLOB PRIMARY KEY, value BLOB) WITHOUT ROWID;"
       "CREATE TABLE starts (keeper BLOB, number INTEGER, draw INTEGER, PRIMARY KEY (keeper, number)) WITHOUT ROWID;"
       "CREATE TABLE claims (id BLOB PRIMARY KEY, router BLOB, start INTEGER, number INTEGER, committed INTEGER,"
-      " value BLOB) WITHOUT ROWID");
+      " value BLOB) WITHOUT ROWID;"
+      "CREATE TABLE nodes (id BLOB PRIMARY KEY, version INTEGER, leaving INTEGER) WITHOUT ROWID");
   digest_ = 0;
   for (const char* key : {"format", "keeper", "whole", "new_since"}) digest_ ^= sumOf(key, "");
   setMeta("format", kFormat);
@@ -175,6 +179,11 @@
     else
       kept.starts[starts.text(0)] = start;
   }
+  Statement nodes(*this, "SELECT id, version, leaving FROM nodes");
+  while (nodes.step()) {
+    kept.nodes[nodes.text(0)] = {nodes.number(1), nodes.number(2) != 0};
+    digest_ ^= sumOfNode(nodes.text(0), nodes.number(1), nodes.number(2) != 0);
+  }
   if (meta("digest") != std::to_string(digest_)) throw Damaged("its rows are not those that were written");
   kept.newSince = std::stoull(meta("new_since"));
   return kept;
@@ -227,6 +236,17 @@
           .step();
       return;
     }
+    case What::node: {
+      Statement old(*this, "SELECT version, leaving FROM nodes WHERE id = ?");
+      if (old.with(change.id).step()) digest_ ^= sumOfNode(change.id, old.number(0), old.number(1) != 0);
+      digest_ ^= sumOfNode(change.id, change.start.number, change.whole);
+      Statement(*this, "INSERT OR REPLACE INTO nodes VALUES (?, ?, ?)")
+          .with(change.id)
+          .with(change.start.number)
+          .with(std::uint64_t{change.whole})
+          .step();
+      return;
+    }
     case What::voting:
       setMeta("whole", change.whole ? "1" : "0");
       setMeta("new_since", std::to_string(change.start.number));
--- a/tests/claims.cpp
+++ b/tests/claims.cpp
@@ -138,7 +138,7 @@
     if (i < keepers_) {
       r.copy = r.disk;
       r.disk.own.push_back({r.disk.own.empty() ? 1 : r.disk.own.back().number + 1, chance_()});
-      Kept kept{r.disk.own, r.disk.newSince, r.disk.whole || bug_ == Bug::silenceForgotten, {}, r.disk.starts};
+      Kept kept{r.disk.own, r.disk.newSince, r.disk.whole || bug_ == Bug::silenceForgotten, {}, r.disk.starts, {}};
       for (const auto& [id, entry] : r.disk.entries) kept.entries.push_back(entry);
       std::set<std::string> others;
       for (std::size_t k = 0; k < keepers_; ++k)
@@ -526,7 +526,7 @@
   bounds.longestValue = 8;
   bounds.most = 4;
   const Token a{"a", 11, 1}, b{"b", 22, 1};
-  Keeper one(kBegin, {"k2", "k3"}, bounds, {{{4, 8}, {5, 1}}, 0, true, {{"old", a, true, "v"}}, {}});
+  Keeper one(kBegin, {"k2", "k3"}, bounds, {{{4, 8}, {5, 1}}, 0, true, {{"old", a, true, "v"}}, {}, {}});
   std::cout << "it has started: " << shown(one.claimed("id1", a)) << "; of what it holds: "
             << shown(one.claimed("old", b)) << "\n";
   shown(one);
@@ -558,7 +558,7 @@
   one.due(kBegin + ms(60'000));
   shown(one);
   std::cout << "others know a start of it that its disk doesn't\n";
-  Keeper two(kBegin, {"k2", "k3"}, bounds, {{{5, 1}}, 0, true, {}, {}});
+  Keeper two(kBegin, {"k2", "k3"}, bounds, {{{5, 1}}, 0, true, {}, {}, {}});
   std::cout << "  to be told anew: " << two.heard(kBegin, "k2", 5, {3, 9}) << "\n";
   shown(two);
   two.heard(kBegin, "k2", 5, {});
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -33,7 +33,8 @@
   oneNeverReturns,
   diskLost,
   diskOfAnother,
-  diskTorn
+  diskTorn,
+  oldListAfterADrain
 };
 constexpr const char* kTroubles[] = {"power lost at all",
                                      "power lost at all but one",
@@ -50,8 +51,9 @@
                                      "a keeper never returns while the others serve",
                                      "a keeper's disk lost",
                                      "a keeper with the disk of another",
-                                     "a keeper's disk torn"};
-constexpr int kKinds = 16;
+                                     "a keeper's disk torn",
+                                     "a node drained, and an older list after the power loss"};
+constexpr int kKinds = 17;
 
 // Nothing takes so long unless it is wedged.
 constexpr Span kBound = Span::millis(60'000);
@@ -239,12 +241,35 @@
           swap(keeper, other);
           break;
         }
+        case Trouble::oldListAfterADrain: {
+          rig_.list(++listVersion_, "draining");
+          for (const std::size_t i : order) {
+            const std::string line = "list version " + std::to_string(listVersion_) + ":";
+            const Instant until = loop_.now() + kBound;
+            while (!waited(rig_.log(i).find(line) != std::string::npos, until, "the drain")) co_await tick();
+          }
+          // Votes that were given since go to disk behind the drain.
+          const std::size_t rows = rig_.rows() + 40;
+          const Instant until = loop_.now() + kBound;
+          while (!waited(rig_.rows() >= rows, until, "questions")) co_await tick();
+          lose(order);
+          rig_.list(listVersion_ - 1, "up");
+          rig_.startAll();
+          for (std::size_t k = 0; settles_ && k < rig_.keepers(); ++k) {
+            const std::size_t from = rig_.log(k).rfind("store.opened");
+            const Instant late = loop_.now() + kBound;
+            while (!waited(rig_.log(k).find("state=votes", from) != std::string::npos, late, "a keeper that votes"))
+              co_await tick();
+          }
+          break;
+        }
         case Trouble::diskTorn:
           rig_.kill(keeper);
           spoil(rig_.folder(keeper) + "/claims.db");
           break;
       }
 
+      const std::uint64_t writesBefore = rig_.writes();
       // --- While it lasts, some are asked all the same
       const std::size_t rows = rig_.rows() + 12 + rig_.pick(12);
       const Instant until = loop_.now() + kBound;
@@ -253,6 +278,10 @@
       for (std::size_t n = idsAtLoss_; trouble_ == Trouble::oneOfAllLeft && settles_ && n < ids_.size(); ++n)
         if (rig_.ran(ids_[n].first) > 0) broken("a minority ran a txn");
 
+      if (trouble_ == Trouble::oldListAfterADrain) {
+        if (rig_.writes() != writesBefore) broken("sent to a node that was drained");
+        rig_.list(listVersion_ += 2, "up");
+      }
       // --- They come back in any order, some after the others serve
       rig_.flowAll(Flow::open);
       const std::size_t late = rig_.pick(3);
@@ -299,7 +328,7 @@
   Sum& sum_;
   std::vector<std::pair<std::string, Instant>> ids_;  // when each was asked for first
   std::set<std::size_t> without_;  // routers that never return
-  std::uint64_t probes_ = 0;
+  std::uint64_t probes_ = 0, listVersion_ = 1;
   std::size_t idsAtLoss_ = 0;  // that clients had asked for when power was last lost
   bool ending_ = false;
   std::string fault_;
@@ -312,7 +341,7 @@
 }
 
 std::string played(std::uint64_t seed, Trouble trouble, Shape shape, Sum& sum) {
-  const bool spoilsDisk = trouble >= Trouble::oneNeverReturns;
+  const bool spoilsDisk = trouble >= Trouble::oneNeverReturns && trouble <= Trouble::diskTorn;
   World world(seed, trouble, shape, sum);
   const std::string fault = world.play(spoilsDisk ? 1 : 2);
   if (!fault.empty())
@@ -348,16 +377,18 @@
 
 // A verdict that can't fail shows nothing: routers that settle nothing, and a disk that lies, must be found.
 int bugs(std::uint64_t seeds, std::uint64_t from) {
-  const auto found = [&](const char* what, Trouble trouble, Shape shape) {
+  const auto found = [&](const char* what, Trouble trouble, Shape shape, const char* expected = "ran twice") {
     Sum sum;
     std::string fault;
     for (std::uint64_t seed = from; seed < from + seeds && fault.empty(); ++seed)
       fault = played(seed, trouble, shape, sum);
-    std::cout << what << ": " << (fault.starts_with("ran twice") ? "found, a txn ran twice" : "NOT FOUND") << "\n";
+    std::cout << what << ": " << (fault.starts_with(expected) ? "found, " + std::string(expected) : "NOT FOUND") << "\n";
   };
   Shape alone;
   alone.settles = false;
   found("routers that settle nothing among themselves", Trouble::powerAll, alone);
+  found("routers that tell each other nothing of drains", Trouble::oldListAfterADrain, alone,
+        "sent to a node that was drained");
   Shape lying;
   lying.lyingDisk = true;
   found("disks that say that they synced and did not", Trouble::powerAll, lying);
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -374,20 +374,45 @@
   }
 }
 
+void Rig::list(std::uint64_t version, const std::string& state) {
+  version_ = version;
+  state_ = state;
+  for (loop::Stream* watcher : watchers_) watcher->wake();
+}
+
 loop::Task Rig::serveDiscovery(loop::Descriptor descriptor) {
   loop::Stream stream(loop_, std::move(descriptor));
+  struct Listed {
+    std::vector<loop::Stream*>& all;
+    loop::Stream* stream;
+    ~Listed() { std::erase(all, stream); }
+  } listed{watchers_, &stream};
+  watchers_.push_back(&stream);
   std::string kept, unsent;
   bool watching = false;
+  std::uint64_t told = 0;
+  const auto body = [this](bool whole) {
+    return R"({"version":)" + std::to_string(version_) + R"(,"full":)" + (whole ? "true" : "false") +
+           R"(,"servers":[{"id":"p1","addr":")" + node_ + R"(","zone":"a","kind":"m","cell":1,"state":")" + state_ +
+           R"(","weight":1,"started_ms":0,"part":"master"}]})";
+  };
+  const auto chunk = [](const std::string& text) {
+    std::ostringstream size;
+    size << std::hex << text.size();
+    return size.str() + "\r\n" + text + "\r\n";
+  };
   while (readAll(stream, kept)) {
     if (const auto end = kept.find("\r\n\r\n"); end != std::string::npos && !watching) {
       watching = kept.find("stream=1") < kept.find("\r\n");
       kept.erase(0, end + 4);
-      const std::string body = R"({"version":1,"full":true,"servers":[{"id":"p1","addr":")" + node_ +
-                               R"(","zone":"a","kind":"m","cell":1,"state":"up","weight":1,"started_ms":0,"part":"master"}]})";
-      std::ostringstream size;
-      size << std::hex << body.size() + 1;
-      unsent += watching ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + body + "\n\r\n"
-                         : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+      const std::string whole = body(true);
+      unsent += watching ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(whole + "\n")
+                         : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + whole;
+      told = version_;
+    }
+    if (watching && version_ > told) {
+      unsent += chunk(body(false) + "\n");
+      told = version_;
     }
     if (!write(stream, unsent)) co_return;
     co_await stream.changed();
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -64,7 +64,9 @@
   void flow(std::size_t router, std::size_t keeper, Flow how);
   void flowAll(Flow how);
 
-  // --- The node
+  // --- The node and its list
+  // What discovery tells from now on, also those that watch; a version that goes back is told to new ones alone.
+  void list(std::uint64_t version, const std::string& state);
   std::function<void(const std::string& id)> onWrite;  // after it ran, before it is answered
   bool swallowAnswers = false;                         // what ran is not answered: the connection ends
   std::uint64_t writes() const { return writes_; }
@@ -101,6 +103,9 @@
   std::string path_, node_, discovery_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::vector<std::unique_ptr<Relay>> relays_;
+  std::uint64_t version_ = 1;
+  std::string state_ = "up";
+  std::vector<loop::Stream*> watchers_;
   std::map<std::string, int> ran_;
   std::uint64_t writes_ = 0;
   std::vector<std::shared_ptr<Asked>> book_;
--- a/tests/guard.cpp
+++ b/tests/guard.cpp
@@ -51,6 +51,16 @@
   }
   Ledger& ledger() { return ledger_; }
   bool wantsValue = true;
+  NodeId better;  // whose drain the guard knows of
+  void list(std::uint64_t version) {
+    ListEntry entry;
+    entry.node = "p";
+    entry.group = 1;
+    entry.primary = true;
+    ledger_.listed(ListKind::whole, {{entry, "127.0.0.1:1"}}, version);
+    turn();
+    std::cout << "p is leaving: " << ledger_.nodes().leaving("p") << "\n";
+  }
 
  private:
   static Terms terms() {
@@ -76,6 +86,12 @@
   void commits(TxnId txn, const Value& v) override {
     std::cout << "  guard: " << txn << " committed '" << v[0] << v[1] << v[2] << "'\n";
   }
+  void listed(ListKind, std::uint64_t version, std::vector<Addressed>& list) override {
+    for (auto& [entry, address] : list) {
+      std::cout << "  guard: list " << version << " names " << entry.node << "\n";
+      if (entry.node == better) entry.health = Health::draining;
+    }
+  }
   void over(TxnId txn, Fate fate) override {
     constexpr const char* kFates[] = {"committed", "never ran", "unknown"};
     std::cout << "  guard: " << txn << " over, " << kFates[static_cast<int>(fate)] << "\n";
@@ -137,11 +153,23 @@
   std::cout << "open: " << world.ledger().open() << "\n";
 }
 
+// What the guard knows of a node counts, in a list that comes and after it.
+void lists() {
+  World world;
+  world.list(7);
+  world.ledger().leave({"p", "nobody"});
+  world.turn();
+  std::cout << "learnt: p is leaving: " << world.ledger().nodes().leaving("p") << "\n";
+  world.list(8);
+  world.better = "p";
+  world.list(6);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   const std::map<std::string, std::function<void()>> cases{
-      {"admitted", admitted}, {"refused", refused}, {"left", left}};
+      {"admitted", admitted}, {"refused", refused}, {"left", left}, {"lists", lists}};
   const auto at = cases.find(argc > 1 ? argv[1] : "");
   if (at == cases.end()) return 2;
   at->second();
--- a/tests/store.cpp
+++ b/tests/store.cpp
@@ -49,6 +49,7 @@
     if (group % 3 == 1) changes.push_back(put(next - 1, group, true));
     if (group % 4 == 3)
       for (int n = 1; n < 9; ++n) changes.push_back(drop(next - 2 * n));
+    if (group % 4 == 2) changes.push_back({What::node, "n" + std::to_string(group), {}, {9, 0}, group == 2});
     if (group == 5) changes.push_back({What::voting, "", {}, {4, 0}, false});
     all.push_back(changes);
   }
@@ -63,6 +64,8 @@
   std::string out = (kept.whole ? "whole " : "silent ") + std::to_string(kept.newSince);
   for (const auto& s : kept.own) out += " own" + std::to_string(s.number) + "/" + std::to_string(s.draw);
   for (const auto& [name, s] : kept.starts) out += " " + name + std::to_string(s.number);
+  for (const auto& [id, known] : kept.nodes)
+    out += " " + id + (known.second ? " leaves by " : " stays by ") + std::to_string(known.first);
   for (const auto& [id, row] : rows) out += " " + id + ":" + row;
   return out;
 }
