Bounds on what is kept of nodes, votes timed from now, news of nodes in slices

Need, by reading the change once more: news of 20,000 nodes in one message would have passed what a stream takes (128 KiB), and broken it for ever; nodes forgotten in memory stayed on disk; a vote given right after a process stood still counted its time from before (claimed() used the last turn's time); a wait for a connection could miss its own timer by microseconds. Change: slices of 32 KiB, forgotten nodes leave the disk, claimed() is told the time, the timer is the bound itself; the ledger keeps no entry of a node that is gone.

--- a/src/claims/keeper.cpp
+++ b/src/claims/keeper.cpp
@@ -80,7 +80,9 @@
   oldest_.emplace_back(now + bounds_.retention, std::pair(id, entries_.at(id).entry.token));
 }
 
-std::optional<Vote> Keeper::claimed(const std::string& id, const Token& token) {
+// Its time counts from now, not from the last turn: this process may have stood still in between.
+std::optional<Vote> Keeper::claimed(Instant now, const std::string& id, const Token& token) {
+  now_ = now;
   if (const auto at = entries_.find(id); at != entries_.end()) {
     const Held& held = at->second;
     if (held.entry.token != token) return taken(held.entry);
@@ -91,7 +93,7 @@
   if (state_ != State::votes || oldest_.size() >= bounds_.most) return Vote{};
   const Entry entry{id, token, false, ""};
   entries_[id] = {entry, false};
-  remember(now_, id);
+  remember(now, id);
   put(entry);
   return std::nullopt;
 }
--- a/src/claims/keeper.h
+++ b/src/claims/keeper.h
@@ -82,7 +82,7 @@
   // --- Claims
 
   // None: it is told by written().
-  std::optional<Vote> claimed(const std::string& id, const Token& token);
+  std::optional<Vote> claimed(Instant now, const std::string& id, const Token& token);
   // Its entry is durable, or can't be made so. None: that vote is not wanted any more.
   std::optional<Vote> written(const std::string& id, const Token& token, bool durable);
   void committed(Instant now, const std::string& id, const Token& token, std::string value);
@@ -99,7 +99,7 @@
     enum class What { put, drop, start, voting, node } what = What::put;
     std::string id;      // drop; start: the keeper's name, empty for this one's own; node: its id
     Entry entry;         // put
-    Start start;         // start; voting: newSince is its number; node: the list's version is its number
+    Start start;         // start; voting: newSince is its number; node: the list's version is its number, 0: it is forgotten
     bool whole = false;  // voting; node: it leaves
   };
   std::vector<Change> takeChanges() { return std::exchange(changes_, {}); }
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -188,7 +188,12 @@
   if (guard_) guard_->listed(kind, version, list);
   if (guard_) {
     if (kind != ListKind::changes) last_.clear();
-    for (const auto& entry : list) last_[entry.entry.node] = entry;
+    for (const auto& entry : list) {
+      if (entry.entry.health == Health::gone)
+        last_.erase(entry.entry.node);
+      else
+        last_[entry.entry.node] = entry;
+    }
   }
   takeOver(kind, list);
 }
--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -22,6 +22,19 @@
   return others;
 }
 
+// In messages that are well below what a stream takes.
+std::vector<Nodes> slices(const Nodes& all) {
+  constexpr std::size_t kBytes = 32 * 1024;
+  std::vector<Nodes> out;
+  std::size_t bytes = kBytes;
+  for (const auto& news : all) {
+    if (bytes >= kBytes) out.emplace_back(), bytes = 0;
+    out.back().push_back(news);
+    bytes += news.node.size() + 16;
+  }
+  return out;
+}
+
 std::string joined(const core::Value& value) {
   return std::string(value[0]).append(value[1]).append(value[2]);
 }
@@ -48,8 +61,10 @@
       draw_(draw),
       effects_(effects),
       claimant_(setup.claimant, draw) {
-  if (kept)
+  if (kept) {
     for (const auto& [node, known] : kept->nodes) leaving_.learn({node, known.first, known.second});
+    keep({});
+  }
   if (kept) keeper_.emplace(ledger.now(), othersOf(setup, name), setup.keeper, std::move(*kept));
   for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
     if (setup_.keepers[i].name == name) own_ = i;
@@ -83,7 +98,7 @@
   }
   speakers_[stream] = {hello.router, hello.draw};
   // Ahead of the greeting's answer, and so of any vote.
-  if (const Nodes all = leaving_.all(); !all.empty()) effects_.reply(stream, all);
+  for (const Nodes& some : slices(leaving_.all())) effects_.reply(stream, some);
   Waiting waiting{Waiting::What::heard, stream, hello.keeper.number, "", {}, {}};
   if (hello.keeper.number > 0) waiting.knew = keeper_->greeted(hello.router, hello.keeper);
   toDisk(std::move(waiting));
@@ -100,7 +115,7 @@
   const auto token = [&](std::uint64_t number) { return claims::Token{speaker.router, speaker.draw, number}; };
   if (const auto* claim = std::get_if<Claim>(&word)) {
     if (waiting_.size() >= kMostWaiting) return give(stream, claim->number, Vote{});
-    const auto vote = keeper_->claimed(claim->id, token(claim->number));
+    const auto vote = keeper_->claimed(ledger_.now(), claim->id, token(claim->number));
     if (vote) return give(stream, claim->number, *vote);
     return toDisk(Waiting{Waiting::What::vote, stream, claim->number, claim->id, token(claim->number), {}});
   }
@@ -163,7 +178,8 @@
   const auto& heard = std::get<Heard>(reply);
   claimant_.reached(number, true);
   const bool isNew = std::exchange(heard_[number], name).empty();
-  if (const Nodes all = leaving_.all(); isNew && !all.empty()) effects_.toKeeper(number, all);
+  if (isNew)
+    for (const Nodes& some : slices(leaving_.all())) effects_.toKeeper(number, some);
   if (!isNew && !keeper_) return;
   effects_.log("peers.heard", "keeper=" + name + " reached=" + std::to_string(claimant_.reachable()) + " of=" +
                                   std::to_string(setup_.keepers.size()));
@@ -211,8 +227,9 @@
                                        std::to_string(later - named));
   if (news.empty()) return;
   keep(news);
-  for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
-    if (i != own_) effects_.toKeeper(i, news);
+  for (const Nodes& some : slices(news))
+    for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
+      if (i != own_) effects_.toKeeper(i, some);
 }
 
 void Desk::learn(const Nodes& news, std::string_view from) {
@@ -231,11 +248,13 @@
 }
 
 void Desk::keep(const Nodes& news) {
-  if (!keeper_) return;
+  const auto forgotten = leaving_.takeForgotten();
+  if (setup_.folder.empty()) return;
   std::vector<Keeper::Change> changes;
+  for (const auto& node : forgotten) changes.push_back({Keeper::Change::What::node, node, {}, {}, false});
   for (const auto& one : news)
     changes.push_back({Keeper::Change::What::node, one.node, {}, {one.version, 0}, one.leaving});
-  effects_.write(std::move(changes));
+  if (!changes.empty()) effects_.write(std::move(changes));
 }
 
 // Words go out, also to this router's own keeper, which may answer at once.
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -190,8 +190,8 @@
       loop::Descriptor descriptor = loop::startConnecting(place.address.host, place.address.port);
       if (descriptor) {
         Talk talk(loop_, std::move(descriptor));
-        talk.stream.wakeAt(loop_.now() + kDeaf);
         const Instant by = loop_.now() + kDeaf;
+        talk.stream.wakeAt(by);
         while (!talk.stream.canWrite && loop_.now() < by) co_await talk.stream.changed();
         talk.up = talk.stream.canWrite && loop::isConnected(talk.stream.descriptor());
         if (talk.up) {
--- a/src/recovery/leaving.cpp
+++ b/src/recovery/leaving.cpp
@@ -14,9 +14,12 @@
     return false;
   const bool news = at == nodes_.end() ? leaving : at->second.leaving != leaving;
   nodes_[node] = {version, leaving};
-  if (nodes_.size() > most_)
-    nodes_.erase(std::min_element(nodes_.begin(), nodes_.end(),
-                                  [](auto& a, auto& b) { return a.second.version < b.second.version; }));
+  if (nodes_.size() > most_) {
+    const auto oldest = std::min_element(
+        nodes_.begin(), nodes_.end(), [](auto& a, auto& b) { return a.second.version < b.second.version; });
+    forgotten_.push_back(oldest->first);
+    nodes_.erase(oldest);
+  }
   return news;
 }
 
--- a/src/recovery/leaving.h
+++ b/src/recovery/leaving.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include <map>
-#include <optional>
+#include <utility>
 #include <vector>
 
 #include "routing/router.h"
@@ -40,6 +40,8 @@
   bool learn(const News& news);
 
   std::vector<News> all() const;
+  // Nodes that went as there were too many, since it was last asked.
+  std::vector<NodeId> takeForgotten() { return std::exchange(forgotten_, {}); }
   // Of this node, by its newest news.
   bool isLeaving(const NodeId& node) const;
   // Whether the newest list that came is older than one that others were told.
@@ -53,6 +55,7 @@
   };
   std::size_t most_;
   std::map<NodeId, Known> nodes_;
+  std::vector<NodeId> forgotten_;
   ListVersion newest_ = 0;
 };
 
--- a/src/store/database.cpp
+++ b/src/store/database.cpp
@@ -239,6 +239,10 @@
     case What::node: {
       Statement old(*this, "SELECT version, leaving FROM nodes WHERE id = ?");
       if (old.with(change.id).step()) digest_ ^= sumOfNode(change.id, old.number(0), old.number(1) != 0);
+      if (change.start.number == 0) {
+        Statement(*this, "DELETE FROM nodes WHERE id = ?").with(change.id).step();
+        return;
+      }
       digest_ ^= sumOfNode(change.id, change.start.number, change.whole);
       Statement(*this, "INSERT OR REPLACE INTO nodes VALUES (?, ?, ?)")
           .with(change.id)
--- a/tests/claims.cpp
+++ b/tests/claims.cpp
@@ -277,7 +277,7 @@
         if (word.what == Claimant::Word::What::release) keeper.released(word.id, token);
         if (word.what == Claimant::Word::What::committed) keeper.committed(now_, word.id, token, word.value);
         if (word.what == Claimant::Word::What::claim) {
-          const auto vote = keeper.claimed(word.id, token);
+          const auto vote = keeper.claimed(now_, word.id, token);
           // On the connection that it came on, or not at all.
           const auto tell = [=, this](const Vote& told) {
             constexpr const char* kVotes[] = {" yours", " taken", " silent"};
@@ -527,8 +527,8 @@
   bounds.most = 4;
   const Token a{"a", 11, 1}, b{"b", 22, 1};
   Keeper one(kBegin, {"k2", "k3"}, bounds, {{{4, 8}, {5, 1}}, 0, true, {{"old", a, true, "v"}}, {}, {}});
-  std::cout << "it has started: " << shown(one.claimed("id1", a)) << "; of what it holds: "
-            << shown(one.claimed("old", b)) << "\n";
+  std::cout << "it has started: " << shown(one.claimed(kBegin, "id1", a)) << "; of what it holds: "
+            << shown(one.claimed(kBegin, "old", b)) << "\n";
   shown(one);
   std::cout << "an answer to an older greeting, one of a stranger, then one of its own start\n";
   one.heard(kBegin, "k2", 4, {});
@@ -536,24 +536,24 @@
   shown(one);
   one.heard(kBegin, "k2", 5, {4, 8});
   shown(one);
-  std::cout << "a claims id1: " << shown(one.claimed("id1", a)) << "; b: " << shown(one.claimed("id1", b)) << "\n";
+  std::cout << "a claims id1: " << shown(one.claimed(kBegin, "id1", a)) << "; b: " << shown(one.claimed(kBegin, "id1", b)) << "\n";
   shown(one);
-  std::cout << "durable: " << shown(one.written("id1", a, true)) << "; a again: " << shown(one.claimed("id1", a))
+  std::cout << "durable: " << shown(one.written("id1", a, true)) << "; a again: " << shown(one.claimed(kBegin, "id1", a))
             << "\n";
   std::cout << "b gives back what it never had, a what it has; b: ";
   one.released("id1", b);
   one.released("id1", a);
-  std::cout << shown(one.claimed("id1", b)) << "; not durable: " << shown(one.written("id1", b, false))
-            << "; b again: " << shown(one.claimed("id1", b)) << "\n";
+  std::cout << shown(one.claimed(kBegin, "id1", b)) << "; not durable: " << shown(one.written("id1", b, false))
+            << "; b again: " << shown(one.claimed(kBegin, "id1", b)) << "\n";
   shown(one);
   std::cout << "committed by b, with a value; its end again by a release; a asks\n";
   one.committed(kBegin, "id1", b, "value");
   one.released("id1", b);
-  std::cout << "  " << shown(one.claimed("id1", a)) << "\n";
+  std::cout << "  " << shown(one.claimed(kBegin, "id1", a)) << "\n";
   std::cout << "committed by a elsewhere, with a value that is too long\n";
   one.committed(kBegin, "id2", a, "a value of some length");
   shown(one);
-  std::cout << "it is full: " << shown(one.claimed("id3", a)) << "\n";
+  std::cout << "it is full: " << shown(one.claimed(kBegin, "id3", a)) << "\n";
   std::cout << "after the time of retention\n";
   one.due(kBegin + ms(60'000));
   shown(one);
@@ -564,7 +564,7 @@
   two.heard(kBegin, "k2", 5, {});
   two.heard(kBegin, "k3", 6, {3, 9});
   shown(two);
-  std::cout << "  " << shown(two.claimed("id1", a)) << "\n";
+  std::cout << "  " << shown(two.claimed(kBegin, "id1", a)) << "\n";
   two.due(kBegin + ms(60'000));
   shown(two);
   std::cout << "others greet: knew " << two.greeted("k2", {3, 1}).number << ", then " << two.greeted("k2", {2, 5}).number
--- a/tests/recovery.cpp
+++ b/tests/recovery.cpp
@@ -62,7 +62,7 @@
   std::cout << "-- more than are remembered: the oldest go\n";
   for (const char* node : {"d", "e", "f"}) w.learn(node, 20, true);
   std::cout << "remembered " << w.leaving_.all().size() << ", b leaves " << w.leaving_.isLeaving("b") << ", newest list "
-            << w.leaving_.newest() << "\n";
+            << w.leaving_.newest() << ", forgotten " << w.leaving_.takeForgotten().size() << "\n";
 }
 
 }  // namespace
--- a/tests/store.cpp
+++ b/tests/store.cpp
@@ -50,6 +50,7 @@
     if (group % 4 == 3)
       for (int n = 1; n < 9; ++n) changes.push_back(drop(next - 2 * n));
     if (group % 4 == 2) changes.push_back({What::node, "n" + std::to_string(group), {}, {9, 0}, group == 2});
+    if (group == 9) changes.push_back({What::node, "n2", {}, {}, false});
     if (group == 5) changes.push_back({What::voting, "", {}, {4, 0}, false});
     all.push_back(changes);
   }
