--- a/src/claims/claimant.cpp
+++ b/src/claims/claimant.cpp
@@ -87,7 +87,8 @@
   const std::size_t open = bounds_.keepers - claim.yours.size() - claim.taken.size() - claim.none.size();
   // One that may still answer may know that it was committed: worth its wait once another claim was seen.
   if (!late && open > 0 && (claim.yours.size() + open >= wanted || !claim.taken.empty())) return;
-  if (!claim.taken.empty()) return decide(number, Decision::What::rollBack, "", "another claim has its votes");
+  if (!claim.taken.empty())
+    return decide(number, Decision::What::rollBack, "", "another claim has its votes");
   decide(number, Decision::What::decline, "", late ? "votes came too late" : "too few keepers vote");
 }
 
--- a/src/claims/claimant.h
+++ b/src/claims/claimant.h
@@ -35,10 +35,10 @@
 
 struct ClaimantBounds {
   std::size_t keepers = 0;
-  Span retention;                          // the keepers' own
-  std::size_t most = 65536;                // claims open at a time, admitted ones included
-  Span longestWait = Span::millis(1000);   // for votes
-  Span comeBack = Span::millis(250);       // what declined txns are told, give or take half of it
+  Span retention;                         // the keepers' own
+  std::size_t most = 65536;               // claims open at a time, admitted ones included
+  Span longestWait = Span::millis(1000);  // for votes
+  Span comeBack = Span::millis(250);      // what declined txns are told, give or take half of it
 };
 
 class Claimant {
--- a/src/claims/keeper.cpp
+++ b/src/claims/keeper.cpp
@@ -72,9 +72,7 @@
   return false;
 }
 
-void Keeper::put(const Entry& entry) {
-  changes_.push_back({Change::What::put, entry.id, entry, {}, false});
-}
+void Keeper::put(const Entry& entry) { changes_.push_back({Change::What::put, entry.id, entry, {}, false}); }
 
 void Keeper::remember(Instant now, const std::string& id) {
   oldest_.emplace_back(now + bounds_.retention, std::pair(id, entries_.at(id).entry.token));
--- a/src/claims/keeper.h
+++ b/src/claims/keeper.h
@@ -1,12 +1,14 @@
-// A keeper's decisions: which claim of an id has its vote. No I/O, no clock; what must be durable before it is
-// told is handed to whoever writes, who says when it is.
+// A keeper's decisions: which claim of an id has its vote. No I/O, no clock; what must be durable before it
+// is told is handed to whoever writes, who says when it is.
 //
 //   state     what it is                                 gives votes  goes to
 //   unheard   it has started, and does not know whether  no           votes, or silent: more than half of the
 //             its disk is the one it last had                         keepers, itself counted, have told the
-//                                                                     newest start of it that they knew of; it
-//                                                                     is silent if its disk knows none such
-//   silent    votes that it gave may be lost: its disk   no           votes: after the time of retention, when
+//                                                                     newest start of it that they knew of;
+//                                                                     it is silent if its disk knows none
+//                                                                     such
+//   silent    votes that it gave may be lost: its disk   no           votes: after the time of retention,
+//   when
 //             is new, or older than what others know                  none of those votes counts any more
 //   votes     it knows all votes that it gave            yes
 //
@@ -18,11 +20,11 @@
 //
 // Guards against a router whose disk is lost, swapped or restored voting a second time for an id that it no
 // longer knows. Hurts for the time of retention after that: one keeper fewer; and after a loss of more than
-// half of the disks at once all once-only txns are declined for so long. What it can't notice: an old copy of the
-// disk put back, while those that were told of its newest start are all among the few that it does not hear (of
-// three keepers, one of the two others was away during all of that start; it takes two of four, of five); and a
-// copy that was made during the newest start itself. Operators are told to remove a disk's file, not to put an
-// old one back: a file that is missing is always noticed.
+// half of the disks at once all once-only txns are declined for so long. What it can't notice: an old copy of
+// the disk put back, while those that were told of its newest start are all among the few that it does not
+// hear (of three keepers, one of the two others was away during all of that start; it takes two of four, of
+// five); and a copy that was made during the newest start itself. Operators are told to remove a disk's file,
+// not to put an old one back: a file that is missing is always noticed.
 #pragma once
 
 #include <cstddef>
@@ -40,8 +42,8 @@
 namespace gulltrestle::claims {
 
 struct KeeperBounds {
-  // How long a vote counts, by the keeper's own running clock and anew from each start, as no clock of the day
-  // can be trusted over a power loss. Longer than any txn or client's repeat can take.
+  // How long a vote counts, by the keeper's own running clock and anew from each start, as no clock of the
+  // day can be trusted over a power loss. Longer than any txn or client's repeat can take.
   Span retention = Span::millis(600'000);
   std::size_t most = 1'000'000;  // ids that are held; beyond that no vote is given
   std::size_t longestValue = 4096;
@@ -49,12 +51,13 @@
 
 // What a disk held when the keeper started.
 struct Kept {
-  std::vector<Start> own;         // the starts that this disk has seen, the present one last, durable there
-  std::uint64_t newSince = 0;     // starts below this number were another disk's, and count no more
-  bool whole = false;             // all votes it ever gave that still count are among the entries
+  std::vector<Start> own;      // the starts that this disk has seen, the present one last, durable there
+  std::uint64_t newSince = 0;  // starts below this number were another disk's, and count no more
+  bool whole = false;          // all votes it ever gave that still count are among the entries
   std::vector<Entry> entries;
   std::map<std::string, Start> starts;  // of other keepers, the newest that were told
-  std::map<std::string, std::pair<std::uint64_t, bool>> nodes;  // by which version of a list each leaves or stays
+  std::map<std::string, std::pair<std::uint64_t, bool>>
+      nodes;  // by which version of a list each leaves or stays
 };
 
 class Keeper {
@@ -72,11 +75,11 @@
 
   // --- Among keepers
 
-  // Another keeper has this start. Returns the newest that was known before, which is to be told back once all
-  // changes up to here are durable.
+  // Another keeper has this start. Returns the newest that was known before, which is to be told back once
+  // all changes up to here are durable.
   Start greeted(const std::string& keeper, const Start& start);
-  // Another keeper's answer to our greeting with the start of number `ours`. True: our start's number has grown,
-  // and is to be told to all anew once it is durable.
+  // Another keeper's answer to our greeting with the start of number `ours`. True: our start's number has
+  // grown, and is to be told to all anew once it is durable.
   bool heard(Instant now, const std::string& keeper, std::uint64_t ours, const Start& knewOfUs);
 
   // --- Claims
@@ -97,9 +100,10 @@
   struct Change {
     // node: no matter of the keeper's, kept on the same disk: which nodes leave.
     enum class What { put, drop, start, voting, node } what = What::put;
-    std::string id;      // drop; start: the keeper's name, empty for this one's own; node: its id
-    Entry entry;         // put
-    Start start;         // start; voting: newSince is its number; node: the list's version is its number, 0: it is forgotten
+    std::string id;  // drop; start: the keeper's name, empty for this one's own; node: its id
+    Entry entry;     // put
+    Start start;  // start; voting: newSince is its number; node: the list's version is its number, 0: it is
+                  // forgotten
     bool whole = false;  // voting; node: it leaves
   };
   std::vector<Change> takeChanges() { return std::exchange(changes_, {}); }
--- a/src/claims/words.h
+++ b/src/claims/words.h
@@ -22,8 +22,8 @@
   auto operator<=>(const Token&) const = default;
 };
 
-// One start of a keeper's program: counted on its disk, and drawn, so that two disks that count alike are told
-// apart.
+// One start of a keeper's program: counted on its disk, and drawn, so that two disks that count alike are
+// told apart.
 struct Start {
   std::uint64_t number = 0;  // 0: none is known
   std::uint64_t draw = 0;
--- a/src/commands/commands.cpp
+++ b/src/commands/commands.cpp
@@ -9,7 +9,8 @@
 namespace gulltrestle::commands {
 
 int run(int count, const char* const* words, std::ostream& out, std::ostream& complaints) {
-  CLI::App app("gulltrestle: without a command it serves, as the file that BALANCER_CONFIG names says", "gulltrestle");
+  CLI::App app("gulltrestle: without a command it serves, as the file that BALANCER_CONFIG names says",
+               "gulltrestle");
   app.require_subcommand(1);
   std::function<int()> todo;
   addStore(app, out, todo);
--- a/src/commands/store.cpp
+++ b/src/commands/store.cpp
@@ -26,7 +26,8 @@
   out << "keeper " << contents.keeper << ": sound\n"
       << "ids " << contents.kept.entries.size() << ", known as committed " << committed << "\n"
       << "starts " << (contents.kept.own.empty() ? 0 : contents.kept.own.back().number) << "; its votes "
-      << (contents.kept.whole ? "count from the next start on" : "wait out the time of retention at the next start")
+      << (contents.kept.whole ? "count from the next start on"
+                              : "wait out the time of retention at the next start")
       << "\n";
   return 0;
 }
@@ -41,10 +42,12 @@
   for (const auto& entry : contents.kept.entries) {
     if (++shown > asked.most) break;
     out << entry.id << " claimed by " << entry.token.router << " number " << entry.token.number
-        << (entry.committed ? ", committed, value of " + std::to_string(entry.value.size()) + " bytes" : "") << "\n";
+        << (entry.committed ? ", committed, value of " + std::to_string(entry.value.size()) + " bytes" : "")
+        << "\n";
   }
   if (shown > asked.most) out << "and " << contents.kept.entries.size() - asked.most << " more\n";
-  for (const auto& [name, start] : contents.kept.starts) out << "keeper " << name << " was heard at start " << start.number << "\n";
+  for (const auto& [name, start] : contents.kept.starts)
+    out << "keeper " << name << " was heard at start " << start.number << "\n";
   return 0;
 }
 
@@ -68,9 +71,11 @@
       })
       ->add_option("--keeper", asked->keeper, "The name of its router")
       ->required();
-  add("check", "Whether it is sound, and what it holds in short", [asked, &out] { return check(*asked, out); });
-  add("show", "The ids that it holds", [asked, &out] { return show(*asked, out); })
-      ->add_option("--most", asked->most, "How many ids at most");
+  add("check", "Whether it is sound, and what it holds in short",
+      [asked, &out] { return check(*asked, out); });
+  add("show", "The ids that it holds", [asked, &out] {
+    return show(*asked, out);
+  })->add_option("--most", asked->most, "How many ids at most");
 }
 
 }  // namespace gulltrestle::commands
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -75,7 +75,7 @@
   const bool empty = std::all_of(value.begin(), value.end(), [](auto part) { return part.empty(); });
   if (!stopWaiting(txn)) return;
   finish(txn, [&](Front& f, OwnerId owner) {
-    empty && f.needsValue() ? f.rolledBack(owner) : f.committed(owner, value);
+    empty&& f.needsValue() ? f.rolledBack(owner) : f.committed(owner, value);
   });
 }
 
@@ -115,8 +115,7 @@
   Live* live = owed(txn);
   if (!live) return;
   live->front = nullptr;
-  if (!std::exchange(live->waiting, std::nullopt))
-    arrived([txn](Router& router) { router.clientLeft(txn); });
+  if (!std::exchange(live->waiting, std::nullopt)) arrived([txn](Router& router) { router.clientLeft(txn); });
   forget(txn);
 }
 
@@ -160,7 +159,8 @@
 }
 
 void Ledger::commit(TxnId txn, const Value& value) {
-  if (const auto at = live_.find(txn); at != live_.end() && at->second.guarded && guard_) guard_->commits(txn, value);
+  if (const auto at = live_.find(txn); at != live_.end() && at->second.guarded && guard_)
+    guard_->commits(txn, value);
   if (const Live* live = owed(txn); live && levels_)
     levels_->answered(now_, live->group, live->type, waitedShare(*live));
   finish(txn, [&](Front& front, OwnerId owner) { front.committed(owner, value); });
--- a/src/listener/listener.cpp
+++ b/src/listener/listener.cpp
@@ -56,8 +56,8 @@
   Instant idleSince, stuckAt;
 };
 
-Listener::Listener(loop::Loop& loop, const startup::Address& at, std::string method, Bounds bounds, std::string name,
-                   Receiver& receiver)
+Listener::Listener(loop::Loop& loop, const startup::Address& at, std::string method, Bounds bounds,
+                   std::string name, Receiver& receiver)
     : loop_(loop),
       method_(std::move(method)),
       bounds_(bounds),
@@ -149,7 +149,8 @@
       // At the bound a new one is closed at once, and the oldest idle one goes, so that the next comes in.
       if (connections_.size() >= bounds_.mostConnections) {
         const bool room = makeRoom();
-        spdlog::warn("event={}.connections_full connections={} one_idle={}", name_, connections_.size(), room);
+        spdlog::warn("event={}.connections_full connections={} one_idle={}", name_, connections_.size(),
+                     room);
         continue;
       }
       loop_.spawn(serve(++lastConnection_, std::move(descriptor)));
--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-// A keeper that may write no more than this many answers behind its disk gives no votes until that catches up.
+// A keeper that may write no more than this many answers behind its disk gives no votes until that catches
+// up.
 constexpr std::size_t kMostWaiting = 100'000;
 // How often somebody who does not belong is logged.
 constexpr Span kStrangersPause = Span::millis(1000);
@@ -93,7 +94,7 @@
   }
   if (hello.keepers != setup_.list()) {
     logOnce("peers.other_list", "router=" + hello.router + " its=\"" + hello.keepers.substr(0, 200) +
-                                         "\" ours=\"" + setup_.list() + "\"");
+                                    "\" ours=\"" + setup_.list() + "\"");
     return effects_.refuse(stream, "the lists of keepers differ");
   }
   speakers_[stream] = {hello.router, hello.draw};
@@ -112,7 +113,9 @@
 }
 
 void Desk::hear(StreamKey stream, const Speaker& speaker, const Word& word) {
-  const auto token = [&](std::uint64_t number) { return claims::Token{speaker.router, speaker.draw, number}; };
+  const auto token = [&](std::uint64_t number) {
+    return claims::Token{speaker.router, speaker.draw, number};
+  };
   if (const auto* claim = std::get_if<Claim>(&word)) {
     if (waiting_.size() >= kMostWaiting) return give(stream, claim->number, Vote{});
     const auto vote = keeper_->claimed(ledger_.now(), claim->id, token(claim->number));
@@ -120,7 +123,8 @@
     return toDisk(Waiting{Waiting::What::vote, stream, claim->number, claim->id, token(claim->number), {}});
   }
   if (const auto* nodes = std::get_if<Nodes>(&word)) return learn(*nodes, speaker.router);
-  if (const auto* release = std::get_if<Release>(&word)) keeper_->released(release->id, token(release->number));
+  if (const auto* release = std::get_if<Release>(&word))
+    keeper_->released(release->id, token(release->number));
   if (const auto* committed = std::get_if<Committed>(&word))
     keeper_->committed(ledger_.now(), committed->id, token(committed->number), committed->value);
   toDisk();
@@ -181,10 +185,11 @@
   if (isNew)
     for (const Nodes& some : slices(leaving_.all())) effects_.toKeeper(number, some);
   if (!isNew && !keeper_) return;
-  effects_.log("peers.heard", "keeper=" + name + " reached=" + std::to_string(claimant_.reachable()) + " of=" +
-                                  std::to_string(setup_.keepers.size()));
+  effects_.log("peers.heard", "keeper=" + name + " reached=" + std::to_string(claimant_.reachable()) +
+                                  " of=" + std::to_string(setup_.keepers.size()));
   if (!keeper_ || !keeper_->heard(ledger_.now(), name, heard.number, heard.knew)) return logState();
-  effects_.log("claims.disk_is_not_ours", "told_by=" + name + " knew_start=" + std::to_string(heard.knew.number));
+  effects_.log("claims.disk_is_not_ours",
+               "told_by=" + name + " knew_start=" + std::to_string(heard.knew.number));
   toDisk(Waiting{Waiting::What::hello, 0, 0, "", {}, {}});
   logState();
 }
@@ -192,9 +197,9 @@
 void Desk::lost(claims::KeeperNumber keeper) {
   claimant_.reached(keeper, false);
   if (heard_.erase(keeper) > 0)
-    effects_.log("peers.lost", "keeper=" + setup_.keepers.at(keeper).name + " reached=" +
-                                   std::to_string(claimant_.reachable()) + " of=" +
-                                   std::to_string(setup_.keepers.size()));
+    effects_.log("peers.lost", "keeper=" + setup_.keepers.at(keeper).name +
+                                   " reached=" + std::to_string(claimant_.reachable()) +
+                                   " of=" + std::to_string(setup_.keepers.size()));
   settle();
 }
 
@@ -222,9 +227,9 @@
   const Nodes news = leaving_.listed(kind, version, entries);
   for (const ListEntry* entry : entries) later += entry->health != Health::live;
   if (later > named)
-    effects_.log("peers.old_list", "version=" + std::to_string(version) + " newest=" +
-                                       std::to_string(leaving_.newest()) + " kept_draining=" +
-                                       std::to_string(later - named));
+    effects_.log("peers.old_list", "version=" + std::to_string(version) +
+                                       " newest=" + std::to_string(leaving_.newest()) +
+                                       " kept_draining=" + std::to_string(later - named));
   if (news.empty()) return;
   keep(news);
   for (const Nodes& some : slices(news))
@@ -241,7 +246,8 @@
       if (one.leaving) leave.push_back(one.node);
     }
   if (fresh.empty()) return;
-  effects_.log("peers.nodes_learnt", "from=" + std::string(from) + " leaving=" + std::to_string(leave.size()) +
+  effects_.log("peers.nodes_learnt", "from=" + std::string(from) +
+                                         " leaving=" + std::to_string(leave.size()) +
                                          " staying=" + std::to_string(fresh.size() - leave.size()));
   keep(fresh);
   ledger_.leave(leave);
@@ -305,8 +311,9 @@
 void Desk::logState() {
   if (!keeper_ || logged_ == keeper_->state()) return;
   logged_ = keeper_->state();
-  std::string fields = "state=" + std::string(nameOf(keeper_->state())) + " start=" +
-                       std::to_string(keeper_->start().number) + " holds=" + std::to_string(keeper_->size());
+  std::string fields = "state=" + std::string(nameOf(keeper_->state())) +
+                       " start=" + std::to_string(keeper_->start().number) +
+                       " holds=" + std::to_string(keeper_->size());
   for (const auto& name : keeper_->unheard()) fields += " waits_for=" + name;
   if (keeper_->state() == Keeper::State::silent)
     fields += " for_ms=" + std::to_string(setup_.keeper.retention.inMicros() / 1000);
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-// A keeper that could not be reached is tried again after this, at first and at most; give or take half of it,
-// so that routers that lost it together don't return in step.
+// A keeper that could not be reached is tried again after this, at first and at most; give or take half of
+// it, so that routers that lost it together don't return in step.
 constexpr Span kAgainFirst = Span::millis(100), kAgainMost = Span::millis(2000);
 // A stream on which a claim was made and nothing came for so long is broken off: a path that swallows what is
 // sent shows no other sign.
@@ -83,7 +83,8 @@
   ledger_.see(loop_.now());
   std::optional<claims::Kept> kept;
   if (store_) {
-    if (!store_->setAside().empty()) spdlog::error("event=store.damaged set_aside=\"{}\"", store_->setAside());
+    if (!store_->setAside().empty())
+      spdlog::error("event=store.damaged set_aside=\"{}\"", store_->setAside());
     spdlog::info("event=store.opened folder={} start={} whole={} ids={}", setup_.folder,
                  store_->kept().own.back().number, store_->kept().whole, store_->kept().entries.size());
     kept = store_->kept();
@@ -94,8 +95,8 @@
   desk_ = std::make_unique<Desk>(ledger_, setup_, name, draw, std::move(kept), effects);
   for (claims::KeeperNumber keeper = 0; keeper < setup_.keepers.size(); ++keeper)
     if (keeper == desk_->own())
-      listener_ = std::make_unique<listener::Listener>(loop_, setup_.keepers[keeper].address, std::string(kMethod),
-                                                       boundsOf(setup_), "peers", receiver);
+      listener_ = std::make_unique<listener::Listener>(
+          loop_, setup_.keepers[keeper].address, std::string(kMethod), boundsOf(setup_), "peers", receiver);
     else
       loop_.spawn(talk(keeper));
   if (store_) loop_.spawn(watchDisk());
@@ -117,7 +118,8 @@
   if (at == talks_.end()) return;
   Talk& talk = *at->second;
   talk.session.send(talk.call, grpc::framed(encoded(word)));
-  if (talk.deafAt == Instant() && !std::holds_alternative<Release>(word) && !std::holds_alternative<Committed>(word)) {
+  if (talk.deafAt == Instant() && !std::holds_alternative<Release>(word) &&
+      !std::holds_alternative<Committed>(word)) {
     talk.deafAt = loop_.now() + kDeaf;
     talk.stream.wakeAt(talk.deafAt);
   }
@@ -129,7 +131,9 @@
   listener_->finish(stream, grpc::Status::invalidArgument, why);
 }
 
-void Peers::log(std::string_view event, const std::string& fields) { spdlog::info("event={} {}", event, fields); }
+void Peers::log(std::string_view event, const std::string& fields) {
+  spdlog::info("event={} {}", event, fields);
+}
 
 // --- Turns
 
@@ -150,14 +154,15 @@
   if (now - saidAt_ < kCountsPause || counts.asked == saidAsked_) return;
   saidAt_ = now;
   saidAsked_ = counts.asked;
-  spdlog::info("event=claims.counts asked={} admitted={} committed={} rolled_back={} declined={} open={} reached={}",
-               counts.asked, counts.admitted, counts.committed, counts.rolledBack, counts.declined,
-               desk_->claimant().open(), desk_->claimant().reachable());
+  spdlog::info(
+      "event=claims.counts asked={} admitted={} committed={} rolled_back={} declined={} open={} reached={}",
+      counts.asked, counts.admitted, counts.committed, counts.rolledBack, counts.declined,
+      desk_->claimant().open(), desk_->claimant().reachable());
   if (!store_) return;
   const auto figures = store_->figures();
-  spdlog::info("event=store.counts commits={} changes={} failures={} queued={} longest_ms={} ids={}", figures.commits,
-               figures.changes, figures.failures, figures.queued, figures.longest.inMicros() / 1000,
-               desk_->keeper()->size());
+  spdlog::info("event=store.counts commits={} changes={} failures={} queued={} longest_ms={} ids={}",
+               figures.commits, figures.changes, figures.failures, figures.queued,
+               figures.longest.inMicros() / 1000, desk_->keeper()->size());
 }
 
 loop::Task Peers::watchDisk() {
@@ -244,7 +249,8 @@
       spdlog::warn("event=peers.talk_failed keeper={} why=\"{}\"", place.name, bad.what());
     }
     ledger_.see(loop_.now());
-    co_await loop_.sleepUntil(loop_.now() + pause * std::uniform_real_distribution<double>(0.5, 1.5)(chance_));
+    co_await loop_.sleepUntil(loop_.now() +
+                              pause * std::uniform_real_distribution<double>(0.5, 1.5)(chance_));
     pause = std::min(pause * 2, kAgainMost);
   }
 }
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -1,6 +1,6 @@
-// What routers settle among themselves, on sockets and a disk: a stream to each keeper, kept up; a listener and
-// a store where this router is a keeper. For a private network: whoever can reach the listener and knows the
-// list may speak.
+// What routers settle among themselves, on sockets and a disk: a stream to each keeper, kept up; a listener
+// and a store where this router is a keeper. For a private network: whoever can reach the listener and knows
+// the list may speak.
 #pragma once
 
 #include <map>
@@ -42,7 +42,9 @@
   void toKeeper(claims::KeeperNumber keeper, const Word& word) override;
   void reply(StreamKey stream, const Reply& reply) override;
   void refuse(StreamKey stream, std::string_view why) override;
-  Ticket write(std::vector<claims::Keeper::Change> changes) override { return store_->write(std::move(changes)); }
+  Ticket write(std::vector<claims::Keeper::Change> changes) override {
+    return store_->write(std::move(changes));
+  }
   void log(std::string_view event, const std::string& fields) override;
 
   void seen(Instant now) override { ledger_.see(now); }
--- a/src/peers/setup.cpp
+++ b/src/peers/setup.cpp
@@ -32,15 +32,18 @@
     const json::Value& routers = *all.find("routers");
     if (routers.kind != json::Value::Kind::list) throw BadKey("routers", "is no list of names");
     for (const auto& router : routers.items) {
-      if (router.kind != json::Value::Kind::text || router.text.empty()) throw BadKey("routers", "is no list of names");
+      if (router.kind != json::Value::Kind::text || router.text.empty())
+        throw BadKey("routers", "is no list of names");
       setup.routers.insert(router.text);
     }
   }
-  if (!setup.routers.contains(name)) throw BadKey("routers", "'" + name + "', this router, is not among them");
-  const bool isKeeper =
-      std::any_of(setup.keepers.begin(), setup.keepers.end(), [&](auto& keeper) { return keeper.name == name; });
+  if (!setup.routers.contains(name))
+    throw BadKey("routers", "'" + name + "', this router, is not among them");
+  const bool isKeeper = std::any_of(setup.keepers.begin(), setup.keepers.end(),
+                                    [&](auto& keeper) { return keeper.name == name; });
   setup.folder = top.text("store", "");
-  if (isKeeper && setup.folder.empty()) throw BadKey("store", "is missing: a keeper needs a folder that lasts");
+  if (isKeeper && setup.folder.empty())
+    throw BadKey("store", "is missing: a keeper needs a folder that lasts");
   if (!isKeeper) setup.folder.clear();
   auto& retention = setup.keeper.retention;
   retention = top.millis("retention_ms", retention, 1000, 7 * 24 * 3'600'000LL);
--- a/src/peers/setup.h
+++ b/src/peers/setup.h
@@ -23,7 +23,8 @@
   std::string folder;             // of this router's store; empty: it is no keeper
   claims::KeeperBounds keeper;
   claims::ClaimantBounds claimant;
-  std::size_t mostConnections = 0;  // to this keeper; by default twice as many as there are routers, for what lingers
+  std::size_t mostConnections =
+      0;  // to this keeper; by default twice as many as there are routers, for what lingers
 
   // All keepers, as both ends of a stream must have them.
   std::string list() const;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -296,8 +296,8 @@
     if (leaving(m) || inFlight(m) >= inFlightBound(m, part)) return false;
     // One that was full rests for a quarter of a second: what it turns away takes work, too.
     if (now - m.fullAt < paced(250) || crowded(m) || !coldRoom(m, txn.txn.type)) return false;
-    // An unwell node gets a trial with a repeatable read, four a second over all routers: it may be full. With
-    // any other txn once a second: where no read comes to a primary, it would be left for ever.
+    // An unwell node gets a trial with a repeatable read, four a second over all routers: it may be full.
+    // With any other txn once a second: where no read comes to a primary, it would be left for ever.
     const bool mayFail = typeOf(txn).effect == Effect::repeatable && typeOf(txn).level < ReadLevel::fresh;
     if (well(m) || (silent(m) && !mayFail)) return well(m);
     const Instant last = mayFail ? m.triedAt : std::max(m.triedAt, m.failedAt);
--- a/src/store/database.cpp
+++ b/src/store/database.cpp
@@ -29,7 +29,9 @@
 std::uint64_t sumOfNode(const std::string& id, std::uint64_t version, bool leaving) {
   return sumOf("node " + part(id) + part(std::to_string(version)) + (leaving ? "1" : "0"));
 }
-std::uint64_t sumOf(const char* key, const std::string& value) { return sumOf("meta " + part(key) + part(value)); }
+std::uint64_t sumOf(const char* key, const std::string& value) {
+  return sumOf("meta " + part(key) + part(value));
+}
 
 std::int64_t whole(std::uint64_t n) { return static_cast<std::int64_t>(n); }
 
@@ -60,9 +62,12 @@
   std::string text(int column) {
     const void* bytes = sqlite3_column_blob(statement_, column);
     const int size = sqlite3_column_bytes(statement_, column);
-    return bytes ? std::string(static_cast<const char*>(bytes), static_cast<std::size_t>(size)) : std::string();
+    return bytes ? std::string(static_cast<const char*>(bytes), static_cast<std::size_t>(size))
+                 : std::string();
+  }
+  std::uint64_t number(int column) {
+    return static_cast<std::uint64_t>(sqlite3_column_int64(statement_, column));
   }
-  std::uint64_t number(int column) { return static_cast<std::uint64_t>(sqlite3_column_int64(statement_, column)); }
 
  private:
   Database& of_;
@@ -94,9 +99,9 @@
 }
 
 // A rollback journal that is truncated, with full synchronization: once a commit returns, all of it stands in
-// the one file, where the checksums see each byte. A write-ahead log would cost one sync instead of three, but
-// a flipped byte in its middle passes for the torn end of a power loss, and what was committed after is gone
-// without a sign.
+// the one file, where the checksums see each byte. A write-ahead log would cost one sync instead of three,
+// but a flipped byte in its middle passes for the torn end of a power loss, and what was committed after is
+// gone without a sign.
 Database::Database(const std::string& path, For what) : path_(path) {
   const int flags = what == For::reading ? SQLITE_OPEN_READONLY : SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE;
   const int code = sqlite3_open_v2(path.c_str(), &handle_, flags | SQLITE_OPEN_NOMUTEX, nullptr);
@@ -111,7 +116,8 @@
     isNew_ = !Statement(*this, "SELECT 1 FROM sqlite_schema").step();
     if (isNew_) return;
     if (const auto format = meta("format"); format != kFormat)
-      throw format.empty() ? std::runtime_error("") : Failed("it has format " + format + ", this program " + kFormat);
+      throw format.empty() ? std::runtime_error("")
+                           : Failed("it has format " + format + ", this program " + kFormat);
     keeper_ = meta("keeper");
   } catch (const Failed&) {
     sqlite3_close_v2(handle_);
@@ -132,14 +138,19 @@
 
 void Database::setMeta(const char* key, const std::string& value) {
   if (std::strcmp(key, "digest") != 0) digest_ ^= sumOf(key, meta(key)) ^ sumOf(key, value);
-  Statement(*this, "INSERT OR REPLACE INTO meta (key, value) VALUES (?, ?)").with(std::string(key)).with(value).step();
+  Statement(*this, "INSERT OR REPLACE INTO meta (key, value) VALUES (?, ?)")
+      .with(std::string(key))
+      .with(value)
+      .step();
 }
 
 void Database::begin(const std::string& keeper, bool isWhole) {
   run("BEGIN IMMEDIATE");
   run("CREATE TABLE meta (key BLOB PRIMARY KEY, value BLOB) WITHOUT ROWID;"
-      "CREATE TABLE starts (keeper BLOB, number INTEGER, draw INTEGER, PRIMARY KEY (keeper, number)) WITHOUT ROWID;"
-      "CREATE TABLE claims (id BLOB PRIMARY KEY, router BLOB, start INTEGER, number INTEGER, committed INTEGER,"
+      "CREATE TABLE starts (keeper BLOB, number INTEGER, draw INTEGER, PRIMARY KEY (keeper, number)) WITHOUT "
+      "ROWID;"
+      "CREATE TABLE claims (id BLOB PRIMARY KEY, router BLOB, start INTEGER, number INTEGER, committed "
+      "INTEGER,"
       " value BLOB) WITHOUT ROWID;"
       "CREATE TABLE nodes (id BLOB PRIMARY KEY, version INTEGER, leaving INTEGER) WITHOUT ROWID");
   digest_ = 0;
@@ -165,8 +176,10 @@
   kept.whole = meta("whole") == "1";
   Statement claims(*this, "SELECT id, router, start, number, committed, value FROM claims");
   while (claims.step()) {
-    claims::Entry entry{claims.text(0), {claims.text(1), claims.number(2), claims.number(3)},
-                        claims.number(4) != 0, claims.text(5)};
+    claims::Entry entry{claims.text(0),
+                        {claims.text(1), claims.number(2), claims.number(3)},
+                        claims.number(4) != 0,
+                        claims.text(5)};
     digest_ ^= sumOf(entry);
     kept.entries.push_back(std::move(entry));
   }
@@ -196,8 +209,8 @@
     case What::drop: {
       Statement old(*this, "SELECT router, start, number, committed, value FROM claims WHERE id = ?");
       if (old.with(change.id).step())
-        digest_ ^= sumOf(claims::Entry{change.id, {old.text(0), old.number(1), old.number(2)}, old.number(3) != 0,
-                                       old.text(4)});
+        digest_ ^= sumOf(claims::Entry{
+            change.id, {old.text(0), old.number(1), old.number(2)}, old.number(3) != 0, old.text(4)});
       if (change.what == What::drop) {
         Statement(*this, "DELETE FROM claims WHERE id = ?").with(change.id).step();
         return;
@@ -216,10 +229,9 @@
     }
     case What::start: {
       // Of another keeper only the newest counts; of our own, some.
-      const std::uint64_t before =
-          !change.id.empty()                     ? change.start.number
-          : change.start.number > kOwnStarts ? change.start.number - kOwnStarts
-                                                 : 0;
+      const std::uint64_t before = !change.id.empty()                 ? change.start.number
+                                   : change.start.number > kOwnStarts ? change.start.number - kOwnStarts
+                                                                      : 0;
       Statement old(*this, "SELECT number, draw FROM starts WHERE keeper = ? AND (number < ? OR number = ?)");
       old.with(change.id).with(before).with(change.start.number);
       while (old.step()) digest_ ^= sumOf(change.id, {old.number(0), old.number(1)});
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -25,7 +25,7 @@
 std::string fileIn(const std::string& folder) { return folder + "/claims.db"; }
 
 bool exists(const std::string& path) {
-  struct stat found{};
+  struct stat found {};
   return ::stat(path.c_str(), &found) == 0;
 }
 
@@ -46,8 +46,9 @@
 Store::Store(const std::string& folder, const std::string& keeper, std::uint64_t draw)
     : folder_(folder), keeper_(keeper) {
   const std::string path = fileIn(folder);
-  struct stat found{};
-  if (::stat(folder.c_str(), &found) != 0 || !S_ISDIR(found.st_mode)) throw Unusable(folder + " is no folder");
+  struct stat found {};
+  if (::stat(folder.c_str(), &found) != 0 || !S_ISDIR(found.st_mode))
+    throw Unusable(folder + " is no folder");
   try {
     // A second time with an empty file, after a damaged one.
     for (int n = 0; n < 2; ++n) try {
@@ -63,12 +64,13 @@
     if (database_->keeper() != keeper)
       throw Unusable(path + " is the store of the keeper '" + database_->keeper() + "'");
     const claims::Start start{kept_.own.empty() ? 1 : kept_.own.back().number + 1, draw};
-    const std::vector<claims::Keeper::Change> change{{claims::Keeper::Change::What::start, "", {}, start, false}};
+    const std::vector<claims::Keeper::Change> change{
+        {claims::Keeper::Change::What::start, "", {}, start, false}};
     database_->commit({&change});
     kept_.own.push_back(start);
-  } catch (const Unusable&) {
-    throw;
-  } catch (const std::exception& bad) { throw Unusable(path + ": " + bad.what()); }
+  } catch (const Unusable&) { throw; } catch (const std::exception& bad) {
+    throw Unusable(path + ": " + bad.what());
+  }
   descriptor_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
   if (descriptor_ < 0) throw Unusable(std::string("eventfd: ") + std::strerror(errno));
   thread_ = std::thread([this] { run(); });
@@ -138,8 +140,8 @@
   }
 }
 
-// A commit that failed leaves the connection with pages of its own that may or may not be on disk: it is given
-// up, and the file is read anew, as a sync that "succeeds" after one that failed proves nothing.
+// A commit that failed leaves the connection with pages of its own that may or may not be on disk: it is
+// given up, and the file is read anew, as a sync that "succeeds" after one that failed proves nothing.
 bool Store::commit(const std::vector<Queued>& group) {
   std::string fault;
   try {
@@ -177,9 +179,9 @@
     Database database(path, Database::For::reading);
     contents.keeper = database.keeper();
     contents.kept = database.load();
-  } catch (const Damaged& bad) {
-    contents.damage = bad.what();
-  } catch (const std::exception& bad) { throw Unusable(path + ": " + bad.what()); }
+  } catch (const Damaged& bad) { contents.damage = bad.what(); } catch (const std::exception& bad) {
+    throw Unusable(path + ": " + bad.what());
+  }
   return contents;
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -27,9 +27,9 @@
 
 struct Figures {
   std::uint64_t commits = 0, changes = 0, failures = 0;
-  std::size_t queued = 0;        // changes that are not durable yet
-  Span longest;                  // the longest commit
-  std::string fault;             // of the last commit, if it failed
+  std::size_t queued = 0;  // changes that are not durable yet
+  Span longest;            // the longest commit
+  std::string fault;       // of the last commit, if it failed
 };
 
 class Database;
--- a/tests/claims.cpp
+++ b/tests/claims.cpp
@@ -20,7 +20,15 @@
 // their disks, and clients that repeat their ids anywhere. The world knows what truly ran.
 
 // Faults that are built into a world, to see that its verdict finds them.
-enum class Bug { none, toldBeforeDurable, silenceForgotten, oldTakenForNew, sameTokens, halfIsEnough, freesUnknown };
+enum class Bug {
+  none,
+  toldBeforeDurable,
+  silenceForgotten,
+  oldTakenForNew,
+  sameTokens,
+  halfIsEnough,
+  freesUnknown
+};
 constexpr const char* kBugs[] = {"none",
                                  "a vote is told before it is durable",
                                  "a keeper that was to be silent votes after its next start",
@@ -84,10 +92,10 @@
     Disk disk, copy;          // copy: as it was when the last start began
     std::deque<std::pair<std::vector<Keeper::Change>, std::function<void()>>> writes;
     bool writing = false;
-    Instant lostAt;                               // never: its disk was not touched
-    std::map<std::size_t, std::uint64_t> link;    // to each keeper: its generation; odd: up
-    std::map<std::size_t, Instant> clear;         // when the last word on it arrives
-    std::map<TxnKey, std::string> open;           // txns that wait for a decision
+    Instant lostAt;                             // never: its disk was not touched
+    std::map<std::size_t, std::uint64_t> link;  // to each keeper: its generation; odd: up
+    std::map<std::size_t, Instant> clear;       // when the last word on it arrives
+    std::map<TxnKey, std::string> open;         // txns that wait for a decision
   };
 
   void say(const std::string& id, const std::string& what) const {
@@ -123,8 +131,9 @@
 
   void boot(std::size_t i) {
     Router& r = routers_[i];
-    say("", name(i) + (i < keepers_ ? " starts as a keeper" : " starts") +
-                (r.disk.entries.contains(shown_) ? ", holds it for " + r.disk.entries[shown_].token.router : ""));
+    say("",
+        name(i) + (i < keepers_ ? " starts as a keeper" : " starts") +
+            (r.disk.entries.contains(shown_) ? ", holds it for " + r.disk.entries[shown_].token.router : ""));
     r.up = true;
     ++r.life;
     r.start = bug_ == Bug::sameTokens ? 1 : chance_() * 4096ULL + i;
@@ -138,7 +147,8 @@
     if (i < keepers_) {
       r.copy = r.disk;
       r.disk.own.push_back({r.disk.own.empty() ? 1 : r.disk.own.back().number + 1, chance_()});
-      Kept kept{r.disk.own, r.disk.newSince, r.disk.whole || bug_ == Bug::silenceForgotten, {}, r.disk.starts, {}};
+      Kept kept{r.disk.own, r.disk.newSince, r.disk.whole || bug_ == Bug::silenceForgotten,
+                {},         r.disk.starts,   {}};
       for (const auto& [id, entry] : r.disk.entries) kept.entries.push_back(entry);
       std::set<std::string> others;
       for (std::size_t k = 0; k < keepers_; ++k)
@@ -193,7 +203,8 @@
     settle(from);
     laterAt(from, ms(100 + static_cast<std::int64_t>(pick(1000))), [this, from, to] { connect(from, to); });
   }
-  void send(std::size_t from, std::size_t to, std::size_t owner, std::size_t keeper, std::function<void()> call) {
+  void send(std::size_t from, std::size_t to, std::size_t owner, std::size_t keeper,
+            std::function<void()> call) {
     Router& r = routers_[owner];
     const auto generation = r.link[keeper];
     if (!(generation & 1)) return;
@@ -271,7 +282,8 @@
       const Token token{name(i), r.start, word.number};
       const std::size_t k = word.keeper;
       constexpr const char* kWords[] = {" claims ", " gives back ", " tells as committed "};
-      say(word.id, name(i) + kWords[static_cast<int>(word.what)] + std::to_string(word.number) + " at " + name(k));
+      say(word.id,
+          name(i) + kWords[static_cast<int>(word.what)] + std::to_string(word.number) + " at " + name(k));
       send(i, k, i, k, [=, this, life = r.life] {
         Keeper& keeper = *routers_[k].keeper;
         if (word.what == Claimant::Word::What::release) keeper.released(word.id, token);
@@ -306,12 +318,14 @@
     if (at == r.open.end()) return broken("decided twice");
     const std::string id = at->second;
     r.open.erase(at);
-    say(id, name(i) + " decides " + std::to_string(static_cast<int>(decision.what)) + " " + std::string(decision.why));
+    say(id, name(i) + " decides " + std::to_string(static_cast<int>(decision.what)) + " " +
+                std::string(decision.why));
     using What = Claimant::Decision::What;
     if (decision.what == What::committed) {
       ++seen_.told;
       if (!ran_[id]) broken(id + " told as committed and never ran");
-      if (!decision.value.empty() && decision.value != "value of " + id) broken(id + " told with a wrong value");
+      if (!decision.value.empty() && decision.value != "value of " + id)
+        broken(id + " told with a wrong value");
     }
     if (decision.what != What::admit) return over(i, decision.txn, Claimant::Fate::neverRan);
     ++seen_.admitted;
@@ -331,7 +345,7 @@
             routers_[i].claimant->commits(txn, one(3) ? "" : "value of " + id);
             settle(i);
           }
-          const auto fate = answered                     ? Claimant::Fate::committed
+          const auto fate = answered                    ? Claimant::Fate::committed
                             : bug_ == Bug::freesUnknown ? Claimant::Fate::neverRan
                                                         : Claimant::Fate::unknown;
           over(i, txn, fate);
@@ -473,10 +487,10 @@
     }
   }
   std::cout << seeds << " worlds: nothing ran twice, nothing false was told, each got its decision\n"
-            << "asked " << seen.asked << " (repeats " << seen.repeats << "), admitted " << seen.admitted << ", ran "
-            << seen.ran << ", told from the keepers " << seen.told << "\nkills " << seen.kills << ", power losses "
-            << seen.powerLosses << ", disks lost " << seen.lost << ", restored " << seen.restored << ", stalls "
-            << seen.stalls << "\n";
+            << "asked " << seen.asked << " (repeats " << seen.repeats << "), admitted " << seen.admitted
+            << ", ran " << seen.ran << ", told from the keepers " << seen.told << "\nkills " << seen.kills
+            << ", power losses " << seen.powerLosses << ", disks lost " << seen.lost << ", restored "
+            << seen.restored << ", stalls " << seen.stalls << "\n";
 }
 
 // A verdict that can't fail shows nothing: each fault that is built in has to be found.
@@ -499,15 +513,16 @@
 
 std::string shown(const Vote& vote) {
   constexpr const char* kWhat[] = {"yours", "taken", "silent"};
-  return std::string(kWhat[static_cast<int>(vote.what)]) + (vote.committed ? " committed '" + vote.value + "'" : "");
+  return std::string(kWhat[static_cast<int>(vote.what)]) +
+         (vote.committed ? " committed '" + vote.value + "'" : "");
 }
 std::string shown(const std::optional<Vote>& vote) { return vote ? shown(*vote) : "once it is durable"; }
 
 void shown(Keeper& keeper) {
   constexpr const char* kStates[] = {"unheard", "silent", "votes"};
   constexpr const char* kWhat[] = {"put", "drop", "start", "voting"};
-  std::cout << "  " << kStates[static_cast<int>(keeper.state())] << ", start " << keeper.start().number << ", holds "
-            << keeper.size();
+  std::cout << "  " << kStates[static_cast<int>(keeper.state())] << ", start " << keeper.start().number
+            << ", holds " << keeper.size();
   for (const auto& name : keeper.unheard()) std::cout << ", waits for " << name;
   std::cout << "; to disk:";
   for (const auto& change : keeper.takeChanges()) {
@@ -527,8 +542,8 @@
   bounds.most = 4;
   const Token a{"a", 11, 1}, b{"b", 22, 1};
   Keeper one(kBegin, {"k2", "k3"}, bounds, {{{4, 8}, {5, 1}}, 0, true, {{"old", a, true, "v"}}, {}, {}});
-  std::cout << "it has started: " << shown(one.claimed(kBegin, "id1", a)) << "; of what it holds: "
-            << shown(one.claimed(kBegin, "old", b)) << "\n";
+  std::cout << "it has started: " << shown(one.claimed(kBegin, "id1", a))
+            << "; of what it holds: " << shown(one.claimed(kBegin, "old", b)) << "\n";
   shown(one);
   std::cout << "an answer to an older greeting, one of a stranger, then one of its own start\n";
   one.heard(kBegin, "k2", 4, {});
@@ -536,14 +551,16 @@
   shown(one);
   one.heard(kBegin, "k2", 5, {4, 8});
   shown(one);
-  std::cout << "a claims id1: " << shown(one.claimed(kBegin, "id1", a)) << "; b: " << shown(one.claimed(kBegin, "id1", b)) << "\n";
+  std::cout << "a claims id1: " << shown(one.claimed(kBegin, "id1", a))
+            << "; b: " << shown(one.claimed(kBegin, "id1", b)) << "\n";
   shown(one);
-  std::cout << "durable: " << shown(one.written("id1", a, true)) << "; a again: " << shown(one.claimed(kBegin, "id1", a))
-            << "\n";
+  std::cout << "durable: " << shown(one.written("id1", a, true))
+            << "; a again: " << shown(one.claimed(kBegin, "id1", a)) << "\n";
   std::cout << "b gives back what it never had, a what it has; b: ";
   one.released("id1", b);
   one.released("id1", a);
-  std::cout << shown(one.claimed(kBegin, "id1", b)) << "; not durable: " << shown(one.written("id1", b, false))
+  std::cout << shown(one.claimed(kBegin, "id1", b))
+            << "; not durable: " << shown(one.written("id1", b, false))
             << "; b again: " << shown(one.claimed(kBegin, "id1", b)) << "\n";
   shown(one);
   std::cout << "committed by b, with a value; its end again by a release; a asks\n";
@@ -567,9 +584,9 @@
   std::cout << "  " << shown(two.claimed(kBegin, "id1", a)) << "\n";
   two.due(kBegin + ms(60'000));
   shown(two);
-  std::cout << "others greet: knew " << two.greeted("k2", {3, 1}).number << ", then " << two.greeted("k2", {2, 5}).number
-            << ", then " << two.greeted("k2", {4, 5}).number << "; a stranger " << two.greeted("k9", {4, 5}).number
-            << "\n";
+  std::cout << "others greet: knew " << two.greeted("k2", {3, 1}).number << ", then "
+            << two.greeted("k2", {2, 5}).number << ", then " << two.greeted("k2", {4, 5}).number
+            << "; a stranger " << two.greeted("k9", {4, 5}).number << "\n";
   shown(two);
 }
 
@@ -585,8 +602,9 @@
   }
   std::string line;
   for (const auto& w : claimant.takeWords())
-    line += " " + std::string(kWords[static_cast<int>(w.what)]) + " " + w.id + "/" + std::to_string(w.number) + " to " +
-            std::to_string(w.keeper) + (w.value.empty() ? "" : " '" + w.value + "'") + ";";
+    line += " " + std::string(kWords[static_cast<int>(w.what)]) + " " + w.id + "/" +
+            std::to_string(w.number) + " to " + std::to_string(w.keeper) +
+            (w.value.empty() ? "" : " '" + w.value + "'") + ";";
   if (!line.empty()) std::cout << "  said:" << line << "\n";
 }
 
@@ -667,7 +685,10 @@
 
 int main(int argc, char** argv) {
   const std::map<std::string, std::pair<std::function<void(std::uint64_t)>, std::uint64_t>> cases{
-      {"keeper", {keeper, 0}}, {"claimant", {claimant, 0}}, {"worlds", {worlds, 400}}, {"bugs", {bugs, 3000}}};
+      {"keeper", {keeper, 0}},
+      {"claimant", {claimant, 0}},
+      {"worlds", {worlds, 400}},
+      {"bugs", {bugs, 3000}}};
   const auto at = cases.find(argc > 1 ? argv[1] : "");
   if (at == cases.end()) return 2;
   at->second.first(argc > 2 ? std::stoull(argv[2]) : at->second.second);
--- a/tests/disk.h
+++ b/tests/disk.h
@@ -35,10 +35,10 @@
   // Removed, and the directory not synced since: they may come back.
   std::map<std::string, std::shared_ptr<File>> removed;
   std::uint64_t operations = 0;
-  std::uint64_t dieAt = 0;                       // at which operation power is lost; 0: never
-  bool dead = false;                             // nothing gets through any more
-  bool liesAboutSyncs = false;                   // a built-in fault: syncs do nothing
-  std::set<std::uint64_t> failing;               // operations that fail with an error; a failed sync loses all
+  std::uint64_t dieAt = 0;          // at which operation power is lost; 0: never
+  bool dead = false;                // nothing gets through any more
+  bool liesAboutSyncs = false;      // a built-in fault: syncs do nothing
+  std::set<std::uint64_t> failing;  // operations that fail with an error; a failed sync loses all
 
   void reset() { *this = Disk(); }
   // Power is back: what was not synced is there in part.
@@ -60,10 +60,12 @@
       if (mode > 1)
         for (std::size_t from = 0; from < made.size(); from += kSector)
           if (one() && from < file.now.size())
-            made.replace(from, std::min(kSector, made.size() - from), file.now.substr(from, std::min(kSector, made.size() - from)));
+            made.replace(from, std::min(kSector, made.size() - from),
+                         file.now.substr(from, std::min(kSector, made.size() - from)));
       // The last sector that grew the file may hold anything.
       if (mode == 3 && made.size() > file.synced.size())
-        for (std::size_t i = std::max(file.synced.size(), made.size() - std::min(made.size(), kSector)); i < made.size(); ++i)
+        for (std::size_t i = std::max(file.synced.size(), made.size() - std::min(made.size(), kSector));
+             i < made.size(); ++i)
           if (one()) made[i] = static_cast<char>(chance());
       made.resize(std::min(made.size(), std::max(file.now.size(), file.synced.size())));
       file = {made, made, true};
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -1,6 +1,7 @@
-// Days of a fleet of real processes with power lost, links cut, processes stopped and disks spoilt, each fault
-// placed by what was seen before it. Run as `fleet CASE [SEEDS [FROM]]`, or `fleet trouble KIND SEED` for one: prints what must hold on every run; counts
-// and times differ from run to run and go to standard error.
+// Days of a fleet of real processes with power lost, links cut, processes stopped and disks spoilt, each
+// fault placed by what was seen before it. Run as `fleet CASE [SEEDS [FROM]]`, or `fleet trouble KIND SEED`
+// for one: prints what must hold on every run; counts and times differ from run to run and go to standard
+// error.
 #include <algorithm>
 #include <ctime>
 #include <filesystem>
@@ -108,7 +109,8 @@
   loop::Task askOn(int client) {
     while (!ending_) {
       const bool repeats = !ids_.empty() && rig_.pick(3) > 0;
-      if (!repeats) ids_.push_back({"c" + std::to_string(client) + "n" + std::to_string(ids_.size()), loop_.now()});
+      if (!repeats)
+        ids_.push_back({"c" + std::to_string(client) + "n" + std::to_string(ids_.size()), loop_.now()});
       // Of the last few, or of all that a client may still repeat.
       std::size_t first = ids_.size() - 1;
       while (first > 0 && loop_.now() - ids_[first - 1].second < kRepeats) --first;
@@ -176,7 +178,8 @@
             const char* event = again == 0 ? "store.opened" : "peers.heard";
             const std::size_t k = keeper;
             const Instant until = loop_.now() + kBound;
-            while (!waited(rig_.log(k).find(event, before[k]) != std::string::npos, until, event)) co_await tick();
+            while (!waited(rig_.log(k).find(event, before[k]) != std::string::npos, until, event))
+              co_await tick();
             lose(order);
           }
           break;
@@ -258,7 +261,8 @@
           for (std::size_t k = 0; settles_ && k < rig_.keepers(); ++k) {
             const std::size_t from = rig_.log(k).rfind("store.opened");
             const Instant late = loop_.now() + kBound;
-            while (!waited(rig_.log(k).find("state=votes", from) != std::string::npos, late, "a keeper that votes"))
+            while (!waited(rig_.log(k).find("state=votes", from) != std::string::npos, late,
+                           "a keeper that votes"))
               co_await tick();
           }
           break;
@@ -315,7 +319,8 @@
   }
   static void spoil(const std::string& path) {
     std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
-    for (std::streamoff at = 4000; at < static_cast<std::streamoff>(std::filesystem::file_size(path)); at += 512) {
+    for (std::streamoff at = 4000; at < static_cast<std::streamoff>(std::filesystem::file_size(path));
+         at += 512) {
       file.seekp(at);
       file << "no longer what was written here";
     }
@@ -327,7 +332,7 @@
   bool settles_;
   Sum& sum_;
   std::vector<std::pair<std::string, Instant>> ids_;  // when each was asked for first
-  std::set<std::size_t> without_;  // routers that never return
+  std::set<std::size_t> without_;                     // routers that never return
   std::uint64_t probes_ = 0, listVersion_ = 1;
   std::size_t idsAtLoss_ = 0;  // that clients had asked for when power was last lost
   bool ending_ = false;
@@ -345,15 +350,15 @@
   World world(seed, trouble, shape, sum);
   const std::string fault = world.play(spoilsDisk ? 1 : 2);
   if (!fault.empty())
-    std::cerr << "seed " << seed << ", " << kTroubles[static_cast<int>(trouble)] << ": " << fault << "; logs in "
-              << world.path() << "\n";
+    std::cerr << "seed " << seed << ", " << kTroubles[static_cast<int>(trouble)] << ": " << fault
+              << "; logs in " << world.path() << "\n";
   return fault;
 }
 
 void say(const Sum& sum) {
-  std::cerr << "asked " << sum.asked << ", ran " << sum.ran << ", committed " << sum.committed << ", declined "
-            << sum.declined << ", rolled back " << sum.rolledBack << ", none " << sum.none << ", power losses "
-            << sum.losses << "\n";
+  std::cerr << "asked " << sum.asked << ", ran " << sum.ran << ", committed " << sum.committed
+            << ", declined " << sum.declined << ", rolled back " << sum.rolledBack << ", none " << sum.none
+            << ", power losses " << sum.losses << "\n";
 }
 
 // Every trouble, with as many seeds as are asked for.
@@ -382,7 +387,8 @@
     std::string fault;
     for (std::uint64_t seed = from; seed < from + seeds && fault.empty(); ++seed)
       fault = played(seed, trouble, shape, sum);
-    std::cout << what << ": " << (fault.starts_with(expected) ? "found, " + std::string(expected) : "NOT FOUND") << "\n";
+    std::cout << what << ": "
+              << (fault.starts_with(expected) ? "found, " + std::string(expected) : "NOT FOUND") << "\n";
   };
   Shape alone;
   alone.settles = false;
@@ -434,7 +440,8 @@
   // Asked until one is granted: the router serves.
   loop::Task scene() {
     rig_.startAll();
-    for (const std::string way : {"at the second after the first", "at both at once", "at the first after kill -9"}) {
+    for (const std::string way :
+         {"at the second after the first", "at both at once", "at the first after kill -9"}) {
       for (std::size_t router = 0; router < 2; ++router)
         for (const auto before = committed_; committed_ == before;) {
           ask(router, "serves" + std::to_string(++probes_));
@@ -442,7 +449,8 @@
         }
       quiet_ = true;
       std::vector<std::string> ids;
-      for (int n = 0; n < kCases; ++n) ids.push_back(way.substr(0, 7) + way.substr(way.size() - 3) + std::to_string(n));
+      for (int n = 0; n < kCases; ++n)
+        ids.push_back(way.substr(0, 7) + way.substr(way.size() - 3) + std::to_string(n));
       for (const auto& id : ids) {
         ask(0, id);
         if (way == "at both at once") ask(1, id);
@@ -467,8 +475,12 @@
       quiet_ = false;
       int ran = 0, twice = 0;
       for (const auto& id : ids) ran += node_.runs[id] > 0, twice += node_.runs[id] > 1;
-      std::cout << way << (settles_ ? "" : ", nothing settled") << ": ran " << (ran * 2 > kCases ? "most" : "FEW")
-                << ", twice " << (settles_ ? std::to_string(twice) : twice > 0 ? "some" : "NONE") << "\n";
+      std::cout << way << (settles_ ? "" : ", nothing settled") << ": ran "
+                << (ran * 2 > kCases ? "most" : "FEW") << ", twice "
+                << (settles_    ? std::to_string(twice)
+                    : twice > 0 ? "some"
+                                : "NONE")
+                << "\n";
       std::cerr << way << ": ran " << ran << ", twice " << twice << " of " << kCases << "\n";
     }
     loop_.stop();
@@ -485,8 +497,8 @@
   std::uint64_t committed_ = 0, probes_ = 0;
 };
 
-// What settling costs: the time of a once-only txn, connection included, alone and at several at a time, spread
-// over three routers. A measurement, no test.
+// What settling costs: the time of a once-only txn, connection included, alone and at several at a time,
+// spread over three routers. A measurement, no test.
 class Price {
  public:
   Price(bool settles, std::size_t keepers) : rig_(loop_, 1, shape(settles, keepers)), settles_(settles) {}
@@ -527,10 +539,10 @@
         committed += rig_.asked(row).outcome == Outcome::committed;
       }
       std::sort(took.begin(), took.end());
-      std::cout << (settles_ ? std::to_string(rig_.keepers()) + " keepers" : "nothing settled") << ", " << together
-                << " at a time: p50 " << took[took.size() / 2] << " ms, p99 " << took[took.size() * 99 / 100] << " ms, "
-                << static_cast<double>(committed) / seconds << " committed a second, " << committed << " of "
-                << took.size() << std::endl;
+      std::cout << (settles_ ? std::to_string(rig_.keepers()) + " keepers" : "nothing settled") << ", "
+                << together << " at a time: p50 " << took[took.size() / 2] << " ms, p99 "
+                << took[took.size() * 99 / 100] << " ms, " << static_cast<double>(committed) / seconds
+                << " committed a second, " << committed << " of " << took.size() << std::endl;
     }
     loop_.stop();
   }
@@ -544,7 +556,9 @@
 
 int main(int argc, char** argv) {
   const std::string name = argc > 1 ? argv[1] : "";
-  const auto argument = [&](int at, std::uint64_t otherwise) { return argc > at ? std::stoull(argv[at]) : otherwise; };
+  const auto argument = [&](int at, std::uint64_t otherwise) {
+    return argc > at ? std::stoull(argv[at]) : otherwise;
+  };
   if (name == "each") return each(argument(2, 1), argument(3, 1));
   if (name == "bugs") return bugs(argument(2, 20), argument(3, 1));
   if (name == "trouble") {  // one alone, as standard error names it: its number from 0, and the seed
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -66,8 +66,8 @@
   return pg::message('S', std::string(name) + '\0' + std::string(value) + '\0');
 }
 std::string row(const std::string& value) {
-  const std::string column =
-      std::string("body") + '\0' + number(0, 4) + number(0, 2) + number(17, 4) + number(0xFFFF, 2) + number(0xFFFFFFFF, 4) + number(0, 2);
+  const std::string column = std::string("body") + '\0' + number(0, 4) + number(0, 2) + number(17, 4) +
+                             number(0xFFFF, 2) + number(0xFFFFFFFF, 4) + number(0, 2);
   return pg::message('T', number(1, 2) + column) +
          pg::message('D', number(1, 2) + number(static_cast<std::uint32_t>(value.size()), 4) + value) +
          pg::message('C', std::string("INSERT 0 1") + '\0');
@@ -142,14 +142,15 @@
       auto relay = std::make_unique<Relay>();
       relay->router = i;
       relay->keeper = k;
-      relay->address = i == k ? processes_[k]->keeper
-                              : listen([this, at = relay.get()](loop::Descriptor taken) {
-                                  return serveRelay(*at, std::move(taken));
-                                });
+      relay->address =
+          i == k ? processes_[k]->keeper : listen([this, at = relay.get()](loop::Descriptor taken) {
+            return serveRelay(*at, std::move(taken));
+          });
       keepers += (k ? ",\"r" : "\"r") + std::to_string(k) + "\":\"" + relay->address + "\"";
       relays_.push_back(std::move(relay));
     }
-    for (std::size_t j = 0; j < shape_.routers; ++j) routers += (j ? ",\"r" : "\"r") + std::to_string(j) + "\"";
+    for (std::size_t j = 0; j < shape_.routers; ++j)
+      routers += (j ? ",\"r" : "\"r") + std::to_string(j) + "\"";
     const std::string base = path_ + "/r" + std::to_string(i);
     std::ofstream(base + ".json") << R"({"name":"r)" << i << R"(","listen":")" << processes_[i]->front
                                   << R"(","discovery":")" << discovery_ << R"(","seed":"5eed",
@@ -159,11 +160,11 @@
       "lanes":[{"name":"book-charge","effect":"at_most_once","objective":400000,"deadline":1000000,"worth":3,"lateShare":0.7}],
       "rules":{"coldFrom":0.2,"cold":1000000,"drainGrace":1000000},
       "specifics":{"readLevel":["update"],"lagAllowed":[0],"sessionMarks":"client","guards":"off"}}})";
-    std::ofstream(base + ".ext.json") << R"({"listen":")" << processes_[i]->processor
-                                      << R"(","probe_path":"/standing"})";
-    std::ofstream(base + ".fleet.json") << "{\"keepers\":{" << keepers << "},\"routers\":[" << routers
-                                        << "],\"store\":\"" << folder(i)
-                                        << "\",\"retention_ms\":4000,\"longest_wait_ms\":800}";
+    std::ofstream(base + ".ext.json")
+        << R"({"listen":")" << processes_[i]->processor << R"(","probe_path":"/standing"})";
+    std::ofstream(base + ".fleet.json")
+        << "{\"keepers\":{" << keepers << "},\"routers\":[" << routers << "],\"store\":\"" << folder(i)
+        << "\",\"retention_ms\":4000,\"longest_wait_ms\":800}";
   }
 }
 
@@ -272,7 +273,8 @@
   for (const std::size_t i : all)
     if (i < keepers())
       for (const char* name : {"/claims.db", "/claims.db-journal"})
-        if (std::filesystem::exists(folder(i) + name) && std::filesystem::exists(folder(i) + name + ".synced"))
+        if (std::filesystem::exists(folder(i) + name) &&
+            std::filesystem::exists(folder(i) + name + ".synced"))
           tear(folder(i) + name);
 }
 
@@ -351,7 +353,8 @@
       auto body = message->body;
       const std::string text(pg::takeText(body));
       const std::string position = std::to_string(loop_.now().inMicros() / 1000 + 1);
-      const std::string told = status("part", "master") + status("caught_up_to", position) + pg::readyForQuery();
+      const std::string told =
+          status("part", "master") + status("caught_up_to", position) + pg::readyForQuery();
       if (pg::isBlank(text) || text == "SELECT 1") {
         unsent += pg::isBlank(text) ? pg::emptyQueryResponse() + pg::readyForQuery() : row("1") + told;
         continue;
@@ -393,8 +396,8 @@
   std::uint64_t told = 0;
   const auto body = [this](bool whole) {
     return R"({"version":)" + std::to_string(version_) + R"(,"full":)" + (whole ? "true" : "false") +
-           R"(,"servers":[{"id":"p1","addr":")" + node_ + R"(","zone":"a","kind":"m","cell":1,"state":")" + state_ +
-           R"(","weight":1,"started_ms":0,"part":"master"}]})";
+           R"(,"servers":[{"id":"p1","addr":")" + node_ + R"(","zone":"a","kind":"m","cell":1,"state":")" +
+           state_ + R"(","weight":1,"started_ms":0,"part":"master"}]})";
   };
   const auto chunk = [](const std::string& text) {
     std::ostringstream size;
@@ -407,7 +410,8 @@
       kept.erase(0, end + 4);
       const std::string whole = body(true);
       unsent += watching ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(whole + "\n")
-                         : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + whole;
+                         : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" +
+                               whole;
       told = version_;
     }
     if (watching && version_ > told) {
@@ -439,10 +443,11 @@
     loop::Stream stream(loop_, loop::startConnecting(at.host, at.port));
     const Instant by = loop_.now() + kWedged;
     stream.wakeAt(by);
-    std::string unsent = pg::startup("worker", "catalog") +
-                         pg::message('Q', "INSERT INTO objects (oid, body) VALUES ('k', '\\x9f') RETURNING body /* id=" +
-                                              asked->id + ",c=book-charge,t=a,d=" + std::to_string(kPatienceMs) +
-                                              ",cluster=1 */" + std::string(1, '\0'));
+    std::string unsent =
+        pg::startup("worker", "catalog") +
+        pg::message('Q', "INSERT INTO objects (oid, body) VALUES ('k', '\\x9f') RETURNING body /* id=" +
+                             asked->id + ",c=book-charge,t=a,d=" + std::to_string(kPatienceMs) +
+                             ",cluster=1 */" + std::string(1, '\0'));
     std::string kept;
     bool connected = false, welcomed = false, answered = false;
     while (!answered && loop_.now() < by) {
@@ -489,7 +494,8 @@
   std::map<std::string, bool> mayHaveRun;  // by an answer, or by none
   for (const auto& asked : book_) {
     if (asked->outcome == Outcome::none && !asked->excused) return "no final answer: " + asked->id;
-    if (asked->outcome == Outcome::committed && ran(asked->id) == 0) return "committed and never ran: " + asked->id;
+    if (asked->outcome == Outcome::committed && ran(asked->id) == 0)
+      return "committed and never ran: " + asked->id;
     if (asked->outcome == Outcome::committed && asked->value != "value of " + asked->id)
       return "a wrong value: " + asked->id;
     if (asked->outcome != Outcome::declined) mayHaveRun[asked->id] = true;
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -18,9 +18,9 @@
 
 struct Shape {
   std::size_t routers = 3, keepers = 3;
-  bool settles = true;      // with the file of the fleet; else each router stands by itself
-  bool lyingDisk = false;   // a built-in fault
-  std::string discovery;    // of stand-in nodes that speak HTTP: routers are external processors for them
+  bool settles = true;     // with the file of the fleet; else each router stands by itself
+  bool lyingDisk = false;  // a built-in fault
+  std::string discovery;   // of stand-in nodes that speak HTTP: routers are external processors for them
 };
 
 enum class Outcome { committed, declined, rolledBack, none };
@@ -48,9 +48,9 @@
   // --- Processes
   void start(std::size_t router);
   void startAll();
-  void kill(std::size_t router);   // its files stay as the system has them
-  void stop(std::size_t router);   // SIGSTOP
-  void goOn(std::size_t router);   // SIGCONT
+  void kill(std::size_t router);  // its files stay as the system has them
+  void stop(std::size_t router);  // SIGSTOP
+  void goOn(std::size_t router);  // SIGCONT
   bool isUp(std::size_t router) const;
   // Ends by itself within 10 s of being started: its exit code; -1: it runs. For one that must not start.
   int endsWith(std::size_t router);
@@ -65,7 +65,8 @@
   void flowAll(Flow how);
 
   // --- The node and its list
-  // What discovery tells from now on, also those that watch; a version that goes back is told to new ones alone.
+  // What discovery tells from now on, also those that watch; a version that goes back is told to new ones
+  // alone.
   void list(std::uint64_t version, const std::string& state);
   std::function<void(const std::string& id)> onWrite;  // after it ran, before it is answered
   bool swallowAnswers = false;                         // what ran is not answered: the connection ends
--- a/tests/fleet/synced.cpp
+++ b/tests/fleet/synced.cpp
@@ -1,6 +1,6 @@
-// Linked into the program that the rig starts, which is else the program as it is: SQLite's files keep a copy of
-// what of them was synced, FILE.synced, so that the rig can take what was not when power is lost. A kill alone
-// would leave it in the page cache.
+// Linked into the program that the rig starts, which is else the program as it is: SQLite's files keep a copy
+// of what of them was synced, FILE.synced, so that the rig can take what was not when power is lost. A kill
+// alone would leave it in the page cache.
 #include <sqlite3.h>
 
 #include <cstdio>
--- a/tests/recovery.cpp
+++ b/tests/recovery.cpp
@@ -1,5 +1,5 @@
-// Which nodes leave, by lists that come in any order and by news of others. Run as `recovery CASE`: prints the
-// case's trace.
+// Which nodes leave, by lists that come in any order and by news of others. Run as `recovery CASE`: prints
+// the case's trace.
 #include <functional>
 #include <iostream>
 
@@ -21,13 +21,16 @@
     }
     std::vector<ListEntry*> pointers;
     for (auto& entry : entries) pointers.push_back(&entry);
-    std::cout << (kind == ListKind::whole ? "list " : kind == ListKind::disk ? "from before " : "changes ") << version
-              << ":";
+    std::cout << (kind == ListKind::whole  ? "list "
+                  : kind == ListKind::disk ? "from before "
+                                           : "changes ")
+              << version << ":";
     const auto news = leaving_.listed(kind, version, pointers);
     constexpr const char* kHealth[] = {"live", "draining", "gone"};
     for (std::size_t i = 0; i < entries.size(); ++i) {
       std::cout << " " << entries[i].node << " " << kHealth[static_cast<int>(named[i].second)];
-      if (entries[i].health != named[i].second) std::cout << " (taken as " << kHealth[static_cast<int>(entries[i].health)] << ")";
+      if (entries[i].health != named[i].second)
+        std::cout << " (taken as " << kHealth[static_cast<int>(entries[i].health)] << ")";
     }
     for (const auto& one : news) std::cout << "; told: " << one.node << (one.leaving ? " leaves" : " stays");
     std::cout << "\n";
@@ -61,8 +64,9 @@
   w.list(ListKind::whole, 13, {{"a", live}, {"c", live}});
   std::cout << "-- more than are remembered: the oldest go\n";
   for (const char* node : {"d", "e", "f"}) w.learn(node, 20, true);
-  std::cout << "remembered " << w.leaving_.all().size() << ", b leaves " << w.leaving_.isLeaving("b") << ", newest list "
-            << w.leaving_.newest() << ", forgotten " << w.leaving_.takeForgotten().size() << "\n";
+  std::cout << "remembered " << w.leaving_.all().size() << ", b leaves " << w.leaving_.isLeaving("b")
+            << ", newest list " << w.leaving_.newest() << ", forgotten " << w.leaving_.takeForgotten().size()
+            << "\n";
 }
 
 }  // namespace
--- a/tests/setups.cpp
+++ b/tests/setups.cpp
@@ -1,5 +1,5 @@
-// The fleet's configuration with each kind of fault, the command line, and what a keeper says to strangers and
-// nonsense. Run as `setups CASE`: prints the case's trace.
+// The fleet's configuration with each kind of fault, the command line, and what a keeper says to strangers
+// and nonsense. Run as `setups CASE`: prints the case's trace.
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -55,7 +55,8 @@
     std::string all = out.str() + complaints.str();
     for (std::size_t at; (at = all.find(base)) != std::string::npos;) all.replace(at, base.size(), "BASE");
     std::cout << "--";
-    for (std::size_t i = 1; i < words.size(); ++i) std::cout << " " << (words[i] == folder ? "BASE/s" : words[i]);
+    for (std::size_t i = 1; i < words.size(); ++i)
+      std::cout << " " << (words[i] == folder ? "BASE/s" : words[i]);
     std::cout << "\n" << all << "exit " << code << "\n";
   };
   tried({"serve"});
@@ -93,8 +94,8 @@
  public:
   World() : ledger_(trace::usualTerms({trace::type(ReadLevel::write, Effect::onceOnly)}), 7, 1 << 20, [] {}) {
     const Setup setup = readSetup(
-        R"({"keepers":{"a":"127.0.0.1:1","b":"127.0.0.1:2","c":"127.0.0.1:3"},"routers":["d"],"store":"/s"})", "a",
-        ms(2000));
+        R"({"keepers":{"a":"127.0.0.1:1","b":"127.0.0.1:2","c":"127.0.0.1:3"},"routers":["d"],"store":"/s"})",
+        "a", ms(2000));
     claims::Kept kept;
     kept.own = {{1, 50}};
     kept.whole = true;
@@ -111,7 +112,9 @@
   Desk& desk() { return *desk_; }
 
  private:
-  void toKeeper(claims::KeeperNumber keeper, const Word&) override { std::cout << "  to keeper " << keeper << "\n"; }
+  void toKeeper(claims::KeeperNumber keeper, const Word&) override {
+    std::cout << "  to keeper " << keeper << "\n";
+  }
   void reply(StreamKey stream, const Reply& reply) override {
     std::cout << "  to stream " << stream << ": ";
     if (const auto* heard = std::get_if<Heard>(&reply))
--- a/tests/store.cpp
+++ b/tests/store.cpp
@@ -1,5 +1,5 @@
-// The store of claims: power lost at every operation on a simulated disk, files cut and flipped at every byte,
-// disks that fail and heal, folders that are not its own. Run as `store CASE`: prints the case's trace.
+// The store of claims: power lost at every operation on a simulated disk, files cut and flipped at every
+// byte, disks that fail and heal, folders that are not its own. Run as `store CASE`: prints the case's trace.
 #include "store/store.h"
 
 #include <poll.h>
@@ -32,7 +32,9 @@
   const std::string name = "b" + std::to_string(id);
   return {What::put,
           name,
-          {name, {"r" + std::to_string(router), 77, static_cast<std::uint64_t>(id)}, committed,
+          {name,
+           {"r" + std::to_string(router), 77, static_cast<std::uint64_t>(id)},
+           committed,
            committed ? std::string(static_cast<std::size_t>(40 * id % 3000), 'v') : ""},
           {},
           false};
@@ -152,10 +154,11 @@
   Disk::install();
   const Search found = search(12, false);
   std::cout << "power lost at " << found.points << " points, " << found.again
-            << " times again during recovery: " << (found.fault.empty() ? "nothing invented, lost or doubled" : found.fault)
-            << "\n";
+            << " times again during recovery: "
+            << (found.fault.empty() ? "nothing invented, lost or doubled" : found.fault) << "\n";
   const Search lying = search(12, true);
-  std::cout << "a disk that says that it synced and did not: " << (lying.fault.empty() ? "NOT FOUND" : "found after ")
+  std::cout << "a disk that says that it synced and did not: "
+            << (lying.fault.empty() ? "NOT FOUND" : "found after ")
             << (lying.fault.empty() ? "" : std::to_string(lying.points)) << " points\n";
 }
 
@@ -179,16 +182,16 @@
     file[at] = static_cast<char>(file[at] ^ (1 << at % 8));
     look(file);
   }
-  std::cout << whole.size() << " bytes flipped: as it was or known as damaged " << same + damaged << ", wrong " << wrong
-            << "; damaged " << (damaged > 1000 ? "many" : "FEW") << "\n";
+  std::cout << whole.size() << " bytes flipped: as it was or known as damaged " << same + damaged
+            << ", wrong " << wrong << "; damaged " << (damaged > 1000 ? "many" : "FEW") << "\n";
   same = damaged = wrong = 0;
   for (std::size_t size = 1; size < whole.size(); ++size) look(whole.substr(0, size));
-  std::cout << "cut at each byte: damaged " << (damaged > whole.size() / 2 ? "most" : "FEW") << ", wrong " << wrong
-            << "\n";
+  std::cout << "cut at each byte: damaged " << (damaged > whole.size() / 2 ? "most" : "FEW") << ", wrong "
+            << wrong << "\n";
 }
 
-// Operations that fail with an error, a sync that fails once and then succeeds among them; the store opens its
-// file anew and goes on.
+// Operations that fail with an error, a sync that fails once and then succeeds among them; the store opens
+// its file anew and goes on.
 void failing() {
   Disk::install();
   const auto all = script();
@@ -274,10 +277,12 @@
   }
   std::cout << "damaged: " << (read(folder.path()).damage.empty() ? "NOT SEEN" : "seen") << "\n";
   Store store(folder.path(), "k1", 13);
-  std::cout << "started on it: " << shown(store.kept()) << "; set aside: " << !store.setAside().empty() << "\n";
+  std::cout << "started on it: " << shown(store.kept()) << "; set aside: " << !store.setAside().empty()
+            << "\n";
 }
 
-// The disk is full for a while, as no file of this process may grow: the store says so, and goes on by itself.
+// The disk is full for a while, as no file of this process may grow: the store says so, and goes on by
+// itself.
 void healing() {
   const Folder folder;
   create(folder.path(), "k1");
