--- /dev/null
+++ b/benchmarks/votes.cpp
@@ -0,0 +1,85 @@
+// How many votes a second a disk makes durable, by how many are committed together: the store as it is, and
+// SQLite by itself with its two journals. Run as `votes FOLDER`; the folder must not be there. A measurement,
+// no test.
+#include <poll.h>
+#include <sqlite3.h>
+
+#include <chrono>
+#include <filesystem>
+#include <iostream>
+
+#include "store/store.h"
+
+using namespace gulltrestle;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+constexpr auto kFor = std::chrono::milliseconds(1500);
+
+double secondsSince(Clock::time_point began) {
+  return std::chrono::duration<double>(Clock::now() - began).count();
+}
+
+claims::Keeper::Change vote(std::uint64_t number) {
+  claims::Keeper::Change change;
+  change.id = change.entry.id = "9b1f03aa5c7e" + std::to_string(number);
+  change.entry.token = {"r1", 7, number};
+  return change;
+}
+
+void asItIs(const std::string& folder, std::size_t together) {
+  store::create(folder, "r1");
+  store::Store store(folder, "r1", 1);
+  std::uint64_t sent = 0, durable = 0;
+  const auto began = Clock::now();
+  while (secondsSince(began) < std::chrono::duration<double>(kFor).count()) {
+    while (sent - durable < together) store.write({vote(++sent)});
+    pollfd ready{store.descriptor(), POLLIN, 0};
+    poll(&ready, 1, 1000);
+    for (const auto& done : store.done()) durable += done.durable;
+  }
+  std::cout << "the store, " << together
+            << " out at a time: " << static_cast<double>(durable) / secondsSince(began) << " votes a second, "
+            << static_cast<double>(store.figures().commits) / secondsSince(began) << " commits, longest "
+            << store.figures().longest.inMicros() / 1000.0 << " ms\n";
+}
+
+void plain(const std::string& file, const char* journal, const char* sync, std::size_t together) {
+  sqlite3* db = nullptr;
+  sqlite3_open(file.c_str(), &db);
+  const auto run = [&](const std::string& text) {
+    sqlite3_exec(db, text.c_str(), nullptr, nullptr, nullptr);
+  };
+  run(std::string("PRAGMA locking_mode=EXCLUSIVE; PRAGMA journal_mode=") + journal +
+      "; PRAGMA synchronous=" + sync);
+  run("CREATE TABLE claims (id BLOB PRIMARY KEY, router BLOB, start INTEGER, number INTEGER) WITHOUT ROWID");
+  std::uint64_t commits = 0;
+  const auto began = Clock::now();
+  while (secondsSince(began) < std::chrono::duration<double>(kFor).count()) {
+    std::string all = "BEGIN;";
+    for (std::size_t n = 0; n < together; ++n)
+      all += "INSERT INTO claims VALUES ('9b1f03aa5c7e" + std::to_string(commits * together + n) +
+             "','r1',7," + std::to_string(n) + ");";
+    run(all + "COMMIT");
+    ++commits;
+  }
+  std::cout << journal << ", " << together
+            << " in a commit: " << static_cast<double>(commits * together) / secondsSince(began)
+            << " votes a second, " << static_cast<double>(commits) / secondsSince(began) << " commits\n";
+  sqlite3_close(db);
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  if (count < 2 || !std::filesystem::create_directory(words[1])) return 2;
+  const std::string folder = words[1];
+  for (const std::size_t together : {1, 10, 100}) {
+    asItIs(folder + "/store" + std::to_string(together), together);
+    plain(folder + "/truncate" + std::to_string(together), "TRUNCATE", "EXTRA", together);
+    plain(folder + "/wal" + std::to_string(together), "WAL", "FULL", together);
+  }
+  std::filesystem::remove_all(folder);
+  return 0;
+}
