--- a/tests/day.cpp
+++ b/tests/day.cpp
@@ -250,7 +250,10 @@
 }
 
 void killed() {
-  Fleet f;
+  // Tries are spread over the time that a program takes to start, sanitized and linked with all there is.
+  standins::ProxySetup setup;
+  setup.pauseBetween = ms(200);
+  Fleet f(setup);
   f.play(killedTask);
 }
 
