The bound on votes that wait for a slow disk is the keeper's decision, not the desk's

Need, by reading the change once more: src/peers/desk.cpp, a reducer, refused votes by a tuned value of its own, which no test caused, and src/store/store.cpp held a constant that nothing used. Change: the keeper counts the votes that wait for its disk and gives no further beyond its bound; both constants are gone.

--- a/src/claims/keeper.cpp
+++ b/src/claims/keeper.cpp
@@ -85,10 +85,15 @@
     const Held& held = at->second;
     if (held.entry.token != token) return taken(held.entry);
     if (state_ != State::votes) return Vote{};
-    return held.durable ? std::optional(Vote{Vote::What::yours, false, ""}) : std::nullopt;
+    if (held.durable) return Vote{Vote::What::yours, false, ""};
+    if (waiting_ >= bounds_.mostWaiting) return Vote{};
+    ++waiting_;
+    return std::nullopt;
   }
   // What was released and claimed anew keeps its place among the oldest, too.
-  if (state_ != State::votes || oldest_.size() >= bounds_.most) return Vote{};
+  if (state_ != State::votes || oldest_.size() >= bounds_.most || waiting_ >= bounds_.mostWaiting)
+    return Vote{};
+  ++waiting_;
   const Entry entry{id, token, false, ""};
   entries_[id] = {entry, false};
   remember(now, id);
@@ -97,6 +102,7 @@
 }
 
 std::optional<Vote> Keeper::written(const std::string& id, const Token& token, bool durable) {
+  if (waiting_ > 0) --waiting_;
   const auto at = entries_.find(id);
   if (at == entries_.end() || at->second.entry.token != token) return std::nullopt;
   // What could not be written stays held here: nobody else gets the vote, and it is not given either.
--- a/src/claims/keeper.h
+++ b/src/claims/keeper.h
@@ -47,6 +47,7 @@
   Span retention = Span::millis(600'000);
   std::size_t most = 1'000'000;  // ids that are held; beyond that no vote is given
   std::size_t longestValue = 4096;
+  std::size_t mostWaiting = 100'000;  // votes that wait for a slow disk; no further is given meanwhile
 };
 
 // What a disk held when the keeper started.
@@ -86,7 +87,8 @@
 
   // None: it is told by written().
   std::optional<Vote> claimed(Instant now, const std::string& id, const Token& token);
-  // Its entry is durable, or can't be made so. None: that vote is not wanted any more.
+  // To be called once for each claim that got no vote at once: its entry is durable, or can't be made so.
+  // None: that vote is not wanted any more.
   std::optional<Vote> written(const std::string& id, const Token& token, bool durable);
   void committed(Instant now, const std::string& id, const Token& token, std::string value);
   // The claim's txn surely never ran: its id is free again.
@@ -128,6 +130,7 @@
   std::unordered_map<std::string, Held> entries_;
   std::deque<std::pair<Instant, std::pair<std::string, Token>>> oldest_;  // when which may go
   Instant now_, silentUntil_;
+  std::size_t waiting_ = 0;  // votes that wait for the disk
   std::vector<Change> changes_;
 };
 
--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-// A keeper that may write no more than this many answers behind its disk gives no votes until that catches
-// up.
-constexpr std::size_t kMostWaiting = 100'000;
 // How often somebody who does not belong is logged.
 constexpr Span kStrangersPause = Span::millis(1000);
 
@@ -117,7 +114,6 @@
     return claims::Token{speaker.router, speaker.draw, number};
   };
   if (const auto* claim = std::get_if<Claim>(&word)) {
-    if (waiting_.size() >= kMostWaiting) return give(stream, claim->number, Vote{});
     const auto vote = keeper_->claimed(ledger_.now(), claim->id, token(claim->number));
     if (vote) return give(stream, claim->number, *vote);
     return toDisk(Waiting{Waiting::What::vote, stream, claim->number, claim->id, token(claim->number), {}});
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -19,9 +19,6 @@
 
 // How long a disk that failed is left alone: what is queued meanwhile is told as not durable.
 constexpr auto kRest = std::chrono::milliseconds(500);
-// What may wait for a disk that fails or stalls. A keeper gives no votes beyond it.
-constexpr std::size_t kMostQueued = 100'000;
-
 std::string fileIn(const std::string& folder) { return folder + "/claims.db"; }
 
 bool exists(const std::string& path) {
--- a/tests/claims.cpp
+++ b/tests/claims.cpp
@@ -535,6 +535,8 @@
   std::cout << "\n";
 }
 
+void slowDisk();
+
 void keeper(std::uint64_t) {
   KeeperBounds bounds;
   bounds.retention = ms(60'000);
@@ -588,6 +590,19 @@
             << two.greeted("k2", {2, 5}).number << ", then " << two.greeted("k2", {4, 5}).number
             << "; a stranger " << two.greeted("k9", {4, 5}).number << "\n";
   shown(two);
+  slowDisk();
+}
+
+void slowDisk() {
+  KeeperBounds bounds;
+  bounds.mostWaiting = 2;
+  Keeper one(kBegin, {}, bounds, {{{1, 1}}, 0, true, {}, {}, {}});
+  const Token a{"a", 11, 1};
+  std::cout << "a slow disk, two votes may wait: " << shown(one.claimed(kBegin, "w1", a)) << ", "
+            << shown(one.claimed(kBegin, "w2", a)) << ", " << shown(one.claimed(kBegin, "w3", a))
+            << ", again " << shown(one.claimed(kBegin, "w1", a));
+  std::cout << "; one is durable: " << shown(one.written("w1", a, true)) << ", "
+            << shown(one.claimed(kBegin, "w3", a)) << "\n";
 }
 
 void shown(Claimant& claimant) {
