Fleet model: several groups, cold starts, connections that cost, losses of power, cut links

Change: nodes and their truth stand in src/model/nodes; a sheet names groups, machines, probes, uneven traffic; troubles are losses of power of routers and nodes, cut links, lists that are late, clients that insist. Figures by the second.

--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -17,6 +17,8 @@
 constexpr double kFreePart = 0.35;
 // In windows of this many seconds with fewer txns the part that was committed says little.
 constexpr double kWindow = 10, kFewest = 50;
+// How soon a client that is told nothing asks again.
+constexpr Span kAtOnce = Span::millis(20);
 
 Terms termsOf(const Sheet& sheet) {
   Terms terms;
@@ -26,19 +28,33 @@
   terms.coldShare = 0.2;
   terms.coldTime = Span::millis(10'000);
   terms.secondCopies = terms.comeBackAllowed = terms.sessionAgeCarried = true;
+  terms.probesAllowed = sheet.probes;
   terms.longestComeBack = Span::millis(400);
   terms.mostSubmissions = 4;
   terms.reducedByLevel = sheet.refusing != Refusing::byModule;
   return terms;
 }
 
+// Shares that differ by up to `uneven` times the mean, the first the largest.
+std::vector<double> sharesOf(std::size_t count, double uneven) {
+  std::vector<double> shares;
+  for (std::size_t i = 0; i < count; ++i)
+    shares.push_back(1 + uneven * (i % 7 == 0 ? 1.0 : static_cast<double>(i % 3) * 0.2));
+  return shares;
+}
+
+std::size_t drawOf(const std::vector<double>& shares, std::mt19937_64& chance) {
+  return std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(chance);
+}
+
 }  // namespace
 
 // One router process: its ledger, levels and clients.
 struct Fleet::Router final : core::Front, core::Carrier {
-  Router(Fleet& of, std::size_t index)
+  Router(Fleet& of, std::size_t index, unsigned ofStart)
       : fleet(of),
         number(index),
+        start(ofStart),
         terms(termsOf(of.sheet_)),
         levels({}, of.sheet_.seed + index),
         ledger(terms, of.sheet_.seed * 1000 + index, 1 << 20, [] {}) {
@@ -48,28 +64,27 @@
   }
 
   void committed(core::OwnerId owner, const core::Value&) override {
-    fleet.answered(*this, owner, true, false);
+    fleet.answered(*this, owner, true, false, {});
   }
-  void declined(core::OwnerId owner, Span, unsigned level) override {
-    if (level > 0) fleet.judge(asked.at(owner).kind);
-    fleet.answered(*this, owner, false, true);
+  void declined(core::OwnerId owner, Span comeBackAfter, unsigned level) override {
+    if (level > 0) fleet.judge(asked.at(owner).wish);
+    fleet.answered(*this, owner, false, true, comeBackAfter);
   }
-  void rolledBack(core::OwnerId owner) override { fleet.answered(*this, owner, false, false); }
+  void rolledBack(core::OwnerId owner) override { fleet.answered(*this, owner, false, false, {}); }
   void carry(core::Job job, const NodeId& node) override { fleet.carry(*this, job, node); }
   void callOff(core::Job job, const NodeId& node) override { ledger.ended(job, node, End::calledOff); }
   void listed(const std::vector<NodeId>&) override {}
   void forget(const NodeId&) override {}
 
   struct Asked {
-    std::size_t kind;
+    Wish wish;
     Instant at;
-    unsigned tries;
-    std::uint64_t session;
     Instant need;  // what its session had committed when it asked
     TxnId txn;
   };
   Fleet& fleet;
   std::size_t number;
+  unsigned start;
   Terms terms;
   levels::Levels levels;
   core::Ledger ledger;
@@ -82,73 +97,132 @@
   core::OwnerId last = 0;
 };
 
-Fleet::Fleet(Sheet sheet) : sheet_(std::move(sheet)), chance_(sheet_.seed), begin_(kBegin), now_(kBegin) {
+Fleet::Fleet(Sheet sheet)
+    : sheet_(std::move(sheet)), chance_(sheet_.seed), begin_(kBegin), now_(kBegin), nodes_(sheet_.machines) {
   double work = 0, shares = 0;
   for (const auto& kind : sheet_.kinds) {
     work += kind.share * kind.work.inSeconds();
     shares += kind.share;
   }
-  capacity_ = static_cast<double>(sheet_.replicas + 1) * shares / work;
-  for (std::size_t n = 0; n <= sheet_.replicas; ++n)
-    nodes_.push_back({n == 0 ? "primary" : "replica-" + std::to_string(n), n == 0, false, {}, {}});
+  capacity_ = static_cast<double>(nodes_.all().size()) * shares / work;
+  shares_ = sharesOf(sheet_.routers, sheet_.uneven);
+  groupShares_ = sharesOf(sheet_.machines.groups, sheet_.uneven * 0.2);
+  result_.kinds.resize(sheet_.kinds.size());
+  last_ = nodes_.list(now_);
   routers_.resize(sheet_.routers);
-  start();
+  starts_.resize(sheet_.routers);
+  for (std::size_t i = 0; i < routers_.size(); ++i) start(i);
 }
 
 Fleet::~Fleet() = default;
 
 double Fleet::seconds() const { return (now_ - begin_).inSeconds(); }
 
-// All routers from nothing; what they had out goes on at the nodes, and is told to nobody.
-void Fleet::start() {
-  ++starts_;
-  for (std::size_t i = 0; i < routers_.size(); ++i) {
-    if (routers_[i]) changesBefore_ += routers_[i]->changes;
-    routers_[i] = std::make_unique<Router>(*this, i);
-    list(*routers_[i]);
-  }
+bool Fleet::reaches(double at) const {
+  return at >= 0 && seconds() >= at && seconds() - kStep.inSeconds() < at;
+}
+
+Second& Fleet::secondOf(Instant at) {
+  const auto row = static_cast<std::size_t>((at - begin_).inSeconds());
+  if (result_.seconds.size() <= row) result_.seconds.resize(row + 1);
+  return result_.seconds[row];
+}
+
+// A router from nothing; what it had out goes on at the nodes, and is told to nobody.
+void Fleet::start(std::size_t router) {
+  if (routers_[router]) changesBefore_ += routers_[router]->changes;
+  routers_[router] = std::make_unique<Router>(*this, router, ++starts_[router]);
+  list(*routers_[router], last_);
 }
 
-void Fleet::list(Router& router) {
-  std::vector<core::Addressed> all;
-  for (const Node& node : nodes_) {
-    ListEntry entry;
-    entry.node = node.id;
-    entry.group = 1;
-    entry.primary = node.primary;
-    entry.health = node.draining ? Health::draining : Health::live;
-    all.push_back({entry, node.id});
+// Its clients see their connections end, and ask elsewhere.
+void Fleet::stop(std::size_t router) {
+  changesBefore_ += routers_[router]->changes;
+  for (const auto& [owner, asked] : routers_[router]->asked) {
+    const bool once = sheet_.kinds[asked.wish.kind].type.effect == Effect::onceOnly;
+    if (sheet_.trouble.insist && !once) askAgain(asked.wish, kAtOnce);
   }
+  routers_[router].reset();
+}
+
+void Fleet::publish() {
+  published_.emplace(now_ + Span::seconds(sheet_.trouble.listLate), nodes_.list(now_));
+}
+
+void Fleet::list(Router& router, const std::vector<core::Addressed>& list) {
   router.ledger.see(now_);
-  router.ledger.listed(ListKind::whole, all);
+  router.ledger.listed(ListKind::whole, list);
   router.touched = true;
 }
 
-Result Fleet::run(double length, const std::function<double(double)>& demand) {
+void Fleet::strike() {
   const Trouble& trouble = sheet_.trouble;
-  const auto reaches = [&](double at) {
-    return at >= 0 && seconds() >= at && seconds() - kStep.inSeconds() < at;
+  const auto backAt = [&](const Trouble::Loss& loss) {
+    return now_ + Span::seconds(std::uniform_real_distribution<>(loss.backFrom, loss.backTo)(chance_));
   };
+  if (reaches(trouble.restartAt))
+    for (std::size_t i = 0; i < routers_.size(); ++i) start(i);
+  if (reaches(trouble.drainAt)) {
+    nodes_.drain(now_, nodes_.all().size() - 1);
+    publish();
+  }
+  if (reaches(trouble.nodesLost.at)) {
+    for (std::size_t i = 0; i < nodes_.all().size(); ++i) {
+      if (std::uniform_real_distribution<>()(chance_) >= trouble.nodesLost.part) continue;
+      const Instant back = backAt(trouble.nodesLost);
+      nodes_.lose(i, back);
+      tellAt_.insert(back);
+    }
+    publish();
+  }
+  if (reaches(trouble.routersLost.at))
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      if (!routers_[i] || std::uniform_real_distribution<>()(chance_) >= trouble.routersLost.part) continue;
+      stop(i);
+      comeUp_.emplace(backAt(trouble.routersLost), i);
+    }
+  while (!comeUp_.empty() && comeUp_.begin()->first <= now_) {
+    start(comeUp_.begin()->second);
+    comeUp_.erase(comeUp_.begin());
+  }
+  if (!tellAt_.empty() && *tellAt_.begin() <= now_) {
+    while (!tellAt_.empty() && *tellAt_.begin() <= now_) tellAt_.erase(tellAt_.begin());
+    publish();
+  }
+  while (!published_.empty() && published_.begin()->first <= now_) {
+    last_ = published_.begin()->second;
+    published_.erase(published_.begin());
+    for (auto& router : routers_)
+      if (router) list(*router, last_);
+  }
+}
+
+void Fleet::turn() {
+  for (auto& router : routers_) {
+    if (!router || (!router->touched && (router->due == Instant() || router->due > now_))) continue;
+    router->touched = false;
+    router->ledger.see(now_);
+    router->due = router->ledger.endTurn();
+    result_.mostLevel = std::max(result_.mostLevel, router->levels.of(1).level);
+  }
+}
+
+Result Fleet::run(double length, const std::function<double(double)>& demand) {
   std::deque<Instant> lately;  // changes of the first router's level
   unsigned level = 0;
   double windowFrom = 0;
   while (seconds() < length) {
     now_ = now_ + kStep;
-    if (reaches(trouble.restartAt)) start();
-    if (reaches(trouble.drainAt)) {
-      nodes_.back().draining = true;
-      nodes_.back().toldToDrain = now_;
-      for (auto& router : routers_) list(*router);
-    }
+    strike();
     if (seconds() - windowFrom >= kWindow) {
       if (window_.first >= kFewest) result_.worst = std::min(result_.worst, window_.second / window_.first);
       window_ = {};
       windowFrom = seconds();
     }
-    while (!again_.empty() && again_.front().at <= now_) {
-      const Again next = again_.front();
-      again_.pop_front();
-      ask(next.kind, next.tries);
+    while (!again_.empty() && again_.begin()->first <= now_) {
+      const Wish wish = again_.begin()->second;
+      again_.erase(again_.begin());
+      ask(wish);
     }
     std::poisson_distribution<int> arrivals(demand(seconds()) * capacity_ * kStep.inSeconds());
     for (int n = arrivals(chance_); n > 0; --n) ask();
@@ -157,51 +231,59 @@
       ends_.pop();
       finish(end);
     }
-    for (auto& router : routers_) {
-      if (!router->touched && (router->due == Instant() || router->due > now_)) continue;
-      router->touched = false;
-      router->ledger.see(now_);
-      router->due = router->ledger.endTurn();
-      result_.mostLevel = std::max(result_.mostLevel, router->levels.of(1).level);
-    }
-    const Router& first = *routers_.front();
-    if (first.levels.of(1).level == level) continue;
-    level = first.levels.of(1).level;
+    turn();
+    if (!routers_.front() || routers_.front()->levels.of(1).level == level) continue;
+    level = routers_.front()->levels.of(1).level;
     result_.levels.emplace_back(seconds(), level);
     lately.push_back(now_);
     while (now_ - lately.front() > Span::millis(60'000)) lately.pop_front();
     result_.mostAMinute = std::max(result_.mostAMinute, static_cast<unsigned>(lately.size()));
   }
   for (const auto& router : routers_) {
+    if (!router) continue;
     result_.changes += router->changes;
     for (const auto& [owner, asked] : router->asked)
-      result_.broken.unanswered += now_ - asked.at > router->terms.types[asked.kind].expiry;
+      result_.broken.unanswered += now_ - asked.at > router->terms.types[asked.wish.kind].expiry;
   }
   result_.changes += changesBefore_;
   result_.value = asked_ > 0 ? earned_ / asked_ : 0;
+  result_.fellOver = nodes_.fellOver();
   return result_;
 }
 
 void Fleet::ask() {
   std::vector<double> shares;
   for (const auto& kind : sheet_.kinds) shares.push_back(kind.share);
-  const auto kind = std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(chance_);
-  asked_ += sheet_.kinds[kind].type.value;
+  Wish wish;
+  wish.kind = drawOf(shares, chance_);
+  if (groupShares_.size() > 1) wish.group = 1 + drawOf(groupShares_, chance_);
+  wish.firstAt = now_;
+  const double value = sheet_.kinds[wish.kind].type.value;
+  asked_ += value;
+  result_.kinds[wish.kind].first += value;
+  secondOf(now_).asked += value;
+  ++secondOf(now_).txns;
   ++window_.first;
-  ask(kind, 0);
+  ask(wish);
 }
 
-void Fleet::ask(std::size_t kind, unsigned tries) {
-  Router& router = *routers_[chance_() % routers_.size()];
-  const TxnType& type = router.terms.types[kind];
+void Fleet::ask(Wish wish) {
+  std::size_t at = sheet_.uneven > 0 ? drawOf(shares_, chance_) : chance_() % routers_.size();
+  const TxnType& type = sheet_.kinds[wish.kind].type;
+  if (wish.session == 0 && (type.level == ReadLevel::session || type.level >= ReadLevel::write))
+    wish.session = 1 + chance_() % sheet_.sessions;
+  // Of clients whose router is down, each finds the next that is up.
+  for (std::size_t n = 0; n < routers_.size() && !routers_[at]; ++n) at = (at + 1) % routers_.size();
+  if (!routers_[at]) return askAgain(wish, kAtOnce * 5);
+  Router& router = *routers_[at];
   Txn txn;
-  txn.type = kind;
-  txn.group = 1;
-  txn.patience = type.expiry;
-  Router::Asked asked{kind, now_, tries, 0, {}, 0};
-  if (type.level == ReadLevel::session || type.level >= ReadLevel::write) {
-    txn.session = asked.session = 1 + chance_() % sheet_.sessions;
-    const auto commit = commits_.find(asked.session);
+  txn.type = wish.kind;
+  txn.group = wish.group;
+  txn.patience = sheet_.trouble.insist ? type.expiry - (now_ - wish.firstAt) : type.expiry;
+  Router::Asked asked{wish, now_, {}, 0};
+  if (wish.session > 0) {
+    txn.session = wish.session;
+    const auto commit = commits_.find(wish.session);
     if (commit != commits_.end()) asked.need = commit->second;
     txn.writeAge = commit == commits_.end() ? Span() : std::max(now_ - commit->second, Span::micros(1));
   }
@@ -213,65 +295,113 @@
   router.touched = true;
 }
 
-Instant Fleet::appliedBy(const Node& node) const {
-  if (node.primary) return now_;
+// While there is time for it.
+void Fleet::askAgain(Wish wish, Span after) {
+  ++wish.tries;
+  const Instant over = wish.firstAt + sheet_.kinds[wish.kind].type.expiry;
+  if (now_ + after + kAtOnce < over) again_.emplace(now_ + after, wish);
+}
+
+Instant Fleet::appliedBy(const Nodes::Node& node) const {
   const Trouble& trouble = sheet_.trouble;
   const bool still =
       seconds() >= trouble.behindFrom && seconds() < trouble.behindTo && trouble.behindFrom >= 0;
-  return (still ? begin_ + Span::seconds(trouble.behindFrom) : now_) - sheet_.lag;
+  return nodes_.applied(now_, node,
+                        still ? std::optional(begin_ + Span::seconds(trouble.behindFrom)) : std::nullopt);
+}
+
+bool Fleet::isCut(const Router& router, std::size_t node) const {
+  const auto& cut = sheet_.trouble.cut;
+  if (seconds() < cut.from || seconds() >= cut.to) return false;
+  return static_cast<double>(router.number % 100) < cut.routers * 100 &&
+         static_cast<double>((node * 37) % 100) < cut.nodes * 100;
 }
 
 void Fleet::carry(Router& router, core::Job job, const NodeId& id) {
-  const auto node = std::find_if(nodes_.begin(), nodes_.end(), [&](const Node& n) { return n.id == id; });
-  if (node->draining && now_ - node->toldToDrain > kDrainGrace) ++result_.broken.drained;
-  const Instant begin = std::max(now_, node->busyUntil);
-  if (begin - now_ > sheet_.queue) return router.ledger.ended(job, id, End::turnedAway);
-  const auto owner = router.owners.find(job.txn);
-  const auto asked = router.asked.find(owner->second);
-  const Kind& kind = sheet_.kinds[asked->second.kind];
-  node->busyUntil = begin + kind.work * std::uniform_real_distribution<>(0.5, 1.5)(chance_);
+  const std::size_t row = nodes_.at(id);
+  const auto& node = nodes_.all()[row];
+  Ending end{now_, router.number, router.start, job, row, node.starts, End::committed};
+  const bool isProbe = job.txn == 0;
+  ++(isProbe ? secondOf(now_).probes : secondOf(now_).submissions);
+  const auto* submission = isProbe ? nullptr : router.ledger.submission(job);
+  if (isCut(router, row)) {
+    end.at = submission ? submission->cutAt : now_ + Span::millis(1000);
+    end.how = End::noAnswer;
+    return ends_.push(end);
+  }
+  if (node.draining && now_ - node.toldToDrain > kDrainGrace) ++result_.broken.drained;
+  const Router::Asked* asked = isProbe ? nullptr : &router.asked.at(router.owners.at(job.txn));
+  const auto work = [&] {
+    return asked ? sheet_.kinds[asked->wish.kind].work * std::uniform_real_distribution<>(0.5, 1.5)(chance_)
+                 : sheet_.machines.probe;
+  };
+  const auto served = nodes_.serve(now_, row, router.number * 1'000'000 + router.start, work);
+  secondOf(now_).connections += served.connected;
+  if (served.how != Nodes::How::served)
+    return router.ledger.ended(job, id,
+                               served.how == Nodes::How::turnedAway ? End::turnedAway : End::noConnection);
+  end.at = served.end;
+  ends_.push(end);
+  if (!asked) return;
+  const Kind& kind = sheet_.kinds[asked->wish.kind];
   if (kind.type.effect == Effect::onceOnly && ++router.runs[job.txn] > 1) ++result_.broken.twice;
   // What was asked of it when it was sent: a replica applies on while it waits, which only helps.
-  const Instant applied = appliedBy(*node);
-  if (kind.type.level == ReadLevel::session && applied < asked->second.need) ++result_.broken.stale;
+  const Instant applied = appliedBy(node);
+  if (kind.type.level == ReadLevel::session && applied < asked->need) ++result_.broken.stale;
   if (kind.type.level == ReadLevel::bounded && applied < now_ - kind.type.bound) ++result_.broken.stale;
-  ends_.push({node->busyUntil, router.number, starts_, job, static_cast<std::size_t>(node - nodes_.begin())});
 }
 
 void Fleet::finish(const Ending& end) {
-  if (end.start != starts_) return;
+  if (!routers_[end.router] || end.start != routers_[end.router]->start) return;
   Router& router = *routers_[end.router];
-  const Node& node = nodes_[end.node];
+  const auto& node = nodes_.all()[end.node];
   router.ledger.see(now_);
   router.touched = true;
-  if (router.ledger.isOwed(end.job.txn)) router.ledger.commit(end.job.txn, {});
+  if (end.how != End::committed) return router.ledger.ended(end.job, node.id, end.how);
+  if (end.nodeStart != node.starts) return router.ledger.ended(end.job, node.id, End::connectionLost);
+  if (end.job.txn != 0 && router.ledger.isOwed(end.job.txn)) router.ledger.commit(end.job.txn, {});
   const Instant told = appliedBy(node) - Span::seconds(sheet_.trouble.newsLate);
-  router.ledger.ended(end.job, node.id, End::committed, {node.primary ? Role::primary : Role::replica, told});
+  const Standing said{node.primary ? Role::primary : Role::replica, told};
+  if (end.job.txn == 0) return router.ledger.ended(end.job, node.id, End::committed, {}, said);
+  router.ledger.ended(end.job, node.id, End::committed, said);
 }
 
-void Fleet::answered(Router& router, core::OwnerId owner, bool committed, bool declined) {
+void Fleet::answered(Router& router, core::OwnerId owner, bool committed, bool declined, Span comeBackAfter) {
   const auto asked = router.asked.extract(owner).mapped();
-  const TxnType& type = router.terms.types[asked.kind];
-  if (now_ - asked.at > type.expiry) ++result_.broken.late;
+  const Wish& wish = asked.wish;
+  const TxnType& type = router.terms.types[wish.kind];
+  const Trouble& trouble = sheet_.trouble;
+  const Instant since = trouble.insist ? wish.firstAt : asked.at;
+  if (now_ - since > type.expiry) ++result_.broken.late;
   if (declined && type.effect == Effect::onceOnly && router.runs.contains(asked.txn))
     ++result_.broken.declined;
   router.runs.erase(asked.txn);
   router.owners.erase(asked.txn);
-  if (declined && asked.tries < sheet_.trouble.comeAgain)
-    again_.push_back({now_ + kStep * 4, asked.kind, asked.tries + 1});
+  secondOf(now_).declined += declined;
+  if (!committed && trouble.insist && (declined || type.effect == Effect::repeatable))
+    askAgain(wish, trouble.heed ? std::max(comeBackAfter, kAtOnce) : kAtOnce);
+  else if (declined && wish.tries < trouble.comeAgain)  // as another, with all of its time before it
+    askAgain({wish.kind, wish.group, 0, now_ + kStep * 4, wish.tries}, kStep * 4);
   if (!committed) return;
   if (type.level >= ReadLevel::write) {
-    Instant& last = commits_[asked.session];
+    Instant& last = commits_[wish.session];
     last = std::max(last, now_);
   }
   ++window_.second;
-  earned_ += type.value * (now_ - asked.at <= type.slaTime ? 1 : type.lateShare);
+  const double earned = type.value * (now_ - since <= type.slaTime ? 1 : type.lateShare);
+  earned_ += earned;
+  result_.kinds[wish.kind].second += earned;
+  Second& second = secondOf(wish.firstAt);
+  second.earned += earned;
+  ++second.committed;
+  second.late += now_ - since > type.slaTime;
 }
 
-void Fleet::judge(std::size_t kind) {
-  const bool free = std::any_of(nodes_.begin(), nodes_.end(), [&](const Node& node) {
-    return !node.primary && !node.draining &&
-           node.busyUntil - now_ < sheet_.kinds[kind].type.slaTime * kFreePart;
+void Fleet::judge(const Wish& wish) {
+  const auto& nodes = nodes_.all();
+  const bool free = std::any_of(nodes.begin(), nodes.end(), [&](const Nodes::Node& node) {
+    return node.group == wish.group && !node.primary && !node.draining &&
+           node.busyUntil - now_ < sheet_.kinds[wish.kind].type.slaTime * kFreePart;
   });
   ++(free ? result_.wrong : result_.right);
 }
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -1,4 +1,4 @@
-// A model of one group of nodes and the routers before it: the project's own ledgers, levels and module, run
+// A model of groups of nodes and the routers before them: the project's own ledgers, levels and module, run
 // in simulated time against queues. No socket, no wall clock; the same result for the same seed. It knows
 // what truly happened, and counts what broke a rule.
 #pragma once
@@ -15,6 +15,7 @@
 
 #include "core/ledger.h"
 #include "levels/table.h"
+#include "model/nodes.h"
 
 namespace gulltrestle::model {
 
@@ -35,14 +36,29 @@
   double drainAt = -1;                    // a replica is listed as draining
   double restartAt = -1;                  // all routers start anew, knowing nothing
   unsigned comeAgain = 0;                 // declined clients ask again at once, so many times
+  // Clients ask again whatever went wrong, at any router, until their whole wait is over; as they are told to
+  // or, where they don't heed that, at once.
+  bool insist = false, heed = true;
+  double listLate = 0;  // lists tell what was so long ago
+  // A part of the routers, or of the nodes, loses power, and each is back at some time of this window after.
+  struct Loss {
+    double at = -1, part = 1, backFrom = 0.5, backTo = 3;
+  };
+  Loss routersLost, nodesLost;
+  // Nothing passes between a part of the routers and a part of the nodes.
+  struct Cut {
+    double from = -1, to = -1, routers = 0.3, nodes = 0.3;
+  };
+  Cut cut;
 };
 
 struct Sheet {
   std::vector<Kind> kinds;
-  std::size_t routers = 1, replicas = 2;
-  unsigned sessions = 50;           // that read what they wrote
-  Span queue = Span::millis(2000);  // a node turns away what would wait for longer
-  Span lag = Span::millis(40);      // of replicas
+  std::size_t routers = 1;
+  Machines machines;
+  bool probes = false;     // nodes may be asked for their position
+  double uneven = 0;       // some routers and groups get so many times the mean more; 0: all the same
+  unsigned sessions = 50;  // that read what they wrote
   Refusing refusing = Refusing::byLevels;
   Trouble trouble;
   std::uint64_t seed = 1;
@@ -59,6 +75,13 @@
   std::uint64_t sum() const { return late + unanswered + twice + declined + stale + drained; }
 };
 
+// What happened in one second.
+struct Second {
+  double asked = 0, earned = 0;                // value, by when it was first asked for
+  unsigned txns = 0, committed = 0, late = 0;  // first asked for in it; answered at last; past the SLA time
+  unsigned submissions = 0, probes = 0, connections = 0, declined = 0;
+};
+
 struct Result {
   double value = 0;                       // answered within the SLA time over asked for
   double worst = 1;                       // the least part of a 10 s window's txns that was committed
@@ -67,6 +90,9 @@
   std::uint64_t right = 0, wrong = 0;  // refusals by a level, by an observer who sees the nodes' queues
   std::vector<std::pair<double, unsigned>> levels;  // of the first router, by the second at which it changed
   Broken broken;
+  std::vector<Second> seconds;
+  std::vector<std::pair<double, double>> kinds;  // a row a txn type: value asked for, and earned
+  std::uint64_t fellOver = 0;                    // cold nodes that were pushed over
 };
 
 class Fleet {
@@ -79,45 +105,59 @@
 
  private:
   struct Router;
-  struct Node {
-    NodeId id;
-    bool primary = false, draining = false;
-    Instant busyUntil, toldToDrain;
-  };
   struct Ending {
     Instant at;
     std::size_t router;
-    int start;
+    unsigned start;  // of the router
     core::Job job;
     std::size_t node;
+    unsigned nodeStart;
+    End how;
     bool operator<(const Ending& other) const { return at > other.at; }
   };
-  struct Again {
-    Instant at;
-    std::size_t kind;
-    unsigned tries;
+  // What one client wants, over all its tries.
+  struct Wish {
+    std::size_t kind = 0;
+    GroupId group = 1;
+    std::uint64_t session = 0;
+    Instant firstAt;
+    unsigned tries = 0;
   };
 
-  void start();
-  void list(Router& router);
+  bool reaches(double at) const;
+  void strike();  // what the sheet's troubles bring in this step
+  void start(std::size_t router);
+  void stop(std::size_t router);
+  void publish();
+  void list(Router& router, const std::vector<core::Addressed>& list);
   void ask();
-  void ask(std::size_t kind, unsigned tries);
+  void ask(Wish wish);
+  void askAgain(Wish wish, Span after);
+  void turn();
   void carry(Router& router, core::Job job, const NodeId& node);
   void finish(const Ending& end);
-  void answered(Router& router, core::OwnerId owner, bool committed, bool declined);
-  void judge(std::size_t kind);
-  Instant appliedBy(const Node& node) const;
+  void answered(Router& router, core::OwnerId owner, bool committed, bool declined, Span comeBackAfter);
+  void judge(const Wish& wish);
+  bool isCut(const Router& router, std::size_t node) const;
+  Instant appliedBy(const Nodes::Node& node) const;
+  Second& secondOf(Instant at);
   double seconds() const;
 
   Sheet sheet_;
   std::mt19937_64 chance_;
   Instant begin_, now_;
   double capacity_ = 0;  // txns a second
-  int starts_ = 0;
-  std::vector<Node> nodes_;
-  std::vector<std::unique_ptr<Router>> routers_;
+  Nodes nodes_;
+  std::vector<std::unique_ptr<Router>> routers_;  // null: it is down
+  std::vector<unsigned> starts_;                  // of each
+  std::vector<double> shares_, groupShares_;      // of the txns that come to each router, to each group
+  std::multimap<Instant, std::size_t> comeUp_;    // routers that are down
   std::priority_queue<Ending> ends_;
-  std::deque<Again> again_;
+  std::multimap<Instant, Wish> again_;
+  // Lists, by when routers hear of them.
+  std::multimap<Instant, std::vector<core::Addressed>> published_;
+  std::vector<core::Addressed> last_;         // what discovery tells now
+  std::set<Instant> tellAt_;                  // when nodes that were down are back
   std::map<std::uint64_t, Instant> commits_;  // the last of each session
   std::pair<double, double> window_;          // asked for and committed in this one
   double asked_ = 0, earned_ = 0;
--- /dev/null
+++ b/src/model/nodes.cpp
@@ -0,0 +1,83 @@
+#include "model/nodes.h"
+
+#include <algorithm>
+#include <string>
+
+namespace gulltrestle::model {
+
+Nodes::Nodes(Machines machines) : machines_(machines) {
+  for (GroupId group = 1; group <= machines_.groups; ++group)
+    for (std::size_t n = 0; n <= machines_.replicas; ++n) {
+      Node node;
+      node.id = n == 0 ? "primary" : "replica-" + std::to_string(n);
+      if (machines_.groups > 1) node.id = "g" + std::to_string(group) + "-" + node.id;
+      node.group = group;
+      node.primary = n == 0;
+      rows_[node.id] = nodes_.size();
+      nodes_.push_back(std::move(node));
+    }
+}
+
+std::size_t Nodes::at(const NodeId& id) const { return rows_.at(id); }
+
+double Nodes::speed(Instant now, const Node& node) const {
+  if (node.startedAt == Instant() || machines_.coldTime == Span()) return 1;
+  const double warm = std::min(1.0, (now - node.startedAt) / machines_.coldTime);
+  return machines_.coldShare + (1 - machines_.coldShare) * std::max(0.0, warm);
+}
+
+Nodes::Served Nodes::serve(Instant now, std::size_t row, std::uint64_t router,
+                           const std::function<Span()>& work) {
+  Node& node = nodes_[row];
+  if (!isUp(now, row)) return {How::noConnection, now, false};
+  const Instant begin = std::max(now, node.busyUntil);
+  const bool cold = speed(now, node) < 1;
+  if (cold && machines_.pushOver != Span() && begin - now > machines_.pushOver) {
+    ++fellOver_;
+    lose(row, now + machines_.fallen);
+    return {How::noConnection, now, false};
+  }
+  Served served;
+  served.connected = node.connections.insert(router).second;
+  // Who is turned away has connected all the same.
+  const Span connecting = served.connected ? machines_.connection : Span();
+  const bool full = begin - now > machines_.queue;
+  const Span all = full ? connecting : work() + connecting;
+  if (all > Span()) node.busyUntil = begin + all * (1 / speed(begin, node));
+  served.end = node.busyUntil;
+  if (full) served.how = How::turnedAway;
+  return served;
+}
+
+void Nodes::drain(Instant now, std::size_t node) {
+  nodes_[node].draining = true;
+  nodes_[node].toldToDrain = now;
+}
+
+void Nodes::lose(std::size_t row, Instant backAt) {
+  Node& node = nodes_[row];
+  ++node.starts;
+  node.connections.clear();
+  node.upAt = node.startedAt = node.busyUntil = backAt;
+}
+
+Instant Nodes::applied(Instant now, const Node& node, std::optional<Instant> stoodStillAt) const {
+  if (node.primary) return now;
+  return stoodStillAt.value_or(now) - machines_.lag;
+}
+
+std::vector<core::Addressed> Nodes::list(Instant now) const {
+  std::vector<core::Addressed> all;
+  for (const Node& node : nodes_) {
+    ListEntry entry;
+    entry.node = node.id;
+    entry.group = node.group;
+    entry.primary = node.primary;
+    entry.health = node.draining ? Health::draining : node.upAt > now ? Health::gone : Health::live;
+    if (node.upAt <= now) entry.startedAt = node.startedAt;
+    all.push_back({entry, node.id});
+  }
+  return all;
+}
+
+}  // namespace gulltrestle::model
--- /dev/null
+++ b/src/model/nodes.h
@@ -0,0 +1,77 @@
+// The modelled nodes, as they truly are: a queue each before one core, a log that replicas apply late, cold
+// starts, a price for each new connection, losses of power. No router sees any of it but by what it is told.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "core/nodes.h"
+
+namespace gulltrestle::model {
+
+// What nodes are like. Spans below zero make no sense; a share is from 0 to 1.
+struct Machines {
+  std::size_t groups = 1, replicas = 2;  // a primary and so many replicas in each group
+  Span queue = Span::millis(2000);       // a node turns away what would wait for longer
+  Span lag = Span::millis(40);           // of replicas
+  double coldShare = 1;                  // of its speed that a node has as it starts
+  Span coldTime;                         // until it has all of it
+  Span connection;                       // work of taking a new connection
+  Span probe = Span::micros(200);        // work of a probe
+  Span pushOver;  // a cold node falls over where a txn would wait for longer; zero: it doesn't
+  Span fallen = Span::millis(3000);  // until it is back, cold
+};
+
+class Nodes {
+ public:
+  struct Node {
+    NodeId id;
+    GroupId group = 0;
+    bool primary = false, draining = false;
+    Instant busyUntil, toldToDrain, startedAt;
+    Instant upAt;  // down before
+    unsigned starts = 0;
+    std::set<std::uint64_t> connections;  // of routers' starts
+  };
+
+  explicit Nodes(Machines machines);
+
+  enum class How { served, turnedAway, noConnection };
+  struct Served {
+    How how = How::served;
+    Instant end;             // of the work
+    bool connected = false;  // a new connection was taken for it
+  };
+  // `router`: this start of a router, for the connections that it has; `work`: drawn where it is not turned
+  // away.
+  Served serve(Instant now, std::size_t node, std::uint64_t router, const std::function<Span()>& work);
+
+  void drain(Instant now, std::size_t node);
+  // Down now and back then, cold; what it had in hand is lost.
+  void lose(std::size_t node, Instant backAt);
+  bool isUp(Instant now, std::size_t node) const { return nodes_[node].upAt <= now; }
+
+  // What a node has applied, all commits up to there. `stoodStillAt`: replicas apply nothing from then on.
+  Instant applied(Instant now, const Node& node, std::optional<Instant> stoodStillAt) const;
+  // As discovery would list it, if it knew all of this moment.
+  std::vector<core::Addressed> list(Instant now) const;
+
+  const std::vector<Node>& all() const { return nodes_; }
+  std::size_t at(const NodeId& id) const;
+  std::uint64_t fellOver() const { return fellOver_; }
+
+ private:
+  double speed(Instant now, const Node& node) const;
+
+  Machines machines_;
+  std::vector<Node> nodes_;
+  std::map<NodeId, std::size_t> rows_;
+  std::uint64_t fellOver_ = 0;
+};
+
+}  // namespace gulltrestle::model
