--- a/src/claims/keeper.h
+++ b/src/claims/keeper.h
@@ -59,6 +59,8 @@
   std::map<std::string, Start> starts;  // of other keepers, the newest that were told
   std::map<std::string, std::pair<std::uint64_t, bool>>
       nodes;  // by which version of a list each leaves or stays
+  std::map<std::uint64_t, std::pair<std::string, std::uint64_t>>
+      primaries;  // of each group, and the newest version of a list when it was one
 };
 
 class Keeper {
@@ -100,13 +102,14 @@
   // --- What is to be made durable, in this order, since it was last asked.
 
   struct Change {
-    // node: no matter of the keeper's, kept on the same disk: which nodes leave.
-    enum class What { put, drop, start, voting, node } what = What::put;
-    std::string id;  // drop; start: the keeper's name, empty for this one's own; node: its id
+    // node, primary: no matter of the keeper's, kept on the same disk: which nodes leave, who was primary.
+    enum class What { put, drop, start, voting, node, primary } what = What::put;
+    std::string id;  // drop; start: the keeper's name, empty for this one's own; node, primary: its id
     Entry entry;     // put
     Start start;  // start; voting: newSince is its number; node: the list's version is its number, 0: it is
-                  // forgotten
-    bool whole = false;  // voting; node: it leaves
+                  // forgotten; primary: the list's version
+    bool whole = false;       // voting; node: it leaves
+    std::uint64_t group = 0;  // primary
   };
   std::vector<Change> takeChanges() { return std::exchange(changes_, {}); }
 
--- /dev/null
+++ b/src/core/door.h
@@ -0,0 +1,27 @@
+// Whether a txn is let in at all: asked by the ledger as each comes, told what became of those that were.
+// For the time after a start, when not all may come at once. Where there is none, all are let in.
+#pragma once
+
+#include <optional>
+
+#include "routing/router.h"
+
+namespace gulltrestle::core {
+
+class Door {
+ public:
+  virtual ~Door() = default;
+  // None: it is let in. Else it is declined at once; its client may come back after this.
+  virtual std::optional<Span> turnsAway(GroupId group, std::size_t type) = 0;
+  // One that was let in has its final answer, or its client left; told once for each. `sent`: on to a node,
+  // at least once; `share`: of its SLA time that it took.
+  struct Passage {
+    bool sent = false, committed = false;
+    double share = 0;
+  };
+  virtual void passed(GroupId group, std::size_t type, const Passage& how) = 0;
+  // A node told this of itself, in an answer or to a probe.
+  virtual void told(const NodeId& node, const Standing& said) = 0;
+};
+
+}  // namespace gulltrestle::core
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -42,6 +42,12 @@
   live.slaTime = std::max(slaTimes_.at(txn.type), Span::micros(1));
   heldBytes_ += live.message.bytes.size();
   if (!live.id().empty()) openIds_.insert(live.id());
+  if (const auto after = door_ ? door_->turnsAway(txn.group, txn.type) : std::nullopt) {
+    // Not from within its front's call.
+    turnedAway_.emplace_back(txn.id, *after);
+    return txn.id;
+  }
+  live.admitted = door_ != nullptr;
   live.guarded = guard_ && onceOnly_.at(txn.type);
   live.earlierMayHaveRun = txn.earlier.mayHaveRunFor.has_value();
   if (live.guarded) {
@@ -109,11 +115,23 @@
   return mayHaveRun ? Fate::unknown : Fate::neverRan;
 }
 
+// --- The door
+
+void Ledger::pass(Live& live, bool committed) {
+  if (door_ && std::exchange(live.admitted, false))
+    door_->passed(live.group, live.type, {!live.submissions.empty(), committed, waitedShare(live)});
+}
+
+void Ledger::learn(const NodeId& node, const Standing& standing) {
+  arrived([=](Router& router) { router.probed(node, End::committed, standing); });
+}
+
 // --- Fronts and carriers
 
 void Ledger::leave(TxnId txn) {
   Live* live = owed(txn);
   if (!live) return;
+  pass(*live, false);
   live->front = nullptr;
   if (!std::exchange(live->waiting, std::nullopt)) arrived([txn](Router& router) { router.clientLeft(txn); });
   forget(txn);
@@ -134,6 +152,7 @@
 void Ledger::finish(TxnId txn, Answer answer) {
   Live* live = owed(txn);
   if (!live) return;
+  pass(*live, false);
   answer(*std::exchange(live->front, nullptr), live->owner);
   forget(txn);
 }
@@ -161,6 +180,7 @@
 void Ledger::commit(TxnId txn, const Value& value) {
   if (const auto at = live_.find(txn); at != live_.end() && at->second.guarded && guard_)
     guard_->commits(txn, value);
+  if (Live* live = owed(txn)) pass(*live, true);
   if (const Live* live = owed(txn); live && levels_)
     levels_->answered(now_, live->group, live->type, waitedShare(*live));
   finish(txn, [&](Front& front, OwnerId owner) { front.committed(owner, value); });
@@ -168,6 +188,7 @@
 
 // The outcome of a submission or a probe, told to the module.
 void Ledger::ended(Job job, const NodeId& node, End how, const Standing& answer, const Standing& report) {
+  if (door_ && how == End::committed) door_->told(node, job.txn == 0 ? report : answer);
   if (job.txn == 0) return arrived([=](Router& router) { router.probed(node, how, report); });
   const auto at = live_.find(job.txn);
   if (at == live_.end() || job.submission >= at->second.submissions.size()) return;
@@ -243,6 +264,8 @@
   // Long after the turn that was asked for: this process was held up, and measures its own delay.
   constexpr Span kHeldUp = Span::millis(50);
   if (levels_ && wakeAt_ != Instant() && now_ - wakeAt_ > kHeldUp) levels_->stoodStill(now_);
+  for (const auto& [txn, after] : std::exchange(turnedAway_, {}))
+    finish(txn, [after = after](Front& front, OwnerId owner) { front.declined(owner, after, 0); });
   if (levels_ && (levels_->nextDue() == Instant() || now_ >= levels_->nextDue())) reduce();
   if (!arrivals_.empty() || (wakeAt_ != Instant() && wakeAt_ <= now_)) {
     if (wakeAt_ <= now_) wakeAt_ = Instant();
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "core/connection_end.h"
+#include "core/door.h"
 #include "core/guard.h"
 #include "core/nodes.h"
 #include "levels/table.h"
@@ -89,6 +90,12 @@
 
   // Asked before a txn that may run only once comes to the module. Null: none is asked. Before the first txn.
   void guardBy(Guard* guard) { guard_ = guard; }
+  // Asked for each txn, ahead of the guard. Null: all are let in. Before the first txn.
+  void doorBy(Door* door) { door_ = door; }
+  // Has the node asked for its standing; the answer goes to the module and the door. Outside their calls.
+  void ask(const NodeId& node) { probe(node); }
+  // Others have seen a node so: the module learns it as if the node had told it.
+  void learn(const NodeId& node, const Standing& standing);
 
   // --- For the guard, from outside its own calls. A txn that is not waiting for it is passed over.
 
@@ -153,6 +160,7 @@
     Instant takenAt;
     Span slaTime;
     bool guarded = false, earlierMayHaveRun = false;
+    bool admitted = false;       // by the door, which is owed a word once it is over
     std::optional<Txn> waiting;  // for the guard's word: the module has not seen it
     std::string_view id() const {
       return std::string_view(message.bytes).substr(message.idAt, message.idSize);
@@ -181,6 +189,7 @@
   Fate fateOf(const Live& live) const;
   template <typename Answer>
   void finish(TxnId txn, Answer answer);
+  void pass(Live& live, bool committed);
   void forget(TxnId txn);
 
   Router router_;
@@ -190,6 +199,7 @@
   std::vector<Span> slaTimes_;  // a row a txn type
   std::vector<bool> onceOnly_;  // likewise
   Guard* guard_ = nullptr;
+  Door* door_ = nullptr;
   std::map<NodeId, Addressed> last_;  // of each node that lists name, where there is a guard
   levels::Levels* levels_ = nullptr;
   levels::Table table_;
@@ -201,7 +211,8 @@
   std::map<TxnId, Live> live_;
   std::unordered_set<std::string_view> openIds_;  // of the txns in live_
   std::vector<Arrival> arrivals_;
-  std::size_t heldBytes_ = 0;  // of the messages in live_
+  std::vector<std::pair<TxnId, Span>> turnedAway_;  // by the door, to be declined in this turn
+  std::size_t heldBytes_ = 0;                       // of the messages in live_
   TxnId lastTxn_ = 0;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -47,11 +47,12 @@
 #ifdef GULLTRESTLE_FLEET
   const std::string fleetFile = named("GULLTRESTLE_FLEET");
   peers::Setup fleet;
+  Span longest;
+  for (const auto& type : told.terms.types)
+    if (type.effect == Effect::onceOnly) longest = std::max(longest, type.expiry);
+  const auto readFleet = [&] { return peers::readSetupFile(fleetFile, start.name, longest); };
   if (!fleetFile.empty()) {
-    Span longest;
-    for (const auto& type : told.terms.types)
-      if (type.effect == Effect::onceOnly) longest = std::max(longest, type.expiry);
-    fleet = peers::readSetupFile(fleetFile, start.name, longest);
+    fleet = readFleet();
     beside.descriptors += peers::Peers::descriptors(fleet);
   }
 #endif
@@ -75,7 +76,8 @@
 #ifdef GULLTRESTLE_FLEET
   std::unique_ptr<peers::Peers> others;
   if (!fleetFile.empty()) {
-    others = std::make_unique<peers::Peers>(server.loop(), server.ledger(), fleet, start.name);
+    others = std::make_unique<peers::Peers>(server.loop(), server.ledger(), told.terms, fleet, start.name,
+                                            readFleet);
     server.add(*others);
   }
 #endif
--- /dev/null
+++ b/src/model/days.h
@@ -0,0 +1,36 @@
+// Days of an installation, worded by ourselves, at any size: what comes and what goes wrong. For watching
+// what many routers do in sum, and for trying designs on.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "model/fleet.h"
+
+namespace gulltrestle::model {
+
+struct Day {
+  Sheet sheet;
+  double seconds = 0;
+  std::function<double(double)> demand;  // by the second, as a multiple of what all nodes can do
+};
+
+// calm    a burst of half as much again from 5 to 10 s
+// herd    seven in ten routers are killed at the height of traffic; back within 3 s
+// split   for 6 s nothing passes between a third of the routers and a third of the nodes; lists are late
+// join    six in ten nodes are replaced within 7 s, by cold ones
+// roll    half of the nodes and all routers start anew, each at its own time
+// start   all routers and all nodes lose power at once, and come back in any order within seconds
+// storm   the same, with clients that ask again fifty times a second and nodes that are easily pushed over
+const std::vector<std::string>& dayNames();
+
+// Four nodes a group: `nodes` over four groups, one at least. Throws std::invalid_argument for a name that is
+// none.
+Day dayOf(const std::string& name, std::size_t routers, std::size_t nodes, std::uint64_t seed);
+
+// The same day with one router that sees all that comes, its news as late as those of the others: what
+// decisions reach that need not be shared out. For a gate.
+Day seenWhole(Day day);
+
+}  // namespace gulltrestle::model
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <string>
 
+#include "recovery/ramp.h"
+
 namespace gulltrestle::model {
 
 namespace {
@@ -17,8 +19,6 @@
 constexpr double kFreePart = 0.35;
 // In windows of this many seconds with fewer txns the part that was committed says little.
 constexpr double kWindow = 10, kFewest = 50;
-// How soon a client that is told nothing asks again.
-constexpr Span kAtOnce = Span::millis(20);
 
 Terms termsOf(const Sheet& sheet) {
   Terms terms;
@@ -50,7 +50,7 @@
 }  // namespace
 
 // One router process: its ledger, levels and clients.
-struct Fleet::Router final : core::Front, core::Carrier {
+struct Fleet::Router final : core::Front, core::Carrier, core::Door {
   Router(Fleet& of, std::size_t index, unsigned ofStart)
       : fleet(of),
         number(index),
@@ -61,6 +61,11 @@
     ledger.add(*this);
     if (of.sheet_.refusing == Refusing::byLevels)
       ledger.reduceBy(levels, levels::tableOf(terms.types), [this](const levels::Change&) { ++changes; });
+    if (!of.sheet_.ramp) return;
+    ramp.emplace(of.now_, terms.routers, recovery::Ramp::kFirst, terms.longestComeBack,
+                 of.sheet_.seed * 1000 + index);
+    ramp->listed(of.nodes_.all().size());
+    ledger.doorBy(this);
   }
 
   void committed(core::OwnerId owner, const core::Value&) override {
@@ -75,6 +80,11 @@
   void callOff(core::Job job, const NodeId& node) override { ledger.ended(job, node, End::calledOff); }
   void listed(const std::vector<NodeId>&) override {}
   void forget(const NodeId&) override {}
+  std::optional<Span> turnsAway(GroupId, std::size_t) override { return ramp->turnsAway(fleet.now_); }
+  void passed(GroupId, std::size_t, const Passage& how) override {
+    ramp->passed(fleet.now_, how.sent, how.committed && how.share <= 1);
+  }
+  void told(const NodeId&, const Standing&) override {}
 
   struct Asked {
     Wish wish;
@@ -88,9 +98,10 @@
   Terms terms;
   levels::Levels levels;
   core::Ledger ledger;
+  std::optional<recovery::Ramp> ramp;
   Instant due;
   bool touched = true;
-  unsigned changes = 0, told = 0;
+  unsigned changes = 0;
   std::map<core::OwnerId, Asked> asked;
   std::map<TxnId, core::OwnerId> owners;
   std::map<TxnId, unsigned> runs;  // of once-only txns
@@ -140,7 +151,7 @@
   changesBefore_ += routers_[router]->changes;
   for (const auto& [owner, asked] : routers_[router]->asked) {
     const bool once = sheet_.kinds[asked.wish.kind].type.effect == Effect::onceOnly;
-    if (sheet_.trouble.insist && !once) askAgain(asked.wish, kAtOnce);
+    if (sheet_.trouble.insist && !once) askAgain(asked.wish, sheet_.trouble.again);
   }
   routers_[router].reset();
 }
@@ -274,7 +285,7 @@
     wish.session = 1 + chance_() % sheet_.sessions;
   // Of clients whose router is down, each finds the next that is up.
   for (std::size_t n = 0; n < routers_.size() && !routers_[at]; ++n) at = (at + 1) % routers_.size();
-  if (!routers_[at]) return askAgain(wish, kAtOnce * 5);
+  if (!routers_[at]) return askAgain(wish, sheet_.trouble.again);
   Router& router = *routers_[at];
   Txn txn;
   txn.type = wish.kind;
@@ -299,7 +310,7 @@
 void Fleet::askAgain(Wish wish, Span after) {
   ++wish.tries;
   const Instant over = wish.firstAt + sheet_.kinds[wish.kind].type.expiry;
-  if (now_ + after + kAtOnce < over) again_.emplace(now_ + after, wish);
+  if (now_ + after + kStep * 4 < over) again_.emplace(now_ + after, wish);
 }
 
 Instant Fleet::appliedBy(const Nodes::Node& node) const {
@@ -361,9 +372,10 @@
   if (end.nodeStart != node.starts) return router.ledger.ended(end.job, node.id, End::connectionLost);
   if (end.job.txn != 0 && router.ledger.isOwed(end.job.txn)) router.ledger.commit(end.job.txn, {});
   const Instant told = appliedBy(node) - Span::seconds(sheet_.trouble.newsLate);
-  const Standing said{node.primary ? Role::primary : Role::replica, told};
+  Standing said{node.primary ? Role::primary : Role::replica, told};
+  if (sheet_.probes) said.inHand = nodes_.inHand(now_, end.node);
   if (end.job.txn == 0) return router.ledger.ended(end.job, node.id, End::committed, {}, said);
-  router.ledger.ended(end.job, node.id, End::committed, said);
+  router.ledger.ended(end.job, node.id, End::committed, said, sheet_.probes ? said : Standing());
 }
 
 void Fleet::answered(Router& router, core::OwnerId owner, bool committed, bool declined, Span comeBackAfter) {
@@ -379,7 +391,7 @@
   router.owners.erase(asked.txn);
   secondOf(now_).declined += declined;
   if (!committed && trouble.insist && (declined || type.effect == Effect::repeatable))
-    askAgain(wish, trouble.heed ? std::max(comeBackAfter, kAtOnce) : kAtOnce);
+    askAgain(wish, trouble.heed ? std::max(comeBackAfter, trouble.again) : trouble.again);
   else if (declined && wish.tries < trouble.comeAgain)  // as another, with all of its time before it
     askAgain({wish.kind, wish.group, 0, now_ + kStep * 4, wish.tries}, kStep * 4);
   if (!committed) return;
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -39,7 +39,8 @@
   // Clients ask again whatever went wrong, at any router, until their whole wait is over; as they are told to
   // or, where they don't heed that, at once.
   bool insist = false, heed = true;
-  double listLate = 0;  // lists tell what was so long ago
+  Span again = Span::millis(100);  // how soon that is
+  double listLate = 0;             // lists tell what was so long ago
   // A part of the routers, or of the nodes, loses power, and each is back at some time of this window after.
   struct Loss {
     double at = -1, part = 1, backFrom = 0.5, backTo = 3;
@@ -60,6 +61,7 @@
   double uneven = 0;       // some routers and groups get so many times the mean more; 0: all the same
   unsigned sessions = 50;  // that read what they wrote
   Refusing refusing = Refusing::byLevels;
+  bool ramp = false;  // routers that start let in few at first (recovery/ramp.h)
   Trouble trouble;
   std::uint64_t seed = 1;
 };
--- a/src/model/nodes.cpp
+++ b/src/model/nodes.cpp
@@ -45,7 +45,10 @@
   const Span all = full ? connecting : work() + connecting;
   if (all > Span()) node.busyUntil = begin + all * (1 / speed(begin, node));
   served.end = node.busyUntil;
-  if (full) served.how = How::turnedAway;
+  if (full)
+    served.how = How::turnedAway;
+  else
+    node.ends.push_back(served.end);
   return served;
 }
 
@@ -58,9 +61,16 @@
   Node& node = nodes_[row];
   ++node.starts;
   node.connections.clear();
+  node.ends.clear();
   node.upAt = node.startedAt = node.busyUntil = backAt;
 }
 
+double Nodes::inHand(Instant now, std::size_t row) {
+  auto& ends = nodes_[row].ends;
+  while (!ends.empty() && ends.front() <= now) ends.pop_front();
+  return static_cast<double>(ends.size());
+}
+
 Instant Nodes::applied(Instant now, const Node& node, std::optional<Instant> stoodStillAt) const {
   if (node.primary) return now;
   return stoodStillAt.value_or(now) - machines_.lag;
--- a/src/model/nodes.h
+++ b/src/model/nodes.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -36,6 +37,7 @@
     Instant busyUntil, toldToDrain, startedAt;
     Instant upAt;  // down before
     unsigned starts = 0;
+    std::deque<Instant> ends;             // of the work in hand
     std::set<std::uint64_t> connections;  // of routers' starts
   };
 
@@ -58,6 +60,8 @@
 
   // What a node has applied, all commits up to there. `stoodStillAt`: replicas apply nothing from then on.
   Instant applied(Instant now, const Node& node, std::optional<Instant> stoodStillAt) const;
+  // Txns that the node has in hand, of all routers.
+  double inHand(Instant now, std::size_t node);
   // As discovery would list it, if it knew all of this moment.
   std::vector<core::Addressed> list(Instant now) const;
 
--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -21,17 +21,37 @@
 }
 
 // In messages that are well below what a stream takes.
-std::vector<Nodes> slices(const Nodes& all) {
+template <typename All, typename Size>
+std::vector<All> slices(const All& all, Size sizeOf) {
   constexpr std::size_t kBytes = 32 * 1024;
-  std::vector<Nodes> out;
+  std::vector<All> out;
   std::size_t bytes = kBytes;
-  for (const auto& news : all) {
+  for (const auto& one : all) {
     if (bytes >= kBytes) out.emplace_back(), bytes = 0;
-    out.back().push_back(news);
-    bytes += news.node.size() + 16;
+    out.back().push_back(one);
+    bytes += sizeOf(one) + 48;
   }
   return out;
 }
+std::vector<Nodes> slices(const Nodes& all) {
+  return slices(all, [](const auto& news) { return news.node.size(); });
+}
+std::vector<Primaries> slices(const Primaries& all) {
+  return slices(all, [](const auto& news) { return news.primary.node.size(); });
+}
+std::vector<Seen> slices(const Seen& all) {
+  std::vector<Seen> out;
+  for (auto& some : slices(all.nodes, [](const auto& one) { return one.node.size(); }))
+    out.push_back({std::move(some), all.serves});
+  if (out.empty()) out.push_back(all);
+  return out;
+}
+
+// As many as start together: the platform's settings may know of fewer.
+Terms withRouters(Terms terms, std::size_t routers) {
+  terms.routers = std::max(terms.routers, static_cast<unsigned>(routers));
+  return terms;
+}
 
 std::string joined(const core::Value& value) {
   return std::string(value[0]).append(value[1]).append(value[2]);
@@ -51,17 +71,21 @@
 
 }  // namespace
 
-Desk::Desk(core::Ledger& ledger, const Setup& setup, const std::string& name, std::uint64_t draw,
-           std::optional<claims::Kept> kept, Effects& effects)
+Desk::Desk(core::Ledger& ledger, const Terms& terms, const Setup& setup, const std::string& name,
+           std::uint64_t draw, std::optional<claims::Kept> kept, Effects& effects)
     : ledger_(ledger),
       setup_(setup),
       name_(name),
       draw_(draw),
       effects_(effects),
-      claimant_(setup.claimant, draw) {
+      claimant_(setup.claimant, draw),
+      service_(ledger, withRouters(terms, setup.routers.size()), setup.firstTxns, draw,
+               [this](std::string_view event, const std::string& fields) { effects_.log(event, fields); }) {
+  force();
   if (kept) {
+    for (const auto& [group, known] : kept->primaries) service_.knew({group, {known.first, known.second}});
     for (const auto& [node, known] : kept->nodes) leaving_.learn({node, known.first, known.second});
-    keep({});
+    keep(Nodes{});
   }
   if (kept) keeper_.emplace(ledger.now(), othersOf(setup, name), setup.keeper, std::move(*kept));
   for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
@@ -97,6 +121,8 @@
   speakers_[stream] = {hello.router, hello.draw};
   // Ahead of the greeting's answer, and so of any vote.
   for (const Nodes& some : slices(leaving_.all())) effects_.reply(stream, some);
+  for (const Primaries& some : slices(service_.primaries())) effects_.reply(stream, some);
+  for (const Seen& some : slices(service_.seen())) effects_.reply(stream, some);
   Waiting waiting{Waiting::What::heard, stream, hello.keeper.number, "", {}, {}};
   if (hello.keeper.number > 0) waiting.knew = keeper_->greeted(hello.router, hello.keeper);
   toDisk(std::move(waiting));
@@ -119,6 +145,7 @@
     return toDisk(Waiting{Waiting::What::vote, stream, claim->number, claim->id, token(claim->number), {}});
   }
   if (const auto* nodes = std::get_if<Nodes>(&word)) return learn(*nodes, speaker.router);
+  if (const auto* primaries = std::get_if<Primaries>(&word)) return learn(*primaries);
   if (const auto* release = std::get_if<Release>(&word))
     keeper_->released(release->id, token(release->number));
   if (const auto* committed = std::get_if<Committed>(&word))
@@ -175,11 +202,15 @@
     return settle();
   }
   if (const auto* nodes = std::get_if<Nodes>(&reply)) return learn(*nodes, name);
+  if (const auto* primaries = std::get_if<Primaries>(&reply)) return learn(*primaries);
+  if (const auto* seen = std::get_if<Seen>(&reply)) return service_.told({name, 0}, *seen);
   const auto& heard = std::get<Heard>(reply);
   claimant_.reached(number, true);
   const bool isNew = std::exchange(heard_[number], name).empty();
   if (isNew)
     for (const Nodes& some : slices(leaving_.all())) effects_.toKeeper(number, some);
+  if (isNew)
+    for (const Primaries& some : slices(service_.primaries())) effects_.toKeeper(number, some);
   if (!isNew && !keeper_) return;
   effects_.log("peers.heard", "keeper=" + name + " reached=" + std::to_string(claimant_.reachable()) +
                                   " of=" + std::to_string(setup_.keepers.size()));
@@ -226,6 +257,7 @@
     effects_.log("peers.old_list", "version=" + std::to_string(version) +
                                        " newest=" + std::to_string(leaving_.newest()) +
                                        " kept_draining=" + std::to_string(later - named));
+  service_.listed(kind, version, entries);
   if (news.empty()) return;
   keep(news);
   for (const Nodes& some : slices(news))
@@ -253,12 +285,36 @@
   const auto forgotten = leaving_.takeForgotten();
   if (setup_.folder.empty()) return;
   std::vector<Keeper::Change> changes;
-  for (const auto& node : forgotten) changes.push_back({Keeper::Change::What::node, node, {}, {}, false});
+  for (const auto& node : forgotten) changes.push_back({Keeper::Change::What::node, node, {}, {}, false, 0});
   for (const auto& one : news)
-    changes.push_back({Keeper::Change::What::node, one.node, {}, {one.version, 0}, one.leaving});
+    changes.push_back({Keeper::Change::What::node, one.node, {}, {one.version, 0}, one.leaving, 0});
   if (!changes.empty()) effects_.write(std::move(changes));
 }
 
+void Desk::learn(const Primaries& news) {
+  Primaries fresh;
+  for (const auto& one : news)
+    if (service_.knew(one)) fresh.push_back(one);
+  keep(fresh);
+}
+
+void Desk::keep(const Primaries& news) {
+  if (setup_.folder.empty() || news.empty()) return;
+  std::vector<Keeper::Change> changes;
+  for (const auto& one : news)
+    changes.push_back(
+        {Keeper::Change::What::primary, one.primary.node, {}, {one.primary.version, 0}, false, one.group});
+  effects_.write(std::move(changes));
+}
+
+void Desk::force() { service_.force(setup_.forced, setup_.forcedBy); }
+
+void Desk::readAnew(const Setup& setup) {
+  setup_.forced = setup.forced;
+  setup_.forcedBy = setup.forcedBy;
+  force();
+}
+
 // Words go out, also to this router's own keeper, which may answer at once.
 void Desk::settle() {
   for (auto words = claimant_.takeWords(); !words.empty(); words = claimant_.takeWords())
@@ -283,6 +339,13 @@
     toDisk();
     logState();
   }
+  const auto confirmed = service_.endTurn(claimant_.reachable() * 2 > setup_.keepers.size());
+  keep(confirmed);
+  for (const Primaries& some : slices(confirmed))
+    for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
+      if (i != own_) effects_.toKeeper(i, some);
+  const Instant stages = service_.nextDue();
+  if (due == Instant() || (stages != Instant() && stages < due)) due = stages;
   due_ = due;
   settle();
   for (const auto& decision : claimant_.takeDecisions()) {
--- a/src/peers/desk.h
+++ b/src/peers/desk.h
@@ -35,8 +35,8 @@
 class Desk final : public core::Guard {
  public:
   // `kept`: where this router is a keeper. `draw`: of this start, from all 64-bit numbers.
-  Desk(core::Ledger& ledger, const Setup& setup, const std::string& name, std::uint64_t draw,
-       std::optional<claims::Kept> kept, Effects& effects);
+  Desk(core::Ledger& ledger, const Terms& terms, const Setup& setup, const std::string& name,
+       std::uint64_t draw, std::optional<claims::Kept> kept, Effects& effects);
 
   // --- Streams of other routers to this keeper
   void said(StreamKey stream, std::string_view bytes);
@@ -58,8 +58,11 @@
   // What the ledger has told since.
   void sayOn() { settle(); }
   Instant nextDue() const { return due_; }
+  // Its configuration was read anew: what an operator forces.
+  void readAnew(const Setup& setup);
 
   const claims::Claimant& claimant() const { return claimant_; }
+  Service& service() { return service_; }
   const claims::Keeper* keeper() const { return keeper_ ? &*keeper_ : nullptr; }
   std::optional<claims::KeeperNumber> own() const { return own_; }
 
@@ -84,6 +87,10 @@
   // News of nodes: those that are new here are kept, and their drains bind.
   void learn(const Nodes& news, std::string_view from);
   void keep(const Nodes& news);
+  // News of primaries: kept where that was not known, and told on to whom it did not come from.
+  void learn(const Primaries& news);
+  void keep(const Primaries& news);
+  void force();
   void logState();
   void logOnce(std::string_view event, const std::string& fields);
 
@@ -95,6 +102,7 @@
   claims::Claimant claimant_;
   std::optional<claims::Keeper> keeper_;
   recovery::Leaving leaving_;
+  Service service_;
   std::optional<claims::KeeperNumber> own_;  // this router's row among the keepers
   std::map<StreamKey, Speaker> speakers_;    // those that have greeted
   std::map<Ticket, Waiting> waiting_;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -3,6 +3,9 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <cstdio>
+#include <fstream>
+
 #include "loop/sockets.h"
 
 namespace gulltrestle::peers {
@@ -76,8 +79,9 @@
   Instant deafAt;  // never: no answer is awaited
 };
 
-Peers::Peers(loop::Loop& loop, core::Ledger& ledger, const Setup& setup, const std::string& name)
-    : loop_(loop), ledger_(ledger), setup_(setup), chance_(drawn()) {
+Peers::Peers(loop::Loop& loop, core::Ledger& ledger, const Terms& terms, const Setup& setup,
+             const std::string& name, std::function<Setup()> read)
+    : loop_(loop), ledger_(ledger), setup_(setup), chance_(drawn()), read_(std::move(read)) {
   const std::uint64_t draw = drawn();
   store_ = storeOf(setup_, name, draw);
   ledger_.see(loop_.now());
@@ -92,7 +96,7 @@
   }
   Effects& effects = *this;
   listener::Receiver& receiver = *this;
-  desk_ = std::make_unique<Desk>(ledger_, setup_, name, draw, std::move(kept), effects);
+  desk_ = std::make_unique<Desk>(ledger_, terms, setup_, name, draw, std::move(kept), effects);
   for (claims::KeeperNumber keeper = 0; keeper < setup_.keepers.size(); ++keeper)
     if (keeper == desk_->own())
       listener_ = std::make_unique<listener::Listener>(
@@ -101,6 +105,7 @@
       loop_.spawn(talk(keeper));
   if (store_) loop_.spawn(watchDisk());
   ledger_.guardBy(desk_.get());
+  ledger_.doorBy(&desk_->service());
   spdlog::info("event=peers.on keepers=\"{}\" routers={} keeper={}", setup_.list(), setup_.routers.size(),
                store_ != nullptr);
 }
@@ -108,6 +113,7 @@
 // Its coroutines refer to it.
 Peers::~Peers() {
   ledger_.guardBy(nullptr);
+  ledger_.doorBy(nullptr);
   loop_.endTasks();
 }
 
@@ -140,6 +146,34 @@
 void Peers::endTurn() {
   desk_->endTurn();
   logCounts(ledger_.now());
+  writeStatus(ledger_.now());
+}
+
+Instant Peers::nextDue() const {
+  const Instant due = desk_->nextDue();
+  if (setup_.statusFile.empty()) return due;
+  const Instant status = statusAt_ + setup_.statusEvery;
+  return due == Instant() || status < due ? status : due;
+}
+
+void Peers::readAnew() {
+  try {
+    desk_->readAnew(read_());
+  } catch (const std::exception& bad) { spdlog::error("event=peers.not_taken why=\"{}\"", bad.what()); }
+}
+
+// Written beside and renamed, so that whoever reads finds a whole one.
+void Peers::writeStatus(Instant now) {
+  if (setup_.statusFile.empty() || now - statusAt_ < setup_.statusEvery) return;
+  statusAt_ = now;
+  const std::string beside = setup_.statusFile + ".new";
+  std::ofstream file(beside, std::ios::binary | std::ios::trunc);
+  file << desk_->service().status();
+  file.close();
+  const bool fails = !file || std::rename(beside.c_str(), setup_.statusFile.c_str()) != 0;
+  if (fails && !std::exchange(statusFails_, fails))
+    spdlog::error("event=peers.status_failed file=\"{}\"", setup_.statusFile);
+  statusFails_ = fails;
 }
 
 void Peers::flush() {
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -3,6 +3,7 @@
 // the list may speak.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -20,7 +21,9 @@
 class Peers final : public gateway::Part, private Effects, private listener::Receiver {
  public:
   // Throws startup::BadKey where the store or the address to listen on can't be had.
-  Peers(loop::Loop& loop, core::Ledger& ledger, const Setup& setup, const std::string& name);
+  // `read`: reads the configuration anew; it may throw startup::BadKey.
+  Peers(loop::Loop& loop, core::Ledger& ledger, const Terms& terms, const Setup& setup,
+        const std::string& name, std::function<Setup()> read);
   ~Peers() override;
 
   // Descriptors that it may take.
@@ -31,7 +34,9 @@
   void listHeard() override {}
   void endTurn() override;
   void flush() override;
-  Instant nextDue() const override { return desk_->nextDue(); }
+  Instant nextDue() const override;
+  // Only what an operator forces is taken over. What can't be used is logged with its key.
+  void readAnew() override;
   // Keepers go on for the others' sake until this router's own txns are answered.
   void stop() override {}
   bool empty() const override { return true; }
@@ -56,6 +61,7 @@
   loop::Task talk(claims::KeeperNumber keeper);
   loop::Task watchDisk();
   void logCounts(Instant now);
+  void writeStatus(Instant now);
 
   loop::Loop& loop_;
   core::Ledger& ledger_;
@@ -65,7 +71,9 @@
   std::unique_ptr<listener::Listener> listener_;
   std::map<claims::KeeperNumber, Talk*> talks_;  // those that are up
   std::mt19937_64 chance_;
-  Instant saidAt_;
+  std::function<Setup()> read_;
+  Instant saidAt_, statusAt_;
+  bool statusFails_ = false;
   std::uint64_t saidAsked_ = 0;
   bool faulty_ = false;  // the disk, as it was last logged
 };
--- /dev/null
+++ b/src/peers/service.h
@@ -0,0 +1,78 @@
+// How far service has returned at this router since it started: stages, ramp and sightings, told what the
+// ledger and the other routers tell, asked by the ledger as its door. A reducer: events in, effects out; the
+// decisions stand in src/recovery.
+#pragma once
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/door.h"
+#include "core/ledger.h"
+#include "recovery/ramp.h"
+#include "recovery/sightings.h"
+#include "recovery/stages.h"
+
+namespace gulltrestle::peers {
+
+// Of one router, as it tells those that start.
+struct Seen {
+  std::vector<recovery::Sighting> nodes;
+  bool serves = false;  // all groups let all in there, and have for a while
+};
+
+struct PrimaryNews {
+  GroupId group = 0;
+  recovery::Primary primary;
+};
+
+class Service final : public core::Door {
+ public:
+  using Log = std::function<void(std::string_view event, const std::string& fields)>;
+  // `firstTxns`: a second and node, over all routers, that the ramp begins with.
+  Service(core::Ledger& ledger, const Terms& terms, double firstTxns, std::uint64_t seed, Log log);
+
+  // --- The ledger
+  std::optional<Span> turnsAway(GroupId group, std::size_t type) override;
+  void passed(GroupId group, std::size_t type, const Passage& how) override;
+  void told(const NodeId& node, const Standing& said) override;
+  // As the drains that bind have changed it.
+  void listed(ListKind kind, recovery::ListVersion version, const std::vector<ListEntry*>& entries);
+
+  // --- Others, and the disk
+  Seen seen() const;
+  void told(const recovery::Witness& by, const Seen& seen);
+  // Returns whether it was news: of a list newer than that of what was known.
+  bool knew(const PrimaryNews& news);
+  // All primaries that are known here.
+  std::vector<PrimaryNews> primaries() const;
+
+  // By an operator: every group goes on to this stage at least. Empty name: no more.
+  void force(std::optional<recovery::Stage> stage, const std::string& by);
+
+  // Ahead of the module's round. Returns primaries that were confirmed, for the disk and for others.
+  std::vector<PrimaryNews> endTurn(bool keepersReached);
+  Instant nextDue() const { return stages_.due(); }
+
+  // The status document's part, as JSON.
+  std::string status() const;
+
+ private:
+  core::Ledger& ledger_;
+  std::vector<Span> slaTimes_;
+  Log log_;
+  recovery::Sightings sightings_;
+  recovery::Stages stages_;
+  recovery::Ramp ramp_;
+  Span back_;
+  std::mt19937_64 chance_;
+  std::map<GroupId, recovery::Primary> known_;       // bounded by the groups that lists name
+  std::vector<std::pair<NodeId, Standing>> learnt_;  // for the module, once it has the list
+  std::map<NodeId, GroupId> nodes_;                  // those that the list names
+  Instant doneAt_;                                   // never: some group waits
+  recovery::Ramp::State rampLogged_ = recovery::Ramp::State::opening;
+  std::string forcedBy_;
+};
+
+}  // namespace gulltrestle::peers
--- a/src/peers/setup.cpp
+++ b/src/peers/setup.cpp
@@ -60,6 +60,22 @@
   setup.claimant.most = limits.whole("open_claims", setup.claimant.most, 10, 1'000'000);
   setup.mostConnections = limits.whole("connections", 2 * setup.routers.size(), 1, 10'000);
   limits.end();
+  setup.firstTxns = static_cast<double>(
+      top.whole("first_txns", static_cast<std::size_t>(setup.firstTxns), 1, 1'000'000));
+  setup.statusFile = top.text("status_file", "");
+  setup.statusEvery = top.millis("status_every_ms", setup.statusEvery, 50, 3'600'000);
+  if (top.has("force")) {
+    Section force = top.section("force");
+    const std::string stage = force.text("stage", "");
+    for (const auto one : {recovery::Stage::anyReads, recovery::Stage::owedReads, recovery::Stage::writes,
+                           recovery::Stage::all})
+      if (stage == recovery::nameOf(one)) setup.forced = one;
+    if (!setup.forced)
+      throw BadKey("force.stage", "'" + stage + "' is none of any_reads, owed_reads, writes and all");
+    setup.forcedBy = force.text("by", "");
+    if (setup.forcedBy.empty()) throw BadKey("force.by", "is missing: whose word it is goes into the log");
+    force.end();
+  }
   top.end();
   return setup;
 }
--- a/src/peers/setup.h
+++ b/src/peers/setup.h
@@ -2,6 +2,7 @@
 // defaults.
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -9,6 +10,8 @@
 
 #include "claims/claimant.h"
 #include "claims/keeper.h"
+#include "recovery/ramp.h"
+#include "recovery/stages.h"
 #include "startup/startup.h"
 
 namespace gulltrestle::peers {
@@ -26,6 +29,12 @@
   std::size_t mostConnections =
       0;  // to this keeper; by default twice as many as there are routers, for what lingers
 
+  double firstTxns = recovery::Ramp::kFirst;  // a second and node, over all routers, after a start
+  std::string statusFile;  // empty: none is written
+  Span statusEvery = Span::millis(1000);
+  std::optional<recovery::Stage> forced;  // by an operator, whose name is said
+  std::string forcedBy;
+
   // All keepers, as both ends of a stream must have them.
   std::string list() const;
 };
--- a/src/peers/words.cpp
+++ b/src/peers/words.cpp
@@ -26,6 +26,51 @@
   return nodes;
 }
 
+void set(wire::Primaries& to, const Primaries& primaries) {
+  for (const auto& news : primaries) {
+    auto& primary = *to.add_primaries();
+    primary.set_group(news.group);
+    primary.set_node(news.primary.node);
+    primary.set_version(news.primary.version);
+  }
+}
+Primaries read(const wire::Primaries& from) {
+  Primaries primaries;
+  for (const auto& one : from.primaries()) primaries.push_back({one.group(), {one.node(), one.version()}});
+  return primaries;
+}
+
+void set(wire::Seen& to, const Seen& seen) {
+  to.set_serves(seen.serves);
+  for (const auto& sighting : seen.nodes) {
+    auto& one = *to.add_sightings();
+    one.set_node(sighting.node);
+    one.set_node_start_us(sighting.nodeStart.inMicros());
+    one.set_role(sighting.role == Role::primary   ? wire::Sighting::PRIMARY
+                 : sighting.role == Role::replica ? wire::Sighting::REPLICA
+                                                  : wire::Sighting::UNKNOWN);
+    one.set_has_position(sighting.position.has_value());
+    if (sighting.position) one.set_position_us(sighting.position->inMicros());
+    one.set_age_us(sighting.age.inMicros());
+  }
+}
+Seen read(const wire::Seen& from) {
+  Seen seen;
+  seen.serves = from.serves();
+  for (const auto& one : from.sightings()) {
+    recovery::Sighting sighting;
+    sighting.node = one.node();
+    sighting.nodeStart = Instant::atMicros(one.node_start_us());
+    sighting.role = one.role() == wire::Sighting::PRIMARY   ? Role::primary
+                    : one.role() == wire::Sighting::REPLICA ? Role::replica
+                                                            : Role::unknown;
+    if (one.has_position()) sighting.position = Instant::atMicros(one.position_us());
+    sighting.age = Span::micros(one.age_us());
+    seen.nodes.push_back(std::move(sighting));
+  }
+  return seen;
+}
+
 template <typename Message>
 Message parsed(std::string_view bytes) {
   Message message;
@@ -66,7 +111,8 @@
                     committed.set_number(w.number);
                     committed.set_value(w.value);
                   },
-                  [&](const Nodes& w) { set(*out.mutable_nodes(), w); }},
+                  [&](const Nodes& w) { set(*out.mutable_nodes(), w); },
+                  [&](const Primaries& w) { set(*out.mutable_primaries(), w); }},
              word);
   return out.SerializeAsString();
 }
@@ -86,7 +132,9 @@
                     vote.set_committed(r.vote.committed);
                     vote.set_value(r.vote.value);
                   },
-                  [&](const Nodes& r) { set(*out.mutable_nodes(), r); }},
+                  [&](const Nodes& r) { set(*out.mutable_nodes(), r); },
+                  [&](const Primaries& r) { set(*out.mutable_primaries(), r); },
+                  [&](const Seen& r) { set(*out.mutable_seen(), r); }},
              reply);
   return out.SerializeAsString();
 }
@@ -104,6 +152,8 @@
       return Committed{in.committed().id(), in.committed().number(), in.committed().value()};
     case wire::Word::kNodes:
       return read(in.nodes());
+    case wire::Word::kPrimaries:
+      return read(in.primaries());
     case wire::Word::WORD_NOT_SET:
       break;
   }
@@ -114,6 +164,8 @@
   const auto in = parsed<wire::Reply>(bytes);
   if (in.has_heard()) return Heard{in.heard().number(), read(in.heard().knew())};
   if (in.has_nodes()) return read(in.nodes());
+  if (in.has_primaries()) return read(in.primaries());
+  if (in.has_seen()) return read(in.seen());
   if (!in.has_vote()) throw Malformed("a reply that is not known");
   VoteOf vote{in.vote().number(), {claims::Vote::What::silent, in.vote().committed(), in.vote().value()}};
   if (in.vote().what() == wire::Vote::YOURS) vote.vote.what = claims::Vote::What::yours;
--- a/src/peers/words.h
+++ b/src/peers/words.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "claims/words.h"
+#include "peers/service.h"
 #include "recovery/leaving.h"
 
 namespace gulltrestle::peers {
@@ -37,8 +38,9 @@
   std::uint64_t number = 0;
   std::string value;
 };
-using Nodes = std::vector<recovery::News>;  // to a keeper, and back
-using Word = std::variant<Hello, Claim, Release, Committed, Nodes>;
+using Nodes = std::vector<recovery::News>;   // to a keeper, and back
+using Primaries = std::vector<PrimaryNews>;  // likewise
+using Word = std::variant<Hello, Claim, Release, Committed, Nodes, Primaries>;
 
 struct Heard {
   std::uint64_t number = 0;
@@ -48,7 +50,7 @@
   std::uint64_t number = 0;
   claims::Vote vote;
 };
-using Reply = std::variant<Heard, VoteOf, Nodes>;
+using Reply = std::variant<Heard, VoteOf, Nodes, Primaries, Seen>;
 
 std::string encoded(const Word& word);
 std::string encoded(const Reply& reply);
--- /dev/null
+++ b/src/recovery/ramp.cpp
@@ -0,0 +1,104 @@
+#include "recovery/ramp.h"
+
+#include <algorithm>
+
+#include "base/samples.h"
+
+namespace gulltrestle::recovery {
+
+namespace {
+
+// By so many of the last txns it is judged, and by half as many at least.
+constexpr std::size_t kJudged = 16;
+// Part of them in time: below the first the rate doubles no more, below the second it falls.
+constexpr double kWell = 0.75, kIll = 0.5;
+// How often the rate changes. Sooner, by the number of answers, it overshot what cold nodes can do: on the
+// modelled storm (docs/fleet.md) 58 were pushed over, with a second none.
+constexpr Span kAdjust = Span::millis(1000);
+// With nobody turned away for so long, it is over.
+constexpr Span kQuiet = Span::millis(3000);
+// Cold nodes are warm long before, and a router must serve in the end.
+constexpr Span kLongest = Span::millis(60'000);
+// When to come back, at least.
+constexpr Span kBackLeast = Span::millis(100);
+// How far that is spread about its mean, as a part of it.
+constexpr double kSpread = 0.5;
+constexpr std::size_t kCounted = 64;
+
+}  // namespace
+
+Ramp::Ramp(Instant now, unsigned routers, double first, Span longestBack, std::uint64_t seed)
+    : routers_(std::max(1u, routers)),
+      first_(first),
+      longestBack_(longestBack * (1 / (1 + kSpread))),
+      chance_(seed),
+      startedAt_(now),
+      lastTurnedAway_(now),
+      adjustedAt_(now),
+      filledAt_(now) {}
+
+double Ramp::least() const {
+  return first_ * static_cast<double>(std::max<std::size_t>(1, nodes_)) / static_cast<double>(routers_);
+}
+
+void Ramp::listed(std::size_t nodes) {
+  nodes_ = nodes;
+  rate_ = std::max(rate_, least());
+}
+
+void Ramp::end() {
+  state_ = State::over;
+  last_.clear();
+  refused_.clear();
+}
+
+void Ramp::adjust(Instant now) {
+  if (now - adjustedAt_ < kAdjust) return;
+  adjustedAt_ = now;
+  const double well = last_.size() < kJudged / 2 ? 1 : partTrue(last_);
+  if (well < kWell) state_ = State::steady;
+  if (state_ == State::opening)
+    rate_ *= 2;
+  else if (well >= kWell)
+    rate_ *= 1.25;
+  else if (well < kIll)
+    rate_ = std::max(least(), rate_ * 0.67), last_.clear();
+}
+
+// As long as it takes, at the present rate, until all that were turned away lately have come in; spread, so
+// that they don't come back together.
+Span Ramp::comeBack() {
+  const Span over = std::max(lastTurnedAway_ - refused_.front(), Span::millis(50));
+  const double refusals = static_cast<double>(refused_.size()) / over.inSeconds();
+  const Span mean =
+      std::min(std::max(Span::seconds(refusals / std::max(rate_, 0.1)), kBackLeast), longestBack_);
+  return mean * std::uniform_real_distribution<>(1 - kSpread, 1 + kSpread)(chance_);
+}
+
+std::optional<Span> Ramp::turnsAway(Instant now) {
+  if (state_ == State::over) return {};
+  if (now - startedAt_ > kLongest || now - lastTurnedAway_ > kQuiet) {
+    end();
+    return {};
+  }
+  adjust(now);
+  // What was saved up is a second's at most: no burst on nodes that are cold.
+  tokens_ = std::min(std::max(1.0, rate_), tokens_ + rate_ * (now - filledAt_).inSeconds());
+  filledAt_ = now;
+  if (tokens_ >= 1) {
+    tokens_ -= 1;
+    return {};
+  }
+  lastTurnedAway_ = now;
+  ++turnedAway_;
+  keepLast(refused_, now, kCounted);
+  return comeBack();
+}
+
+void Ramp::passed(Instant now, bool sent, bool inTime) {
+  if (state_ == State::over || !sent) return;
+  keepLast(last_, inTime, kJudged);
+  adjust(now);
+}
+
+}  // namespace gulltrestle::recovery
--- /dev/null
+++ b/src/recovery/ramp.h
@@ -0,0 +1,72 @@
+// How many txns a second a router lets in once it has started, until it has seen what the fleet can take: all
+// routers and nodes may have started together, cold, with all clients asking again and again. It needs no
+// talk: each router knows how many there are. No I/O, no clock.
+//
+//   state     what it is                                       goes to
+//   opening   the rate doubles each second                     steady: of the last txns sent on, too many
+//                                                              were late
+//   steady    it grows by a quarter each second, and falls by  over: nobody was turned away for the quiet
+//             a third while most of them are late              time, or the longest time has passed
+//   over      all are let in, until the next start
+//
+// Guards against a metastable state: repeats that keep cold nodes overloaded after the power is back. What
+// was never sent on says nothing of the nodes, and counts for neither. May hurt where txns are late for
+// reasons of their own: fewer are let in, until the longest time has passed.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <random>
+
+#include "base/time.h"
+
+namespace gulltrestle::recovery {
+
+class Ramp {
+ public:
+  enum class State { opening, steady, over };
+
+  // Txns a second and node, over all routers, that come in at first: few enough for a node that is cold. On
+  // the modelled storm twice as many pushed nodes over, and half as many took longer.
+  static constexpr double kFirst = 8;
+
+  // `routers`: that may start together; `first`: txns a second and node; `longestBack`: that clients may be
+  // told to stay away. `seed`: come-back times differ from router to router.
+  Ramp(Instant now, unsigned routers, double first, Span longestBack, std::uint64_t seed);
+
+  // Nodes that the list names, of all groups.
+  void listed(std::size_t nodes);
+  // Those that live have told that service is as usual: this router starts alone.
+  void alone() { end(); }
+
+  // None: it may come in. Else when its client may come back.
+  std::optional<Span> turnsAway(Instant now);
+  // One that came in is over: `sent` on to a node, and committed within its SLA time.
+  void passed(Instant now, bool sent, bool inTime);
+
+  State state() const { return state_; }
+  double rate() const { return rate_; }  // txns a second
+  std::uint64_t turnedAway() const { return turnedAway_; }
+  Instant startedAt() const { return startedAt_; }
+
+ private:
+  void end();
+  double least() const;
+  void adjust(Instant now);
+  Span comeBack();
+
+  State state_ = State::opening;
+  unsigned routers_;
+  double first_;
+  Span longestBack_;
+  std::mt19937_64 chance_;
+  Instant startedAt_, lastTurnedAway_, adjustedAt_, filledAt_;
+  std::size_t nodes_ = 0;
+  double rate_ = 0, tokens_ = 1;
+  std::deque<bool> last_;        // of those sent on: committed in time
+  std::deque<Instant> refused_;  // the last
+  std::uint64_t turnedAway_ = 0;
+};
+
+}  // namespace gulltrestle::recovery
--- /dev/null
+++ b/src/recovery/sightings.cpp
@@ -0,0 +1,100 @@
+#include "recovery/sightings.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace gulltrestle::recovery {
+
+std::optional<Standing> Sightings::listed(const NodeId& id, Instant start) {
+  const auto [at, isNew] = nodes_.try_emplace(id);
+  Node& node = at->second;
+  const bool wasListed = std::exchange(node.isListed, true);
+  if (wasListed && node.start == start) return {};
+  unlisted_ -= !isNew && !wasListed;
+  if (node.start == start && node.proven.position) return node.proven;
+  if (node.start != start) node = {start, true, {}, {}, {}};
+  return {};
+}
+
+void Sightings::forget(const NodeId& id) {
+  const auto at = nodes_.find(id);
+  if (at == nodes_.end()) return;
+  unlisted_ -= !at->second.isListed;
+  nodes_.erase(at);
+}
+
+void Sightings::saw(Instant now, const NodeId& id, const Standing& said) {
+  const auto at = nodes_.find(id);
+  if (at == nodes_.end() || !at->second.isListed || (said.role == Role::unknown && !said.position)) return;
+  auto& own = at->second.own;
+  if (!own) own.emplace();
+  own->at = now;
+  if (said.role != Role::unknown) own->role = said.role;
+  if (said.position) own->position = said.position;
+}
+
+std::optional<Standing> Sightings::told(Instant now, const Witness& by, const Sighting& sighting) {
+  if (sighting.age < Span() || sighting.age > kTold) return {};
+  const auto [at, isNew] = nodes_.try_emplace(sighting.node);
+  Node& node = at->second;
+  if (isNew) {
+    if (unlisted_ >= most_) {
+      nodes_.erase(at);
+      return {};
+    }
+    ++unlisted_;
+    node.start = sighting.nodeStart;
+  }
+  if (node.start != sighting.nodeStart) return {};
+  node.others[by.router] = {now - sighting.age, sighting.role, sighting.position, by.draw};
+  // What a second of them confirms: the second highest position, the role that two tell.
+  std::vector<Instant> positions;
+  std::size_t primaries = 0, replicas = 0;
+  std::erase_if(node.others, [&](const auto& other) { return now - other.second.at > kTold; });
+  for (const auto& [router, seen] : node.others) {
+    if (seen.position) positions.push_back(*seen.position);
+    primaries += seen.role == Role::primary;
+    replicas += seen.role == Role::replica;
+  }
+  std::sort(positions.begin(), positions.end(), std::greater<>());
+  Standing proven;
+  if (positions.size() > 1) proven.position = positions[1];
+  // Where they differ on the role nothing is known of it.
+  if (primaries > 1 && replicas == 0) proven.role = Role::primary;
+  if (replicas > 1 && primaries == 0) proven.role = Role::replica;
+  const bool isFurther =
+      proven.position && (!node.proven.position || *proven.position > *node.proven.position);
+  const bool changed = proven.role != node.proven.role;
+  node.proven = proven;
+  if ((!isFurther && !changed) || !proven.position || !node.isListed) return {};
+  return proven;
+}
+
+std::vector<Sighting> Sightings::firstHand(Instant now) const {
+  std::vector<Sighting> all;
+  for (const auto& [id, node] : nodes_)
+    if (node.own && now - node.own->at <= kTold)
+      all.push_back({id, node.start, node.own->role, node.own->position, now - node.own->at});
+  return all;
+}
+
+bool Sightings::sawItself(const NodeId& id) const {
+  const auto at = nodes_.find(id);
+  return at != nodes_.end() && at->second.own.has_value();
+}
+
+Role Sightings::role(const NodeId& id) const {
+  const auto at = nodes_.find(id);
+  if (at == nodes_.end()) return Role::unknown;
+  if (at->second.own && at->second.own->role != Role::unknown) return at->second.own->role;
+  return at->second.proven.role;
+}
+
+bool Sightings::knowsPosition(const NodeId& id) const {
+  const auto at = nodes_.find(id);
+  if (at == nodes_.end()) return false;
+  return (at->second.own && at->second.own->position) || at->second.proven.position;
+}
+
+}  // namespace gulltrestle::recovery
--- /dev/null
+++ b/src/recovery/sightings.h
@@ -0,0 +1,86 @@
+// What nodes said of themselves, by who saw it: first hand here, or told by other routers. No I/O, no clock.
+//
+//   what is known of a node's position        counts as
+//   its own word to this router               fact; the decision module has it by itself
+//   two others saw it reach P or beyond       proven up to P: a lower bound, handed to the module
+//   one other saw it                          a hint: whom to ask first
+//   seen before the node's newest start       worthless: a node that lost power may have lost its log's end
+//   seen longer ago than is told on           worthless
+//
+// The same of its role. What was told is never told on: two hops make nothing fresher, and a rumour does not
+// come back as a second witness. One router that tells falsely moves nothing; two that agree can have reads
+// sent to a replica that is behind, or a write to a node that turns it away.
+//
+// A node's start is the one that the list tells, compared for being the same and never with a clock: those of
+// routers may differ by minutes.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "routing/router.h"
+
+namespace gulltrestle::recovery {
+
+// Who saw something: a router, in one start of it. A later start's word replaces an earlier one's.
+struct Witness {
+  std::string router;
+  std::uint64_t draw = 0;
+};
+
+struct Sighting {
+  NodeId node;
+  Instant nodeStart;  // as the list told it when the node was seen; never: long ago
+  Role role = Role::unknown;
+  std::optional<Instant> position;
+  Span age;  // how long ago, when it is told
+};
+
+class Sightings {
+ public:
+  // What is older is neither told nor believed: roles and starts change within minutes.
+  static constexpr Span kTold = Span::millis(60'000);
+
+  // `most`: nodes that others may tell of and no list has named yet; beyond it they are passed over.
+  explicit Sightings(std::size_t most = 20'000) : most_(most) {}
+
+  // A list names the node with this start. What was seen of an earlier one is forgotten. Returns what others
+  // have proven of it ahead of the list.
+  std::optional<Standing> listed(const NodeId& node, Instant start);
+  void forget(const NodeId& node);
+  // Its own word to this router.
+  void saw(Instant now, const NodeId& node, const Standing& said);
+  // Another router's own. Returns what is proven by it now; none: nothing new.
+  std::optional<Standing> told(Instant now, const Witness& by, const Sighting& sighting);
+
+  // All that was seen here itself, for others.
+  std::vector<Sighting> firstHand(Instant now) const;
+  bool sawItself(const NodeId& node) const;
+  // By its own word, else by two others; unknown: by neither.
+  Role role(const NodeId& node) const;
+  // Whether its position is known, in the same way.
+  bool knowsPosition(const NodeId& node) const;
+
+ private:
+  struct Seen {
+    Instant at;
+    Role role = Role::unknown;
+    std::optional<Instant> position;
+    std::uint64_t draw = 0;
+  };
+  struct Node {
+    Instant start;
+    bool isListed = false;
+    std::optional<Seen> own;
+    std::map<std::string, Seen> others;  // by router; bounded by the fleet's list
+    Standing proven;
+  };
+  std::size_t most_, unlisted_ = 0;
+  std::map<NodeId, Node> nodes_;
+};
+
+}  // namespace gulltrestle::recovery
--- /dev/null
+++ b/src/recovery/stages.cpp
@@ -0,0 +1,207 @@
+#include "recovery/stages.h"
+
+#include <algorithm>
+
+namespace gulltrestle::recovery {
+
+namespace {
+
+// How long a stage waits. Positions: a few times what it takes to ask a node. Primaries: discovery names a
+// new one within seconds. Keepers: as long as routers of one room take to start; once-only txns are declined
+// anyway while too few keepers are there.
+constexpr Span kPositions = Span::millis(2000), kPrimary = Span::millis(5000),
+               kKeepers = Span::millis(10'000);
+// A node is asked so often over all routers, at most: a small part of what even a cold one can do.
+constexpr double kAsksASecond = 100;
+// And by one router no more often than this.
+constexpr Span kAskAgain = Span::millis(300);
+
+bool isRead(const TxnType& type) { return type.level < ReadLevel::fresh; }
+
+}  // namespace
+
+std::string_view nameOf(Stage stage) {
+  constexpr std::string_view kNames[] = {"shut", "any_reads", "owed_reads", "writes", "all"};
+  return kNames[static_cast<int>(stage)];
+}
+
+std::string_view nameOf(Why why) {
+  constexpr std::string_view kNames[] = {"known", "gave_up", "forced"};
+  return kNames[static_cast<int>(why)];
+}
+
+Stages::Stages(Instant now, std::vector<TxnType> types, unsigned routers, bool mayAsk, std::uint64_t seed)
+    : types_(std::move(types)),
+      routers_(std::max(1u, routers)),
+      mayAsk_(mayAsk),
+      chance_(seed),
+      startedAt_(now) {}
+
+Span Stages::spacing() const {
+  return std::max(kAskAgain, Span::seconds(static_cast<double>(routers_) / kAsksASecond));
+}
+
+void Stages::listed(Instant now, ListKind kind, ListVersion version, const std::vector<ListEntry*>& entries) {
+  if (kind == ListKind::disk) return;  // it may be of any age, and names nobody who is there for sure
+  version_ = std::max(version_, version);
+  if (kind == ListKind::whole)
+    for (auto& [id, group] : groups_)
+      for (auto& [node, member] : group.members) member.live = false;
+  for (const ListEntry* entry : entries) {
+    Group& group = groups_[entry->group];
+    if (group.since == Instant()) group.since = now;
+    const auto [at, isNew] = group.members.try_emplace(entry->node);
+    at->second.live = entry->health == Health::live;
+    at->second.primary = entry->primary;
+    if (isNew) at->second.askAt = now + spacing() * std::uniform_real_distribution<>()(chance_);
+  }
+  for (auto& [id, group] : groups_)
+    std::erase_if(group.members, [&](const auto& member) { return !member.second.live; });
+  std::erase_if(groups_, [](const auto& group) { return group.second.members.empty(); });
+  dueBy(now);
+}
+
+void Stages::knew(GroupId id, const Primary& primary) {
+  const auto at = groups_.find(id);
+  if (at == groups_.end()) return;
+  auto& known = at->second.known;
+  if (!known || primary.version > known->version) known = primary;
+}
+
+// Who is primary, beyond doubt. Sets who claims to be it where that is contested.
+std::optional<NodeId> Stages::primaryOf(Group& group, const Sightings& seen) const {
+  group.claimed.clear();
+  std::vector<NodeId> claim;
+  for (const auto& [node, member] : group.members)
+    if (seen.role(node) == Role::primary) claim.push_back(node);
+  if (claim.empty()) return {};
+  // One that was known later than the list that names the other has not said that it is no more.
+  const auto& known = group.known;
+  const bool doubted = known && known->version >= version_ && known->node != claim.front() &&
+                       seen.role(known->node) != Role::replica && claim.size() == 1;
+  if (claim.size() == 1 && !doubted) return claim.front();
+  group.claimed = claim;
+  if (doubted) group.claimed.push_back(known->node);
+  return {};
+}
+
+// Why the group may go on to its next stage; none: not yet.
+std::optional<Why> Stages::next(Instant now, Group& group, const Sightings& seen) {
+  const auto within = [&](Span most) -> std::optional<Why> {
+    if (now - group.since >= most) return Why::gaveUp;
+    dueBy(group.since + most);
+    return {};
+  };
+  switch (group.stage) {
+    case Stage::shut:
+      return Why::known;  // a list names it, else it would not be here
+    case Stage::anyReads: {
+      std::size_t replicas = 0, known = 0;
+      for (const auto& [node, member] : group.members) {
+        if (seen.role(node) == Role::primary && seen.sawItself(node)) return Why::known;
+        if (member.primary) continue;
+        ++replicas;
+        known += seen.knowsPosition(node);
+      }
+      if (replicas > 0 && known * 2 >= replicas) return Why::known;
+      return within(kPositions);
+    }
+    case Stage::owedReads:
+      if (primaryOf(group, seen)) return Why::known;
+      if (!group.claimed.empty()) return {};
+      return within(kPrimary);
+    case Stage::writes:
+      if (keepers_) return Why::known;
+      return within(kKeepers);
+    case Stage::all:
+      break;
+  }
+  return {};
+}
+
+std::vector<Step> Stages::decide(Instant now, const Sightings& seen) {
+  due_ = Instant();
+  std::vector<Step> steps;
+  for (auto& [id, group] : groups_) {
+    while (group.stage != Stage::all) {
+      auto why = next(now, group, seen);
+      if (!why && forced_ && group.stage < *forced_) why = Why::forced;
+      if (!why) break;
+      const Stage to = static_cast<Stage>(static_cast<int>(group.stage) + 1);
+      steps.push_back({id, group.stage, to, *why, now - group.since});
+      if (group.stage == Stage::owedReads && *why == Why::known)
+        if (const auto primary = primaryOf(group, seen)) {
+          const Primary confirmed{*primary, version_};
+          if (!group.known || group.known->node != *primary) confirmed_.emplace_back(id, confirmed);
+          group.known = confirmed;
+        }
+      group.stage = to;
+      group.since = now;
+    }
+    if (group.stage == Stage::anyReads || group.stage == Stage::owedReads) ask(now, group, seen);
+  }
+  return steps;
+}
+
+void Stages::ask(Instant now, Group& group, const Sightings& seen) {
+  if (!mayAsk_) return;
+  for (auto& [node, member] : group.members) {
+    // For a primary: whoever the list or others say is it, and whoever claims to be. Nobody is asked twice
+    // for a position.
+    const bool matters = group.stage == Stage::anyReads
+                             ? !seen.knowsPosition(node)
+                             : member.primary || (group.known && group.known->node == node) ||
+                                   seen.role(node) != Role::replica;
+    if (!matters) continue;
+    if (member.askAt <= now) {
+      asks_.push_back(node);
+      member.askAt = now + spacing();
+    }
+    dueBy(member.askAt);
+  }
+}
+
+void Stages::dueBy(Instant at) {
+  if (due_ == Instant() || at < due_) due_ = at;
+}
+
+bool Stages::lets(GroupId id, std::size_t row) const {
+  const auto at = groups_.find(id);
+  // Before the first list there is nothing to go by; after it, what no list names is the module's to refuse.
+  if (at == groups_.end()) return !groups_.empty();
+  const TxnType& type = types_.at(row);
+  switch (at->second.stage) {
+    case Stage::shut:
+      return false;
+    case Stage::anyReads:
+      return type.level == ReadLevel::any;
+    case Stage::owedReads:
+      return isRead(type);
+    case Stage::writes:
+      return isRead(type) || type.effect != Effect::onceOnly;
+    case Stage::all:
+      return true;
+  }
+  return true;
+}
+
+Stages::Now Stages::of(GroupId id) const {
+  const auto at = groups_.find(id);
+  if (at == groups_.end()) return {};
+  constexpr std::string_view kAwaits[] = {"list", "positions", "primary", "keepers", ""};
+  return {at->second.stage, at->second.since, kAwaits[static_cast<int>(at->second.stage)],
+          at->second.stage == Stage::owedReads ? at->second.claimed : std::vector<NodeId>()};
+}
+
+std::vector<GroupId> Stages::groups() const {
+  std::vector<GroupId> all;
+  for (const auto& [id, group] : groups_) all.push_back(id);
+  return all;
+}
+
+bool Stages::done() const {
+  return !groups_.empty() &&
+         std::all_of(groups_.begin(), groups_.end(), [](auto& g) { return g.second.stage == Stage::all; });
+}
+
+}  // namespace gulltrestle::recovery
--- /dev/null
+++ b/src/recovery/stages.h
@@ -0,0 +1,124 @@
+// In which order service returns after a start, group by group. No I/O, no clock.
+//
+//   stage        lets in                              waits for                                   at most
+//   shut         nothing                              a list that names a live node of the group  without end
+//   any reads    reads of any age                     positions of half of its replicas, or its   2 s
+//                                                     primary's word
+//   owed reads   and bounded and session reads        its primary, confirmed by its own word or   5 s
+//                                                     by two others, and not contested            or without
+//                                                     end
+//   writes       and fresh reads, repeatable and      more than half of the keepers               10 s
+//                referenced writes
+//   all          and once-only txns                                                               -
+//
+// What has not come by then is given up on, and said so: a router whose peers and nodes tell nothing serves,
+// as it would without stages. Two waits have no end but a newer list, the node's own word, or an operator's:
+// that of a group without any node, and that of a primary that is *contested*: two claim to be it, or one
+// does that a list names which is no newer than the one by which another was last known to be it. What is
+// written to the wrong one of two is lost. To find out nodes are asked, each by a part of the routers at a
+// time.
+//
+// A group goes through this once a start; what happens to it later is the decision module's. It guards
+// against trusting an older list after a loss of power. Hurts for at most the times above, where nodes don't
+// tell what is waited for.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "recovery/leaving.h"
+#include "recovery/sightings.h"
+
+namespace gulltrestle::recovery {
+
+enum class Stage { shut, anyReads, owedReads, writes, all };
+std::string_view nameOf(Stage stage);
+
+// Who was last known as a group's primary, and by lists up to which version.
+struct Primary {
+  NodeId node;
+  ListVersion version = 0;
+  bool operator==(const Primary&) const = default;
+};
+
+enum class Why { known, gaveUp, forced };
+std::string_view nameOf(Why why);
+
+struct Step {
+  GroupId group = 0;
+  Stage from = Stage::shut, to = Stage::shut;
+  Why why = Why::known;
+  Span waited;
+};
+
+class Stages {
+ public:
+  // `mayAsk`: nodes can be asked for their standing. `seed`: routers that start together ask at other times.
+  Stages(Instant now, std::vector<TxnType> types, unsigned routers, bool mayAsk, std::uint64_t seed);
+
+  // --- Evidence. Lists come as the drains that bind have changed them.
+  void listed(Instant now, ListKind kind, ListVersion version, const std::vector<ListEntry*>& entries);
+  // This router's disk, or another router, knows of this primary.
+  void knew(GroupId group, const Primary& primary);
+  void keepers(bool reached) { keepers_ = reached; }
+  // By an operator: every group is at this stage at least, whatever it waits for. None: no more.
+  void force(std::optional<Stage> stage) { forced_ = stage; }
+
+  // Which changes are due, by what nodes were seen to be.
+  std::vector<Step> decide(Instant now, const Sightings& seen);
+  // Nodes to be asked now, for groups that wait for what they may tell.
+  std::vector<NodeId> takeAsks() { return std::exchange(asks_, {}); }
+  // Primaries that were confirmed since it was last asked, for the disk and for others.
+  std::vector<std::pair<GroupId, Primary>> takeConfirmed() { return std::exchange(confirmed_, {}); }
+  // When decide() is due though nothing comes in; never: it is not.
+  Instant due() const { return due_; }
+
+  // Groups that no list names are the module's to refuse.
+  bool lets(GroupId group, std::size_t type) const;
+
+  struct Now {
+    Stage stage = Stage::shut;
+    Instant since;
+    std::string_view awaits;      // empty: nothing
+    std::vector<NodeId> claimed;  // contested by these
+  };
+  Now of(GroupId group) const;
+  std::vector<GroupId> groups() const;
+  bool done() const;  // all groups let all in
+
+ private:
+  struct Member {
+    bool live = false, primary = false;  // as the list has it
+    Instant askAt;                       // when it may be asked next
+  };
+  struct Group {
+    std::map<NodeId, Member> members;
+    Stage stage = Stage::shut;
+    Instant since;
+    std::optional<Primary> known;  // from before, or from others
+    std::vector<NodeId> claimed;
+  };
+  std::optional<NodeId> primaryOf(Group& group, const Sightings& seen) const;
+  std::optional<Why> next(Instant now, Group& group, const Sightings& seen);
+  void ask(Instant now, Group& group, const Sightings& seen);
+  Span spacing() const;
+  void dueBy(Instant at);
+
+  std::vector<TxnType> types_;
+  unsigned routers_;
+  bool mayAsk_, keepers_ = false;
+  std::optional<Stage> forced_;
+  std::mt19937_64 chance_;
+  std::map<GroupId, Group> groups_;
+  ListVersion version_ = 0;
+  std::vector<NodeId> asks_;
+  std::vector<std::pair<GroupId, Primary>> confirmed_;
+  Instant startedAt_, due_;
+};
+
+}  // namespace gulltrestle::recovery
--- a/src/store/database.cpp
+++ b/src/store/database.cpp
@@ -10,7 +10,11 @@
 namespace {
 
 // Raised when a version can't read what an older one wrote.
-constexpr const char* kFormat = "1";
+constexpr const char* kFormat = "2";
+// The one before knew no primaries; a file of it is brought up to date as a keeper starts on it.
+constexpr const char* kFormatBefore = "1";
+constexpr const char* kPrimaries =
+    "CREATE TABLE primaries (grp INTEGER PRIMARY KEY, node BLOB, version INTEGER)";
 
 // Starts of its own that a keeper remembers. One that others know of and that is older than these is taken
 // for another disk's: the keeper is silent once more, which is safe.
@@ -29,6 +33,9 @@
 std::uint64_t sumOfNode(const std::string& id, std::uint64_t version, bool leaving) {
   return sumOf("node " + part(id) + part(std::to_string(version)) + (leaving ? "1" : "0"));
 }
+std::uint64_t sumOfPrimary(std::uint64_t group, const std::string& node, std::uint64_t version) {
+  return sumOf("primary " + part(std::to_string(group)) + part(node) + std::to_string(version));
+}
 std::uint64_t sumOf(const char* key, const std::string& value) {
   return sumOf("meta " + part(key) + part(value));
 }
@@ -115,7 +122,7 @@
     }
     isNew_ = !Statement(*this, "SELECT 1 FROM sqlite_schema").step();
     if (isNew_) return;
-    if (const auto format = meta("format"); format != kFormat)
+    if (const auto format = meta("format"); format != kFormat && format != kFormatBefore)
       throw format.empty() ? std::runtime_error("")
                            : Failed("it has format " + format + ", this program " + kFormat);
     keeper_ = meta("keeper");
@@ -153,6 +160,7 @@
       "INTEGER,"
       " value BLOB) WITHOUT ROWID;"
       "CREATE TABLE nodes (id BLOB PRIMARY KEY, version INTEGER, leaving INTEGER) WITHOUT ROWID");
+  run(kPrimaries);
   digest_ = 0;
   for (const char* key : {"format", "keeper", "whole", "new_since"}) digest_ ^= sumOf(key, "");
   setMeta("format", kFormat);
@@ -197,8 +205,23 @@
     kept.nodes[nodes.text(0)] = {nodes.number(1), nodes.number(2) != 0};
     digest_ ^= sumOfNode(nodes.text(0), nodes.number(1), nodes.number(2) != 0);
   }
+  const bool isBefore = meta("format") == kFormatBefore;
+  if (!isBefore) {
+    Statement primaries(*this, "SELECT grp, node, version FROM primaries");
+    while (primaries.step()) {
+      kept.primaries[primaries.number(0)] = {primaries.text(1), primaries.number(2)};
+      digest_ ^= sumOfPrimary(primaries.number(0), primaries.text(1), primaries.number(2));
+    }
+  }
   if (meta("digest") != std::to_string(digest_)) throw Damaged("its rows are not those that were written");
   kept.newSince = std::stoull(meta("new_since"));
+  if (isBefore && sqlite3_db_readonly(handle_, "main") == 0) {
+    run("BEGIN IMMEDIATE");
+    run(kPrimaries);
+    setMeta("format", kFormat);
+    setMeta("digest", std::to_string(digest_));
+    run("COMMIT");
+  }
   return kept;
 }
 
@@ -263,6 +286,17 @@
           .step();
       return;
     }
+    case What::primary: {
+      Statement old(*this, "SELECT node, version FROM primaries WHERE grp = ?");
+      if (old.with(change.group).step()) digest_ ^= sumOfPrimary(change.group, old.text(0), old.number(1));
+      digest_ ^= sumOfPrimary(change.group, change.id, change.start.number);
+      Statement(*this, "INSERT OR REPLACE INTO primaries VALUES (?, ?, ?)")
+          .with(change.group)
+          .with(change.id)
+          .with(change.start.number)
+          .step();
+      return;
+    }
     case What::voting:
       setMeta("whole", change.whole ? "1" : "0");
       setMeta("new_since", std::to_string(change.start.number));
--- a/tests/claims.cpp
+++ b/tests/claims.cpp
@@ -148,7 +148,7 @@
       r.copy = r.disk;
       r.disk.own.push_back({r.disk.own.empty() ? 1 : r.disk.own.back().number + 1, chance_()});
       Kept kept{r.disk.own, r.disk.newSince, r.disk.whole || bug_ == Bug::silenceForgotten,
-                {},         r.disk.starts,   {}};
+                {},         r.disk.starts,   {}, {}};
       for (const auto& [id, entry] : r.disk.entries) kept.entries.push_back(entry);
       std::set<std::string> others;
       for (std::size_t k = 0; k < keepers_; ++k)
@@ -543,7 +543,7 @@
   bounds.longestValue = 8;
   bounds.most = 4;
   const Token a{"a", 11, 1}, b{"b", 22, 1};
-  Keeper one(kBegin, {"k2", "k3"}, bounds, {{{4, 8}, {5, 1}}, 0, true, {{"old", a, true, "v"}}, {}, {}});
+  Keeper one(kBegin, {"k2", "k3"}, bounds, {{{4, 8}, {5, 1}}, 0, true, {{"old", a, true, "v"}}, {}, {}, {}});
   std::cout << "it has started: " << shown(one.claimed(kBegin, "id1", a))
             << "; of what it holds: " << shown(one.claimed(kBegin, "old", b)) << "\n";
   shown(one);
@@ -577,7 +577,7 @@
   one.due(kBegin + ms(60'000));
   shown(one);
   std::cout << "others know a start of it that its disk doesn't\n";
-  Keeper two(kBegin, {"k2", "k3"}, bounds, {{{5, 1}}, 0, true, {}, {}, {}});
+  Keeper two(kBegin, {"k2", "k3"}, bounds, {{{5, 1}}, 0, true, {}, {}, {}, {}});
   std::cout << "  to be told anew: " << two.heard(kBegin, "k2", 5, {3, 9}) << "\n";
   shown(two);
   two.heard(kBegin, "k2", 5, {});
@@ -596,7 +596,7 @@
 void slowDisk() {
   KeeperBounds bounds;
   bounds.mostWaiting = 2;
-  Keeper one(kBegin, {}, bounds, {{{1, 1}}, 0, true, {}, {}, {}});
+  Keeper one(kBegin, {}, bounds, {{{1, 1}}, 0, true, {}, {}, {}, {}});
   const Token a{"a", 11, 1};
   std::cout << "a slow disk, two votes may wait: " << shown(one.claimed(kBegin, "w1", a)) << ", "
             << shown(one.claimed(kBegin, "w2", a)) << ", " << shown(one.claimed(kBegin, "w3", a))
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -164,7 +164,7 @@
         << R"({"listen":")" << processes_[i]->processor << R"(","probe_path":"/standing"})";
     std::ofstream(base + ".fleet.json")
         << "{\"keepers\":{" << keepers << "},\"routers\":[" << routers << "],\"store\":\"" << folder(i)
-        << "\",\"retention_ms\":4000,\"longest_wait_ms\":800}";
+        << "\",\"retention_ms\":4000,\"longest_wait_ms\":800,\"first_txns\":1000}";
   }
 }
 
--- a/tests/setups.cpp
+++ b/tests/setups.cpp
@@ -99,7 +99,7 @@
     claims::Kept kept;
     kept.own = {{1, 50}};
     kept.whole = true;
-    desk_ = std::make_unique<Desk>(ledger_, setup, "a", 99, kept, *this);
+    desk_ = std::make_unique<Desk>(ledger_, Terms{}, setup, "a", 99, kept, *this);
   }
   void say(StreamKey stream, const std::string& what, const std::string& bytes) {
     std::cout << what << "\n";
@@ -119,6 +119,8 @@
     std::cout << "  to stream " << stream << ": ";
     if (const auto* heard = std::get_if<Heard>(&reply))
       std::cout << "heard " << heard->number << ", knew " << heard->knew.number << "\n";
+    else if (const auto* seen = std::get_if<Seen>(&reply))
+      std::cout << "saw " << seen->nodes.size() << " nodes, " << (seen->serves ? "serves" : "starts") << "\n";
     else
       std::cout << "vote on " << std::get<VoteOf>(reply).number << ": "
                 << static_cast<int>(std::get<VoteOf>(reply).vote.what) << "\n";
