A replica that may have been down proves its position anew before owed reads go to it

Need: a node that loses power may lose the end of its log; a router that lived through it kept the position that it had known, and sent session reads by it. Faulty lines: learn() in src/routing/router.cpp only ever raised a member's position, and listed() kept it over a start. Change: a connection that ends from there while idle is told to the module, too (Links::endLink, Ledger::disconnected, Router::disconnected); each of the three voids the position. Trace: torn-log.

--- a/src/carriers/pg/links.cpp
+++ b/src/carriers/pg/links.cpp
@@ -245,6 +245,7 @@
   Place& place = places_.at(link.node);
   if (link.stage == Stage::idle) {
     std::erase(place.idle, id);
+    if (how == ConnectionEnd::broken) ledger_.disconnected(link.node);
   } else if (link.stage == Stage::busy) {
     carried_.erase(link.job);
     ledger_.ended(link.job, link.node, outcomeOf(how, link.written));
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -135,6 +135,9 @@
   // A second call for the same submission is passed over.
   void ended(Job job, const NodeId& node, End how, const Standing& answer = {}, const Standing& report = {});
 
+  // A connection to the node that carried nothing was ended from there: it may have been down.
+  void disconnected(const NodeId& node);
+
   // --- Lists and turns
 
   // `version`: of the list, as discovery counts them.
--- a/src/experiments/main.cpp
+++ b/src/experiments/main.cpp
@@ -26,7 +26,7 @@
   model::Fleet fleet(day.sheet);
   const auto result = fleet.run(day.seconds, day.demand);
   std::cout << std::fixed << std::setprecision(3) << "value " << result.value << " worst10s " << result.worst
-            << " fell over " << result.fellOver << " broken " << result.broken.sum() << "\n";
+            << " fell over " << result.fellOver << " broken " << result.broken.sum() << " stale " << result.broken.stale << "\n";
   for (std::size_t s = 0; s < result.seconds.size(); ++s) {
     const auto& at = result.seconds[s];
     std::cout << std::setw(3) << s << " served " << (at.asked > 0 ? at.earned / at.asked : 0) << " txns "
--- a/src/model/days.cpp
+++ b/src/model/days.cpp
@@ -34,7 +34,8 @@
 }  // namespace
 
 const std::vector<std::string>& dayNames() {
-  static const std::vector<std::string> names{"calm", "herd", "split", "join", "roll", "start", "storm"};
+  static const std::vector<std::string> names{"calm", "herd", "split", "join",
+                                              "roll", "torn", "start", "storm"};
   return names;
 }
 
@@ -72,6 +73,10 @@
   } else if (name == "roll") {
     trouble.nodesLost = {8, 0.5, 0.5, 9};
     trouble.routersLost = {8, 1, 0.5, 9};
+  } else if (name == "torn") {
+    trouble.nodesLost = {8, 0.5, 0.2, 1};
+    trouble.logLost = Span::millis(2000);
+    trouble.listLate = 2;
   } else if (name == "start") {
     trouble.nodesLost = {8, 1, 1, 4};
     trouble.routersLost = {8, 1, 1, 5};
--- a/src/model/days.h
+++ b/src/model/days.h
@@ -21,6 +21,7 @@
 // split   for 6 s nothing passes between a third of the routers and a third of the nodes; lists are late
 // join    six in ten nodes are replaced within 7 s, by cold ones
 // roll    half of the nodes and all routers start anew, each at its own time
+// torn    half of the nodes lose power for under a second, and 2 s of their log; lists are late
 // start   all routers and all nodes lose power at once, and come back in any order within seconds
 // storm   the same, with clients that ask again fifty times a second and nodes that are easily pushed over
 const std::vector<std::string>& dayNames();
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -85,6 +85,7 @@
     ramp->passed(fleet.now_, how.sent, how.committed && how.share <= 1);
   }
   void told(const NodeId&, const Standing&) override {}
+  void disconnected(const NodeId&) override {}
 
   struct Asked {
     Wish wish;
@@ -181,7 +182,14 @@
     for (std::size_t i = 0; i < nodes_.all().size(); ++i) {
       if (std::uniform_real_distribution<>()(chance_) >= trouble.nodesLost.part) continue;
       const Instant back = backAt(trouble.nodesLost);
-      nodes_.lose(i, back);
+      const auto connected = nodes_.all()[i].connections;
+      nodes_.lose(now_, i, back, trouble.logLost);
+      // Whoever had a connection sees it end.
+      for (const auto& router : routers_)
+        if (router && connected.contains(router->number * 1'000'000 + router->start)) {
+          router->ledger.disconnected(nodes_.all()[i].id);
+          router->touched = true;
+        }
       tellAt_.insert(back);
     }
     publish();
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -46,6 +46,7 @@
     double at = -1, part = 1, backFrom = 0.5, backTo = 3;
   };
   Loss routersLost, nodesLost;
+  Span logLost;  // of replicas that lose power: the end of their log
   // Nothing passes between a part of the routers and a part of the nodes.
   struct Cut {
     double from = -1, to = -1, routers = 0.3, nodes = 0.3;
--- a/src/model/nodes.cpp
+++ b/src/model/nodes.cpp
@@ -5,6 +5,13 @@
 
 namespace gulltrestle::model {
 
+namespace {
+
+// Seconds of log that a replica applies a second while it catches up.
+constexpr double kCatchUp = 4;
+
+}  // namespace
+
 Nodes::Nodes(Machines machines) : machines_(machines) {
   for (GroupId group = 1; group <= machines_.groups; ++group)
     for (std::size_t n = 0; n <= machines_.replicas; ++n) {
@@ -34,7 +41,7 @@
   const bool cold = speed(now, node) < 1;
   if (cold && machines_.pushOver != Span() && begin - now > machines_.pushOver) {
     ++fellOver_;
-    lose(row, now + machines_.fallen);
+    lose(now, row, now + machines_.fallen);
     return {How::noConnection, now, false};
   }
   Served served;
@@ -57,8 +64,9 @@
   nodes_[node].toldToDrain = now;
 }
 
-void Nodes::lose(std::size_t row, Instant backAt) {
+void Nodes::lose(Instant now, std::size_t row, Instant backAt, Span logLost) {
   Node& node = nodes_[row];
+  node.logAt = logLost > Span() ? applied(now, node, {}) - logLost : Instant();
   ++node.starts;
   node.connections.clear();
   node.ends.clear();
@@ -73,7 +81,9 @@
 
 Instant Nodes::applied(Instant now, const Node& node, std::optional<Instant> stoodStillAt) const {
   if (node.primary) return now;
-  return stoodStillAt.value_or(now) - machines_.lag;
+  const Instant upTo = stoodStillAt.value_or(now) - machines_.lag;
+  if (node.logAt == Instant() || now < node.upAt) return upTo;
+  return std::min(upTo, node.logAt + (now - node.upAt) * kCatchUp);
 }
 
 std::vector<core::Addressed> Nodes::list(Instant now) const {
--- a/src/model/nodes.h
+++ b/src/model/nodes.h
@@ -38,6 +38,7 @@
     Instant upAt;  // down before
     unsigned starts = 0;
     std::deque<Instant> ends;             // of the work in hand
+    Instant logAt;                        // how far its log reached as it came back; never: it lost none
     std::set<std::uint64_t> connections;  // of routers' starts
   };
 
@@ -55,7 +56,8 @@
 
   void drain(Instant now, std::size_t node);
   // Down now and back then, cold; what it had in hand is lost.
-  void lose(std::size_t node, Instant backAt);
+  // A replica has lost so much of its log's end, too, and catches up from there.
+  void lose(Instant now, std::size_t node, Instant backAt, Span logLost = {});
   bool isUp(Instant now, std::size_t node) const { return nodes_[node].upAt <= now; }
 
   // What a node has applied, all commits up to there. `stoodStillAt`: replicas apply nothing from then on.
--- a/src/peers/service.h
+++ b/src/peers/service.h
@@ -37,6 +37,7 @@
   std::optional<Span> turnsAway(GroupId group, std::size_t type) override;
   void passed(GroupId group, std::size_t type, const Passage& how) override;
   void told(const NodeId& node, const Standing& said) override;
+  void disconnected(const NodeId& node) override { sightings_.disconnected(node); }
   // As the drains that bind have changed it.
   void listed(ListKind kind, recovery::ListVersion version, const std::vector<ListEntry*>& entries);
 
--- a/src/recovery/sightings.cpp
+++ b/src/recovery/sightings.cpp
@@ -24,6 +24,14 @@
   nodes_.erase(at);
 }
 
+void Sightings::disconnected(const NodeId& id) {
+  const auto at = nodes_.find(id);
+  if (at == nodes_.end()) return;
+  at->second.own.reset();
+  at->second.others.clear();
+  at->second.proven = {};
+}
+
 void Sightings::saw(Instant now, const NodeId& id, const Standing& said) {
   const auto at = nodes_.find(id);
   if (at == nodes_.end() || !at->second.isListed || (said.role == Role::unknown && !said.position)) return;
--- a/src/recovery/sightings.h
+++ b/src/recovery/sightings.h
@@ -52,6 +52,8 @@
   // have proven of it ahead of the list.
   std::optional<Standing> listed(const NodeId& node, Instant start);
   void forget(const NodeId& node);
+  // It may have been down: what it said before is void, and nothing is proven of it.
+  void disconnected(const NodeId& node);
   // Its own word to this router.
   void saw(Instant now, const NodeId& node, const Standing& said);
   // Another router's own. Returns what is proven by it now; none: nothing new.
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -249,6 +249,39 @@
   }
 }
 
+// A replica that may have been down may have lost the end of its log.
+void tornLog() {
+  Terms terms = usualTerms({kSession});
+  terms.coldTime = Span();
+  Bench b(terms);
+  start(b);
+  b.quietProbes = true;
+  b.say("both replicas are known to be at 90: a session read that needs 50 is sent at once");
+  b.at(95, [&](Router& r) {
+    r.probed("a", End::committed, b.standing(Role::replica, 90));
+    r.probed("b", End::committed, b.standing(Role::replica, 90));
+  });
+  b.at(100, [&](Router& r) { r.taken(b.sessionRead(1, 0, 50)); });
+  b.say("the connections to both end: it is held until one tells anew that it is there");
+  b.at(110, [&](Router& r) {
+    r.disconnected("a");
+    r.disconnected("b");
+    r.taken(b.sessionRead(2, 0, 60));
+  });
+  b.run(115, 130);
+  b.at(140, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, 30)); });
+  b.run(145, 150);
+  b.at(160, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, 155)); });
+  b.say("the list says that it started again: the same");
+  b.at(170, [&](Router& r) {
+    auto entry = b.entry("a");
+    entry.startedAt = b.instant(165);
+    r.listed(ListKind::changes, {entry});
+    r.taken(b.sessionRead(3, 0, 100));
+  });
+  b.run(175, 180);
+}
+
 void quickTxns() {
   auto session = kSession;
   session.slaTime = ms(80);
@@ -637,7 +670,7 @@
 const std::map<std::string, void (*)()> kCases{
     {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly},
     {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
-    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"dead-work", deadWork},
+    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"dead-work", deadWork},
     {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
     {"asked-list", askedList}, {"second-copy", secondCopy}, {"stall", stall},
     {"old-latencies", oldLatencies}, {"worthless", worthless}, {"told", told},
