News of nodes no longer break off a keeper's stream after 3 s

Seen in the rig: after a router told its keepers of a primary, event=peers.lost followed 3 s later, over and over; the logs show nothing between. Ruled out: the relay (open), the keeper (it answered the next greeting at once). Cause: toKeeper() in src/peers/peers.cpp awaited an answer to every word but two; news of nodes, and now of primaries, have none, so a stream that was otherwise idle was taken for one that swallows what is sent. So it was after each drain before. Change: only a greeting and a claim await an answer.

--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -124,8 +124,9 @@
   if (at == talks_.end()) return;
   Talk& talk = *at->second;
   talk.session.send(talk.call, grpc::framed(encoded(word)));
-  if (talk.deafAt == Instant() && !std::holds_alternative<Release>(word) &&
-      !std::holds_alternative<Committed>(word)) {
+  // Only these are answered.
+  const bool isAnswered = std::holds_alternative<Hello>(word) || std::holds_alternative<Claim>(word);
+  if (talk.deafAt == Instant() && isAnswered) {
     talk.deafAt = loop_.now() + kDeaf;
     talk.stream.wakeAt(talk.deafAt);
   }
