A primary from before is not written to on an older list's word; a watch for size

Measured: with nothing settled, writes go to the old primary; with it none does, reads are served, and writes go on when the new one is back.

--- a/src/experiments/main.cpp
+++ b/src/experiments/main.cpp
@@ -1,36 +1,102 @@
-// gulltrestle_model: plays modelled days, and prints what came of them.
+// gulltrestle_days: plays modelled days of an installation, and prints what came of them. All figures are
+// simulated; the same for the same seed.
 #include <CLI/CLI.hpp>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
 
-#include "model/days.h"
+#include "model/watch.h"
 
 using namespace gulltrestle;
 
-int main(int count, char** words) {
-  CLI::App app("Plays a modelled day of an installation, and tells what came of it.");
-  std::string name, file;
+namespace {
+
+struct Asked {
+  std::vector<std::string> days;
   std::size_t routers = 300, nodes = 120;
   std::uint64_t seed = 1;
-  app.add_option("day", name)->required()->check(CLI::IsMember(model::dayNames()));
-  app.add_option("--routers", routers)->check(CLI::Range(1, 1000))->capture_default_str();
-  app.add_option("--nodes", nodes)->check(CLI::Range(4, 1000))->capture_default_str();
-  app.add_option("--seed", seed)->capture_default_str();
-  app.add_option("--seconds", file, "a file for figures by the second");
+  double seconds = 0;
+  std::string file, fault;
   bool ramp = false;
-  app.add_flag("--ramp", ramp, "routers that start let in few at first");
-  CLI11_PARSE(app, count, words);
-  auto day = model::dayOf(name, routers, nodes, seed);
-  day.sheet.ramp = ramp;
-  model::Fleet fleet(day.sheet);
-  const auto result = fleet.run(day.seconds, day.demand);
-  std::cout << std::fixed << std::setprecision(3) << "value " << result.value << " worst10s " << result.worst
-            << " fell over " << result.fellOver << " broken " << result.broken.sum() << " stale " << result.broken.stale << "\n";
+};
+
+model::Day dayOf(const Asked& asked, const std::string& name) {
+  model::Day day = model::dayOf(name, asked.routers, asked.nodes, asked.seed);
+  day.sheet.ramp = asked.ramp;
+  if (asked.seconds > 0) day.seconds = asked.seconds;
+  if (asked.fault == "alone") day.sheet.believedRouters = 1;
+  return day;
+}
+
+void writeSeconds(const std::string& path, const model::Result& result) {
+  std::ofstream file(path);
+  file << "second,served,txns,late,submissions,probes,connections,declined\n";
   for (std::size_t s = 0; s < result.seconds.size(); ++s) {
     const auto& at = result.seconds[s];
-    std::cout << std::setw(3) << s << " served " << (at.asked > 0 ? at.earned / at.asked : 0) << " txns "
-              << at.txns << " late " << at.late << " submissions " << at.submissions << " probes "
-              << at.probes << " connections " << at.connections << " declined " << at.declined << "\n";
+    file << s << "," << (at.asked > 0 ? at.earned / at.asked : 0) << "," << at.txns << "," << at.late << ","
+         << at.submissions << "," << at.probes << "," << at.connections << "," << at.declined << "\n";
+  }
+  file.close();
+  if (!file) throw std::runtime_error("'" + path + "' can't be written");
+}
+
+int play(const Asked& asked) {
+  std::cout << std::fixed << std::setprecision(3);
+  for (const auto& name : asked.days) {
+    const auto day = dayOf(asked, name);
+    const auto result = model::Fleet(day.sheet).run(day.seconds, day.demand);
+    std::cout << name << " " << asked.routers << "x" << asked.nodes << " seed " << asked.seed << ": value "
+              << result.value << ", worst 10 s " << result.worst << ", nodes pushed over " << result.fellOver
+              << ", rules broken " << result.broken.sum() << "\n";
+    if (!asked.file.empty()) writeSeconds(asked.file, result);
+  }
+  return 0;
+}
+
+int watch(const Asked& asked) {
+  std::cout << std::fixed << std::setprecision(3);
+  bool passed = true;
+  for (const auto& name : asked.days) {
+    const auto verdict = model::watch(dayOf(asked, name));
+    std::cout << name << " " << asked.routers << "x" << asked.nodes << " seed " << asked.seed << ": value "
+              << verdict.value << ", seen whole " << verdict.whole << ", probes a txn " << verdict.probesATxn
+              << ", nodes pushed over " << verdict.result.fellOver << "\n";
+    for (const auto& fault : verdict.faults) std::cout << "  " << fault << "\n";
+    passed = passed && verdict.faults.empty();
+  }
+  std::cout << (passed ? "watch passed" : "WATCH FAILED") << "\n";
+  return passed ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  CLI::App app("Modelled days of an installation: what many routers do in sum (simulated).",
+               "gulltrestle_days");
+  app.require_subcommand(1);
+  Asked asked;
+  const auto add = [&](const char* name, const char* what) {
+    CLI::App* command = app.add_subcommand(name, what);
+    command->add_option("day", asked.days, "which, one or several")
+        ->required()
+        ->check(CLI::IsMember(model::dayNames()));
+    command->add_option("--routers", asked.routers)->check(CLI::Range(1, 1000))->capture_default_str();
+    command->add_option("--nodes", asked.nodes)->check(CLI::Range(4, 1000))->capture_default_str();
+    command->add_option("--seed", asked.seed)->capture_default_str();
+    command->add_option("--seconds", asked.seconds, "of the day; 0: all of it")->check(CLI::Range(0, 3600));
+    command->add_flag("--ramp", asked.ramp, "routers that start let in few at first");
+    command->add_option("--fault", asked.fault, "a built-in one, that the watch has to find")
+        ->check(CLI::IsMember({"alone"}));
+    return command;
+  };
+  CLI::App* playing = add("play", "Plays days");
+  playing->add_option("--csv", asked.file, "a file for the figures by the second");
+  CLI::App* watching = add("watch", "Plays days, and judges them by the rules and a gate");
+  CLI11_PARSE(app, count, words);
+  try {
+    return watching->parsed() ? watch(asked) : play(asked);
+  } catch (const std::exception& bad) {
+    std::cerr << "gulltrestle_days: " << bad.what() << "\n";
+    return 1;
   }
 }
--- a/src/peers/service.cpp
+++ b/src/peers/service.cpp
@@ -102,6 +102,9 @@
   const auto at = known_.find(news.group);
   if (at != known_.end() && at->second.version >= news.primary.version) return false;
   if (at == known_.end() && known_.size() >= kMostGroups) return false;
+  if (at == known_.end() || at->second.node != news.primary.node)
+    log_("recovery.primary", "group=" + std::to_string(news.group) + " primary=" + news.primary.node +
+                                 " list=" + std::to_string(news.primary.version) + " told=yes");
   known_[news.group] = news.primary;
   stages_.knew(news.group, news.primary);
   return true;
@@ -138,6 +141,8 @@
   for (const auto& [group, primary] : stages_.takeConfirmed()) {
     known_[group] = primary;
     confirmed.push_back({group, primary});
+    log_("recovery.primary", "group=" + std::to_string(group) + " primary=" + primary.node +
+                                 " list=" + std::to_string(primary.version));
   }
   if (!stages_.done()) doneAt_ = Instant();
   if (stages_.done() && doneAt_ == Instant()) {
--- a/src/recovery/stages.cpp
+++ b/src/recovery/stages.cpp
@@ -130,19 +130,25 @@
       const Stage to = static_cast<Stage>(static_cast<int>(group.stage) + 1);
       steps.push_back({id, group.stage, to, *why, now - group.since});
       if (group.stage == Stage::owedReads && *why == Why::known)
-        if (const auto primary = primaryOf(group, seen)) {
-          const Primary confirmed{*primary, version_};
-          if (!group.known || group.known->node != *primary) confirmed_.emplace_back(id, confirmed);
-          group.known = confirmed;
-        }
+        if (const auto primary = primaryOf(group, seen)) confirm(id, group, *primary);
       group.stage = to;
       group.since = now;
     }
     if (group.stage == Stage::anyReads || group.stage == Stage::owedReads) ask(now, group, seen);
+    if (group.stage < Stage::writes) continue;
+    for (const auto& [node, member] : group.members)
+      if (member.primary && (!group.known || group.known->node != node) && seen.role(node) == Role::primary)
+        confirm(id, group, node);
   }
   return steps;
 }
 
+void Stages::confirm(GroupId id, Group& group, const NodeId& primary) {
+  const Primary confirmed{primary, version_};
+  if (!group.known || group.known->node != primary) confirmed_.emplace_back(id, confirmed);
+  group.known = confirmed;
+}
+
 void Stages::ask(Instant now, Group& group, const Sightings& seen) {
   if (!mayAsk_) return;
   for (auto& [node, member] : group.members) {
--- a/src/recovery/stages.h
+++ b/src/recovery/stages.h
@@ -18,7 +18,8 @@
 // written to the wrong one of two is lost. To find out nodes are asked, each by a part of the routers at a
 // time.
 //
-// A group goes through this once a start; what happens to it later is the decision module's. It guards
+// A group goes through this once a start; what happens to it later is the decision module's. A primary that
+// changes later is confirmed, for the next start, once its own word and the list agree. It guards
 // against trusting an older list after a loss of power. Hurts for at most the times above, where nodes don't
 // tell what is waited for.
 #pragma once
@@ -106,6 +107,7 @@
   std::optional<NodeId> primaryOf(Group& group, const Sightings& seen) const;
   std::optional<Why> next(Instant now, Group& group, const Sightings& seen);
   void ask(Instant now, Group& group, const Sightings& seen);
+  void confirm(GroupId id, Group& group, const NodeId& primary);
   Span spacing() const;
   void dueBy(Instant at);
 
--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -93,6 +93,7 @@
     }
     const std::string request = wire.kept.substr(0, end + 2);
     wire.kept.erase(0, end + 4);
+    if (down) co_return;
     if (request.starts_with("GET /standing ")) {
       ++probes;
       wire.write(head(200, "committed"));
--- a/src/standins/node.h
+++ b/src/standins/node.h
@@ -36,6 +36,7 @@
   std::function<Fault(const std::string& txn)> fault;
   Span work = Span::millis(1);
   bool primary;
+  bool down = false;  // takes connections and ends them
   // How far a replica is behind.
   Span lag = Span::millis(2);
 
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <set>
 
+#include "cases.h"
 #include "rig.h"
 #include "standins/node.h"
 #include "standins/proxy.h"
@@ -573,6 +574,7 @@
     for (const std::size_t keepers : {1, 3, 5}) Price(true, keepers).play();
     return 0;
   }
+  if (name == "returns") return returns();
   if (name == "grants") {
     Grants(false).play();
     Grants(true).play();
--- /dev/null
+++ b/tests/fleet/returns.cpp
@@ -0,0 +1,174 @@
+// All routers lose power after a change of primary. The list that comes first is older and names the old
+// primary, which still believes in itself; the new one is not there yet. What was written to the old one now
+// would be lost. Judged by the nodes' own counts.
+#include <algorithm>
+#include <iostream>
+
+#include "cases.h"
+#include "rig.h"
+#include "standins/node.h"
+#include "standins/proxy.h"
+#include "startup/startup.h"
+
+namespace gulltrestle::fleet {
+
+namespace {
+
+constexpr Span kTick = Span::millis(2);
+// Nothing takes so long unless it is wedged.
+constexpr Span kBound = Span::millis(60'000);
+// Asked while only the old primary is there: at all routers in turn.
+constexpr int kAskedMeanwhile = 60;
+
+class Returns {
+ public:
+  explicit Returns(bool settles)
+      : discovery_(std::make_unique<standins::Discovery>(loop_)),
+        old_(loop_, "p", true),
+        new_(loop_, "q", false),
+        rig_(loop_, 1, shape(settles)),
+        settles_(settles) {
+    for (std::size_t i = 0; i < rig_.routers(); ++i) {
+      standins::ProxySetup setup;
+      setup.processor = rig_.processor(i);
+      setup.messageTimeout = Span::millis(2000);
+      proxies_.push_back(std::make_unique<standins::Proxy>(loop_, setup));
+    }
+  }
+  bool play() {
+    loop_.spawn(scene());
+    loop_.run([](Instant) { return Instant(); },
+              [this](std::exception_ptr failure) {
+                try {
+                  std::rethrow_exception(failure);
+                } catch (const std::exception& bad) { broken(std::string("the rig: ") + bad.what()); }
+                loop_.stop();
+              });
+    if (!fault_.empty() && settles_) {
+      rig_.keep();
+      std::cerr << fault_ << "; logs in " << rig_.path() << "\n";
+    }
+    return fault_.empty();
+  }
+
+ private:
+  Shape shape(bool settles) const {
+    Shape made;
+    made.settles = settles;
+    made.discovery = discovery_->address();
+    return made;
+  }
+  void broken(const std::string& what) {
+    if (fault_.empty()) fault_ = what;
+  }
+  auto tick() { return loop_.sleepUntil(loop_.now() + kTick); }
+  bool waited(bool come, Instant by, const char* what) {
+    if (!come && loop_.now() >= by) broken(std::string("waited in vain: ") + what);
+    return come || !fault_.empty();
+  }
+  void ask(std::size_t router, bool isWrite) {
+    ++open_;
+    const std::string id = (isWrite ? "w" : "r") + std::to_string(++ids_);
+    proxies_[router]->ask({{":method", isWrite ? "POST" : "GET"},
+                           {"x-txn-id", id},
+                           {"x-txn-type", isWrite ? "book-charge" : "route-lookup"},
+                           {"x-txn-group", "1"}},
+                          isWrite, Span::millis(900), [this, isWrite](standins::Answer answer) {
+                            --open_;
+                            const bool committed = answer.outcome == "committed" || answer.status == 200;
+                            (isWrite ? writes_ : reads_) += committed;
+                          });
+  }
+  void list(bool newIsPrimary) {
+    discovery_->set({"p", old_.address(), "up", !newIsPrimary, 1});
+    discovery_->set({"q", new_.address(), "up", newIsPrimary, 1});
+  }
+  bool allLogged(const std::string& line) const {
+    for (std::size_t i = 0; i < rig_.routers(); ++i)
+      if (rig_.log(i).find(line) == std::string::npos) return false;
+    return true;
+  }
+
+  loop::Task scene() {
+    const auto commits = [](std::uint64_t& counted, std::uint64_t before) { return counted > before; };
+    list(false);
+    rig_.startAll();
+    // Each commits a write at the first primary, then at the next.
+    for (const bool changed : {false, true}) {
+      if (changed) {
+        old_.primary = false;
+        new_.primary = true;
+        list(true);
+      }
+      const Instant by = loop_.now() + kBound;
+      for (std::size_t i = 0; i < rig_.routers(); ++i)
+        for (const auto w = writes_; !waited(commits(writes_, w), by, "a write");) {
+          ask(i, true);
+          while (open_ > 0) co_await tick();
+        }
+    }
+    const Instant by = loop_.now() + kBound;
+    while (settles_ && !waited(allLogged("primary=q"), by, "the new primary, known to all")) co_await tick();
+    std::cout << "the primary changes: " << (fault_.empty() ? "each router writes to the new one" : fault_)
+              << "\n";
+
+    std::vector<std::size_t> all;
+    for (std::size_t i = 0; i < rig_.routers(); ++i) all.push_back(i);
+    rig_.losePower(all);
+    old_.primary = true;
+    new_.down = true;
+    const auto port = startup::readAddress("discovery", discovery_->address()).port;
+    discovery_.reset();
+    discovery_ = std::make_unique<standins::Discovery>(loop_, port);
+    list(false);
+    const auto before = writtenToOld();
+    rig_.startAll();
+    // Reads are served; a write is asked for all the while.
+    const Instant until = loop_.now() + kBound;
+    const auto readsBefore = reads_;
+    for (int n = 0; n < kAskedMeanwhile || !waited(commits(reads_, readsBefore + 5), until, "reads"); ++n) {
+      ask(static_cast<std::size_t>(n) % rig_.routers(), n % 2 == 0);
+      while (open_ > 0) co_await tick();
+    }
+    const bool written = writtenToOld() > before;
+    std::cout << "the old one is back first: reads are served, "
+              << (written ? "writes go to it and are lost" : "nothing is written to it") << "\n";
+    if (written == settles_) broken("written to the old primary or not, as it should not be");
+
+    new_.down = false;
+    old_.primary = false;
+    const Instant late = loop_.now() + kBound;
+    for (std::size_t i = 0; i < rig_.routers(); ++i)
+      for (const auto w = writes_; !waited(commits(writes_, w), late, "a write again");) {
+        ask(i, true);
+        while (open_ > 0) co_await tick();
+      }
+    std::cout << "the new one is back: " << (fault_.empty() ? "each router writes to it" : fault_) << "\n";
+    loop_.stop();
+  }
+  std::size_t writtenToOld() const {
+    return static_cast<std::size_t>(std::count_if(old_.runs.begin(), old_.runs.end(),
+                                                  [](const auto& run) { return run.first[0] == 'w'; }));
+  }
+
+  loop::Loop loop_;
+  std::unique_ptr<standins::Discovery> discovery_;
+  standins::Node old_, new_;
+  Rig rig_;
+  bool settles_;
+  std::vector<std::unique_ptr<standins::Proxy>> proxies_;
+  std::size_t open_ = 0;
+  std::uint64_t writes_ = 0, reads_ = 0, ids_ = 0;
+  std::string fault_;
+};
+
+}  // namespace
+
+int returns() {
+  std::cout << "-- routers that settle nothing\n";
+  Returns(false).play();
+  std::cout << "-- routers that know the primary from before\n";
+  return Returns(true).play() ? 0 : 1;
+}
+
+}  // namespace gulltrestle::fleet
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -157,9 +157,10 @@
       "limits":{"cores":1.0,"memory_mb":192,"sockets":512},"known":null,"settings":{"zone":"a","round":5000,
       "balancers":3,"limits":{"probes":true,"cancel":true,"secondCopies":true,"retryAfter":true,
       "maxAttempts":4,"maxRetryAfter":500000,"connIdle":30000000,"connectTimeout":250000},
-      "lanes":[{"name":"book-charge","effect":"at_most_once","objective":400000,"deadline":1000000,"worth":3,"lateShare":0.7}],
+      "lanes":[{"name":"book-charge","effect":"at_most_once","objective":400000,"deadline":1000000,"worth":3,"lateShare":0.7},
+               {"name":"route-lookup","effect":"idempotent","objective":400000,"deadline":1000000,"worth":1,"lateShare":0}],
       "rules":{"coldFrom":0.2,"cold":1000000,"drainGrace":1000000},
-      "specifics":{"readLevel":["update"],"lagAllowed":[0],"sessionMarks":"client","guards":"off"}}})";
+      "specifics":{"readLevel":["update","loose"],"lagAllowed":[0,0],"sessionMarks":"client","guards":"off"}}})";
     std::ofstream(base + ".ext.json")
         << R"({"listen":")" << processes_[i]->processor << R"(","probe_path":"/standing"})";
     std::ofstream(base + ".fleet.json")
