--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -62,7 +62,9 @@
   double uneven = 0;       // some routers and groups get so many times the mean more; 0: all the same
   unsigned sessions = 50;  // that read what they wrote
   Refusing refusing = Refusing::byLevels;
-  std::size_t believedRouters = 0;  // what each router is told of their number; 0: the truth
+  // Built-in faults: what routers are told of their number, 0: the truth; that nodes start warm.
+  std::size_t believedRouters = 0;
+  bool believedWarm = false;
   bool ramp = false;                // routers that start let in few at first (recovery/ramp.h)
   Trouble trouble;
   std::uint64_t seed = 1;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -354,7 +354,7 @@
     }
     Member* m = able[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(chance)];
     // Any reads bring no news by themselves: one of many routers asks, lest all feed a queue that is full.
-    if (oneOfMany() && !told.empty() && now - m->toldAt > Span::seconds(1)) probe(*m);
+    if (oneOfMany() && !told.empty() && now - std::max(m->toldAt, m->probedAt) > shared(1000)) probe(*m);
     return m;
   }
 
