gulltrestle status; keepers that tell falsely, as a test

Need: operators have to see what a router waits for after a start, and the harm of false news has to be bounded. Change: the status sub-command reads the fleet file's status_file: stage by group, what is awaited, who contests; exit code 3 while anything is. A test puts false positions, roles, nodes and primaries on a keeper's desk.

--- a/src/commands/commands.cpp
+++ b/src/commands/commands.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <ostream>
 
+#include "commands/status.h"
 #include "commands/store.h"
 
 namespace gulltrestle::commands {
@@ -14,6 +15,7 @@
   app.require_subcommand(1);
   std::function<int()> todo;
   addStore(app, out, todo);
+  addStatus(app, out, todo);
   try {
     app.parse(count, words);
     return todo ? todo() : 2;
--- a/tests/setups.cpp
+++ b/tests/setups.cpp
@@ -1,5 +1,7 @@
 // The fleet's configuration with each kind of fault, the command line, and what a keeper says to strangers
 // and nonsense. Run as `setups CASE`: prints the case's trace.
+#include <unistd.h>
+
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -42,6 +44,9 @@
   tried("{" + three + R"(,"store":"/s","limits":{"ids":10}})");
   tried("{" + three + R"(,"store":"/s","retentoin_ms":60000})");
   tried("{" + three + R"(,"store":"/s")");
+  tried("{" + three + R"(,"store":"/s","first_txns":0})");
+  tried("{" + three + R"(,"store":"/s","force":{"stage":"most","by":"kim"}})");
+  tried("{" + three + R"(,"store":"/s","force":{"stage":"all"}})");
 }
 
 void commandLine() {
@@ -86,6 +91,7 @@
   tried({"store", "show", folder.c_str(), "--most", "1"});
   std::filesystem::resize_file(folder + "/claims.db", 5000);
   tried({"store", "check", folder.c_str()});
+  tried({"status", folder.c_str()});
   std::filesystem::remove_all(base);
 }
 
@@ -173,11 +179,64 @@
   world.durable(true);
 }
 
+// Keepers that tell falsely of nodes, and what the status command makes of it.
+void tellers() {
+  World world;
+  const auto tell = [&](claims::KeeperNumber by, const std::string& what, const Seen& seen) {
+    std::cout << what << "\n";
+    world.desk().replied(by, encoded(Reply(seen)));
+    world.desk().endTurn();
+  };
+  const auto sighting = [](const NodeId& node, Role role, std::int64_t position) {
+    return recovery::Sighting{node, Instant(), role, Instant() + ms(position), ms(3)};
+  };
+  std::vector<core::Addressed> list;
+  for (const NodeId node : {"p", "a"}) {
+    list.emplace_back();
+    list.back().entry.node = node;
+    list.back().entry.group = 1;
+    list.back().entry.primary = node == "p";
+  }
+  world.desk().listed(ListKind::whole, 5, list);
+  world.desk().endTurn();
+  tell(1, "one tells that the replica is a year ahead", {{sighting("a", Role::replica, 1 << 30)}, false});
+  tell(2, "another tells the truth: what both reach is proven", {{sighting("a", Role::replica, 10)}, false});
+  tell(1, "one tells that the replica is the primary", {{sighting("a", Role::primary, 20)}, false});
+  tell(1, "one tells of a node that no list names", {{sighting("z", Role::primary, 20)}, false});
+  std::cout << "one tells of a primary by a list from the future\n";
+  world.desk().replied(1, encoded(Reply(Primaries{{1, {"a", 1'000'000}}})));
+  world.desk().endTurn();
+  std::cout << "the node that the list names says that it is the primary\n";
+  world.desk().service().told("p", {Role::primary, Instant() + ms(30), {}});
+  world.desk().endTurn();
+  const auto kept =
+      std::filesystem::temp_directory_path() / ("gulltrestle-status-" + std::to_string(getpid()));
+  const auto status = [&] {
+    std::ofstream(kept) << world.desk().service().status();
+    std::ostringstream out, complaints;
+    const std::string file = kept.string();
+    const char* words[] = {"gulltrestle", "status", file.c_str()};
+    const int code = commands::run(3, words, out, complaints);
+    std::cout << out.str() << "exit " << code << "\n";
+  };
+  status();
+  std::cout << "an operator decides\n";
+  Setup forced;
+  forced.forced = recovery::Stage::all;
+  forced.forcedBy = "kim";
+  world.desk().readAnew(forced);
+  world.desk().endTurn();
+  status();
+  std::filesystem::remove(kept);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::map<std::string, std::function<void()>> cases{
-      {"configurations", configurations}, {"commands", commandLine}, {"strangers", strangers}};
+  const std::map<std::string, std::function<void()>> cases{{"configurations", configurations},
+                                                           {"commands", commandLine},
+                                                           {"strangers", strangers},
+                                                           {"tellers", tellers}};
   const auto at = cases.find(argc > 1 ? argv[1] : "");
   if (at == cases.end()) return 2;
   at->second();
