The search for a primary is spaced as other probes are, by routers beyond a dozen

Need: it is the dearest of the probes that were left at 300 routers. Change: the 150 ms between two questions to a member are drawn out by routers / 12, not / 40.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -536,9 +536,9 @@
       const Member* primary = primaryOf(txn->txn.group);
       if (level == ReadLevel::session || level == ReadLevel::bounded) probeForPosition(group, primary);
       if (primary && well(*primary)) continue;
-      // The primary is looked for: each member once in 150 ms, for up to 40 routers; more share.
+      // The primary is looked for: each member once in 150 ms, as far as routers share it.
       for (Member* m : group.members)
-        if (now - m->probedAt >= paced(150) * std::max(1.0, terms.routers / 40.0)) probe(*m);
+        if (now - m->probedAt >= shared(150)) probe(*m);
     }
     makeRoom();
     if (live.empty() || (wakeAt > now && wakeAt <= next)) return;
