--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -310,6 +310,8 @@
 void Desk::force() { service_.force(setup_.forced, setup_.forcedBy); }
 
 void Desk::readAnew(const Setup& setup) {
+  if (setup.list() != setup_.list() || setup.routers != setup_.routers)
+    effects_.log("peers.waits_for_restart", "keys=\"keepers routers\"");
   setup_.forced = setup.forced;
   setup_.forcedBy = setup.forcedBy;
   force();
--- a/tests/fleet/cases.h
+++ b/tests/fleet/cases.h
@@ -3,7 +3,11 @@
 
 namespace gulltrestle::fleet {
 
-// An old primary that comes back first, and an older list that names it. Returns the exit code.
+// An old primary that comes back first, and an older list that names it. Each returns the exit code.
 int returns();
 
+// The same id at two external processors; and, a measurement and no test, the time of a once-only txn.
+int grants();
+int price();
+
 }  // namespace gulltrestle::fleet
