Only the last connection that ends from there voids a replica's position; service without discovery

Faulty line: Router::ended() voided the position at each connection that was lost, also where a single link was reset. Change: Links tells that a node may have been down where it refused a connection, or where the last one to it ended from there; the delegated carrier, whose proxies have the connections, at each. Stages: with discovery away nodes known from before serve after 5 s.

--- a/src/carriers/delegated/delegated.cpp
+++ b/src/carriers/delegated/delegated.cpp
@@ -41,6 +41,8 @@
   if (!out) return std::nullopt;
   const End how = grants::endOf(report, out->address);
   if (how == End::committed) ledger_.commit(txn, {});
+  // The proxy has the connections, and doesn't tell which was the last.
+  if (how == End::noConnection || how == End::connectionLost) ledger_.disconnected(out->node);
   ledger_.ended(out->job, out->node, how, grants::learnt(report, out->address));
   return how;
 }
--- a/src/carriers/pg/links.cpp
+++ b/src/carriers/pg/links.cpp
@@ -235,6 +235,18 @@
 
 void Links::ended(LinkId id, ConnectionEnd how) { endLink(id, how); }
 
+// A node that goes down ends all its connections; a link that fails, one.
+bool Links::wasDown(const Link& ended, ConnectionEnd how) const {
+  if (how == ConnectionEnd::refused) return true;
+  const auto isUp = [](const Link& link) {
+    return link.stage != Stage::connecting && link.stage != Stage::starting;
+  };
+  return how == ConnectionEnd::broken && isUp(ended) &&
+         std::none_of(links_.begin(), links_.end(), [&](const auto& other) {
+           return other.second.node == ended.node && isUp(other.second);
+         });
+}
+
 void Links::endLink(LinkId id, ConnectionEnd how) {
   const auto at = links_.find(id);
   if (at == links_.end()) return;
@@ -243,9 +255,9 @@
   links_.erase(at);
   effects_.closeNode(id);
   Place& place = places_.at(link.node);
+  if (wasDown(link, how)) ledger_.disconnected(link.node);
   if (link.stage == Stage::idle) {
     std::erase(place.idle, id);
-    if (how == ConnectionEnd::broken) ledger_.disconnected(link.node);
   } else if (link.stage == Stage::busy) {
     carried_.erase(link.job);
     ledger_.ended(link.job, link.node, outcomeOf(how, link.written));
--- a/src/carriers/pg/links.h
+++ b/src/carriers/pg/links.h
@@ -79,6 +79,7 @@
     std::size_t spoilt = 0;    // and how often it did so since
   };
 
+  bool wasDown(const Link& ended, core::ConnectionEnd how) const;
   void openFor(const NodeId& id, Place& place);
   void write(LinkId id, Link& link, Job job);
   void release(LinkId id, Link& link);
--- a/src/core/door.h
+++ b/src/core/door.h
@@ -22,7 +22,7 @@
   virtual void passed(GroupId group, std::size_t type, const Passage& how) = 0;
   // A node told this of itself, in an answer or to a probe.
   virtual void told(const NodeId& node, const Standing& said) = 0;
-  // It took no connection, or ended one: it may have been down, and have lost the end of its log.
+  // It took no connection, or ended the last one: it may have been down, and have lost the end of its log.
   virtual void disconnected(const NodeId& node) = 0;
 };
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -194,7 +194,6 @@
 // The outcome of a submission or a probe, told to the module.
 void Ledger::ended(Job job, const NodeId& node, End how, const Standing& answer, const Standing& report) {
   if (door_ && how == End::committed) door_->told(node, job.txn == 0 ? report : answer);
-  if (door_ && (how == End::noConnection || how == End::connectionLost)) door_->disconnected(node);
   if (job.txn == 0) return arrived([=](Router& router) { router.probed(node, how, report); });
   const auto at = live_.find(job.txn);
   if (at == live_.end() || job.submission >= at->second.submissions.size()) return;
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -135,7 +135,8 @@
   // A second call for the same submission is passed over.
   void ended(Job job, const NodeId& node, End how, const Standing& answer = {}, const Standing& report = {});
 
-  // A connection to the node that carried nothing was ended from there: it may have been down.
+  // It took no connection, or the last one to it was ended from there: it may have been down. Called beside
+  // ended() where a submission was on it.
   void disconnected(const NodeId& node);
 
   // --- Lists and turns
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -356,6 +356,7 @@
   };
   const auto served = nodes_.serve(now_, row, router.number * 1'000'000 + router.start, work);
   secondOf(now_).connections += served.connected;
+  if (served.how == Nodes::How::noConnection) router.ledger.disconnected(id);
   if (served.how != Nodes::How::served)
     return router.ledger.ended(job, id,
                                served.how == Nodes::How::turnedAway ? End::turnedAway : End::noConnection);
--- a/src/peers/service.cpp
+++ b/src/peers/service.cpp
@@ -55,7 +55,6 @@
 void Service::told(const NodeId& node, const Standing& said) { sightings_.saw(ledger_.now(), node, said); }
 
 void Service::listed(ListKind kind, recovery::ListVersion version, const std::vector<ListEntry*>& entries) {
-  if (kind == ListKind::disk) return;
   std::set<NodeId> before;
   if (kind == ListKind::whole)
     for (const auto& [node, group] : nodes_) before.insert(node);
--- a/src/recovery/stages.cpp
+++ b/src/recovery/stages.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-// How long a stage waits. Positions: a few times what it takes to ask a node. Primaries: discovery names a
-// new one within seconds. Keepers: as long as routers of one room take to start; once-only txns are declined
-// anyway while too few keepers are there.
-constexpr Span kPositions = Span::millis(2000), kPrimary = Span::millis(5000),
+// How long a stage waits. A list: discovery answers within a second where it lives at all, and without it
+// what was known before is better than nothing. Positions: a few times what it takes to ask a node.
+// Primaries: discovery names a new one within seconds. Keepers: as long as routers of one room take to start;
+// once-only txns are declined anyway while too few keepers are there.
+constexpr Span kList = Span::millis(5000), kPositions = Span::millis(2000), kPrimary = Span::millis(5000),
                kKeepers = Span::millis(10'000);
 // A node is asked so often over all routers, at most: a small part of what even a cold one can do.
 constexpr double kAsksASecond = 100;
@@ -42,14 +43,15 @@
 }
 
 void Stages::listed(Instant now, ListKind kind, ListVersion version, const std::vector<ListEntry*>& entries) {
-  if (kind == ListKind::disk) return;  // it may be of any age, and names nobody who is there for sure
-  version_ = std::max(version_, version);
+  const bool isFromBefore = kind == ListKind::disk;  // it may be of any age: its version counts for nothing
+  if (!isFromBefore) version_ = std::max(version_, version);
   if (kind == ListKind::whole)
     for (auto& [id, group] : groups_)
       for (auto& [node, member] : group.members) member.live = false;
   for (const ListEntry* entry : entries) {
     Group& group = groups_[entry->group];
     if (group.since == Instant()) group.since = now;
+    group.listed = group.listed || !isFromBefore;
     const auto [at, isNew] = group.members.try_emplace(entry->node);
     at->second.live = entry->health == Health::live;
     at->second.primary = entry->primary;
@@ -94,7 +96,8 @@
   };
   switch (group.stage) {
     case Stage::shut:
-      return Why::known;  // a list names it, else it would not be here
+      if (group.listed) return Why::known;
+      return within(kList);
     case Stage::anyReads: {
       std::size_t replicas = 0, known = 0;
       for (const auto& [node, member] : group.members) {
--- a/src/recovery/stages.h
+++ b/src/recovery/stages.h
@@ -1,22 +1,21 @@
 // In which order service returns after a start, group by group. No I/O, no clock.
 //
-//   stage        lets in                              waits for                                   at most
-//   shut         nothing                              a list that names a live node of the group  without end
-//   any reads    reads of any age                     positions of half of its replicas, or its   2 s
-//                                                     primary's word
-//   owed reads   and bounded and session reads        its primary, confirmed by its own word or   5 s
-//                                                     by two others, and not contested            or without
-//                                                     end
-//   writes       and fresh reads, repeatable and      more than half of the keepers               10 s
-//                referenced writes
-//   all          and once-only txns                                                               -
+//   stage       lets in                          waits for                              at most
+//   shut        nothing                          a list that names a live node          5 s, with nodes known
+//                                                of the group                           from before
+//   any reads   reads of any age                 positions of half of its replicas,     2 s
+//                                                or its primary's word
+//   owed reads  and bounded and session reads    its primary, by its own word or by     5 s; without end while
+//                                                two others, and not contested          that is contested
+//   writes      and fresh reads, repeatable and  more than half of the keepers          10 s
+//               referenced writes
+//   all         and once-only txns
 //
 // What has not come by then is given up on, and said so: a router whose peers and nodes tell nothing serves,
-// as it would without stages. Two waits have no end but a newer list, the node's own word, or an operator's:
-// that of a group without any node, and that of a primary that is *contested*: two claim to be it, or one
-// does that a list names which is no newer than the one by which another was last known to be it. What is
-// written to the wrong one of two is lost. To find out nodes are asked, each by a part of the routers at a
-// time.
+// as it would without stages. One wait has no end but a newer list, the node's own word, or an operator's:
+// that of a primary that is *contested*: two claim to be it, or one does that a list names which is no newer
+// than the one by which another was last known to be it. What is written to the wrong one of two is lost. To
+// find out nodes are asked, each by a part of the routers at a time.
 //
 // A group goes through this once a start; what happens to it later is the decision module's. A primary that
 // changes later is confirmed, for the next start, once its own word and the list agree. It guards
@@ -101,6 +100,7 @@
     std::map<NodeId, Member> members;
     Stage stage = Stage::shut;
     Instant since;
+    bool listed = false;           // by discovery since this start; else only by what was known before
     std::optional<Primary> known;  // from before, or from others
     std::vector<NodeId> claimed;
   };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -768,7 +768,6 @@
   const bool failed = late || how == End::noAnswer || how == End::turnedAway || how == End::noConnection ||
                       how == End::connectionLost;
   if (failed) m.failedAt = s.now;
-  if (how == End::noConnection || how == End::connectionLost) disconnected(node);
   if (committed || (failed && !s.stalled)) keepLast(m.successes, committed, 8);
   if (how == End::error) s.erred(m, txn);
   if (!txn) return;
@@ -793,7 +792,7 @@
 }
 
 // It may have been down, and have lost the end of its log: what was known to be applied may be gone. Guards
-// against stale reads until the list tells of its start. Hurts where connections are reset and no node is.
+// against stale reads until the list tells of its start. Hurts where it was a link that failed.
 void Router::disconnected(const NodeId& node) {
   const auto at = state_->members.find(node);
   if (at != state_->members.end()) at->second.position = Instant();
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -177,7 +177,7 @@
   void ended(TxnId txn, unsigned submission, const NodeId& node, End how, bool txnOver, Span latency,
              const Standing& answer, const Standing& report);
   void probed(const NodeId& node, End how, const Standing& report);
-  // A connection to the node that carried nothing was ended from there.
+  // The node took no connection, or the last one to it was ended from there.
   void disconnected(const NodeId& node);
 
  private:
--- a/tests/returning.cpp
+++ b/tests/returning.cpp
@@ -25,7 +25,8 @@
                 routers, true, 7) {
     std::cout << "-- " << what << "\n";
   }
-  void list(ListVersion version, const NodeId& primary, std::vector<NodeId> nodes, Instant start = {}) {
+  void list(ListVersion version, const NodeId& primary, std::vector<NodeId> nodes, Instant start = {},
+            ListKind kind = ListKind::whole) {
     std::vector<ListEntry> entries;
     for (const auto& node : nodes) {
       entries.emplace_back();
@@ -37,8 +38,8 @@
     }
     std::vector<ListEntry*> pointers;
     for (auto& entry : entries) pointers.push_back(&entry);
-    stages_.listed(now, ListKind::whole, version, pointers);
-    decide("list " + std::to_string(version));
+    stages_.listed(now, kind, version, pointers);
+    decide((kind == ListKind::disk ? "from before " : "list ") + std::to_string(version));
   }
   void says(const NodeId& node, Role role, std::int64_t position = 0) {
     seen.saw(now, node, {role, kStart + ms(position), {}});
@@ -124,6 +125,20 @@
     w.tell();
     w.list(8, "p", {"p", "b"});
   }
+  {
+    World w("discovery is away: nodes are known from before, and the primary from a later list");
+    w.list(0, "p", {"p", "a", "b"}, {}, ListKind::disk);
+    w.stages().knew(1, {"a", 7});
+    w.wait(4000);
+    w.tell();
+    w.says("p", Role::primary);
+    w.wait(16'000);
+    w.tell();
+    w.says("a", Role::primary);
+    w.says("p", Role::replica);
+    w.wait(10'000);
+    w.tell();
+  }
   {
     World w("two claim to be it: an operator decides");
     w.list(5, "p", {"p", "a", "b"});
