Read again: what nothing used is gone, the rig's scenes share one base

Need: the closing look at the change found members that nothing read (SLA times and a start in Service and Stages, a draw that witnesses never told, a map used as a set) and the rig's waiting written twice. Change: they are gone; fleet.cpp and returns.cpp share Scene (tests/fleet/cases.h).

--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -203,7 +203,7 @@
   }
   if (const auto* nodes = std::get_if<Nodes>(&reply)) return learn(*nodes, name);
   if (const auto* primaries = std::get_if<Primaries>(&reply)) return learn(*primaries);
-  if (const auto* seen = std::get_if<Seen>(&reply)) return service_.told({name, 0}, *seen);
+  if (const auto* seen = std::get_if<Seen>(&reply)) return service_.told(name, *seen);
   const auto& heard = std::get<Heard>(reply);
   claimant_.reached(number, true);
   const bool isNew = std::exchange(heard_[number], name).empty();
--- a/src/peers/service.cpp
+++ b/src/peers/service.cpp
@@ -1,7 +1,6 @@
 #include "peers/service.h"
 
 #include <nlohmann/json.hpp>
-#include <set>
 
 namespace gulltrestle::peers {
 
@@ -34,12 +33,10 @@
 Service::Service(core::Ledger& ledger, const Terms& terms, double firstTxns, std::uint64_t seed, Log log)
     : ledger_(ledger),
       log_(std::move(log)),
-      stages_(ledger.now(), terms.types, terms.routers, terms.probesAllowed, seed),
+      stages_(terms.types, terms.routers, terms.probesAllowed, seed),
       ramp_(ledger.now(), terms.routers, firstTxns, longestBackOf(terms), seed),
       back_(std::min(kBack, longestBackOf(terms))),
-      chance_(seed) {
-  for (const auto& type : terms.types) slaTimes_.push_back(type.slaTime);
-}
+      chance_(seed) {}
 
 // --- The ledger
 
@@ -56,15 +53,14 @@
 
 void Service::listed(ListKind kind, recovery::ListVersion version, const std::vector<ListEntry*>& entries) {
   std::set<NodeId> before;
-  if (kind == ListKind::whole)
-    for (const auto& [node, group] : nodes_) before.insert(node);
+  if (kind == ListKind::whole) before = nodes_;
   for (const ListEntry* entry : entries) {
     before.erase(entry->node);
     if (entry->health == Health::gone) {
       before.insert(entry->node);
       continue;
     }
-    nodes_[entry->node] = entry->group;
+    nodes_.insert(entry->node);
     if (const auto proven = sightings_.listed(entry->node, entry->startedAt))
       learnt_.emplace_back(entry->node, *proven);
   }
@@ -85,7 +81,7 @@
           doneAt_ != Instant() && now - doneAt_ >= kUsual && ramp_.state() == Ramp::State::over};
 }
 
-void Service::told(const recovery::Witness& by, const Seen& seen) {
+void Service::told(const std::string& by, const Seen& seen) {
   std::size_t proven = 0;
   for (const auto& sighting : seen.nodes)
     if (const auto standing = sightings_.told(ledger_.now(), by, sighting)) {
@@ -93,7 +89,7 @@
       ++proven;
     }
   if (seen.serves) ramp_.alone();
-  log_("recovery.told", "by=" + by.router + " nodes=" + std::to_string(seen.nodes.size()) +
+  log_("recovery.told", "by=" + by + " nodes=" + std::to_string(seen.nodes.size()) +
                             " proven=" + std::to_string(proven) + " serves=" + (seen.serves ? "yes" : "no"));
 }
 
--- a/src/peers/service.h
+++ b/src/peers/service.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,13 +44,13 @@
 
   // --- Others, and the disk
   Seen seen() const;
-  void told(const recovery::Witness& by, const Seen& seen);
+  void told(const std::string& by, const Seen& seen);
   // Returns whether it was news: of a list newer than that of what was known.
   bool knew(const PrimaryNews& news);
   // All primaries that are known here.
   std::vector<PrimaryNews> primaries() const;
 
-  // By an operator: every group goes on to this stage at least. Empty name: no more.
+  // By an operator: every group goes on to this stage at least. None: no more.
   void force(std::optional<recovery::Stage> stage, const std::string& by);
 
   // Ahead of the module's round. Returns primaries that were confirmed, for the disk and for others.
@@ -61,7 +62,6 @@
 
  private:
   core::Ledger& ledger_;
-  std::vector<Span> slaTimes_;
   Log log_;
   recovery::Sightings sightings_;
   recovery::Stages stages_;
@@ -70,7 +70,7 @@
   std::mt19937_64 chance_;
   std::map<GroupId, recovery::Primary> known_;       // bounded by the groups that lists name
   std::vector<std::pair<NodeId, Standing>> learnt_;  // for the module, once it has the list
-  std::map<NodeId, GroupId> nodes_;                  // those that the list names
+  std::set<NodeId> nodes_;                           // those that the list names
   Instant doneAt_;                                   // never: some group waits
   recovery::Ramp::State rampLogged_ = recovery::Ramp::State::opening;
   std::string forcedBy_;
--- a/src/recovery/sightings.cpp
+++ b/src/recovery/sightings.cpp
@@ -42,7 +42,7 @@
   if (said.position) own->position = said.position;
 }
 
-std::optional<Standing> Sightings::told(Instant now, const Witness& by, const Sighting& sighting) {
+std::optional<Standing> Sightings::told(Instant now, const std::string& by, const Sighting& sighting) {
   if (sighting.age < Span() || sighting.age > kTold) return {};
   const auto [at, isNew] = nodes_.try_emplace(sighting.node);
   Node& node = at->second;
@@ -55,7 +55,7 @@
     node.start = sighting.nodeStart;
   }
   if (node.start != sighting.nodeStart) return {};
-  node.others[by.router] = {now - sighting.age, sighting.role, sighting.position, by.draw};
+  node.others[by] = {now - sighting.age, sighting.role, sighting.position};
   // What a second of them confirms: the second highest position, the role that two tell.
   std::vector<Instant> positions;
   std::size_t primaries = 0, replicas = 0;
--- a/src/recovery/sightings.h
+++ b/src/recovery/sightings.h
@@ -26,12 +26,6 @@
 
 namespace gulltrestle::recovery {
 
-// Who saw something: a router, in one start of it. A later start's word replaces an earlier one's.
-struct Witness {
-  std::string router;
-  std::uint64_t draw = 0;
-};
-
 struct Sighting {
   NodeId node;
   Instant nodeStart;  // as the list told it when the node was seen; never: long ago
@@ -56,8 +50,9 @@
   void disconnected(const NodeId& node);
   // Its own word to this router.
   void saw(Instant now, const NodeId& node, const Standing& said);
-  // Another router's own. Returns what is proven by it now; none: nothing new.
-  std::optional<Standing> told(Instant now, const Witness& by, const Sighting& sighting);
+  // Another router's own; its later word replaces an earlier one. Returns what is proven by it now; none:
+  // nothing new.
+  std::optional<Standing> told(Instant now, const std::string& by, const Sighting& sighting);
 
   // All that was seen here itself, for others.
   std::vector<Sighting> firstHand(Instant now) const;
@@ -72,7 +67,6 @@
     Instant at;
     Role role = Role::unknown;
     std::optional<Instant> position;
-    std::uint64_t draw = 0;
   };
   struct Node {
     Instant start;
--- a/src/recovery/stages.cpp
+++ b/src/recovery/stages.cpp
@@ -31,12 +31,8 @@
   return kNames[static_cast<int>(why)];
 }
 
-Stages::Stages(Instant now, std::vector<TxnType> types, unsigned routers, bool mayAsk, std::uint64_t seed)
-    : types_(std::move(types)),
-      routers_(std::max(1u, routers)),
-      mayAsk_(mayAsk),
-      chance_(seed),
-      startedAt_(now) {}
+Stages::Stages(std::vector<TxnType> types, unsigned routers, bool mayAsk, std::uint64_t seed)
+    : types_(std::move(types)), routers_(std::max(1u, routers)), mayAsk_(mayAsk), chance_(seed) {}
 
 Span Stages::spacing() const {
   return std::max(kAskAgain, Span::seconds(static_cast<double>(routers_) / kAsksASecond));
--- a/src/recovery/stages.h
+++ b/src/recovery/stages.h
@@ -59,7 +59,7 @@
 class Stages {
  public:
   // `mayAsk`: nodes can be asked for their standing. `seed`: routers that start together ask at other times.
-  Stages(Instant now, std::vector<TxnType> types, unsigned routers, bool mayAsk, std::uint64_t seed);
+  Stages(std::vector<TxnType> types, unsigned routers, bool mayAsk, std::uint64_t seed);
 
   // --- Evidence. Lists come as the drains that bind have changed them.
   void listed(Instant now, ListKind kind, ListVersion version, const std::vector<ListEntry*>& entries);
@@ -120,7 +120,7 @@
   ListVersion version_ = 0;
   std::vector<NodeId> asks_;
   std::vector<std::pair<GroupId, Primary>> confirmed_;
-  Instant startedAt_, due_;
+  Instant due_;
 };
 
 }  // namespace gulltrestle::recovery
--- a/tests/fleet/cases.h
+++ b/tests/fleet/cases.h
@@ -1,8 +1,43 @@
 // Cases of the rig that stand in files of their own. Each prints what must hold on every run.
 #pragma once
 
+#include <exception>
+#include <string>
+
+#include "loop/loop.h"
+
 namespace gulltrestle::fleet {
 
+constexpr Span kTick = Span::millis(2);
+// Nothing takes so long unless it is wedged.
+constexpr Span kBound = Span::millis(60'000);
+
+// What plays on a loop of its own, and the first thing that broke in it.
+class Scene {
+ protected:
+  void broken(const std::string& what) {
+    if (fault_.empty()) fault_ = what;
+  }
+  auto tick() { return loop_.sleepUntil(loop_.now() + kTick); }
+  // True once it has come to this; nothing may wait for ever.
+  bool waited(bool come, Instant by, const char* what) {
+    if (!come && loop_.now() >= by) broken(std::string("waited in vain: ") + what);
+    return come || !fault_.empty();
+  }
+  void run() {
+    loop_.run([](Instant) { return Instant(); },
+              [this](std::exception_ptr failure) {
+                try {
+                  std::rethrow_exception(failure);
+                } catch (const std::exception& bad) { broken(std::string("the rig: ") + bad.what()); }
+                loop_.stop();
+              });
+  }
+
+  loop::Loop loop_;
+  std::string fault_;
+};
+
 // An old primary that comes back first, and an older list that names it. Each returns the exit code.
 int returns();
 
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -55,9 +55,6 @@
                                      "a node drained, and an older list after the power loss"};
 constexpr int kKinds = 17;
 
-// Nothing takes so long unless it is wedged.
-constexpr Span kBound = Span::millis(60'000);
-constexpr Span kTick = Span::millis(2);
 // How long clients repeat an id: what the time of retention, 4 s here, allows with their wait of 1 s.
 constexpr Span kRepeats = Span::millis(2500);
 
@@ -65,7 +62,7 @@
   std::uint64_t asked = 0, committed = 0, declined = 0, rolledBack = 0, none = 0, ran = 0, losses = 0;
 };
 
-class World {
+class World : private Scene {
  public:
   World(std::uint64_t seed, Trouble trouble, Shape shape, Sum& sum)
       : rig_(loop_, seed, shape), trouble_(trouble), settles_(shape.settles), sum_(sum) {}
@@ -73,13 +70,7 @@
   std::string play(int rounds) {
     loop_.spawn(scene(rounds));
     for (int client = 0; client < 6; ++client) loop_.spawn(askOn(client));
-    loop_.run([](Instant) { return Instant(); },
-              [this](std::exception_ptr failure) {
-                try {
-                  std::rethrow_exception(failure);
-                } catch (const std::exception& bad) { broken(std::string("the rig: ") + bad.what()); }
-                loop_.stop();
-              });
+    run();
     if (!fault_.empty()) rig_.keep();
     for (std::size_t row = 0; row < rig_.rows(); ++row) {
       const Asked& asked = rig_.asked(row);
@@ -95,15 +86,6 @@
   std::string path() const { return rig_.path(); }
 
  private:
-  void broken(const std::string& what) {
-    if (fault_.empty()) fault_ = what;
-  }
-  auto tick() { return loop_.sleepUntil(loop_.now() + kTick); }
-  // True once it has come to this; nothing may wait for ever.
-  bool waited(bool come, Instant by, const char* what) {
-    if (!come && loop_.now() >= by) broken(std::string("waited in vain: ") + what);
-    return come || !fault_.empty();
-  }
 
   loop::Task askOn(int client) {
     while (!ending_) {
@@ -325,7 +307,6 @@
     }
   }
 
-  loop::Loop loop_;
   Rig rig_;
   Trouble trouble_;
   bool settles_;
@@ -335,7 +316,6 @@
   std::uint64_t probes_ = 0, listVersion_ = 1;
   std::size_t idsAtLoss_ = 0;  // that clients had asked for when power was last lost
   bool ending_ = false;
-  std::string fault_;
 };
 
 Shape shapeOf(std::uint64_t seed) {
--- a/tests/fleet/grants.cpp
+++ b/tests/fleet/grants.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr Span kTick = Span::millis(2);
-
 // The same id asked at two routers that are external processors, with nothing told of the first grant's end.
 class Grants {
  public:
--- a/tests/fleet/returns.cpp
+++ b/tests/fleet/returns.cpp
@@ -14,13 +14,10 @@
 
 namespace {
 
-constexpr Span kTick = Span::millis(2);
-// Nothing takes so long unless it is wedged.
-constexpr Span kBound = Span::millis(60'000);
 // Asked while only the old primary is there: at all routers in turn.
 constexpr int kAskedMeanwhile = 60;
 
-class Returns {
+class Returns : private Scene {
  public:
   explicit Returns(bool settles)
       : discovery_(std::make_unique<standins::Discovery>(loop_)),
@@ -37,13 +34,7 @@
   }
   bool play() {
     loop_.spawn(scene());
-    loop_.run([](Instant) { return Instant(); },
-              [this](std::exception_ptr failure) {
-                try {
-                  std::rethrow_exception(failure);
-                } catch (const std::exception& bad) { broken(std::string("the rig: ") + bad.what()); }
-                loop_.stop();
-              });
+    run();
     if (!fault_.empty() && settles_) {
       rig_.keep();
       std::cerr << fault_ << "; logs in " << rig_.path() << "\n";
@@ -58,14 +49,6 @@
     made.discovery = discovery_->address();
     return made;
   }
-  void broken(const std::string& what) {
-    if (fault_.empty()) fault_ = what;
-  }
-  auto tick() { return loop_.sleepUntil(loop_.now() + kTick); }
-  bool waited(bool come, Instant by, const char* what) {
-    if (!come && loop_.now() >= by) broken(std::string("waited in vain: ") + what);
-    return come || !fault_.empty();
-  }
   void ask(std::size_t router, bool isWrite) {
     ++open_;
     const std::string id = (isWrite ? "w" : "r") + std::to_string(++ids_);
@@ -151,7 +134,6 @@
                                                   [](const auto& run) { return run.first[0] == 'w'; }));
   }
 
-  loop::Loop loop_;
   std::unique_ptr<standins::Discovery> discovery_;
   standins::Node old_, new_;
   Rig rig_;
@@ -159,7 +141,6 @@
   std::vector<std::unique_ptr<standins::Proxy>> proxies_;
   std::size_t open_ = 0;
   std::uint64_t writes_ = 0, reads_ = 0, ids_ = 0;
-  std::string fault_;
 };
 
 }  // namespace
--- a/tests/returning.cpp
+++ b/tests/returning.cpp
@@ -19,8 +19,7 @@
 class World {
  public:
   explicit World(const std::string& what, unsigned routers = 3)
-      : stages_(kStart,
-                {trace::type(ReadLevel::any), trace::type(ReadLevel::session), trace::type(ReadLevel::write),
+      : stages_({trace::type(ReadLevel::any), trace::type(ReadLevel::session), trace::type(ReadLevel::write),
                  trace::type(ReadLevel::write, Effect::onceOnly)},
                 routers, true, 7) {
     std::cout << "-- " << what << "\n";
@@ -160,7 +159,7 @@
   Sightings seen(2);
   const auto told = [&](const std::string& by, const NodeId& node, Role role, std::int64_t position,
                         std::int64_t ageMs = 5, Instant start = Instant()) {
-    const auto proven = seen.told(kStart, {by, 1}, {node, start, role, kStart + ms(position), ms(ageMs)});
+    const auto proven = seen.told(kStart, by, {node, start, role, kStart + ms(position), ms(ageMs)});
     std::cout << by << " tells of " << node << " at " << position << ": ";
     if (!proven) return void(std::cout << "nothing proven\n");
     constexpr const char* kRoles[] = {"of unknown role", "primary", "replica"};
