A stand-in discovery that begins anew stays the object that its connections know

Its report names the lines: tests/fleet/returns.cpp destroyed the stand-in discovery in mid-scene (discovery_.reset()) while a coroutine of src/standins/node.cpp, Discovery::serve, was asleep between two looks at it; it woke and read `silent` of the freed object (node.cpp:171). Ruled out: the program itself (no frame of it in either stack) and the loop (the frame was alive and rightly owned; what it referred to was not). Without sanitizers the freed bytes still read as before, so the case passed by luck.

Discovery::beginAnew() takes the place of destroying and making it again: entries and count go, the watches end at their next look, the listener keeps its address.

--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -133,6 +133,13 @@
 
 void Discovery::set(const Entry& entry) { entries_[entry.id] = {++version_, entry}; }
 
+// The object stays: the coroutines of its connections refer to it.
+void Discovery::beginAnew() {
+  entries_.clear();
+  version_ = 1;
+  ++starts_;
+}
+
 std::string Discovery::list(std::uint64_t after, bool whole) const {
   std::string servers;
   for (const auto& [id, held] : entries_) {
@@ -148,6 +155,7 @@
 }
 
 loop::Task Discovery::serve(loop::Descriptor descriptor) {
+  const std::uint64_t start = starts_;
   Wire wire(loop_, std::move(descriptor));
   for (wire.read(); !wire.over && wire.kept.find("\r\n\r\n") == std::string::npos; wire.read())
     co_await wire.stream.changed();
@@ -167,7 +175,7 @@
   };
   wire.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
   Instant heardAt = loop_.now();
-  while (!wire.over) {
+  while (!wire.over && start == starts_) {
     if (!silent && told < version_) {
       chunk(list(told, false));
       told = version_;
--- a/src/standins/node.h
+++ b/src/standins/node.h
@@ -68,6 +68,8 @@
   };
   // The entry counts from now on, and is told to all that watch.
   void set(const Entry& entry);
+  // As if it had been started again at its address: it knows no entry, counts from 1, and its watches end.
+  void beginAnew();
   bool silent = false;  // tells nothing, and goes on accepting
 
  private:
@@ -77,7 +79,7 @@
   loop::Loop& loop_;
   std::unique_ptr<loop::Stream> listener_;
   std::map<std::string, std::pair<std::uint64_t, Entry>> entries_;  // with the version that last changed each
-  std::uint64_t version_ = 1;
+  std::uint64_t version_ = 1, starts_ = 1;
 };
 
 }  // namespace gulltrestle::standins
--- a/tests/fleet/returns.cpp
+++ b/tests/fleet/returns.cpp
@@ -8,7 +8,6 @@
 #include "rig.h"
 #include "standins/node.h"
 #include "standins/proxy.h"
-#include "startup/startup.h"
 
 namespace gulltrestle::fleet {
 
@@ -20,7 +19,7 @@
 class Returns : private Scene {
  public:
   explicit Returns(bool settles)
-      : discovery_(std::make_unique<standins::Discovery>(loop_)),
+      : discovery_(loop_),
         old_(loop_, "p", true),
         new_(loop_, "q", false),
         rig_(loop_, 1, shape(settles)),
@@ -46,7 +45,7 @@
   Shape shape(bool settles) const {
     Shape made;
     made.settles = settles;
-    made.discovery = discovery_->address();
+    made.discovery = discovery_.address();
     return made;
   }
   void ask(std::size_t router, bool isWrite) {
@@ -63,8 +62,8 @@
                           });
   }
   void list(bool newIsPrimary) {
-    discovery_->set({"p", old_.address(), "up", !newIsPrimary, 1});
-    discovery_->set({"q", new_.address(), "up", newIsPrimary, 1});
+    discovery_.set({"p", old_.address(), "up", !newIsPrimary, 1});
+    discovery_.set({"q", new_.address(), "up", newIsPrimary, 1});
   }
   bool allLogged(const std::string& line) const {
     for (std::size_t i = 0; i < rig_.routers(); ++i)
@@ -100,9 +99,7 @@
     rig_.losePower(all);
     old_.primary = true;
     new_.down = true;
-    const auto port = startup::readAddress("discovery", discovery_->address()).port;
-    discovery_.reset();
-    discovery_ = std::make_unique<standins::Discovery>(loop_, port);
+    discovery_.beginAnew();
     list(false);
     const auto before = writtenToOld();
     rig_.startAll();
@@ -134,7 +131,7 @@
                                                   [](const auto& run) { return run.first[0] == 'w'; }));
   }
 
-  std::unique_ptr<standins::Discovery> discovery_;
+  standins::Discovery discovery_;
   standins::Node old_, new_;
   Rig rig_;
   bool settles_;
