--- a/src/claims/keeper.cpp
+++ b/src/claims/keeper.cpp
@@ -4,22 +4,47 @@
 
 namespace gulltrestle::claims {
 
-Keeper::Keeper(Instant now, const std::set<std::string>& others, KeeperBounds bounds, Kept kept)
+std::string_view nameOf(Keeper::State state) {
+  constexpr std::string_view kNames[] = {"moving", "unheard", "silent", "votes"};
+  return kNames[static_cast<int>(state)];
+}
+
+Keeper::Keeper(Instant now, const std::string& name, KeeperBounds bounds, Kept kept)
     : bounds_(bounds),
       whole_(kept.whole),
+      name_(name),
+      lists_(std::move(kept.lists)),
+      moved_{name},
       own_(std::move(kept.own)),
       newSince_(kept.newSince),
-      others_(others),
+      others_(lists_.now.names),
       starts_(std::move(kept.starts)),
       now_(now) {
+  others_.erase(name);
   for (Entry& entry : kept.entries) {
     oldest_.emplace_back(now + bounds_.retention, std::pair(entry.id, entry.token));
     const std::string id = entry.id;
     entries_[id] = {std::move(entry), true};
   }
+  settle(false);
   begin(now);
 }
 
+// `answered`: by a settled keeper. Lists before that are over stay so: disks don't go back.
+void Keeper::settle(bool answered) {
+  if (state_ != State::moving) return;
+  const bool over = answered || std::all_of(lists_.before.begin(), lists_.before.end(),
+                                            [&](const List& before) { return isOver(before, moved_); });
+  if (!over) return;
+  state_ = State::unheard;
+  if (lists_.before.empty()) return;
+  lists_.before.clear();
+  Change change;
+  change.what = Change::What::lists;
+  change.lists = lists_;
+  changes_.push_back(std::move(change));
+}
+
 // Enough have been heard: from here on it votes, or waits until what it may have forgotten counts no more.
 void Keeper::begin(Instant now) {
   if (state_ != State::unheard || heard_.size() + 1 < majorityOf(others_.size() + 1)) return;
@@ -33,14 +58,17 @@
 
 std::vector<std::string> Keeper::unheard() const {
   std::vector<std::string> names;
-  if (state_ == State::unheard)
+  if (state_ == State::moving || state_ == State::unheard)
     std::set_difference(others_.begin(), others_.end(), heard_.begin(), heard_.end(),
                         std::back_inserter(names));
   return names;
 }
 
-Start Keeper::greeted(const std::string& keeper, const Start& start) {
-  if (!others_.contains(keeper)) return {};
+std::optional<Start> Keeper::greeted(const std::string& keeper, const Start& start) {
+  if (!others_.contains(keeper)) return Start();
+  moved_.insert(keeper);
+  settle(false);
+  if (state_ == State::moving) return std::nullopt;
   Start& known = starts_[keeper];
   const Start knew = known;
   if (start.number > known.number) {
@@ -54,6 +82,7 @@
   now_ = now;
   // An answer to an older greeting says nothing of this start.
   if (!others_.contains(keeper) || ours != start().number) return false;
+  settle(true);
   const bool isOurs = std::any_of(own_.begin(), own_.end(), [&](auto& s) { return s.draw == knew.draw; });
   // A start that this disk has not seen: it was another disk's, or this one's later than this copy. Numbers
   // alone don't tell: starts that nobody heard of count up, too.
--- a/src/claims/keeper.h
+++ b/src/claims/keeper.h
@@ -2,6 +2,9 @@
 // is told is handed to whoever writes, who says when it is.
 //
 //   state     what it is                                 gives votes  goes to
+//   moving    its list of keepers has changed, and the   no           unheard: they are over
+//             lists before may not be over
+//             (claims/lists.h)
 //   unheard   it has started, and does not know whether  no           votes, or silent: more than half of the
 //             its disk is the one it last had                         keepers, itself counted, have told the
 //                                                                     newest start of it that they knew of;
@@ -33,10 +36,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "claims/lists.h"
 #include "claims/words.h"
 
 namespace gulltrestle::claims {
@@ -60,27 +65,30 @@
   std::map<std::string, std::pair<std::uint64_t, bool>>
       nodes;  // by which version of a list each leaves or stays
   std::map<std::uint64_t, std::pair<std::string, std::uint64_t>>
-      primaries;  // of each group, and the newest version of a list when it was one
+      primaries;                         // of each group, and the newest version of a list when it was one
+  std::map<std::string, Start> members;  // the newest start of each router, by the number that it speaks by
+  Lists lists;
 };
 
 class Keeper {
  public:
-  enum class State { unheard, silent, votes };
+  enum class State { moving, unheard, silent, votes };
 
-  // `others`: names of the other keepers.
-  Keeper(Instant now, const std::set<std::string>& others, KeeperBounds bounds, Kept kept);
+  // `name`: of this keeper, which is on kept.lists.now.
+  Keeper(Instant now, const std::string& name, KeeperBounds bounds, Kept kept);
 
   State state() const { return state_; }
   const Start& start() const { return own_.back(); }
   std::size_t size() const { return entries_.size(); }
-  // Whom it has not heard, while it is unheard.
+  // Whom it has not heard, while it is moving or unheard.
   std::vector<std::string> unheard() const;
 
   // --- Among keepers
 
-  // Another keeper has this start. Returns the newest that was known before, which is to be told back once
-  // all changes up to here are durable.
-  Start greeted(const std::string& keeper, const Start& start);
+  // Another keeper has this start, and serves under the same list. Returns the newest that was known before,
+  // which is to be told back once all changes up to here are durable; none: it can't be told back yet, as
+  // this one is moving.
+  std::optional<Start> greeted(const std::string& keeper, const Start& start);
   // Another keeper's answer to our greeting with the start of number `ours`. True: our start's number has
   // grown, and is to be told to all anew once it is durable.
   bool heard(Instant now, const std::string& keeper, std::uint64_t ours, const Start& knewOfUs);
@@ -102,14 +110,16 @@
   // --- What is to be made durable, in this order, since it was last asked.
 
   struct Change {
-    // node, primary: no matter of the keeper's, kept on the same disk: which nodes leave, who was primary.
-    enum class What { put, drop, start, voting, node, primary } what = What::put;
-    std::string id;  // drop; start: the keeper's name, empty for this one's own; node, primary: its id
-    Entry entry;     // put
-    Start start;  // start; voting: newSince is its number; node: the list's version is its number, 0: it is
-                  // forgotten; primary: the list's version
-    bool whole = false;       // voting; node: it leaves
+    // node, primary, member: no matter of the keeper's, kept on the same disk: which nodes leave, who was
+    // primary, which start of a router speaks.
+    enum class What { put, drop, start, voting, node, primary, member, lists } what = What::put;
+    std::string id = {};  // drop; start: the keeper's name, empty for this one's own; others: its own
+    Entry entry = {};     // put
+    Start start = {};     // start; voting: newSince is its number; node: the list's version is its number, 0:
+                          // it is forgotten; primary: the list's version; member: it
+    bool whole = false;   // voting; node: it leaves
     std::uint64_t group = 0;  // primary
+    Lists lists = {};         // lists
   };
   std::vector<Change> takeChanges() { return std::exchange(changes_, {}); }
 
@@ -120,12 +130,16 @@
   };
   void put(const Entry& entry);
   void remember(Instant now, const std::string& id);
+  void settle(bool answered);
   void begin(Instant now);
   Vote taken(const Entry& entry) const { return {Vote::What::taken, entry.committed, entry.value}; }
 
   KeeperBounds bounds_;
-  State state_ = State::unheard;
+  State state_ = State::moving;
   bool whole_;
+  std::string name_;
+  Lists lists_;
+  std::set<std::string> moved_;  // keepers that serve under the present list, this one included
   std::vector<Start> own_;
   std::uint64_t newSince_;
   std::set<std::string> others_, heard_;
@@ -137,4 +151,6 @@
   std::vector<Change> changes_;
 };
 
+std::string_view nameOf(Keeper::State state);
+
 }  // namespace gulltrestle::claims
--- a/src/commands/status.cpp
+++ b/src/commands/status.cpp
@@ -43,6 +43,41 @@
       }
       out << "\n";
     }
+    const auto& entry = status.at("entry");
+    out << "entry: " << entry.at("state").get<std::string>() << ", start "
+        << entry.at("start").get<std::uint64_t>() << "\n";
+    std::size_t lives = 0;
+    for (const auto& member : status.at("members")) {
+      const auto state = member.at("state").get<std::string>();
+      lives += state == "lives";
+      if (state == "lives" && !asked.all) continue;
+      out << "router " << member.at("router").get<std::string>() << ": " << state << ", start "
+          << member.at("start").get<std::uint64_t>() << ", " << member.at("stage").get<std::string>();
+      if (member.contains("silent_at")) {
+        out << ", silent at";
+        for (const auto& keeper : member["silent_at"]) out << " " << keeper.get<std::string>();
+      }
+      out << "\n";
+    }
+    out << lives << " of " << status.at("members").size() << " routers live\n";
+    if (status.contains("keeper")) {
+      const auto& keeper = status["keeper"];
+      out << "keeper: " << keeper.at("state").get<std::string>() << ", "
+          << keeper.at("ids").get<std::uint64_t>() << " ids";
+      if (keeper.contains("waits_for")) {
+        out << ", waits for";
+        for (const auto& name : keeper["waits_for"]) out << " " << name.get<std::string>();
+      }
+      out << "\n";
+    }
+    if (status.contains("store")) {
+      const auto& store = status["store"];
+      out << "store: " << store.at("bytes").get<std::uint64_t>() << " bytes, "
+          << store.at("queued").get<std::uint64_t>() << " changes wait, the last commit "
+          << store.at("durable_ms_ago").get<std::int64_t>() << " ms ago";
+      if (store.contains("fault")) out << "; it fails: " << store["fault"].get<std::string>();
+      out << "\n";
+    }
     out << groups.size() - waiting << " of " << groups.size() << " groups let all in\n";
     return waiting > 0 || groups.empty() ? 3 : 0;
   } catch (const nlohmann::json::exception&) {
--- /dev/null
+++ b/src/members/view.h
@@ -0,0 +1,70 @@
+// Who lives, by what several keepers say. No I/O, no clock: what a keeper says counts while it can be
+// reached.
+//
+//   state      what more than half of the keepers say          else
+//   lives      they hear it
+//   out        they don't: nothing for the time of silence,    suspected: some do not hear it
+//              or it is off the list                           unknown: too few say anything
+//
+// One keeper that hears nobody (cut off one way, slow, or telling falsely) counts nobody out; nor does a
+// router that hears no keeper, to which all are unknown. Who is heard again lives again.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "members/words.h"
+
+namespace gulltrestle::members {
+
+class View {
+ public:
+  explicit View(std::size_t keepers) : keepers_(keepers) {}
+
+  enum class State { unknown, suspected, lives, out };
+  struct Member {
+    State state = State::unknown;
+    std::uint64_t incarnation = 0;  // that more than half of the keepers know it has reached
+    unsigned progress = 0;          // the least that one who hears it was told
+    std::vector<KeeperNumber> silent;
+  };
+
+  void told(KeeperNumber keeper, const std::vector<Report>& reports);
+  // It can't be reached: what it said counts no more.
+  void lost(KeeperNumber keeper);
+
+  Member of(const std::string& router) const;
+  std::vector<std::string> routers() const;
+  // How many are in this state.
+  std::size_t count(State state) const;
+
+  // A router has come to be out, or lives after it was, since it was last asked.
+  struct Step {
+    std::string router;
+    State to;
+    std::uint64_t incarnation;
+    std::size_t silentAt;
+  };
+  std::vector<Step> takeSteps() { return std::exchange(steps_, {}); }
+
+ private:
+  struct Known {
+    std::map<KeeperNumber, Report> reports;
+    State state = State::unknown;
+    bool wasOut = false;
+  };
+  Member judged(const Known& known) const;
+  void judge(const std::string& router, Known& known);
+
+  std::size_t keepers_;
+  std::map<std::string, Known> routers_;  // bounded by what reachable keepers have on their lists
+  std::vector<Step> steps_;
+};
+
+std::string_view nameOf(View::State state);
+
+}  // namespace gulltrestle::members
--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -13,11 +13,21 @@
 // How often somebody who does not belong is logged.
 constexpr Span kStrangersPause = Span::millis(1000);
 
-std::set<std::string> othersOf(const Setup& setup, const std::string& name) {
-  std::set<std::string> others;
-  for (const auto& keeper : setup.keepers)
-    if (keeper.name != name) others.insert(keeper.name);
-  return others;
+std::vector<std::string> namesOf(const Setup& setup) {
+  std::vector<std::string> names;
+  for (const auto& keeper : setup.keepers) names.push_back(keeper.name);
+  return names;
+}
+std::optional<claims::KeeperNumber> rowOf(const Setup& setup, const std::string& name) {
+  for (std::size_t i = 0; i < setup.keepers.size(); ++i)
+    if (setup.keepers[i].name == name) return i;
+  return std::nullopt;
+}
+std::map<std::string, members::Incarnation> membersOf(const std::optional<claims::Kept>& kept) {
+  std::map<std::string, members::Incarnation> members;
+  if (kept)
+    for (const auto& [router, start] : kept->members) members[router] = {start.number, start.draw};
+  return members;
 }
 
 // In messages that are well below what a stream takes.
@@ -57,18 +67,6 @@
   return std::string(value[0]).append(value[1]).append(value[2]);
 }
 
-std::string_view nameOf(Keeper::State state) {
-  switch (state) {
-    case Keeper::State::unheard:
-      return "unheard";
-    case Keeper::State::silent:
-      return "silent";
-    case Keeper::State::votes:
-      return "votes";
-  }
-  return "";
-}
-
 }  // namespace
 
 Desk::Desk(core::Ledger& ledger, const Terms& terms, const Setup& setup, const std::string& name,
@@ -80,17 +78,18 @@
       effects_(effects),
       claimant_(setup.claimant, draw),
       service_(ledger, withRouters(terms, setup.routers.size()), setup.firstTxns, draw,
-               [this](std::string_view event, const std::string& fields) { effects_.log(event, fields); }) {
+               [this](std::string_view event, const std::string& fields) { effects_.log(event, fields); }),
+      own_(rowOf(setup, name)),
+      membership_(
+          ledger.now(), setup.routers, name, draw, namesOf(setup), own_, membersOf(kept),
+          [this](std::string_view event, const std::string& fields) { effects_.log(event, fields); }) {
   force();
   if (kept) {
     for (const auto& [group, known] : kept->primaries) service_.knew({group, {known.first, known.second}});
     for (const auto& [node, known] : kept->nodes) leaving_.learn({node, known.first, known.second});
     keep(Nodes{});
   }
-  if (kept) keeper_.emplace(ledger.now(), othersOf(setup, name), setup.keeper, std::move(*kept));
-  for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
-    if (setup_.keepers[i].name == name) own_ = i;
-  if (own_) claimant_.reached(*own_, true);
+  if (kept) keeper_.emplace(ledger.now(), name, setup.keeper, std::move(*kept));
 }
 
 // --- Streams of other routers
@@ -106,7 +105,10 @@
   } catch (const Malformed& bad) { effects_.refuse(stream, bad.what()); }
 }
 
-void Desk::ended(StreamKey stream) { speakers_.erase(stream); }
+void Desk::ended(StreamKey stream) {
+  speakers_.erase(stream);
+  membership_.ended(stream);
+}
 
 void Desk::greet(StreamKey stream, const Hello& hello) {
   if (!setup_.routers.contains(hello.router)) {
@@ -123,11 +125,33 @@
   for (const Nodes& some : slices(leaving_.all())) effects_.reply(stream, some);
   for (const Primaries& some : slices(service_.primaries())) effects_.reply(stream, some);
   for (const Seen& some : slices(service_.seen())) effects_.reply(stream, some);
-  Waiting waiting{Waiting::What::heard, stream, hello.keeper.number, "", {}, {}};
-  if (hello.keeper.number > 0) waiting.knew = keeper_->greeted(hello.router, hello.keeper);
+  Waiting waiting{Waiting::What::heard, stream, hello.keeper.number, hello.router, {}, {}};
+  if (hello.keeper.number > 0) {
+    const auto knew = keeper_->greeted(hello.router, hello.keeper);
+    if (!knew) return effects_.refuse(stream, "the list of keepers before this one may still count");
+    waiting.knew = *knew;
+  }
   toDisk(std::move(waiting));
 }
 
+// --- Who speaks
+
+void Desk::enter(StreamKey stream, const Speaker& speaker, std::uint64_t number) {
+  membership_.roll()->enters(ledger_.now(), speaker.router, {number, speaker.draw});
+  toDisk(Waiting{Waiting::What::enter, stream, 0, speaker.router, {}, {}});
+}
+
+void Desk::tellEntered(StreamKey stream, const std::string& router) {
+  const auto newest = membership_.roll()->newest(router);
+  if (stream == 0) return entered(*own_, newest);
+  effects_.reply(stream, Entered{newest});
+}
+
+void Desk::entered(claims::KeeperNumber keeper, const members::Incarnation& newest) {
+  membership_.entered(ledger_.now(), keeper, newest);
+  claimant_.reached(keeper, membership_.speaksAt(keeper));
+}
+
 // Whoever knocks again and again fills no log.
 void Desk::logOnce(std::string_view event, const std::string& fields) {
   if (strangerAt_ != Instant() && ledger_.now() - strangerAt_ < kStrangersPause) return;
@@ -139,7 +163,16 @@
   const auto token = [&](std::uint64_t number) {
     return claims::Token{speaker.router, speaker.draw, number};
   };
+  membership_.roll()->heard(ledger_.now(), speaker.router, speaker.draw,
+                            std::holds_alternative<Beat>(word) ? std::get<Beat>(word).progress : 0);
+  const bool speaks = membership_.roll()->speaks(speaker.router, speaker.draw);
+  if (const auto* wish = std::get_if<Enter>(&word)) return enter(stream, speaker, wish->number);
+  if (std::holds_alternative<Beat>(word)) {
+    if (!speaks) return tellEntered(stream, speaker.router);
+    return effects_.reply(stream, membership_.reportsFor(stream));
+  }
   if (const auto* claim = std::get_if<Claim>(&word)) {
+    if (!speaks) return give(stream, claim->number, Vote{});
     const auto vote = keeper_->claimed(ledger_.now(), claim->id, token(claim->number));
     if (vote) return give(stream, claim->number, *vote);
     return toDisk(Waiting{Waiting::What::vote, stream, claim->number, claim->id, token(claim->number), {}});
@@ -161,6 +194,8 @@
 // What the keeper has changed goes to disk; whoever waits is told once all up to here is durable.
 void Desk::toDisk(std::optional<Waiting> waiting) {
   auto changes = keeper_->takeChanges();
+  for (const auto& [router, start] : membership_.roll()->takeChanges())
+    changes.push_back({Keeper::Change::What::member, router, {}, {start.number, start.draw}, false});
   if (changes.empty() && !waiting) return;
   const Ticket ticket = effects_.write(std::move(changes));
   if (waiting) waiting_[ticket] = std::move(*waiting);
@@ -174,13 +209,19 @@
   switch (waiting.what) {
     case Waiting::What::heard:
       // A start that is not durable here was not heard: the other asks again on its next connection.
-      if (durable) return effects_.reply(waiting.stream, Heard{waiting.number, waiting.knew});
+      if (durable)
+        return effects_.reply(waiting.stream,
+                              Heard{waiting.number, waiting.knew, membership_.roll()->newest(waiting.id)});
       return effects_.refuse(waiting.stream, "the disk of this keeper fails");
     case Waiting::What::vote: {
       const auto vote = keeper_->written(waiting.id, waiting.token, durable);
       if (vote) give(waiting.stream, waiting.number, *vote);
       return;
     }
+    case Waiting::What::enter:
+      if (durable) return tellEntered(waiting.stream, waiting.id);
+      if (waiting.stream == 0) return toDisk(waiting);
+      return effects_.refuse(waiting.stream, "the disk of this keeper fails");
     case Waiting::What::hello:
       if (!durable) return toDisk(waiting);
       for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
@@ -204,15 +245,20 @@
   if (const auto* nodes = std::get_if<Nodes>(&reply)) return learn(*nodes, name);
   if (const auto* primaries = std::get_if<Primaries>(&reply)) return learn(*primaries);
   if (const auto* seen = std::get_if<Seen>(&reply)) return service_.told(name, *seen);
+  if (const auto* answer = std::get_if<Entered>(&reply)) return entered(number, answer->newest);
+  if (const auto* reports = std::get_if<Reports>(&reply))
+    return membership_.reported(number, reports->reports);
   const auto& heard = std::get<Heard>(reply);
-  claimant_.reached(number, true);
+  membership_.greeted(ledger_.now(), number, heard.speaks);
+  claimant_.reached(number, membership_.speaksAt(number));
   const bool isNew = std::exchange(heard_[number], name).empty();
   if (isNew)
     for (const Nodes& some : slices(leaving_.all())) effects_.toKeeper(number, some);
   if (isNew)
     for (const Primaries& some : slices(service_.primaries())) effects_.toKeeper(number, some);
   if (!isNew && !keeper_) return;
-  effects_.log("peers.heard", "keeper=" + name + " reached=" + std::to_string(claimant_.reachable()) +
+  effects_.log("peers.heard", "keeper=" + name +
+                                  " reached=" + std::to_string(heard_.size() + own_.has_value()) +
                                   " of=" + std::to_string(setup_.keepers.size()));
   if (!keeper_ || !keeper_->heard(ledger_.now(), name, heard.number, heard.knew)) return logState();
   effects_.log("claims.disk_is_not_ours",
@@ -223,9 +269,10 @@
 
 void Desk::lost(claims::KeeperNumber keeper) {
   claimant_.reached(keeper, false);
+  membership_.lost(keeper);
   if (heard_.erase(keeper) > 0)
     effects_.log("peers.lost", "keeper=" + setup_.keepers.at(keeper).name +
-                                   " reached=" + std::to_string(claimant_.reachable()) +
+                                   " reached=" + std::to_string(heard_.size() + own_.has_value()) +
                                    " of=" + std::to_string(setup_.keepers.size()));
   settle();
 }
@@ -285,9 +332,9 @@
   const auto forgotten = leaving_.takeForgotten();
   if (setup_.folder.empty()) return;
   std::vector<Keeper::Change> changes;
-  for (const auto& node : forgotten) changes.push_back({Keeper::Change::What::node, node, {}, {}, false, 0});
+  for (const auto& node : forgotten) changes.push_back({Keeper::Change::What::node, node, {}, {}, false});
   for (const auto& one : news)
-    changes.push_back({Keeper::Change::What::node, one.node, {}, {one.version, 0}, one.leaving, 0});
+    changes.push_back({Keeper::Change::What::node, one.node, {}, {one.version, 0}, one.leaving});
   if (!changes.empty()) effects_.write(std::move(changes));
 }
 
@@ -310,13 +357,32 @@
 void Desk::force() { service_.force(setup_.forced, setup_.forcedBy); }
 
 void Desk::readAnew(const Setup& setup) {
-  if (setup.list() != setup_.list() || setup.routers != setup_.routers)
-    effects_.log("peers.waits_for_restart", "keys=\"keepers routers\"");
+  if (setup.list() != setup_.list())
+    effects_.log("peers.waits_for_restart", "keys=\"keepers keepers_before\"");
+  belong(setup.routers);
   setup_.forced = setup.forced;
   setup_.forcedBy = setup.forcedBy;
   force();
 }
 
+// Whoever is not on the list any more gets nothing from here on.
+void Desk::belong(std::set<std::string> routers) {
+  // Keepers change with a restart alone, and belong until then.
+  for (const auto& keeper : setup_.keepers) routers.insert(keeper.name);
+  if (routers == setup_.routers) return;
+  std::size_t added = 0, left = 0;
+  for (const auto& router : routers) added += !setup_.routers.contains(router);
+  for (const auto& router : setup_.routers) left += !routers.contains(router);
+  effects_.log("peers.list", "routers=" + std::to_string(routers.size()) + " added=" + std::to_string(added) +
+                                 " left=" + std::to_string(left));
+  setup_.routers = std::move(routers);
+  membership_.list(ledger_.now(), setup_.routers);
+  std::vector<StreamKey> gone;
+  for (const auto& [stream, speaker] : speakers_)
+    if (!setup_.routers.contains(speaker.router)) gone.push_back(stream);
+  for (const StreamKey stream : gone) effects_.refuse(stream, "this router is not on the list any more");
+}
+
 // Words go out, also to this router's own keeper, which may answer at once.
 void Desk::settle() {
   for (auto words = claimant_.takeWords(); !words.empty(); words = claimant_.takeWords())
@@ -335,6 +401,15 @@
 void Desk::endTurn() {
   const Instant now = ledger_.now();
   Instant due = claimant_.due(now);
+  for (const auto& [keeper, said] : membership_.turn(now, service_.progress()))
+    std::visit(
+        [&, to = keeper](const auto& word) {
+          if (to == own_)
+            hear(0, {name_, draw_}, word);
+          else
+            effects_.toKeeper(to, word);
+        },
+        said);
   if (keeper_) {
     const Instant other = keeper_->due(now);
     if (due == Instant() || (other != Instant() && other < due)) due = other;
@@ -346,8 +421,8 @@
   for (const Primaries& some : slices(confirmed))
     for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
       if (i != own_) effects_.toKeeper(i, some);
-  const Instant stages = service_.nextDue();
-  if (due == Instant() || (stages != Instant() && stages < due)) due = stages;
+  for (const Instant other : {service_.nextDue(), membership_.nextDue()})
+    if (due == Instant() || (other != Instant() && other < due)) due = other;
   due_ = due;
   settle();
   for (const auto& decision : claimant_.takeDecisions()) {
--- a/src/peers/desk.h
+++ b/src/peers/desk.h
@@ -58,11 +58,13 @@
   // What the ledger has told since.
   void sayOn() { settle(); }
   Instant nextDue() const { return due_; }
-  // Its configuration was read anew: what an operator forces.
+  // Its configuration was read anew: who belongs, and what an operator forces.
   void readAnew(const Setup& setup);
 
   const claims::Claimant& claimant() const { return claimant_; }
   Service& service() { return service_; }
+  const Service& service() const { return service_; }
+  const Membership& membership() const { return membership_; }
   const claims::Keeper* keeper() const { return keeper_ ? &*keeper_ : nullptr; }
   std::optional<claims::KeeperNumber> own() const { return own_; }
 
@@ -72,16 +74,19 @@
     std::uint64_t draw = 0;
   };
   struct Waiting {  // for the disk
-    enum class What { heard, vote, hello } what = What::vote;
+    enum class What { heard, vote, hello, enter } what = What::vote;
     StreamKey stream = 0;
     std::uint64_t number = 0;
-    std::string id;
+    std::string id;  // enter: of the router
     claims::Token token;
     claims::Start knew;
   };
   void hear(StreamKey stream, const Speaker& speaker, const Word& word);
   void greet(StreamKey stream, const Hello& hello);
   void give(StreamKey stream, std::uint64_t number, const claims::Vote& vote);
+  void enter(StreamKey stream, const Speaker& speaker, std::uint64_t number);
+  void tellEntered(StreamKey stream, const std::string& router);
+  void entered(claims::KeeperNumber keeper, const members::Incarnation& newest);
   void toDisk(std::optional<Waiting> waiting = {});
   void settle();
   // News of nodes: those that are new here are kept, and their drains bind.
@@ -91,6 +96,7 @@
   void learn(const Primaries& news);
   void keep(const Primaries& news);
   void force();
+  void belong(std::set<std::string> routers);
   void logState();
   void logOnce(std::string_view event, const std::string& fields);
 
@@ -104,7 +110,8 @@
   recovery::Leaving leaving_;
   Service service_;
   std::optional<claims::KeeperNumber> own_;  // this router's row among the keepers
-  std::map<StreamKey, Speaker> speakers_;    // those that have greeted
+  Membership membership_;
+  std::map<StreamKey, Speaker> speakers_;  // those that have greeted
   std::map<Ticket, Waiting> waiting_;
   std::map<claims::KeeperNumber, std::string> heard_;
   Instant due_, strangerAt_;  // when one who does not belong was last logged
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include "loop/sockets.h"
+#include "peers/status.h"
 
 namespace gulltrestle::peers {
 
@@ -34,7 +35,9 @@
 std::unique_ptr<store::Store> storeOf(const Setup& setup, const std::string& name, std::uint64_t draw) {
   if (setup.folder.empty()) return nullptr;
   try {
-    return std::make_unique<store::Store>(setup.folder, name, draw);
+    return std::make_unique<store::Store>(setup.folder, name, draw, setup.lists);
+  } catch (const store::Refused& bad) {
+    throw startup::BadKey("keepers", bad.what());
   } catch (const store::Unusable& bad) { throw startup::BadKey("store", bad.what()); }
 }
 
@@ -169,7 +172,8 @@
   statusAt_ = now;
   const std::string beside = setup_.statusFile + ".new";
   std::ofstream file(beside, std::ios::binary | std::ios::trunc);
-  file << desk_->service().status();
+  const auto disk = store_ ? std::optional(store_->figures()) : std::nullopt;
+  file << statusOf(now, *desk_, disk ? &*disk : nullptr);
   file.close();
   const bool fails = !file || std::rename(beside.c_str(), setup_.statusFile.c_str()) != 0;
   if (fails && !std::exchange(statusFails_, fails))
--- a/src/peers/service.cpp
+++ b/src/peers/service.cpp
@@ -1,7 +1,5 @@
 #include "peers/service.h"
 
-#include <nlohmann/json.hpp>
-
 namespace gulltrestle::peers {
 
 using recovery::Ramp;
@@ -19,11 +17,6 @@
 // Of whose primaries something is remembered: far more than there are.
 constexpr std::size_t kMostGroups = 10'000;
 
-std::string_view nameOf(Ramp::State state) {
-  constexpr std::string_view kNames[] = {"opening", "steady", "over"};
-  return kNames[static_cast<int>(state)];
-}
-
 Span longestBackOf(const Terms& terms) { return terms.comeBackAllowed ? terms.longestComeBack : Span(); }
 
 std::int64_t millis(Span span) { return span.inMicros() / 1000; }
@@ -153,25 +146,11 @@
   return confirmed;
 }
 
-std::string Service::status() const {
-  nlohmann::ordered_json all;
-  const Instant now = ledger_.now();
-  all["time_ms"] = now.inMicros() / 1000;
-  all["started_ms_ago"] = millis(now - ramp_.startedAt());
-  all["ramp"] = {{"state", nameOf(ramp_.state())}, {"turned_away", ramp_.turnedAway()}};
-  if (ramp_.state() != Ramp::State::over) all["ramp"]["txns_a_second"] = ramp_.rate();
-  if (!forcedBy_.empty()) all["forced_by"] = forcedBy_;
-  all["groups"] = nlohmann::ordered_json::array();
-  for (const GroupId id : stages_.groups()) {
-    const auto group = stages_.of(id);
-    nlohmann::ordered_json one{
-        {"group", id}, {"stage", recovery::nameOf(group.stage)}, {"for_ms", millis(now - group.since)}};
-    if (!group.awaits.empty()) one["awaits"] = group.awaits;
-    if (!group.claimed.empty()) one["contested_by"] = group.claimed;
-    if (const auto known = known_.find(id); known != known_.end()) one["primary"] = known->second.node;
-    all["groups"].push_back(std::move(one));
-  }
-  return all.dump(2, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n";
+unsigned Service::progress() const {
+  auto least = recovery::Stage::all;
+  const auto groups = stages_.groups();
+  for (const GroupId id : groups) least = std::min(least, stages_.of(id).stage);
+  return groups.empty() ? 0 : static_cast<unsigned>(least);
 }
 
 }  // namespace gulltrestle::peers
--- a/src/peers/service.h
+++ b/src/peers/service.h
@@ -56,9 +56,14 @@
   // Ahead of the module's round. Returns primaries that were confirmed, for the disk and for others.
   std::vector<PrimaryNews> endTurn(bool keepersReached);
   Instant nextDue() const { return stages_.due(); }
+  // The stage that all groups have reached, counted from 0: shut.
+  unsigned progress() const;
 
-  // The status document's part, as JSON.
-  std::string status() const;
+  // --- For the status document
+  const recovery::Stages& stages() const { return stages_; }
+  const recovery::Ramp& ramp() const { return ramp_; }
+  const std::map<GroupId, recovery::Primary>& known() const { return known_; }
+  const std::string& forcedBy() const { return forcedBy_; }
 
  private:
   core::Ledger& ledger_;
--- a/src/peers/setup.cpp
+++ b/src/peers/setup.cpp
@@ -16,6 +16,32 @@
 // The votes for a txn must outlast it, and what a client may repeat, by a good deal.
 constexpr double kRetentionAtLeast = 4;
 
+std::set<std::string> namesOf(const json::Value& list, const char* key, const char* fault) {
+  std::set<std::string> names;
+  if (list.kind != json::Value::Kind::list) throw BadKey(key, fault);
+  for (const auto& name : list.items) {
+    if (name.kind != json::Value::Kind::text || name.text.empty()) throw BadKey(key, fault);
+    names.insert(name.text);
+  }
+  return names;
+}
+
+// Those before, the oldest first, and the present one.
+std::vector<claims::List> listsOf(Section& top, const json::Value& all, const Setup& setup) {
+  constexpr const char* kKey = "keepers_before";
+  constexpr const char* kFault = "is no list of lists of names";
+  std::vector<claims::List> lists;
+  if (top.has(kKey)) {
+    const json::Value& before = *all.find(kKey);
+    if (before.kind != json::Value::Kind::list) throw BadKey(kKey, kFault);
+    for (const auto& list : before.items) lists.push_back({lists.size() + 1, namesOf(list, kKey, kFault)});
+  }
+  lists.push_back({lists.size() + 1, {}});
+  for (const auto& place : setup.keepers) lists.back().names.insert(place.name);
+  if (const auto fault = claims::faultIn(lists); !fault.empty()) throw BadKey(kKey, fault);
+  return lists;
+}
+
 Setup read(const json::Value& all, const std::string& name, Span longest) {
   Section top(all, "");
   Setup setup;
@@ -29,14 +55,9 @@
   }
   std::sort(setup.keepers.begin(), setup.keepers.end(), [](auto& a, auto& b) { return a.name < b.name; });
   if (top.has("routers")) {
-    const json::Value& routers = *all.find("routers");
-    if (routers.kind != json::Value::Kind::list) throw BadKey("routers", "is no list of names");
-    for (const auto& router : routers.items) {
-      if (router.kind != json::Value::Kind::text || router.text.empty())
-        throw BadKey("routers", "is no list of names");
-      setup.routers.insert(router.text);
-    }
+    setup.routers.merge(namesOf(*all.find("routers"), "routers", "is no list of names"));
   }
+  setup.lists = listsOf(top, all, setup);
   if (!setup.routers.contains(name))
     throw BadKey("routers", "'" + name + "', this router, is not among them");
   const bool isKeeper = std::any_of(setup.keepers.begin(), setup.keepers.end(),
@@ -60,8 +81,8 @@
   setup.claimant.most = limits.whole("open_claims", setup.claimant.most, 10, 1'000'000);
   setup.mostConnections = limits.whole("connections", 2 * setup.routers.size(), 1, 10'000);
   limits.end();
-  setup.firstTxns = static_cast<double>(
-      top.whole("first_txns", static_cast<std::size_t>(setup.firstTxns), 1, 1'000'000));
+  setup.firstTxns =
+      static_cast<double>(top.whole("first_txns", static_cast<std::size_t>(setup.firstTxns), 1, 1'000'000));
   setup.statusFile = top.text("status_file", "");
   setup.statusEvery = top.millis("status_every_ms", setup.statusEvery, 50, 3'600'000);
   if (top.has("force")) {
@@ -83,8 +104,8 @@
 }  // namespace
 
 std::string Setup::list() const {
-  std::string out;
-  for (const auto& place : keepers) out += (out.empty() ? "" : " ") + place.name;
+  std::string out = std::to_string(lists.size()) + ":";
+  for (const auto& place : keepers) out += " " + place.name;
   return out;
 }
 
--- a/src/peers/setup.h
+++ b/src/peers/setup.h
@@ -21,16 +21,17 @@
     std::string name;
     startup::Address address;
   };
-  std::vector<Place> keepers;     // in the order of their names
-  std::set<std::string> routers;  // all that belong, keepers included
-  std::string folder;             // of this router's store; empty: it is no keeper
+  std::vector<Place> keepers;       // in the order of their names
+  std::vector<claims::List> lists;  // all that there were of keepers, the present one last
+  std::set<std::string> routers;    // all that belong, keepers included
+  std::string folder;               // of this router's store; empty: it is no keeper
   claims::KeeperBounds keeper;
   claims::ClaimantBounds claimant;
   std::size_t mostConnections =
       0;  // to this keeper; by default twice as many as there are routers, for what lingers
 
   double firstTxns = recovery::Ramp::kFirst;  // a second and node, over all routers, after a start
-  std::string statusFile;  // empty: none is written
+  std::string statusFile;                     // empty: none is written
   Span statusEvery = Span::millis(1000);
   std::optional<recovery::Stage> forced;  // by an operator, whose name is said
   std::string forcedBy;
--- a/src/peers/words.cpp
+++ b/src/peers/words.cpp
@@ -11,6 +11,32 @@
   to.set_draw(start.draw);
 }
 claims::Start read(const wire::Start& from) { return {from.number(), from.draw()}; }
+void set(wire::Start& to, const members::Incarnation& start) {
+  to.set_number(start.number);
+  to.set_draw(start.draw);
+}
+members::Incarnation incarnation(const wire::Start& from) { return {from.number(), from.draw()}; }
+
+void set(wire::Reports& to, const Reports& reports) {
+  for (const auto& report : reports.reports) {
+    auto& one = *to.add_reports();
+    one.set_router(report.router);
+    set(*one.mutable_incarnation(), report.incarnation);
+    // The same names in the same order.
+    one.set_hearing(static_cast<wire::Report::Hearing>(report.hearing));
+    one.set_progress(report.progress);
+  }
+}
+Reports read(const wire::Reports& from) {
+  Reports reports;
+  for (const auto& one : from.reports()) {
+    if (one.hearing() < wire::Report::AWAITED || one.hearing() > wire::Report::LEFT)
+      throw Malformed("a hearing that is not known");
+    reports.reports.push_back({one.router(), incarnation(one.incarnation()),
+                               static_cast<members::Hearing>(one.hearing()), one.progress()});
+  }
+  return reports;
+}
 
 void set(wire::Nodes& to, const Nodes& nodes) {
   for (const auto& news : nodes) {
@@ -112,7 +138,9 @@
                     committed.set_value(w.value);
                   },
                   [&](const Nodes& w) { set(*out.mutable_nodes(), w); },
-                  [&](const Primaries& w) { set(*out.mutable_primaries(), w); }},
+                  [&](const Primaries& w) { set(*out.mutable_primaries(), w); },
+                  [&](const Enter& w) { out.mutable_enter()->set_number(w.number); },
+                  [&](const Beat& w) { out.mutable_beat()->set_progress(w.progress); }},
              word);
   return out.SerializeAsString();
 }
@@ -122,6 +150,7 @@
   std::visit(Each{[&](const Heard& r) {
                     out.mutable_heard()->set_number(r.number);
                     set(*out.mutable_heard()->mutable_knew(), r.knew);
+                    set(*out.mutable_heard()->mutable_speaks(), r.speaks);
                   },
                   [&](const VoteOf& r) {
                     auto& vote = *out.mutable_vote();
@@ -134,7 +163,9 @@
                   },
                   [&](const Nodes& r) { set(*out.mutable_nodes(), r); },
                   [&](const Primaries& r) { set(*out.mutable_primaries(), r); },
-                  [&](const Seen& r) { set(*out.mutable_seen(), r); }},
+                  [&](const Seen& r) { set(*out.mutable_seen(), r); },
+                  [&](const Entered& r) { set(*out.mutable_entered()->mutable_newest(), r.newest); },
+                  [&](const Reports& r) { set(*out.mutable_reports(), r); }},
              reply);
   return out.SerializeAsString();
 }
@@ -154,6 +185,10 @@
       return read(in.nodes());
     case wire::Word::kPrimaries:
       return read(in.primaries());
+    case wire::Word::kEnter:
+      return Enter{in.enter().number()};
+    case wire::Word::kBeat:
+      return Beat{in.beat().progress()};
     case wire::Word::WORD_NOT_SET:
       break;
   }
@@ -162,10 +197,13 @@
 
 Reply readReply(std::string_view bytes) {
   const auto in = parsed<wire::Reply>(bytes);
-  if (in.has_heard()) return Heard{in.heard().number(), read(in.heard().knew())};
+  if (in.has_heard())
+    return Heard{in.heard().number(), read(in.heard().knew()), incarnation(in.heard().speaks())};
   if (in.has_nodes()) return read(in.nodes());
   if (in.has_primaries()) return read(in.primaries());
   if (in.has_seen()) return read(in.seen());
+  if (in.has_entered()) return Entered{incarnation(in.entered().newest())};
+  if (in.has_reports()) return read(in.reports());
   if (!in.has_vote()) throw Malformed("a reply that is not known");
   VoteOf vote{in.vote().number(), {claims::Vote::What::silent, in.vote().committed(), in.vote().value()}};
   if (in.vote().what() == wire::Vote::YOURS) vote.vote.what = claims::Vote::What::yours;
--- a/src/peers/words.h
+++ b/src/peers/words.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "claims/words.h"
+#include "peers/membership.h"
 #include "peers/service.h"
 #include "recovery/leaving.h"
 
@@ -40,17 +41,18 @@
 };
 using Nodes = std::vector<recovery::News>;   // to a keeper, and back
 using Primaries = std::vector<PrimaryNews>;  // likewise
-using Word = std::variant<Hello, Claim, Release, Committed, Nodes, Primaries>;
+using Word = std::variant<Hello, Claim, Release, Committed, Nodes, Primaries, Enter, Beat>;
 
 struct Heard {
   std::uint64_t number = 0;
   claims::Start knew;
+  members::Incarnation speaks;  // the newest start of the router that has entered there
 };
 struct VoteOf {
   std::uint64_t number = 0;
   claims::Vote vote;
 };
-using Reply = std::variant<Heard, VoteOf, Nodes, Primaries, Seen>;
+using Reply = std::variant<Heard, VoteOf, Nodes, Primaries, Seen, Entered, Reports>;
 
 std::string encoded(const Word& word);
 std::string encoded(const Reply& reply);
--- a/src/recovery/ramp.cpp
+++ b/src/recovery/ramp.cpp
@@ -101,4 +101,9 @@
   adjust(now);
 }
 
+std::string_view nameOf(Ramp::State state) {
+  constexpr std::string_view kNames[] = {"opening", "steady", "over"};
+  return kNames[static_cast<int>(state)];
+}
+
 }  // namespace gulltrestle::recovery
--- a/src/recovery/ramp.h
+++ b/src/recovery/ramp.h
@@ -18,6 +18,7 @@
 #include <deque>
 #include <optional>
 #include <random>
+#include <string_view>
 
 #include "base/time.h"
 
@@ -69,4 +70,6 @@
   std::uint64_t turnedAway_ = 0;
 };
 
+std::string_view nameOf(Ramp::State state);
+
 }  // namespace gulltrestle::recovery
--- a/src/store/database.cpp
+++ b/src/store/database.cpp
@@ -10,11 +10,15 @@
 namespace {
 
 // Raised when a version can't read what an older one wrote.
-constexpr const char* kFormat = "2";
-// The one before knew no primaries; a file of it is brought up to date as a keeper starts on it.
-constexpr const char* kFormatBefore = "1";
+constexpr const char* kFormat = "3";
+// Those before knew no primaries (1), and neither members nor lists of keepers (1 and 2); a file of theirs is
+// brought up to date as a keeper starts on it.
 constexpr const char* kPrimaries =
     "CREATE TABLE primaries (grp INTEGER PRIMARY KEY, node BLOB, version INTEGER)";
+constexpr const char* kMembers =
+    "CREATE TABLE members (router BLOB PRIMARY KEY, number INTEGER, draw INTEGER) WITHOUT ROWID;"
+    "CREATE TABLE lists (place INTEGER, version INTEGER, keeper BLOB, PRIMARY KEY (place, keeper)) WITHOUT "
+    "ROWID";
 
 // Starts of its own that a keeper remembers. One that others know of and that is older than these is taken
 // for another disk's: the keeper is silent once more, which is safe.
@@ -36,6 +40,12 @@
 std::uint64_t sumOfPrimary(std::uint64_t group, const std::string& node, std::uint64_t version) {
   return sumOf("primary " + part(std::to_string(group)) + part(node) + std::to_string(version));
 }
+std::uint64_t sumOfMember(const std::string& router, const claims::Start& s) {
+  return sumOf("member " + part(router) + part(std::to_string(s.number)) + part(std::to_string(s.draw)));
+}
+std::uint64_t sumOfList(std::uint64_t place, std::uint64_t version, const std::string& keeper) {
+  return sumOf("list " + part(std::to_string(place)) + part(std::to_string(version)) + part(keeper));
+}
 std::uint64_t sumOf(const char* key, const std::string& value) {
   return sumOf("meta " + part(key) + part(value));
 }
@@ -122,7 +132,7 @@
     }
     isNew_ = !Statement(*this, "SELECT 1 FROM sqlite_schema").step();
     if (isNew_) return;
-    if (const auto format = meta("format"); format != kFormat && format != kFormatBefore)
+    if (const auto format = meta("format"); format != kFormat && format != "1" && format != "2")
       throw format.empty() ? std::runtime_error("")
                            : Failed("it has format " + format + ", this program " + kFormat);
     keeper_ = meta("keeper");
@@ -161,6 +171,7 @@
       " value BLOB) WITHOUT ROWID;"
       "CREATE TABLE nodes (id BLOB PRIMARY KEY, version INTEGER, leaving INTEGER) WITHOUT ROWID");
   run(kPrimaries);
+  run(kMembers);
   digest_ = 0;
   for (const char* key : {"format", "keeper", "whole", "new_since"}) digest_ ^= sumOf(key, "");
   setMeta("format", kFormat);
@@ -205,19 +216,40 @@
     kept.nodes[nodes.text(0)] = {nodes.number(1), nodes.number(2) != 0};
     digest_ ^= sumOfNode(nodes.text(0), nodes.number(1), nodes.number(2) != 0);
   }
-  const bool isBefore = meta("format") == kFormatBefore;
-  if (!isBefore) {
+  const std::string format = meta("format");
+  if (format != "1") {
     Statement primaries(*this, "SELECT grp, node, version FROM primaries");
     while (primaries.step()) {
       kept.primaries[primaries.number(0)] = {primaries.text(1), primaries.number(2)};
       digest_ ^= sumOfPrimary(primaries.number(0), primaries.text(1), primaries.number(2));
     }
   }
+  if (format == kFormat) {
+    Statement members(*this, "SELECT router, number, draw FROM members");
+    while (members.step()) {
+      const claims::Start start{members.number(1), members.number(2)};
+      kept.members[members.text(0)] = start;
+      digest_ ^= sumOfMember(members.text(0), start);
+    }
+    // In the first place the list that it serves under.
+    Statement lists(*this, "SELECT place, version, keeper FROM lists ORDER BY place");
+    while (lists.step()) {
+      const std::uint64_t place = lists.number(0);
+      digest_ ^= sumOfList(place, lists.number(1), lists.text(2));
+      if (place > claims::kMostLists) throw Damaged("it holds too many lists");
+      auto& before = kept.lists.before;
+      if (place > before.size()) before.resize(place);
+      claims::List& list = place == 0 ? kept.lists.now : before[place - 1];
+      list.version = lists.number(1);
+      list.names.insert(lists.text(2));
+    }
+  }
   if (meta("digest") != std::to_string(digest_)) throw Damaged("its rows are not those that were written");
   kept.newSince = std::stoull(meta("new_since"));
-  if (isBefore && sqlite3_db_readonly(handle_, "main") == 0) {
+  if (format != kFormat && sqlite3_db_readonly(handle_, "main") == 0) {
     run("BEGIN IMMEDIATE");
-    run(kPrimaries);
+    if (format == "1") run(kPrimaries);
+    run(kMembers);
     setMeta("format", kFormat);
     setMeta("digest", std::to_string(digest_));
     run("COMMIT");
@@ -297,6 +329,37 @@
           .step();
       return;
     }
+    case What::member: {
+      Statement old(*this, "SELECT number, draw FROM members WHERE router = ?");
+      if (old.with(change.id).step()) digest_ ^= sumOfMember(change.id, {old.number(0), old.number(1)});
+      digest_ ^= sumOfMember(change.id, change.start);
+      Statement(*this, "INSERT OR REPLACE INTO members VALUES (?, ?, ?)")
+          .with(change.id)
+          .with(change.start.number)
+          .with(change.start.draw)
+          .step();
+      return;
+    }
+    case What::lists: {
+      Statement old(*this, "SELECT place, version, keeper FROM lists");
+      while (old.step()) digest_ ^= sumOfList(old.number(0), old.number(1), old.text(2));
+      run("DELETE FROM lists");
+      std::uint64_t place = 0;
+      const auto put = [&](const claims::List& list) {
+        for (const auto& name : list.names) {
+          digest_ ^= sumOfList(place, list.version, name);
+          Statement(*this, "INSERT INTO lists VALUES (?, ?, ?)")
+              .with(place)
+              .with(list.version)
+              .with(name)
+              .step();
+        }
+        ++place;
+      };
+      put(change.lists.now);
+      for (const auto& before : change.lists.before) put(before);
+      return;
+    }
     case What::voting:
       setMeta("whole", change.whole ? "1" : "0");
       setMeta("new_since", std::to_string(change.start.number));
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -40,7 +40,8 @@
 
 }  // namespace
 
-Store::Store(const std::string& folder, const std::string& keeper, std::uint64_t draw)
+Store::Store(const std::string& folder, const std::string& keeper, std::uint64_t draw,
+             const std::vector<claims::List>& lists)
     : folder_(folder), keeper_(keeper) {
   const std::string path = fileIn(folder);
   struct stat found {};
@@ -61,13 +62,30 @@
     if (database_->keeper() != keeper)
       throw Unusable(path + " is the store of the keeper '" + database_->keeper() + "'");
     const claims::Start start{kept_.own.empty() ? 1 : kept_.own.back().number + 1, draw};
-    const std::vector<claims::Keeper::Change> change{
-        {claims::Keeper::Change::What::start, "", {}, start, false}};
-    database_->commit({&change});
+    using Change = claims::Keeper::Change;
+    std::vector<Change> changes(1);
+    changes[0].what = Change::What::start;
+    changes[0].start = start;
+    const claims::Moved moved = claims::movedTo(kept_.lists, lists, keeper);
+    if (!moved.refused.empty()) throw Refused(moved.refused);
+    if (moved.changed) {
+      changes.emplace_back();
+      changes.back().what = Change::What::lists;
+      changes.back().lists = moved.lists;
+    }
+    if (!moved.diskCounts) {
+      kept_.whole = false;
+      kept_.newSince = start.number;
+      changes.emplace_back();
+      changes.back().what = Change::What::voting;
+      changes.back().start = start;
+    }
+    database_->commit({&changes});
+    kept_.lists = moved.lists;
     kept_.own.push_back(start);
-  } catch (const Unusable&) { throw; } catch (const std::exception& bad) {
-    throw Unusable(path + ": " + bad.what());
-  }
+  } catch (const Unusable&) { throw; } catch (const Refused&) {
+    throw;
+  } catch (const std::exception& bad) { throw Unusable(path + ": " + bad.what()); }
   descriptor_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
   if (descriptor_ < 0) throw Unusable(std::string("eventfd: ") + std::strerror(errno));
   thread_ = std::thread([this] { run(); });
@@ -100,7 +118,10 @@
 
 Figures Store::figures() const {
   const std::lock_guard lock(mutex_);
-  return figures_;
+  Figures figures = figures_;
+  figures.durableAgo =
+      Span::micros(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - durableAt_).count());
+  return figures;
 }
 
 // Its thread. What came while one group was written makes up the next.
@@ -121,6 +142,9 @@
     const auto began = Clock::now();
     failed = !commit(group);
     const auto took = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - began).count();
+    struct stat file {};
+    const auto bytes =
+        ::stat(fileIn(folder_).c_str(), &file) == 0 ? static_cast<std::uint64_t>(file.st_size) : 0;
     {
       const std::lock_guard lock(mutex_);
       figures_.longest = std::max(figures_.longest, Span::micros(took));
@@ -129,7 +153,8 @@
         if (!failed) figures_.queued -= queued.changes.size(), figures_.changes += queued.changes.size();
       }
       ++(failed ? figures_.failures : figures_.commits);
-      if (!failed) figures_.fault.clear();
+      if (!failed) figures_.fault.clear(), durableAt_ = Clock::now();
+      figures_.bytes = bytes;
     }
     if (!failed) group.clear();
     const std::uint64_t one = 1;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -6,6 +6,7 @@
 // name and an empty one begun, which is not whole: the keeper is silent for the time of retention.
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <memory>
@@ -25,11 +26,18 @@
   using std::runtime_error::runtime_error;
 };
 
+class Refused : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
 struct Figures {
   std::uint64_t commits = 0, changes = 0, failures = 0;
-  std::size_t queued = 0;  // changes that are not durable yet
-  Span longest;            // the longest commit
-  std::string fault;       // of the last commit, if it failed
+  std::size_t queued = 0;   // changes that are not durable yet
+  Span longest;             // the longest commit
+  Span durableAgo;          // since the last commit that did not fail, or the start
+  std::uint64_t bytes = 0;  // of the file, as it was last looked at
+  std::string fault;        // of the last commit, if it failed
 };
 
 class Database;
@@ -38,9 +46,11 @@
  public:
   using Ticket = std::uint64_t;
 
-  // Opens the folder of the keeper of that name, and makes this start durable in it. Throws Unusable: the
-  // folder is not there, another process has it, it is another keeper's or of a newer version.
-  Store(const std::string& folder, const std::string& keeper, std::uint64_t draw);
+  // Opens the folder of the keeper of that name, and makes this start durable in it, under the present list
+  // of keepers, the last one. Throws Unusable: the folder is not there, another process has it, it is another
+  // keeper's or of a newer version; Refused: the lists may not follow what it last served under.
+  Store(const std::string& folder, const std::string& keeper, std::uint64_t draw,
+        const std::vector<claims::List>& lists);
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
   // What is queued is written first, if the disk lets it.
@@ -82,6 +92,7 @@
   std::vector<Queued> queue_;
   std::vector<Done> done_;
   Figures figures_;
+  std::chrono::steady_clock::time_point durableAt_ = std::chrono::steady_clock::now();
   Ticket last_ = 0;
   bool ending_ = false;
   std::thread thread_;
--- a/tests/fleet/cases.h
+++ b/tests/fleet/cases.h
@@ -41,6 +41,9 @@
 // An old primary that comes back first, and an older list that names it. Each returns the exit code.
 int returns();
 
+// Who belongs, who lives, which start speaks, and who keeps.
+int members();
+
 // The same id at two external processors; and, a measurement and no test, the time of a once-only txn.
 int grants();
 int price();
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -86,7 +86,6 @@
   std::string path() const { return rig_.path(); }
 
  private:
-
   loop::Task askOn(int client) {
     while (!ending_) {
       const bool repeats = !ids_.empty() && rig_.pick(3) > 0;
@@ -398,6 +397,7 @@
   }
   if (name == "price") return price();
   if (name == "returns") return returns();
+  if (name == "members") return members();
   if (name == "grants") return grants();
   return 2;
 }
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 
 struct Shape {
   std::size_t routers = 3, keepers = 3;
+  std::size_t spares = 0;  // of the other routers, that may become keepers
   bool settles = true;     // with the file of the fleet; else each router stands by itself
   bool lyingDisk = false;  // a built-in fault
   std::string discovery;   // of stand-in nodes that speak HTTP: routers are external processors for them
@@ -54,6 +56,14 @@
   bool isUp(std::size_t router) const;
   // Ends by itself within 10 s of being started: its exit code; -1: it runs. For one that must not start.
   int endsWith(std::size_t router);
+  // Another process of this one's name, on other ports: its number from then on.
+  std::size_t twin(std::size_t router);
+  // --- Their files of the fleet, from the next start or reading on
+  void belong(std::set<std::size_t> routers) { belong_ = std::move(routers); }
+  void keepersAre(std::set<std::size_t> keepers) { lists_.push_back(std::move(keepers)); }
+  void forgetListsBefore() { lists_.erase(lists_.begin(), lists_.end() - 1); }
+  void writeFleet(std::size_t router);
+  void readAnew(std::size_t router);  // SIGHUP
   // Power is lost at these, all in one moment: what they had not synced is there in part.
   void losePower(const std::vector<std::size_t>& routers);
   std::string processor(std::size_t router) const;  // its address
@@ -96,11 +106,14 @@
   loop::Task askAt(std::shared_ptr<Asked> asked);
   template <typename Serve>
   loop::Task acceptAll(loop::Descriptor listener, Serve serve);
+  void configure(std::size_t i);
   void excuse(std::size_t router);
   void tear(const std::string& file);
 
   loop::Loop& loop_;
   Shape shape_;
+  std::vector<std::set<std::size_t>> lists_;  // of keepers, the present one last
+  std::set<std::size_t> belong_;
   std::string path_, node_, discovery_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::vector<std::unique_ptr<Relay>> relays_;
