--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -7,7 +7,6 @@
 #include <fstream>
 
 #include "loop/sockets.h"
-#include "peers/status.h"
 
 namespace gulltrestle::peers {
 
@@ -126,6 +125,7 @@
   const auto at = talks_.find(keeper);
   if (at == talks_.end()) return;
   Talk& talk = *at->second;
+  ++talked_.said;
   talk.session.send(talk.call, grpc::framed(encoded(word)));
   // Only these are answered.
   const bool isAnswered = std::holds_alternative<Hello>(word) || std::holds_alternative<Claim>(word);
@@ -135,7 +135,10 @@
   }
 }
 
-void Peers::reply(StreamKey stream, const Reply& said) { listener_->send(stream, encoded(said)); }
+void Peers::reply(StreamKey stream, const Reply& said) {
+  ++talked_.answersGiven;
+  listener_->send(stream, encoded(said));
+}
 
 void Peers::refuse(StreamKey stream, std::string_view why) {
   listener_->finish(stream, grpc::Status::invalidArgument, why);
@@ -173,7 +176,7 @@
   const std::string beside = setup_.statusFile + ".new";
   std::ofstream file(beside, std::ios::binary | std::ios::trunc);
   const auto disk = store_ ? std::optional(store_->figures()) : std::nullopt;
-  file << statusOf(now, *desk_, disk ? &*disk : nullptr);
+  file << statusOf(now, *desk_, disk ? &*disk : nullptr, talked_);
   file.close();
   const bool fails = !file || std::rename(beside.c_str(), setup_.statusFile.c_str()) != 0;
   if (fails && !std::exchange(statusFails_, fails))
@@ -272,6 +275,7 @@
                 std::string_view left = talk.kept, message;
                 grpc::Cut cut;
                 while ((cut = grpc::cutMessage(left, kLongestMessage, message)) == grpc::Cut::message) {
+                  ++talked_.heard;
                   desk_->replied(keeper, message);
                   pause = kAgainFirst;
                 }
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -14,6 +14,7 @@
 #include "loop/loop.h"
 #include "peers/desk.h"
 #include "peers/setup.h"
+#include "peers/status.h"
 #include "store/store.h"
 
 namespace gulltrestle::peers {
@@ -54,7 +55,10 @@
 
   void seen(Instant now) override { ledger_.see(now); }
   void opened(listener::CallKey) override {}
-  void message(listener::CallKey call, std::string_view bytes) override { desk_->said(call, bytes); }
+  void message(listener::CallKey call, std::string_view bytes) override {
+    ++talked_.wordsTaken;
+    desk_->said(call, bytes);
+  }
   void halfClosed(listener::CallKey call) override { listener_->finish(call, grpc::Status::ok, ""); }
   void ended(listener::CallKey call) override { desk_->ended(call); }
 
@@ -73,6 +77,7 @@
   std::mt19937_64 chance_;
   std::function<Setup()> read_;
   Instant saidAt_, statusAt_;
+  Talked talked_;
   bool statusFails_ = false;
   std::uint64_t saidAsked_ = 0;
   bool faulty_ = false;  // the disk, as it was last logged
--- a/src/peers/status.cpp
+++ b/src/peers/status.cpp
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-std::string statusOf(Instant now, const Desk& desk, const store::Figures* disk) {
+std::string statusOf(Instant now, const Desk& desk, const store::Figures* disk, const Talked& talked) {
   Json all;
   const Service& service = desk.service();
   const auto& ramp = service.ramp();
@@ -70,6 +70,11 @@
                     {"durable_ms_ago", millis(disk->durableAgo)}};
     if (!disk->fault.empty()) all["store"]["fault"] = disk->fault;
   }
+  all["talk"] = {{"said", talked.said}, {"heard", talked.heard}};
+  if (disk) {
+    all["talk"]["words_taken"] = talked.wordsTaken;
+    all["talk"]["answers_given"] = talked.answersGiven;
+  }
   return all.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
--- a/src/peers/status.h
+++ b/src/peers/status.h
@@ -8,7 +8,13 @@
 
 namespace gulltrestle::peers {
 
+// Words that went over this router's streams since it started.
+struct Talked {
+  std::uint64_t said = 0, heard = 0;               // to keepers, and their answers
+  std::uint64_t wordsTaken = 0, answersGiven = 0;  // where it is a keeper
+};
+
 // `disk`: of this router's store; null: it is no keeper.
-std::string statusOf(Instant now, const Desk& desk, const store::Figures* disk);
+std::string statusOf(Instant now, const Desk& desk, const store::Figures* disk, const Talked& talked);
 
 }  // namespace gulltrestle::peers
--- a/tests/fleet/cases.h
+++ b/tests/fleet/cases.h
@@ -43,6 +43,8 @@
 
 // Who belongs, who lives, which start speaks, and who keeps.
 int members();
+// A measurement and no test: words a second and router, and CPU, of so many that are idle.
+int talk(std::size_t routers);
 
 // The same id at two external processors; and, a measurement and no test, the time of a once-only txn.
 int grants();
--- a/tests/fleet/members.cpp
+++ b/tests/fleet/members.cpp
@@ -232,4 +232,87 @@
   return ok ? 0 : 1;
 }
 
+namespace {
+
+class Talk : private Scene {
+ public:
+  explicit Talk(std::size_t routers) : rig_(loop_, 1, shape(routers)) {}
+  int play() {
+    loop_.spawn(scene());
+    run();
+    if (!fault_.empty()) std::cout << fault_ << "\n";
+    return fault_.empty() ? 0 : 1;
+  }
+
+ private:
+  static constexpr Span kMeasured = Span::millis(20'000);
+  static Shape shape(std::size_t routers) {
+    Shape made;
+    made.routers = routers;
+    made.keepers = 5;
+    made.direct = true;
+    return made;
+  }
+  // A figure of the status document by its name; 0: it is not there.
+  double figure(std::size_t router, const std::string& name) const {
+    const std::string text = rig_.document(router);
+    const auto at = text.find("\"" + name + "\": ");
+    return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size() + 4));
+  }
+  loop::Task scene() {
+    const Instant began = loop_.now();
+    rig_.startAll();
+    const Instant by = began + kBound;
+    const auto all = [&](const std::function<bool(std::size_t)>& holds) {
+      for (std::size_t i = 0; i < rig_.routers(); ++i)
+        if (!holds(i)) return false;
+      return true;
+    };
+    const auto entered = [&](std::size_t i) {
+      return rig_.log(i).find("members.entry state=entered") != std::string::npos;
+    };
+    while (!waited(all(entered), by, "routers that have entered"))
+      co_await loop_.sleepUntil(loop_.now() + kLook);
+    std::cout << rig_.routers() << " routers, 5 of them keepers: all have entered after "
+              << (loop_.now() - began).inSeconds() << " s\n";
+    co_await loop_.sleepUntil(loop_.now() + kMeasured * 0.5);  // what a start brings is over
+    struct Sum {
+      double said = 0, heard = 0, taken = 0, given = 0, cpu = 0;
+    };
+    const auto sums = [&](std::size_t from, std::size_t to) {
+      Sum sum;
+      for (std::size_t i = from; i < to; ++i) {
+        sum.said += figure(i, "said");
+        sum.heard += figure(i, "heard");
+        sum.taken += figure(i, "words_taken");
+        sum.given += figure(i, "answers_given");
+        sum.cpu += rig_.cpuSeconds(i);
+      }
+      return sum;
+    };
+    const Sum keepersBefore = sums(0, 5), othersBefore = sums(5, rig_.routers());
+    const Instant from = loop_.now();
+    co_await loop_.sleepUntil(from + kMeasured);
+    const Sum keepers = sums(0, 5), others = sums(5, rig_.routers());
+    const double seconds = (loop_.now() - from).inSeconds();
+    const auto tell = [&](const char* who, std::size_t count, const Sum& before, const Sum& after) {
+      if (count == 0) return;
+      const double each = seconds * static_cast<double>(count);
+      std::cout << who << ", a second: says " << (after.said - before.said) / each << ", hears "
+                << (after.heard - before.heard) / each << ", takes " << (after.taken - before.taken) / each
+                << ", gives " << (after.given - before.given) / each << "; CPU "
+                << (after.cpu - before.cpu) / each * 1000 << " ms\n";
+    };
+    tell("a keeper", 5, keepersBefore, keepers);
+    tell("another router", rig_.routers() - 5, othersBefore, others);
+    loop_.stop();
+  }
+  static constexpr Span kLook = Span::millis(200);
+  Rig rig_;
+};
+
+}  // namespace
+
+int talk(std::size_t routers) { return Talk(routers).play(); }
+
 }  // namespace gulltrestle::fleet
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -148,10 +148,10 @@
       auto relay = std::make_unique<Relay>();
       relay->router = i;
       relay->keeper = k;
-      relay->address =
-          i == k ? processes_[k]->keeper : listen([this, at = relay.get()](loop::Descriptor taken) {
-            return serveRelay(*at, std::move(taken));
-          });
+      relay->address = i == k || shape_.direct ? processes_[k]->keeper
+                                               : listen([this, at = relay.get()](loop::Descriptor taken) {
+                                                   return serveRelay(*at, std::move(taken));
+                                                 });
       relays_.push_back(std::move(relay));
     }
   for (std::size_t i = 0; i < shape_.routers; ++i) configure(i);
@@ -164,7 +164,7 @@
   const std::string base = path_ + "/r" + std::to_string(i);
   std::ofstream(base + ".json") << R"({"name":"r)" << process.name << R"(","listen":")" << process.front
                                 << R"(","discovery":")" << discovery_ << R"(","seed":"5eed",
-      "limits":{"cores":1.0,"memory_mb":192,"sockets":512},"known":null,"settings":{"zone":"a","round":5000,
+      "limits":{"cores":1.0,"memory_mb":192,"sockets":2048},"known":null,"settings":{"zone":"a","round":5000,
       "balancers":3,"limits":{"probes":true,"cancel":true,"secondCopies":true,"retryAfter":true,
       "maxAttempts":4,"maxRetryAfter":500000,"connIdle":30000000,"connectTimeout":250000},
       "lanes":[{"name":"book-charge","effect":"at_most_once","objective":400000,"deadline":1000000,"worth":3,"lateShare":0.7},
@@ -191,8 +191,9 @@
   for (std::size_t n = 0; n + 1 < lists_.size(); ++n) before += (n ? "," : "") + named(lists_[n]);
   std::ofstream(path_ + "/r" + std::to_string(i) + ".fleet.json")
       << "{\"keepers\":{" << keepers << "},\"keepers_before\":[" << before
-      << "],\"routers\":" << named(belong_) << ",\"store\":\"" << folder(name)
-      << "\",\"retention_ms\":4000,\"longest_wait_ms\":800,\"first_txns\":1000}";
+      << "],\"routers\":" << named(belong_) << ",\"store\":\"" << folder(name) << "\",\"status_file\":\""
+      << path_ << "/r" << i
+      << ".status.json\",\"retention_ms\":4000,\"longest_wait_ms\":800,\"first_txns\":1000}";
 }
 
 std::size_t Rig::twin(std::size_t router) {
@@ -286,6 +287,20 @@
   return -1;
 }
 
+std::string Rig::document(std::size_t i) const {
+  return contentOf(path_ + "/r" + std::to_string(i) + ".status.json");
+}
+
+double Rig::cpuSeconds(std::size_t i) const {
+  const std::string text = contentOf("/proc/" + std::to_string(processes_[i]->id) + "/stat");
+  std::istringstream rest(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  for (int n = 0; n < 11; ++n) rest >> skipped;
+  double user = 0, system = 0;
+  rest >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 std::string Rig::processor(std::size_t i) const { return processes_[i]->processor; }
 
 std::string Rig::log(std::size_t i) const { return contentOf(path_ + "/r" + std::to_string(i) + ".log"); }
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -20,6 +20,7 @@
 struct Shape {
   std::size_t routers = 3, keepers = 3;
   std::size_t spares = 0;  // of the other routers, that may become keepers
+  bool direct = false;     // no relays: for measuring
   bool settles = true;     // with the file of the fleet; else each router stands by itself
   bool lyingDisk = false;  // a built-in fault
   std::string discovery;   // of stand-in nodes that speak HTTP: routers are external processors for them
@@ -94,6 +95,8 @@
   std::string judge() const;
   std::string died() const;  // which router ended by itself; empty: none
   std::string path() const { return path_; }
+  std::string document(std::size_t router) const;  // its status
+  double cpuSeconds(std::size_t router) const;   // that its process has used
   // The folder of logs is left where something broke.
   void keep() { keep_ = true; }
 
--- a/tests/setups.cpp
+++ b/tests/setups.cpp
@@ -126,7 +126,7 @@
     store::Figures disk;
     disk.bytes = 20480;
     disk.fault = "disk I/O error";
-    return statusOf(ledger_.now(), *desk_, &disk);
+    return statusOf(ledger_.now(), *desk_, &disk, {});
   }
 
  private:
