The rig's node is a process that loses its power, and what it had not synced

Need: in the rig only routers lost power; whether an acknowledged outcome lasts could not be judged, as the node kept it in memory that nothing took. tests/fleet/pg_node is the stand-in node with a log of its own, synced before its answer; as a process (fleet_node) it is killed, its log goes back to what was synced with any part of the rest, half lines included, and it starts on that. The verdict reads that log: who was told committed has to be in it. Two kinds more: power lost at all and the node, and at the node alone. fleet returns shows two witnesses that prove positions to one that starts alone, and a stage that an operator forces with SIGHUP.

A keeper's start held all entries twice: takeKept() hands them over. `votes FOLDER IDS` measures a start by ids.

--- a/benchmarks/votes.cpp
+++ b/benchmarks/votes.cpp
@@ -1,11 +1,14 @@
 // How many votes a second a disk makes durable, by how many are committed together: the store as it is, and
-// SQLite by itself with its two journals. Run as `votes FOLDER`; the folder must not be there. A measurement,
-// no test.
+// SQLite by itself with its two journals. Run as `votes FOLDER`; the folder must not be there. With a number
+// of ids behind it: how long a keeper that holds so many takes to start, and in how much memory. A
+// measurement, no test.
 #include <poll.h>
 #include <sqlite3.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 #include "store/store.h"
@@ -70,11 +73,53 @@
   sqlite3_close(db);
 }
 
+// Of this process, in MB.
+double resident() {
+  std::ifstream status("/proc/self/statm");
+  double pages = 0;
+  status >> pages >> pages;
+  return pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+void start(const std::string& folder, std::uint64_t ids) {
+  constexpr std::uint64_t kTogether = 20'000;
+  const std::string file = folder + "/claims.db";
+  store::create(folder, "r1");
+  {
+    store::Store store(folder, "r1", 1, {{1, {"r1"}}});
+    for (std::uint64_t n = 0; n < ids;) {
+      std::vector<claims::Keeper::Change> changes;
+      while (changes.size() < kTogether && n < ids) changes.push_back(vote(++n));
+      const auto ticket = store.write(std::move(changes));
+      for (bool durable = false; !durable;) {
+        pollfd ready{store.descriptor(), POLLIN, 0};
+        poll(&ready, 1, 1000);
+        for (const auto& done : store.done()) durable = durable || done.ticket == ticket;
+      }
+    }
+  }
+  const double before = resident();
+  const auto began = Clock::now();
+  store::Store store(folder, "r1", 2, {{1, {"r1"}}});
+  const double opened = secondsSince(began);
+  claims::KeeperBounds bounds;
+  bounds.most = ids + 1;
+  const claims::Keeper keeper(Instant::atMicros(1), "r1", bounds, store.takeKept());
+  std::cout << ids << " ids, a file of " << static_cast<double>(std::filesystem::file_size(file)) / 1e6
+            << " MB: opened and checked in " << opened << " s, a keeper that holds " << keeper.size()
+            << " after " << secondsSince(began) << " s, " << resident() - before << " MB\n";
+}
+
 }  // namespace
 
 int main(int count, char** words) {
   if (count < 2 || !std::filesystem::create_directory(words[1])) return 2;
   const std::string folder = words[1];
+  if (count > 2) {
+    start(folder, std::stoull(words[2]));
+    std::filesystem::remove_all(folder);
+    return 0;
+  }
   for (const std::size_t together : {1, 10, 100}) {
     asItIs(folder + "/store" + std::to_string(together), together);
     plain(folder + "/truncate" + std::to_string(together), "TRUNCATE", "EXTRA", together);
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -93,8 +93,7 @@
       spdlog::error("event=store.damaged set_aside=\"{}\"", store_->setAside());
     spdlog::info("event=store.opened folder={} start={} whole={} ids={}", setup_.folder,
                  store_->kept().own.back().number, store_->kept().whole, store_->kept().entries.size());
-    kept = store_->kept();
-    store_->forgetKept();
+    kept = store_->takeKept();
   }
   Effects& effects = *this;
   listener::Receiver& receiver = *this;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -14,6 +14,7 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "claims/keeper.h"
@@ -57,7 +58,8 @@
   ~Store();
 
   const claims::Kept& kept() const { return kept_; }
-  void forgetKept() { kept_.entries.clear(); }
+  // For the keeper, which holds it from then on: nothing of it is left here.
+  claims::Kept takeKept() { return std::exchange(kept_, {}); }
   // What was found damaged and set aside; empty: nothing was.
   const std::string& setAside() const { return setAside_; }
 
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -34,7 +34,9 @@
   diskLost,
   diskOfAnother,
   diskTorn,
-  oldListAfterADrain
+  oldListAfterADrain,
+  powerAllAndNode,
+  powerOfTheNode
 };
 constexpr const char* kTroubles[] = {"power lost at all",
                                      "power lost at all but one",
@@ -52,8 +54,10 @@
                                      "a keeper's disk lost",
                                      "a keeper with the disk of another",
                                      "a keeper's disk torn",
-                                     "a node drained, and an older list after the power loss"};
-constexpr int kKinds = 17;
+                                     "a node drained, and an older list after the power loss",
+                                     "power lost at all, the node too",
+                                     "power lost at the node"};
+constexpr int kKinds = 19;
 
 // How long clients repeat an id: what the time of retention, 4 s here, allows with their wait of 1 s.
 constexpr Span kRepeats = Span::millis(2500);
@@ -165,21 +169,21 @@
           break;
         case Trouble::powerBetweenRunAndAnswer: {
           bool lost = false;
-          rig_.onWrite = [&](const std::string&) {
+          rig_.node().onWrite = [&](const std::string&) {
             if (!std::exchange(lost, true)) lose(order);
           };
           const Instant until = loop_.now() + kBound;
           while (!waited(lost, until, "a write")) co_await tick();
-          rig_.onWrite = nullptr;
+          rig_.node().onWrite = nullptr;
           break;
         }
         case Trouble::answersLost: {
-          rig_.swallowAnswers = true;
+          rig_.node().swallowAnswers = true;
           const std::uint64_t some = rig_.writes() + 5;
           const Instant until = loop_.now() + kBound;
           while (!waited(rig_.writes() >= some, until, "writes")) co_await tick();
           rig_.kill(one);
-          rig_.swallowAnswers = false;
+          rig_.node().swallowAnswers = false;
           break;
         }
         case Trouble::stoppedThroughIt:
@@ -247,6 +251,13 @@
           }
           break;
         }
+        case Trouble::powerAllAndNode:
+          lose(order);
+          rig_.losePowerOfNode();
+          break;
+        case Trouble::powerOfTheNode:
+          rig_.losePowerOfNode();
+          break;
         case Trouble::diskTorn:
           rig_.kill(keeper);
           spoil(rig_.folder(keeper) + "/claims.db");
@@ -268,6 +279,7 @@
       }
       // --- They come back in any order, some after the others serve
       rig_.flowAll(Flow::open);
+      rig_.startNode();
       const std::size_t late = rig_.pick(3);
       for (std::size_t n = 0; n < order.size(); ++n) {
         if (without_.contains(order[n]) || n + late >= order.size()) continue;
@@ -324,6 +336,7 @@
 }
 
 std::string played(std::uint64_t seed, Trouble trouble, Shape shape, Sum& sum) {
+  if (trouble >= Trouble::powerAllAndNode && shape.node == Syncs::never) shape.node = Syncs::always;
   const bool spoilsDisk = trouble >= Trouble::oneNeverReturns && trouble <= Trouble::diskTorn;
   World world(seed, trouble, shape, sum);
   const std::string fault = world.play(spoilsDisk ? 1 : 2);
@@ -373,6 +386,10 @@
   found("routers that settle nothing among themselves", Trouble::powerAll, alone);
   found("routers that tell each other nothing of drains", Trouble::oldListAfterADrain, alone,
         "sent to a node that was drained");
+  Shape forgetful;
+  forgetful.node = Syncs::lies;
+  found("a node that acknowledges what it has not synced", Trouble::powerAllAndNode, forgetful,
+        "told as committed and not in the node's log");
   Shape lying;
   lying.lyingDisk = true;
   found("disks that say that they synced and did not", Trouble::powerAll, lying);
--- a/tests/fleet/returns.cpp
+++ b/tests/fleet/returns.cpp
@@ -18,12 +18,14 @@
 
 class Returns : private Scene {
  public:
-  explicit Returns(bool settles)
+  // `forced`: an operator says that the one that the list names is to be written to.
+  Returns(bool settles, bool forced)
       : discovery_(loop_),
         old_(loop_, "p", true),
         new_(loop_, "q", false),
         rig_(loop_, 1, shape(settles)),
-        settles_(settles) {
+        settles_(settles),
+        forced_(forced) {
     for (std::size_t i = 0; i < rig_.routers(); ++i) {
       standins::ProxySetup setup;
       setup.processor = rig_.processor(i);
@@ -94,6 +96,19 @@
     std::cout << "the primary changes: " << (fault_.empty() ? "each router writes to the new one" : fault_)
               << "\n";
 
+    if (settles_) {
+      // One starts alone, and is told by the two others what nodes said to them.
+      rig_.kill(2);
+      rig_.start(2);
+      const Instant soon = loop_.now() + kBound;
+      const auto proven = [&] {
+        const std::string log = rig_.log(2);
+        return log.find("proven=1") != std::string::npos || log.find("proven=2") != std::string::npos;
+      };
+      while (!waited(proven(), soon, "two witnesses")) co_await tick();
+      std::cout << "one starts alone: two others prove to it what nodes have reached\n";
+    }
+
     std::vector<std::size_t> all;
     for (std::size_t i = 0; i < rig_.routers(); ++i) all.push_back(i);
     rig_.losePower(all);
@@ -114,6 +129,22 @@
     std::cout << "the old one is back first: reads are served, "
               << (written ? "writes go to it and are lost" : "nothing is written to it") << "\n";
     if (written == settles_) broken("written to the old primary or not, as it should not be");
+    if (forced_) {
+      rig_.force("writes");
+      for (std::size_t i = 0; i < rig_.routers(); ++i) rig_.readAnew(i);
+      const Instant late = loop_.now() + kBound;
+      for (std::size_t i = 0; i < rig_.routers(); ++i)
+        for (const auto w = writes_; !waited(commits(writes_, w), late, "a write as forced");) {
+          ask(i, true);
+          while (open_ > 0) co_await tick();
+        }
+      const bool said = allLogged("recovery.forced stage=writes by=\"kim\"");
+      std::cout << "an operator says that it is the one: "
+                << (said && fault_.empty() ? "each router writes to it, and says on whose word" : fault_)
+                << "\n";
+      loop_.stop();
+      co_return;
+    }
 
     new_.down = false;
     old_.primary = false;
@@ -134,7 +165,7 @@
   standins::Discovery discovery_;
   standins::Node old_, new_;
   Rig rig_;
-  bool settles_;
+  bool settles_, forced_;
   std::vector<std::unique_ptr<standins::Proxy>> proxies_;
   std::size_t open_ = 0;
   std::uint64_t writes_ = 0, reads_ = 0, ids_ = 0;
@@ -144,9 +175,11 @@
 
 int returns() {
   std::cout << "-- routers that settle nothing\n";
-  Returns(false).play();
+  Returns(false, false).play();
   std::cout << "-- routers that know the primary from before\n";
-  return Returns(true).play() ? 0 : 1;
+  const bool holds = Returns(true, false).play();
+  std::cout << "-- and an operator\n";
+  return Returns(true, true).play() && holds ? 0 : 1;
 }
 
 }  // namespace gulltrestle::fleet
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -20,6 +21,7 @@
 #include "pg/statement.h"
 #include "startup/startup.h"
 #include "store/store.h"
+#include "streams.h"
 
 namespace gulltrestle::fleet {
 
@@ -34,7 +36,6 @@
   return "127." + std::to_string(1 + id / 62500 % 250) + "." + std::to_string(id / 250 % 250) + "." +
          std::to_string(2 + id % 250);
 }();
-constexpr std::size_t kLongest = 256 * 1024;
 constexpr std::size_t kSector = 512;
 // A client waits for its answer for so long in the protocol; far longer here, so that a busy machine is not
 // taken for a lost answer.
@@ -57,42 +58,6 @@
     } catch (const std::system_error&) {}
 }
 
-std::string number(std::uint32_t n, int bytes) {
-  std::string made;
-  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) made += static_cast<char>(n >> shift & 0xFF);
-  return made;
-}
-std::string status(std::string_view name, std::string_view value) {
-  return pg::message('S', std::string(name) + '\0' + std::string(value) + '\0');
-}
-std::string row(const std::string& value) {
-  const std::string column = std::string("body") + '\0' + number(0, 4) + number(0, 2) + number(17, 4) +
-                             number(0xFFFF, 2) + number(0xFFFFFFFF, 4) + number(0, 2);
-  return pg::message('T', number(1, 2) + column) +
-         pg::message('D', number(1, 2) + number(static_cast<std::uint32_t>(value.size()), 4) + value) +
-         pg::message('C', std::string("INSERT 0 1") + '\0');
-}
-
-bool readAll(loop::Stream& from, std::string& kept, std::size_t most = kLongest) {
-  while (from.canRead && kept.size() < most) {
-    char bytes[16384];
-    const auto got = loop::readInto(from.descriptor(), bytes);
-    if (got.how == Io::some) kept.append(bytes, got.size);
-    if (got.how == Io::wouldBlock) from.canRead = false;
-    if (got.how == Io::ended || got.how == Io::failed) return false;
-  }
-  return true;
-}
-bool write(loop::Stream& to, std::string& unsent) {
-  while (!unsent.empty()) {
-    const std::string_view all = unsent;
-    const auto done = loop::writeFrom(to.descriptor(), {&all, 1});
-    if (done.how != Io::some) return done.how == Io::wouldBlock;
-    unsent.erase(0, done.size);
-  }
-  return true;
-}
-
 std::string contentOf(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   return {std::istreambuf_iterator<char>(file), {}};
@@ -124,7 +89,13 @@
     loop_.spawn(acceptAll(std::move(made), serve));
     return at;
   };
-  node_ = listen([this](loop::Descriptor taken) { return serveNode(std::move(taken)); });
+  if (shape_.node == Syncs::never) {
+    inner_ = std::make_unique<PgNode>(loop_, kHost, 0, path_ + "/node.log", Syncs::never);
+    node_ = inner_->address();
+  } else {
+    node_ = freeAddress();
+    startNode();
+  }
   discovery_ = listen([this](loop::Descriptor taken) { return serveDiscovery(std::move(taken)); });
   if (!shape_.discovery.empty()) discovery_ = shape_.discovery;
   const std::size_t mayKeep = shape_.keepers + shape_.spares;
@@ -191,8 +162,9 @@
   for (std::size_t n = 0; n + 1 < lists_.size(); ++n) before += (n ? "," : "") + named(lists_[n]);
   std::ofstream(path_ + "/r" + std::to_string(i) + ".fleet.json")
       << "{\"keepers\":{" << keepers << "},\"keepers_before\":[" << before
-      << "],\"routers\":" << named(belong_) << ",\"store\":\"" << folder(name) << "\",\"status_file\":\""
-      << path_ << "/r" << i
+      << "],\"routers\":" << named(belong_)
+      << (forced_.empty() ? "" : ",\"force\":{\"stage\":\"" + forced_ + "\",\"by\":\"kim\"}")
+      << ",\"store\":\"" << folder(name) << "\",\"status_file\":\"" << path_ << "/r" << i
       << ".status.json\",\"retention_ms\":4000,\"longest_wait_ms\":800,\"first_txns\":1000}";
 }
 
@@ -210,6 +182,7 @@
 
 Rig::~Rig() {
   for (std::size_t i = 0; i < processes_.size(); ++i) kill(i);
+  killNode();
   loop_.endTasks();
   if (!keep_) std::filesystem::remove_all(path_);
 }
@@ -387,48 +360,42 @@
 
 // --- The node and discovery
 
+std::vector<std::string> Rig::ranAll() const { return inner_ ? inner_->ran() : readLog(path_ + "/node.log"); }
+
 int Rig::ran(const std::string& id) const {
-  const auto at = ran_.find(id);
-  return at == ran_.end() ? 0 : at->second;
+  const auto all = ranAll();
+  return static_cast<int>(std::count(all.begin(), all.end(), id));
 }
 
-loop::Task Rig::serveNode(loop::Descriptor descriptor) {
-  loop::Stream stream(loop_, std::move(descriptor));
-  std::string kept, unsent;
-  bool started = false;
-  while (readAll(stream, kept)) {
-    std::string_view bytes = kept;
-    if (!started && (started = pg::takeOpening(bytes).has_value())) unsent += pg::welcome();
-    while (started) {
-      const auto message = pg::takeMessage(bytes, kLongest);
-      if (!message) break;
-      if (message->type == 'X') co_return;
-      if (message->type != 'Q') continue;
-      auto body = message->body;
-      const std::string text(pg::takeText(body));
-      const std::string position = std::to_string(loop_.now().inMicros() / 1000 + 1);
-      const std::string told =
-          status("part", "master") + status("caught_up_to", position) + pg::readyForQuery();
-      if (pg::isBlank(text) || text == "SELECT 1") {
-        unsent += pg::isBlank(text) ? pg::emptyQueryResponse() + pg::readyForQuery() : row("1") + told;
-        continue;
-      }
-      if (text.starts_with("SHOW")) {
-        unsent += row("x0=" + std::to_string((loop_.now() - Instant()).inSeconds()) + ",x1=1") + told;
-        continue;
-      }
-      const std::string id(pg::readStatement(text).id);
-      ++ran_[id];
-      ++writes_;
-      std::ofstream(path_ + "/node.log", std::ios::app) << "ran " << id << "\n";
-      if (onWrite) onWrite(id);
-      if (swallowAnswers) co_return;
-      unsent += row("value of " + id) + told;
-    }
-    kept.erase(0, kept.size() - bytes.size());
-    if (!write(stream, unsent)) co_return;
-    co_await stream.changed();
-  }
+void Rig::startNode() {
+  if (inner_ || nodeProcess_ > 0) return;
+  std::cout.flush();
+  const auto at = startup::readAddress("node", node_);
+  const pid_t parent = getpid();
+  nodeProcess_ = fork();
+  if (nodeProcess_ != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid() != parent) _exit(127);
+  execl(GULLTRESTLE_NODE, GULLTRESTLE_NODE, at.host.c_str(), std::to_string(at.port).c_str(),
+        (path_ + "/node.log").c_str(), shape_.node == Syncs::lies ? "lies" : "always",
+        static_cast<char*>(nullptr));
+  _exit(127);
+}
+
+void Rig::killNode() {
+  if (nodeProcess_ <= 0) return;
+  ::kill(nodeProcess_, SIGKILL);
+  waitpid(nodeProcess_, nullptr, 0);
+  nodeProcess_ = -1;
+}
+
+// Of what was not synced any part from the front is on disk, also half a line.
+void Rig::losePowerOfNode() {
+  killNode();
+  const std::string file = path_ + "/node.log", now = contentOf(file), told = contentOf(file + ".synced");
+  const std::size_t synced = told.empty() ? 0 : std::stoul(told);
+  const std::size_t kept = synced + pick(now.size() - synced + 1);
+  std::ofstream(file, std::ios::binary | std::ios::trunc) << now.substr(0, kept);
 }
 
 void Rig::list(std::uint64_t version, const std::string& state) {
@@ -543,18 +510,20 @@
 // --- The verdict
 
 std::string Rig::judge() const {
-  for (const auto& [id, times] : ran_)
+  std::map<std::string, int> runs;
+  for (const auto& id : ranAll()) ++runs[id];
+  for (const auto& [id, times] : runs)
     if (times > 1) return "ran twice: " + id;
   std::map<std::string, bool> mayHaveRun;  // by an answer, or by none
   for (const auto& asked : book_) {
     if (asked->outcome == Outcome::none && !asked->excused) return "no final answer: " + asked->id;
-    if (asked->outcome == Outcome::committed && ran(asked->id) == 0)
-      return "committed and never ran: " + asked->id;
+    if (asked->outcome == Outcome::committed && !runs.contains(asked->id))
+      return "told as committed and not in the node's log: " + asked->id;
     if (asked->outcome == Outcome::committed && asked->value != "value of " + asked->id)
       return "a wrong value: " + asked->id;
     if (asked->outcome != Outcome::declined) mayHaveRun[asked->id] = true;
   }
-  for (const auto& [id, times] : ran_)
+  for (const auto& [id, times] : runs)
     if (!mayHaveRun[id]) return "ran, and all were told that it did not: " + id;
   return died();
 }
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "loop/loop.h"
+#include "pg_node.h"
 
 namespace gulltrestle::fleet {
 
@@ -23,7 +24,9 @@
   bool direct = false;     // no relays: for measuring
   bool settles = true;     // with the file of the fleet; else each router stands by itself
   bool lyingDisk = false;  // a built-in fault
-  std::string discovery;   // of stand-in nodes that speak HTTP: routers are external processors for them
+  // never: the node is in this process, and keeps what ran; else it is a process, which may lose its power.
+  Syncs node = Syncs::never;
+  std::string discovery;  // of stand-in nodes that speak HTTP: routers are external processors for them
 };
 
 enum class Outcome { committed, declined, rolledBack, none };
@@ -62,6 +65,7 @@
   // --- Their files of the fleet, from the next start or reading on
   void belong(std::set<std::size_t> routers) { belong_ = std::move(routers); }
   void keepersAre(std::set<std::size_t> keepers) { lists_.push_back(std::move(keepers)); }
+  void force(std::string stage) { forced_ = std::move(stage); }
   void forgetListsBefore() { lists_.erase(lists_.begin(), lists_.end() - 1); }
   void writeFleet(std::size_t router);
   void readAnew(std::size_t router);  // SIGHUP
@@ -79,9 +83,10 @@
   // What discovery tells from now on, also those that watch; a version that goes back is told to new ones
   // alone.
   void list(std::uint64_t version, const std::string& state);
-  std::function<void(const std::string& id)> onWrite;  // after it ran, before it is answered
-  bool swallowAnswers = false;                         // what ran is not answered: the connection ends
-  std::uint64_t writes() const { return writes_; }
+  PgNode& node() { return *inner_; }  // where it is in this process
+  void startNode();
+  void losePowerOfNode();
+  std::uint64_t writes() const { return ranAll().size(); }
   int ran(const std::string& id) const;
 
   // --- Clients
@@ -96,14 +101,15 @@
   std::string died() const;  // which router ended by itself; empty: none
   std::string path() const { return path_; }
   std::string document(std::size_t router) const;  // its status
-  double cpuSeconds(std::size_t router) const;   // that its process has used
+  double cpuSeconds(std::size_t router) const;     // that its process has used
   // The folder of logs is left where something broke.
   void keep() { keep_ = true; }
 
  private:
   struct Process;
   struct Relay;
-  loop::Task serveNode(loop::Descriptor descriptor);
+  std::vector<std::string> ranAll() const;  // as the node's log has it
+  void killNode();
   loop::Task serveDiscovery(loop::Descriptor descriptor);
   loop::Task serveRelay(Relay& relay, loop::Descriptor descriptor);
   loop::Task askAt(std::shared_ptr<Asked> asked);
@@ -117,14 +123,15 @@
   Shape shape_;
   std::vector<std::set<std::size_t>> lists_;  // of keepers, the present one last
   std::set<std::size_t> belong_;
+  std::string forced_;
   std::string path_, node_, discovery_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::vector<std::unique_ptr<Relay>> relays_;
   std::uint64_t version_ = 1;
   std::string state_ = "up";
   std::vector<loop::Stream*> watchers_;
-  std::map<std::string, int> ran_;
-  std::uint64_t writes_ = 0;
+  std::unique_ptr<PgNode> inner_;
+  int nodeProcess_ = -1;
   std::vector<std::shared_ptr<Asked>> book_;
   std::size_t open_ = 0;
   bool keep_ = false;
--- /dev/null
+++ b/tests/fleet/streams.h
@@ -0,0 +1,36 @@
+// Reading and writing of the rig's parts on their streams.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "loop/loop.h"
+#include "loop/sockets.h"
+
+namespace gulltrestle::fleet {
+
+constexpr std::size_t kLongest = 256 * 1024;
+
+// False: the other side has ended.
+inline bool readAll(loop::Stream& from, std::string& kept, std::size_t most = kLongest) {
+  while (from.canRead && kept.size() < most) {
+    char bytes[16384];
+    const auto got = loop::readInto(from.descriptor(), bytes);
+    if (got.how == loop::Io::some) kept.append(bytes, got.size);
+    if (got.how == loop::Io::wouldBlock) from.canRead = false;
+    if (got.how == loop::Io::ended || got.how == loop::Io::failed) return false;
+  }
+  return true;
+}
+// False: it can't be written any more. What is left stays in `unsent`.
+inline bool write(loop::Stream& to, std::string& unsent) {
+  while (!unsent.empty()) {
+    const std::string_view all = unsent;
+    const auto done = loop::writeFrom(to.descriptor(), {&all, 1});
+    if (done.how != loop::Io::some) return done.how == loop::Io::wouldBlock;
+    unsent.erase(0, done.size);
+  }
+  return true;
+}
+
+}  // namespace gulltrestle::fleet
