A commit dated over a minute back no longer crashes a router

Faulty lines: src/routing/router.cpp, remember(): `while (remembered.size() > 20000 || now - remembered.front().second > kForgetAfter)`. A session's write that a node dates over a minute before the router's now is older than what is kept, so the loop takes out the one it has just put in, and then looks at the front of an empty queue. It takes a node whose clock is a minute behind, or one answer with an old position. The loop now ends with the queue; the floor for all sessions takes the commit over, as for any that is forgotten.

decisions.late-clock: SEGV under the address sanitizer before (checked), goes on now.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -572,7 +572,9 @@
     Instant& last = commits[session];
     last = std::max(last, commit);
     remembered.emplace_back(session, last);
-    while (remembered.size() > 20000 || now - remembered.front().second > kForgetAfter) {
+    // A node may date a commit by a clock that is minutes behind: it is older than all from the start.
+    while (remembered.size() > 20000 ||
+           (!remembered.empty() && now - remembered.front().second > kForgetAfter)) {
       const auto [id, at] = remembered.front();
       remembered.pop_front();
       if (commits[id] > at) continue;  // it wrote again since
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -161,6 +161,24 @@
   b.run(1605, 2650);
 }
 
+void lateClock() {
+  auto terms = usualTerms({kAny, kSession, kWrite});
+  terms.sessionAgeCarried = false;
+  Bench b(terms);
+  start(b);
+  b.quietProbes = true;
+  b.say("the first write of a session is committed by a node whose clock is 100 s behind");
+  Txn write = b.txn(1, 2);
+  write.session = 7;
+  b.at(10, [&](Router& r) { r.taken(write); });
+  b.at(15, [&](Router& r) {
+    r.ended(1, 0, "p", End::committed, true, ms(5), {Role::primary, b.instant(-100'000)}, {});
+  });
+  b.say("the session reads what any session does");
+  b.at(20, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, -90'000)); });
+  b.at(25, [&](Router& r) { r.taken(b.sessionRead(2, 1, 0, 7)); });
+}
+
 void forgetting() {
   auto terms = usualTerms({kAny, kSession, kWrite});
   terms.sessionAgeCarried = false;
@@ -670,7 +688,7 @@
 const std::map<std::string, void (*)()> kCases{
     {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly},
     {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
-    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"dead-work", deadWork},
+    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"late-clock", lateClock}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"dead-work", deadWork},
     {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
     {"asked-list", askedList}, {"second-copy", secondCopy}, {"stall", stall},
     {"old-latencies", oldLatencies}, {"worthless", worthless}, {"told", told},
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -331,6 +331,7 @@
 
 Shape shapeOf(std::uint64_t seed) {
   Shape shape;
+  shape.clocksDiffer = seed % 2 == 1;
   shape.routers = seed % 4 == 0 ? 9 : seed % 2 == 0 ? 5 : 3;
   return shape;
 }
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -194,6 +194,8 @@
   if (process.id > 0) return;
   const std::string base = path_ + "/r" + std::to_string(i);
   std::cout.flush();
+  // Drawn anew for each start: it jumps, too.
+  const long shift = shape_.clocksDiffer ? static_cast<long>(pick(1201)) - 600 : 0;
   const pid_t parent = getpid();
   process.id = fork();
   if (process.id != 0) return;
@@ -202,6 +204,7 @@
   setenv("BALANCER_CONFIG", (base + ".json").c_str(), 1);
   if (shape_.settles) setenv("GULLTRESTLE_FLEET", (base + ".fleet.json").c_str(), 1);
   if (!shape_.discovery.empty()) setenv("GULLTRESTLE_EXT_PROC", (base + ".ext.json").c_str(), 1);
+  if (shift != 0) setenv("RIG_CLOCK_SHIFT", std::to_string(shift).c_str(), 1);
   if (shape_.lyingDisk) setenv("RIG_LYING_DISK", "1", 1);
   const int out = ::open((base + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   if (out < 0 || dup2(out, 1) < 0 || dup2(out, 2) < 0) _exit(127);
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -26,7 +26,8 @@
   bool lyingDisk = false;  // a built-in fault
   // never: the node is in this process, and keeps what ran; else it is a process, which may lose its power.
   Syncs node = Syncs::never;
-  std::string discovery;  // of stand-in nodes that speak HTTP: routers are external processors for them
+  bool clocksDiffer = false;  // each start's clock of the day is off by up to ten minutes
+  std::string discovery;      // of stand-in nodes that speak HTTP: routers are external processors for them
 };
 
 enum class Outcome { committed, declined, rolledBack, none };
--- a/tests/fleet/synced.cpp
+++ b/tests/fleet/synced.cpp
@@ -2,6 +2,9 @@
 // of what of them was synced, FILE.synced, so that the rig can take what was not when power is lost. A kill
 // alone would leave it in the page cache.
 #include <sqlite3.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <cstdlib>
@@ -72,6 +75,13 @@
   return code;
 }
 
+// By how much this process's clock of the day is off, in seconds: machines differ by minutes after a loss of
+// power. The running clock is left as it is.
+const long kClockShift = [] {
+  const char* shift = std::getenv("RIG_CLOCK_SHIFT");
+  return shift ? std::strtol(shift, nullptr, 10) : 0;
+}();
+
 struct Install {
   Install() {
     sqlite3_initialize();
@@ -87,3 +97,10 @@
 } install;
 
 }  // namespace
+
+// Found ahead of the C library's by everything in this process.
+extern "C" int clock_gettime(clockid_t clock, timespec* at) {
+  const long code = syscall(SYS_clock_gettime, clock, at);
+  if (code == 0 && clock == CLOCK_REALTIME) at->tv_sec += kClockShift;
+  return static_cast<int>(code);
+}
