A session that keeps asking is served again once its first try has expired

Seen: a new scene of the rig (fleet last): all lose power, the only replica that has what a session wrote comes back last. Once it was there the session's reads were still declined at once, 24,468 of them in a minute, while it stood idle. Checked and ruled out: that nobody asks an unwell replica for its position (it was asked; letting unwell ones be asked once a second changed nothing, and was taken out again), the ramp and the stages (over, all in, by the log).

Faulty lines: src/routing/router.cpp, waitedBefore(): a session that asks for the same type within a second of being given up counts as a later try of the first one, whatever its id. Who keeps asking never pauses for a second, so its SLA time ran from a read of minutes ago, and every new one was worth nothing from the start. Now the first try's expiry ends that: who asks later asks anew.

decisions.keeps-asking: nothing is submitted without the change (checked), 34 and 35 are with it. fleet last: each router serves the session again; a replica that tells falsely is found by the verdict.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -151,19 +151,21 @@
 
   // How long a txn's client has waited in earlier tries. Its SLA time runs from the first; tries that come
   // when that is past earn nothing, and crowd out others in an overload. A session that asks for the same
-  // within a second of being given up comes back. Else, first tries of all types are given up after one share
-  // of the expiry, common among the last few (a sixth of them within 1%); a later one has what the expiry
-  // leaves, which dates it. May hurt the few whose patience is their own.
+  // within a second of being given up comes back, unless the first try has expired: it asks anew. Else, first
+  // tries of all types are given up after one share of the expiry, common among the last few (a sixth of them
+  // within 1%); a later one has what the expiry leaves, which dates it. May hurt the few whose patience is
+  // their own.
   Span waitedBefore(const Txn& txn) {
+    const Span expiry = terms.types[txn.type].expiry;
     const auto same = std::find_if(givenUp.rbegin(), givenUp.rend(), [&](const GivenUp& g) {
-      return txn.session == g.session && txn.type == g.type && now - g.at < Span::seconds(1);
+      return txn.session == g.session && txn.type == g.type && now - g.at < Span::seconds(1) &&
+             now - g.firstAt < expiry;
     });
     if (same != givenUp.rend()) {
       const Span waited = now - same->firstAt;
       givenUp.erase(std::next(same).base());
       return waited;
     }
-    const Span expiry = terms.types[txn.type].expiry;
     const double share = txn.patience / expiry;
     const auto near = std::count_if(patiences.begin(), patiences.end(),
                                     [&](auto& p) { return std::abs(p.first - share) < 0.01; });
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -161,6 +161,36 @@
   b.run(1605, 2650);
 }
 
+void keepsAsking() {
+  auto terms = usualTerms({kAny, kSession, kWrite});
+  terms.sessionAgeCarried = false;
+  Bench b(terms);
+  start(b);
+  b.quietProbes = true;
+  b.say("no node has what a session wrote; it asks five times a second");
+  b.at(5, [&](Router& r) {
+    r.listed(ListKind::changes, {b.entry("p", true, Health::draining), b.entry("a"), b.entry("b")});
+  });
+  Txn write = b.txn(1, 2);
+  write.session = 7;
+  b.at(10, [&](Router& r) { r.taken(write); });
+  TxnId id = 10;
+  for (std::int64_t at = 20; at < 4000; at += 200)
+    b.at(at, [&](Router& r) {
+      Txn read = b.sessionRead(++id, 1, 0, 7);
+      read.patience = ms(400);
+      r.taken(read);
+    });
+  b.say("a replica has it from 4 s on: it is served");
+  b.at(4000, [&](Router& r) { r.probed("a", End::committed, b.standing(Role::replica, 3990)); });
+  for (std::int64_t at = 4010; at < 4900; at += 200)
+    b.at(at, [&](Router& r) {
+      Txn read = b.sessionRead(++id, 1, 500, 7);
+      read.patience = ms(400);
+      r.taken(read);
+    });
+}
+
 void lateClock() {
   auto terms = usualTerms({kAny, kSession, kWrite});
   terms.sessionAgeCarried = false;
@@ -688,7 +718,7 @@
 const std::map<std::string, void (*)()> kCases{
     {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly},
     {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
-    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"late-clock", lateClock}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"dead-work", deadWork},
+    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"late-clock", lateClock}, {"keeps-asking", keepsAsking}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"dead-work", deadWork},
     {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
     {"asked-list", askedList}, {"second-copy", secondCopy}, {"stall", stall},
     {"old-latencies", oldLatencies}, {"worthless", worthless}, {"told", told},
--- a/tests/fleet/cases.h
+++ b/tests/fleet/cases.h
@@ -41,6 +41,8 @@
 // An old primary that comes back first, and an older list that names it. Each returns the exit code.
 int returns();
 
+// The only replica that proves a session's position is the last to come back.
+int last();
 // Who belongs, who lives, which start speaks, and who keeps.
 int members();
 // A measurement and no test: words a second and router, and CPU, of so many that are idle.
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -415,6 +415,7 @@
   }
   if (name == "price") return price();
   if (name == "returns") return returns();
+  if (name == "last") return last();
   if (name == "members") return members();
   if (name == "talk") return talk(argument(2, 5));
   if (name == "grants") return grants();
--- /dev/null
+++ b/tests/fleet/last.cpp
@@ -0,0 +1,130 @@
+// All routers and nodes lose power. The only replica that has what a session wrote is the last to come back;
+// the primary never does, and another replica, an hour behind, is there at once. The session's reads wait or
+// are declined, and nobody waits for ever. Judged by what ran at which node.
+#include <algorithm>
+#include <iostream>
+
+#include "cases.h"
+#include "rig.h"
+#include "standins/node.h"
+#include "standins/proxy.h"
+
+namespace gulltrestle::fleet {
+
+namespace {
+
+// Asked while only the replica that is behind is there: session reads at all routers in turn.
+constexpr int kAskedMeanwhile = 30;
+
+class Last : private Scene {
+ public:
+  // `tells`: the replica that is behind tells that it is not, a built-in fault.
+  explicit Last(bool tells)
+      : discovery_(loop_),
+        primary_(loop_, "p", true),
+        behind_(loop_, "q", false),
+        caughtUp_(loop_, "s", false),
+        rig_(loop_, 1, shape()),
+        tells_(tells) {
+    behind_.lag = Span::millis(3'600'000);
+    for (std::size_t i = 0; i < rig_.routers(); ++i) {
+      standins::ProxySetup setup;
+      setup.processor = rig_.processor(i);
+      setup.messageTimeout = Span::millis(2000);
+      proxies_.push_back(std::make_unique<standins::Proxy>(loop_, setup));
+    }
+    for (const auto* node : {&primary_, &behind_, &caughtUp_})
+      discovery_.set({node->id(), node->address(), "up", node == &primary_, 1});
+  }
+  bool play() {
+    loop_.spawn(scene());
+    run();
+    if (!fault_.empty() && !tells_) {
+      rig_.keep();
+      std::cerr << fault_ << "; logs in " << rig_.path() << "\n";
+    }
+    return fault_.empty();
+  }
+
+ private:
+  Shape shape() const {
+    Shape made;
+    made.discovery = discovery_.address();
+    return made;
+  }
+  void ask(std::size_t router, bool ofSession) {
+    ++open_;
+    ext_proc::Headers headers{{":method", "GET"},
+                              {"x-txn-id", (ofSession ? "s" : "a") + std::to_string(++ids_)},
+                              {"x-txn-type", ofSession ? "own-booking" : "route-lookup"},
+                              {"x-txn-group", "1"}};
+    if (ofSession) {
+      headers.push_back({"x-txn-session", "driver-7"});
+      headers.push_back({"x-txn-write-age-ms", "5000"});
+    }
+    proxies_[router]->ask(headers, false, Span::millis(900), [this, ofSession](standins::Answer answer) {
+      --open_;
+      (ofSession ? ofSession_ : any_) += answer.outcome == "committed" || answer.status == 200;
+    });
+  }
+  std::size_t ranBehind() const {
+    return static_cast<std::size_t>(std::count_if(behind_.runs.begin(), behind_.runs.end(),
+                                                  [](const auto& run) { return run.first[0] == 's'; }));
+  }
+  loop::Task scene() {
+    rig_.startAll();
+    Instant by = loop_.now() + kBound;
+    for (std::size_t i = 0; i < rig_.routers(); ++i)
+      for (const auto before = ofSession_; !waited(ofSession_ > before, by, "a session's read");) {
+        ask(i, true);
+        while (open_ > 0) co_await tick();
+      }
+    if (ranBehind() > 0) broken("a session's read ran where its write is not");
+    std::cout << "all are there: each router serves the session\n";
+
+    std::vector<std::size_t> all;
+    for (std::size_t i = 0; i < rig_.routers(); ++i) all.push_back(i);
+    rig_.losePower(all);
+    primary_.down = caughtUp_.down = true;
+    if (tells_) behind_.lag = Span::millis(2);
+    rig_.startAll();
+    by = loop_.now() + kBound;
+    const auto anyBefore = any_, sessionBefore = ofSession_;
+    for (int n = 0; n < kAskedMeanwhile * 2 || !waited(any_ > anyBefore + 5, by, "any reads"); ++n) {
+      ask(static_cast<std::size_t>(n / 2) % rig_.routers(), n % 2 == 0);
+      while (open_ > 0) co_await tick();
+    }
+    if (ranBehind() > 0 || ofSession_ > sessionBefore) broken("a session's read ran where its write is not");
+    std::cout << "only the one that is behind is back: any reads are served, "
+              << (fault_.empty() ? "the session's are not" : fault_) << "\n";
+    caughtUp_.down = false;
+    by = loop_.now() + kBound;
+    for (std::size_t i = 0; i < rig_.routers() && fault_.empty(); ++i)
+      for (const auto before = ofSession_; !waited(ofSession_ > before, by, "a session's read again");) {
+        ask(i, true);
+        while (open_ > 0) co_await tick();
+      }
+    if (fault_.empty() && ranBehind() == 0)
+      std::cout << "the last one is back: each router serves the session, there\n";
+    loop_.stop();
+  }
+
+  standins::Discovery discovery_;
+  standins::Node primary_, behind_, caughtUp_;
+  Rig rig_;
+  bool tells_;
+  std::vector<std::unique_ptr<standins::Proxy>> proxies_;
+  std::size_t open_ = 0;
+  std::uint64_t any_ = 0, ofSession_ = 0, ids_ = 0;
+};
+
+}  // namespace
+
+int last() {
+  const bool holds = Last(false).play();
+  std::cout << "-- a replica that tells falsely\n";
+  Last(true).play();
+  return holds ? 0 : 1;
+}
+
+}  // namespace gulltrestle::fleet
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -139,9 +139,10 @@
       "balancers":3,"limits":{"probes":true,"cancel":true,"secondCopies":true,"retryAfter":true,
       "maxAttempts":4,"maxRetryAfter":500000,"connIdle":30000000,"connectTimeout":250000},
       "lanes":[{"name":"book-charge","effect":"at_most_once","objective":400000,"deadline":1000000,"worth":3,"lateShare":0.7},
-               {"name":"route-lookup","effect":"idempotent","objective":400000,"deadline":1000000,"worth":1,"lateShare":0}],
+               {"name":"route-lookup","effect":"idempotent","objective":400000,"deadline":1000000,"worth":1,"lateShare":0},
+               {"name":"own-booking","effect":"idempotent","objective":400000,"deadline":1000000,"worth":1,"lateShare":0}],
       "rules":{"coldFrom":0.2,"cold":1000000,"drainGrace":1000000},
-      "specifics":{"readLevel":["update","loose"],"lagAllowed":[0,0],"sessionMarks":"client","guards":"off"}}})";
+      "specifics":{"readLevel":["update","loose","own_writes"],"lagAllowed":[0,0,0],"sessionMarks":"client","guards":"off"}}})";
   std::ofstream(base + ".ext.json") << R"({"listen":")" << process.processor
                                     << R"(","probe_path":"/standing"})";
   writeFleet(i);
