The desk's news of nodes and primaries stand in a file of their own

What it does with news, from lists, from others, to the disk and to keepers, is now src/peers/news.cpp, and the slicing of messages a header. Nothing is changed in it. Checked: setups and fleet returns print the same traces.

--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "peers/slices.h"
+
 namespace gulltrestle::peers {
 
 using claims::Claimant;
@@ -30,33 +32,6 @@
   return members;
 }
 
-// In messages that are well below what a stream takes.
-template <typename All, typename Size>
-std::vector<All> slices(const All& all, Size sizeOf) {
-  constexpr std::size_t kBytes = 32 * 1024;
-  std::vector<All> out;
-  std::size_t bytes = kBytes;
-  for (const auto& one : all) {
-    if (bytes >= kBytes) out.emplace_back(), bytes = 0;
-    out.back().push_back(one);
-    bytes += sizeOf(one) + 48;
-  }
-  return out;
-}
-std::vector<Nodes> slices(const Nodes& all) {
-  return slices(all, [](const auto& news) { return news.node.size(); });
-}
-std::vector<Primaries> slices(const Primaries& all) {
-  return slices(all, [](const auto& news) { return news.primary.node.size(); });
-}
-std::vector<Seen> slices(const Seen& all) {
-  std::vector<Seen> out;
-  for (auto& some : slices(all.nodes, [](const auto& one) { return one.node.size(); }))
-    out.push_back({std::move(some), all.serves});
-  if (out.empty()) out.push_back(all);
-  return out;
-}
-
 // As many as start together: the platform's settings may know of fewer.
 Terms withRouters(Terms terms, std::size_t routers) {
   terms.routers = std::max(terms.routers, static_cast<unsigned>(routers));
@@ -291,69 +266,6 @@
                                                      : Claimant::Fate::unknown);
 }
 
-void Desk::listed(ListKind kind, std::uint64_t version, std::vector<core::Addressed>& list) {
-  std::vector<ListEntry*> entries;
-  std::size_t named = 0, later = 0;
-  for (auto& [entry, address] : list) {
-    entries.push_back(&entry);
-    named += entry.health != Health::live;
-  }
-  const Nodes news = leaving_.listed(kind, version, entries);
-  for (const ListEntry* entry : entries) later += entry->health != Health::live;
-  if (later > named)
-    effects_.log("peers.old_list", "version=" + std::to_string(version) +
-                                       " newest=" + std::to_string(leaving_.newest()) +
-                                       " kept_draining=" + std::to_string(later - named));
-  service_.listed(kind, version, entries);
-  if (news.empty()) return;
-  keep(news);
-  for (const Nodes& some : slices(news))
-    for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
-      if (i != own_) effects_.toKeeper(i, some);
-}
-
-void Desk::learn(const Nodes& news, std::string_view from) {
-  Nodes fresh;
-  std::vector<NodeId> leave;
-  for (const auto& one : news)
-    if (leaving_.learn(one)) {
-      fresh.push_back(one);
-      if (one.leaving) leave.push_back(one.node);
-    }
-  if (fresh.empty()) return;
-  effects_.log("peers.nodes_learnt", "from=" + std::string(from) +
-                                         " leaving=" + std::to_string(leave.size()) +
-                                         " staying=" + std::to_string(fresh.size() - leave.size()));
-  keep(fresh);
-  ledger_.leave(leave);
-}
-
-void Desk::keep(const Nodes& news) {
-  const auto forgotten = leaving_.takeForgotten();
-  if (setup_.folder.empty()) return;
-  std::vector<Keeper::Change> changes;
-  for (const auto& node : forgotten) changes.push_back({Keeper::Change::What::node, node, {}, {}, false});
-  for (const auto& one : news)
-    changes.push_back({Keeper::Change::What::node, one.node, {}, {one.version, 0}, one.leaving});
-  if (!changes.empty()) effects_.write(std::move(changes));
-}
-
-void Desk::learn(const Primaries& news) {
-  Primaries fresh;
-  for (const auto& one : news)
-    if (service_.knew(one)) fresh.push_back(one);
-  keep(fresh);
-}
-
-void Desk::keep(const Primaries& news) {
-  if (setup_.folder.empty() || news.empty()) return;
-  std::vector<Keeper::Change> changes;
-  for (const auto& one : news)
-    changes.push_back(
-        {Keeper::Change::What::primary, one.primary.node, {}, {one.primary.version, 0}, false, one.group});
-  effects_.write(std::move(changes));
-}
-
 void Desk::force() { service_.force(setup_.forced, setup_.forcedBy); }
 
 void Desk::readAnew(const Setup& setup) {
--- /dev/null
+++ b/src/peers/news.cpp
@@ -0,0 +1,74 @@
+// The desk's news of nodes and primaries: from lists, from others, to the disk and to keepers.
+#include <algorithm>
+
+#include "peers/desk.h"
+#include "peers/slices.h"
+
+namespace gulltrestle::peers {
+
+using claims::Keeper;
+
+void Desk::listed(ListKind kind, std::uint64_t version, std::vector<core::Addressed>& list) {
+  std::vector<ListEntry*> entries;
+  std::size_t named = 0, later = 0;
+  for (auto& [entry, address] : list) {
+    entries.push_back(&entry);
+    named += entry.health != Health::live;
+  }
+  const Nodes news = leaving_.listed(kind, version, entries);
+  for (const ListEntry* entry : entries) later += entry->health != Health::live;
+  if (later > named)
+    effects_.log("peers.old_list", "version=" + std::to_string(version) +
+                                       " newest=" + std::to_string(leaving_.newest()) +
+                                       " kept_draining=" + std::to_string(later - named));
+  service_.listed(kind, version, entries);
+  if (news.empty()) return;
+  keep(news);
+  for (const Nodes& some : slices(news))
+    for (std::size_t i = 0; i < setup_.keepers.size(); ++i)
+      if (i != own_) effects_.toKeeper(i, some);
+}
+
+void Desk::learn(const Nodes& news, std::string_view from) {
+  Nodes fresh;
+  std::vector<NodeId> leave;
+  for (const auto& one : news)
+    if (leaving_.learn(one)) {
+      fresh.push_back(one);
+      if (one.leaving) leave.push_back(one.node);
+    }
+  if (fresh.empty()) return;
+  effects_.log("peers.nodes_learnt", "from=" + std::string(from) +
+                                         " leaving=" + std::to_string(leave.size()) +
+                                         " staying=" + std::to_string(fresh.size() - leave.size()));
+  keep(fresh);
+  ledger_.leave(leave);
+}
+
+void Desk::keep(const Nodes& news) {
+  const auto forgotten = leaving_.takeForgotten();
+  if (setup_.folder.empty()) return;
+  std::vector<Keeper::Change> changes;
+  for (const auto& node : forgotten) changes.push_back({Keeper::Change::What::node, node, {}, {}, false});
+  for (const auto& one : news)
+    changes.push_back({Keeper::Change::What::node, one.node, {}, {one.version, 0}, one.leaving});
+  if (!changes.empty()) effects_.write(std::move(changes));
+}
+
+void Desk::learn(const Primaries& news) {
+  Primaries fresh;
+  for (const auto& one : news)
+    if (service_.knew(one)) fresh.push_back(one);
+  keep(fresh);
+}
+
+void Desk::keep(const Primaries& news) {
+  if (setup_.folder.empty() || news.empty()) return;
+  std::vector<Keeper::Change> changes;
+  for (const auto& one : news)
+    changes.push_back(
+        {Keeper::Change::What::primary, one.primary.node, {}, {one.primary.version, 0}, false, one.group});
+  effects_.write(std::move(changes));
+}
+
+}  // namespace gulltrestle::peers
