A built-in fault of the rig is looked for until its own verdict comes

Seen: fleet.bugs under sanitizers, beside other load: "routers that tell each other nothing of drains: NOT FOUND". The first seed had ended by another verdict, "ran twice", as those routers settle nothing at all; the search stopped at the first fault of any kind (tests/fleet/fleet.cpp, found()). Checked: the trace as kept.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -377,7 +377,8 @@
   const auto found = [&](const char* what, Trouble trouble, Shape shape, const char* expected = "ran twice") {
     Sum sum;
     std::string fault;
-    for (std::uint64_t seed = from; seed < from + seeds && fault.empty(); ++seed)
+    // What it is built in for: routers that settle nothing may also run a txn twice before that shows.
+    for (std::uint64_t seed = from; seed < from + seeds && !fault.starts_with(expected); ++seed)
       fault = played(seed, trouble, shape, sum);
     std::cout << what << ": "
               << (fault.starts_with(expected) ? "found, " + std::string(expected) : "NOT FOUND") << "\n";
