A claim no longer resets what keepers tell of a router's progress

Seen on reading the change again: src/peers/desk.cpp, hear(), handed progress 0 to the roll with every word that is no beat, so each claim made the router look shut until its next beat, and each flip went to all routers as news. Words without progress now leave it as it was. Roll::turn() also went through all members in each of a keeper's turns; it does so every 0.5 s, and at once after it stood still.

--- a/src/claims/lists.h
+++ b/src/claims/lists.h
@@ -22,8 +22,7 @@
 //   - who was a keeper in all lists since has its votes; others are silent for the time of retention, counted
 //     from when the lists before were over;
 //   - until that has passed only keepers of both lists vote. As lists never get shorter, more than half of
-//   the
-//     present one among those shares one with more than half of any list before.
+//     the present one among those shares one with more than half of any list before.
 #pragma once
 
 #include <cstdint>
--- a/src/members/roll.cpp
+++ b/src/members/roll.cpp
@@ -56,9 +56,10 @@
          at->second.newest.draw == draw;
 }
 
-void Roll::heard(Instant now, const std::string& router, std::uint64_t draw, unsigned progress) {
+void Roll::heard(Instant now, const std::string& router, std::uint64_t draw, std::optional<unsigned> told) {
   if (!speaks(router, draw)) return;
   Member& member = members_.at(router);
+  const unsigned progress = told.value_or(member.progress);
   member.heardAt = now;
   if (member.hearing == Hearing::heard && member.progress == progress) return;
   member.hearing = Hearing::heard;
@@ -70,6 +71,9 @@
   const Span gap = now - turnedAt_;
   turnedAt_ = now;
   const bool stoodStill = gap > kTurn * 2;
+  // Not in each of a busy keeper's many turns.
+  if (!stoodStill && now - lookedAt_ < kTurn) return;
+  lookedAt_ = now;
   for (auto& [router, member] : members_) {
     if (stoodStill) member.heardAt = member.heardAt + gap;
     if (member.hearing == Hearing::silent || member.hearing == Hearing::left) continue;
--- a/src/members/roll.h
+++ b/src/members/roll.h
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -44,8 +45,8 @@
   // A start wishes to be this. What newest() gives afterwards is its answer, once changes are durable.
   void enters(Instant now, const std::string& router, const Incarnation& start);
   bool speaks(const std::string& router, std::uint64_t draw) const;
-  // It said something; nothing of it counts where it does not speak.
-  void heard(Instant now, const std::string& router, std::uint64_t draw, unsigned progress);
+  // It said something; nothing of it counts where it does not speak. `progress`: where it told it.
+  void heard(Instant now, const std::string& router, std::uint64_t draw, std::optional<unsigned> progress);
 
   void turn(Instant now);
 
@@ -74,7 +75,7 @@
   std::map<std::string, Incarnation> others_;       // on disk and not on the list
   std::map<std::uint64_t, std::string> byVersion_;  // each member once
   std::uint64_t version_ = 0;
-  Instant turnedAt_;
+  Instant turnedAt_, lookedAt_;  // the last turn, and the last in which silence was looked for
   std::vector<std::pair<std::string, Incarnation>> changes_;
 };
 
--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -138,8 +138,9 @@
   const auto token = [&](std::uint64_t number) {
     return claims::Token{speaker.router, speaker.draw, number};
   };
-  membership_.roll()->heard(ledger_.now(), speaker.router, speaker.draw,
-                            std::holds_alternative<Beat>(word) ? std::get<Beat>(word).progress : 0);
+  membership_.roll()->heard(
+      ledger_.now(), speaker.router, speaker.draw,
+      std::holds_alternative<Beat>(word) ? std::optional(std::get<Beat>(word).progress) : std::nullopt);
   const bool speaks = membership_.roll()->speaks(speaker.router, speaker.draw);
   if (const auto* wish = std::get_if<Enter>(&word)) return enter(stream, speaker, wish->number);
   if (std::holds_alternative<Beat>(word)) {
--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -96,6 +96,8 @@
   one.heard(kBegin + ms(3500), "a", 11, 3);
   one.heard(kBegin + ms(3500), "a", 10, 2);
   since("a is heard, and one that does not speak for it");
+  one.heard(kBegin + ms(3500), "a", 10, std::nullopt);
+  since("a says something that tells no progress: nothing changes");
   one.turn(kBegin + ms(60'000));
   since("this keeper stood still for a minute: it misses nobody for that");
   one.turn(kBegin + ms(60'500));
