The stand-in proxy no longer tells an earlier try's outcome for one that ran

Cause: Proxy::exchange in src/standins/proxy.cpp kept answer.outcome from try to try; a first try that was declined (granted too late to be sent), a second that ran and whose stream was then reset without a report ended as 502 with the first one's 'declined'.

--- a/src/standins/proxy.cpp
+++ b/src/standins/proxy.cpp
@@ -207,6 +207,8 @@
       if (header.name == "x-txn-send-within-ms") within = std::stoll(header.value);
     }
     ++seen["granted"];
+    // From here on it may run: what an earlier try was told is no answer to this one.
+    answer.outcome.clear();
     // --- The node.
     if (faults.sendLate && faults.sendLate()) {
       ++seen["too late to send"];
--- a/tests/day.cpp
+++ b/tests/day.cpp
@@ -193,6 +193,14 @@
   co_await f.pause(100);
   std::cout << "a write: " << f.last.status << " " << f.last.outcome
             << ", from the primary: " << (f.last.from == f.p.address()) << "\n";
+  // What an earlier try was told is no answer to one that ran.
+  int grants = 0, reports = 0;
+  f.proxy.faults.sendLate = [&] { return ++grants == 1; };
+  f.proxy.faults.neverReport = [&] { return ++reports == 2; };
+  f.ask("book-charge", "w2");
+  co_await f.pause(600);
+  std::cout << "granted too late to be sent, then run and not reported: " << f.last.status << " '" << f.last.outcome
+            << "', ran " << f.runsOf("w2") << "\n";
   f.tellRules();
   f.loop.stop();
 }
