A router lives where more than half of the keepers hear the same start of it

Ruled out: r3 not starting (it served), a third number (it entered by 2), words of the killed process (its streams were gone). Cause: View::judged in src/members/view.cpp counted who hears the router whatever the start: one keeper that had not missed the first start yet and one that heard the second made a majority, for neither. Now each start counts by itself. The trace members.view had the fault in it ('heard by one: lives 4', with one silent); it reads suspected now.

--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 
 namespace gulltrestle::members {
 
@@ -20,19 +21,27 @@
 View::Member View::judged(const Known& known) const {
   const std::size_t wanted = majorityOf(keepers_);
   Member member;
-  std::size_t heard = 0;
+  std::size_t heard = 0, most = 0;
   std::vector<std::uint64_t> numbers;
+  std::map<std::uint64_t, std::size_t> starts;  // that are heard, by how many
   for (const auto& [keeper, report] : known.reports) {
     numbers.push_back(report.incarnation.number);
     if (report.hearing == Hearing::heard) {
       member.progress = heard++ == 0 ? report.progress : std::min(member.progress, report.progress);
+      // Guards against a start that died and has not been missed yet at one keeper, beside its next one that
+      // another hears: that is one keeper for each, and nobody that lives.
+      const std::size_t same = ++starts[report.incarnation.number];
+      if (same > most) {
+        most = same;
+        if (same >= wanted) member.incarnation = report.incarnation.number;
+      }
     } else if (report.hearing != Hearing::awaited) {
       member.silent.push_back(keeper);
     }
   }
   std::sort(numbers.begin(), numbers.end(), std::greater<>());
-  if (numbers.size() >= wanted) member.incarnation = numbers[wanted - 1];
-  member.state = heard >= wanted                  ? State::lives
+  if (most < wanted && numbers.size() >= wanted) member.incarnation = numbers[wanted - 1];
+  member.state = most >= wanted                   ? State::lives
                  : member.silent.size() >= wanted ? State::out
                  : !member.silent.empty()         ? State::suspected
                                                   : State::unknown;
--- a/src/members/view.h
+++ b/src/members/view.h
@@ -2,7 +2,7 @@
 // reached.
 //
 //   state      what more than half of the keepers say          else
-//   lives      they hear it
+//   lives      they hear it, and the same start
 //   out        they don't: nothing for the time of silence,    suspected: some do not hear it
 //              or it is off the list                           unknown: too few say anything
 //
@@ -28,7 +28,8 @@
   enum class State { unknown, suspected, lives, out };
   struct Member {
     State state = State::unknown;
-    std::uint64_t incarnation = 0;  // that more than half of the keepers know it has reached
+    // The start that lives; else the number that more than half of the keepers know it has reached.
+    std::uint64_t incarnation = 0;
     unsigned progress = 0;          // the least that one who hears it was told
     std::vector<KeeperNumber> silent;
   };
--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -127,6 +127,7 @@
   };
   told(0, 4, Hearing::awaited, 0, "one waits");
   told(1, 4, Hearing::heard, 2, "one hears it");
+  told(0, 5, Hearing::heard, 4, "another hears its next start");
   told(0, 4, Hearing::heard, 4, "two hear it");
   told(2, 1'000'000, Hearing::silent, 0, "one tells falsely that a start from the future is silent");
   told(2, 4, Hearing::silent, 0, "one does not hear it");
