The ledger keeps out nodes that it is told of, some from a moment on

Need: work on machines asks that nothing at all goes to some nodes, whatever lists say, and to others only while a lease lasts, also in a process that stood still meanwhile. A drain told by a guard bound only until the next list, and nothing had a time. Ledger::keepOut() holds both; see() takes the later ones out ahead of any event, so that a router that was stopped sends nothing by what was true before; submissions and probes there end as not sent. isOutAt() tells whether anything is out.

--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -24,7 +24,16 @@
   changed_ = std::move(changed);
 }
 
-void Ledger::see(Instant now) { now_ = std::max(now_, now); }
+// Ahead of any event: one that stood still sends nothing by what was true before.
+void Ledger::see(Instant now) {
+  now_ = std::max(now_, now);
+  if (outFrom_ == Instant() || now_ < outFrom_) return;
+  const std::set<NodeId> before = out_;
+  out_.merge(outLater_);
+  outLater_.clear();
+  outFrom_ = Instant();
+  keepOutAnew(before);
+}
 
 // --- Fronts
 
@@ -220,10 +229,48 @@
       else
         last_[entry.entry.node] = entry;
     }
+    for (auto& [entry, address] : list)
+      if (entry.health == Health::live && out_.contains(entry.node)) entry.health = Health::draining;
   }
   takeOver(kind, list);
 }
 
+void Ledger::keepOut(std::set<NodeId> now, std::set<NodeId> later, Instant from) {
+  const std::set<NodeId> before = std::exchange(out_, std::move(now));
+  outLater_ = std::move(later);
+  outFrom_ = outLater_.empty() ? Instant() : from;
+  // A lease that is over already, or was never had.
+  if (!outLater_.empty() && from <= now_) {
+    out_.merge(outLater_);
+    outLater_.clear();
+    outFrom_ = Instant();
+  }
+  keepOutAnew(before);
+}
+
+// Those that are kept out since, and those that are not any more, as the last list has them.
+void Ledger::keepOutAnew(const std::set<NodeId>& before) {
+  if (out_ == before) return;
+  std::vector<Addressed> changed;
+  for (const auto& [id, entry] : last_) {
+    if (entry.entry.health != Health::live || out_.contains(id) == before.contains(id)) continue;
+    changed.push_back(entry);
+    if (out_.contains(id)) changed.back().entry.health = Health::draining;
+  }
+  if (!changed.empty()) takeOver(ListKind::changes, changed);
+}
+
+bool Ledger::isReduced() const {
+  return std::any_of(reduced_.begin(), reduced_.end(), [](const auto& one) { return one.second.first > 0; });
+}
+
+bool Ledger::isOutAt(const std::set<NodeId>& nodes) const {
+  for (const auto& [txn, live] : live_)
+    for (const auto& submission : live.submissions)
+      if (!submission.over && nodes.contains(submission.node)) return true;
+  return false;
+}
+
 void Ledger::leave(const std::vector<NodeId>& nodes) {
   std::vector<Addressed> changed;
   for (const auto& id : nodes)
@@ -291,6 +338,9 @@
   if (!live) return;
   const Job job{txn, static_cast<unsigned>(live->submissions.size())};
   live->submissions.push_back({node, now_, sendBy, cutAt, false});
+  // Guards against a decision by a list that has not reached the module: nothing at all may go there. Hurts a
+  // txn that no other node can take: it is decided anew, and may be declined.
+  if (out_.contains(node)) return ended(job, node, End::notSent);
   live->carrier->carry(job, node);
 }
 
@@ -317,7 +367,7 @@
 
 void Ledger::probe(const NodeId& node) {
   Carrier* by = prober_ ? prober_ : carriers_.empty() ? nullptr : carriers_.front();
-  if (!by) return ended({}, node, End::notSent);
+  if (!by || out_.contains(node)) return ended({}, node, End::notSent);
   by->carry({}, node);
 }
 
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <initializer_list>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -145,6 +146,15 @@
   void listed(ListKind kind, std::vector<Addressed> list, std::uint64_t version = 0);
   // The guard has learnt of these nodes: they leave, whatever the last list said.
   void leave(const std::vector<NodeId>& nodes);
+  // Nothing new goes to the nodes of `now`; nor, from `from` on, to those of `later`: whatever lists say, until
+  // it is called again. Never: there is no such moment. Where there is a guard.
+  void keepOut(std::set<NodeId> now, std::set<NodeId> later, Instant from);
+  // A submission is out at one of these, or waits for a connection there.
+  bool isOutAt(const std::set<NodeId>& nodes) const;
+  // Service of some group is reduced.
+  bool isReduced() const;
+  // What the last lists said of each node, where there is a guard.
+  const std::map<NodeId, Addressed>& lastListed() const { return last_; }
   void listFailed();
   // The module has its round if anything came in or its wake is due. Returns when it wants the next one;
   // never: not before something comes in.
@@ -188,6 +198,7 @@
   using Arrival = std::function<void(Router&)>;
   void arrived(Arrival call) { arrivals_.push_back(std::move(call)); }
   void takeOver(ListKind kind, const std::vector<Addressed>& list);
+  void keepOutAnew(const std::set<NodeId>& before);
   Live* owed(TxnId txn);
   bool stopWaiting(TxnId txn);
   Fate fateOf(const Live& live) const;
@@ -205,6 +216,8 @@
   Guard* guard_ = nullptr;
   Door* door_ = nullptr;
   std::map<NodeId, Addressed> last_;  // of each node that lists name, where there is a guard
+  std::set<NodeId> out_, outLater_;   // that are kept out, whatever lists say
+  Instant outFrom_;                   // of those later; never: none is
   levels::Levels* levels_ = nullptr;
   levels::Table table_;
   Changed changed_;
