Tests of the order of work, of nodes that are kept out, and of the register in every order

Need: proof that a verdict can fail, and what the order costs against the best one. Change: order.small and order.large (the decisions turn by turn, beside the best of 5,040 orders and the plainest one); guard.kept-out (the ledger, from a moment on and ahead of any event); work.register: three keepers, two that change the plan, a loss of power or of a disk, every order.

--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -221,7 +221,7 @@
   if (shape_.settles) setenv("GULLTRESTLE_FLEET", (base + ".fleet.json").c_str(), 1);
   if (!shape_.discovery.empty()) setenv("GULLTRESTLE_EXT_PROC", (base + ".ext.json").c_str(), 1);
   if (shift != 0) setenv("RIG_CLOCK_SHIFT", std::to_string(shift).c_str(), 1);
-  if (shape_.slowClock == i) setenv("RIG_CLOCK_SLOW", "8", 1);
+  if (shape_.slowClock == i) setenv("RIG_CLOCK_STANDS", (path_ + "/stands").c_str(), 1);
   if (shape_.lyingDisk) setenv("RIG_LYING_DISK", "1", 1);
   const int out = ::open((base + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   if (out < 0 || dup2(out, 1) < 0 || dup2(out, 2) < 0) _exit(127);
@@ -325,6 +325,10 @@
           tear(folder(i) + name);
 }
 
+void Rig::clockStands() {
+  if (shape_.slowClock < routers()) std::ofstream(path_ + "/stands") << "from here on\n";
+}
+
 void Rig::loseDisk(std::size_t router) {
   std::filesystem::remove_all(folder(router));
   std::filesystem::create_directory(folder(router));
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -28,7 +28,7 @@
   // never: the node is in this process, and keeps what ran; else it is a process, which may lose its power.
   Syncs node = Syncs::never;
   bool clocksDiffer = false;         // each start's clock of the day is off by up to ten minutes
-  std::size_t slowClock = SIZE_MAX;  // a built-in fault: this router's running clock
+  std::size_t slowClock = SIZE_MAX;  // a built-in fault: this router's running clock, once it is told
   unsigned outOfGroup = 1;           // of nodes that may be away for work
   std::string discovery;  // of stand-in nodes that speak HTTP: routers are external processors for them
 };
@@ -79,6 +79,7 @@
   void readAnew(std::size_t router);  // SIGHUP
   // Power is lost at these, all in one moment: what they had not synced is there in part.
   void losePower(const std::vector<std::size_t>& routers);
+  void clockStands();                               // of the router that has that fault
   void loseDisk(std::size_t router);                // of one that is killed
   std::string processor(std::size_t router) const;  // its address
   std::string folder(std::size_t router) const { return path_ + "/store" + std::to_string(router); }
--- a/tests/fleet/synced.cpp
+++ b/tests/fleet/synced.cpp
@@ -82,17 +82,18 @@
   return shift ? std::strtol(shift, nullptr, 10) : 0;
 }();
 
-// A built-in fault: a running clock that goes so many times slower than it should from its start on.
-const long kClockSlow = [] {
-  const char* slow = std::getenv("RIG_CLOCK_SLOW");
-  return slow ? std::strtol(slow, nullptr, 10) : 0;
-}();
+// A built-in fault: a running clock that all but stands still once this file is there.
+const char* const kClockStands = std::getenv("RIG_CLOCK_STANDS");
+constexpr long long kSlower = 100, kNanos = 1'000'000'000;
 void slow(timespec* at) {
-  static const timespec began = *at;
-  const long long passed = (at->tv_sec - began.tv_sec) * 1'000'000'000LL + at->tv_nsec - began.tv_nsec;
-  const long long now = began.tv_nsec + passed / kClockSlow;
-  at->tv_sec = began.tv_sec + static_cast<time_t>(now / 1'000'000'000);
-  at->tv_nsec = static_cast<long>(now % 1'000'000'000);
+  static bool stands = false;
+  static long long since = 0;
+  const long long now = at->tv_sec * kNanos + at->tv_nsec;
+  if (!stands && ::access(kClockStands, F_OK) == 0) stands = true, since = now;
+  if (!stands) return;
+  const long long shown = since + (now - since) / kSlower;
+  at->tv_sec = static_cast<time_t>(shown / kNanos);
+  at->tv_nsec = static_cast<long>(shown % kNanos);
 }
 
 struct Install {
@@ -115,6 +116,6 @@
 extern "C" int clock_gettime(clockid_t clock, timespec* at) {
   const long code = syscall(SYS_clock_gettime, clock, at);
   if (code == 0 && clock == CLOCK_REALTIME) at->tv_sec += kClockShift;
-  if (code == 0 && clock != CLOCK_REALTIME && kClockSlow > 0) slow(at);
+  if (code == 0 && clock != CLOCK_REALTIME && kClockStands) slow(at);
   return static_cast<int>(code);
 }
--- a/tests/fleet/work.cpp
+++ b/tests/fleet/work.cpp
@@ -61,13 +61,11 @@
 
 class Work : private Scene {
  public:
-  Work(std::uint64_t seed, Trouble trouble, Shape shape, bool machineOfPrimaries = false)
+  Work(std::uint64_t seed, Trouble trouble, const Shape& shape, bool machineOfPrimaries = false)
       : discovery_(loop_),
-        rig_(loop_, seed, with(std::move(shape))),
+        rig_(loop_, seed, with(shape)),
         trouble_(trouble),
-        phase_(kPhases[rig_.pick(trouble == Trouble::nodeLost || trouble == Trouble::operatorStops ? 2
-                                 : trouble == Trouble::asksAgain                                   ? 3
-                                                                                                   : 4)]),
+        phase_(phaseOf(rig_, trouble, shape)),
         withPrimaries_(machineOfPrimaries) {
     for (const std::uint64_t group : {1, 2})
       for (const char* name : {"p", "a", "b"}) {
@@ -114,6 +112,11 @@
   std::uint64_t asked() const { return asked_; }
 
  private:
+  static const char* phaseOf(Rig& rig, Trouble trouble, const Shape& shape) {
+    if (shape.slowClock < SIZE_MAX) return kPhases[0];
+    const bool early = trouble == Trouble::nodeLost || trouble == Trouble::operatorStops;
+    return kPhases[rig.pick(early ? 2 : trouble == Trouble::asksAgain ? 3 : 4)];
+  }
   Shape with(Shape shape) const {
     shape.routers = 5;
     shape.discovery = discovery_.address();
@@ -356,6 +359,12 @@
         break;
       case Trouble::routerCutOff:
       case Trouble::routerDeaf: {
+        // It knows that the machine is next, says so, and never hears that it leaves: its lease alone tells
+        // it.
+        rig_.clockStands();
+        if (phase == "next")
+          for (std::size_t k = 0; k < rig_.keepers(); ++k) rig_.flow(router, k, Flow::deafBack);
+        while (phase == "next" && !waited(goneOn(), by, "the next phase")) co_await tick();
         for (std::size_t k = 0; k < rig_.keepers(); ++k)
           rig_.flow(router, k, trouble_ == Trouble::routerDeaf ? Flow::deafBack : Flow::cut);
         const std::uint64_t before = committed_[router];
@@ -498,7 +507,7 @@
   };
   Shape slow;
   slow.slowClock = 4;
-  found("a router whose running clock is eight times too slow", Trouble::routerCutOff, slow,
+  found("a router whose running clock all but stands still", Trouble::routerCutOff, slow,
         "a txn came to a node that was told free");
   Shape lying;
   lying.lyingDisk = true;
--- a/tests/guard.cpp
+++ b/tests/guard.cpp
@@ -52,6 +52,10 @@
   Ledger& ledger() { return ledger_; }
   bool wantsValue = true;
   NodeId better;  // whose drain the guard knows of
+  void keepOut(std::set<NodeId> now, std::set<NodeId> later, std::int64_t after) {
+    ledger_.keepOut(std::move(now), std::move(later), now_ + ms(after));
+    turn();
+  }
   void list(std::uint64_t version) {
     ListEntry entry;
     entry.node = "p";
@@ -165,11 +169,45 @@
   world.list(6);
 }
 
+// Nodes that are kept out, whatever lists say: now, and from a moment on that is looked at ahead of any
+// event.
+void keptOut() {
+  World world;
+  const auto asks = [&](const char* what) {
+    std::cout << what << ": leaving " << world.ledger().nodes().leaving("p") << "\n";
+    world.ledger().ask("p");
+    const TxnId txn = world.take(0, "b");
+    world.ledger().admit(txn);
+    world.turn();
+    std::cout << "  out there: " << world.ledger().isOutAt({"p"}) << ", elsewhere "
+              << world.ledger().isOutAt({"q"}) << "\n";
+    const auto* submission = world.ledger().submission({txn, 0});
+    if (submission && !submission->over)
+      world.end(txn, End::committed);
+    else
+      world.ledger().leave(txn);
+    world.turn(5000);
+  };
+  asks("as ever");
+  world.keepOut({}, {"p"}, 20'000);
+  asks("out in a while");
+  world.list(3);
+  world.turn(20'000);
+  asks("it stood still until after that");
+  world.list(4);
+  world.keepOut({}, {"p"}, 60'000);
+  asks("and has a lease again");
+  world.keepOut({"p"}, {}, 0);
+  asks("out for good, whatever comes");
+  world.keepOut({}, {}, 0);
+  asks("given back");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   const std::map<std::string, std::function<void()>> cases{
-      {"admitted", admitted}, {"refused", refused}, {"left", left}, {"lists", lists}};
+      {"admitted", admitted}, {"refused", refused}, {"left", left}, {"lists", lists}, {"kept-out", keptOut}};
   const auto at = cases.find(argc > 1 ? argv[1] : "");
   if (at == cases.end()) return 2;
   at->second();
--- /dev/null
+++ b/tests/order.cpp
@@ -0,0 +1,160 @@
+// The order of work on machines: turn by turn as the decisions take it, beside the best of all orders on
+// small fleets and the plainest (by name, one at a time) on large ones. Run as `order CASE`: prints what is
+// measured; the same for the same seeds.
+#include "work/order.h"
+
+#include <algorithm>
+#include <functional>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <random>
+
+using namespace gulltrestle;
+using namespace gulltrestle::work;
+
+namespace {
+
+// What a turn costs beside the work: all have to know, nothing to be out, and what comes back to serve warm.
+constexpr double kTurn = 25;
+
+struct World {
+  Plan plan;
+  Facts facts;
+  Bounds bounds;
+};
+
+World drawn(std::uint64_t seed, std::size_t machines, std::size_t groups, std::size_t zones) {
+  std::mt19937_64 chance(seed);
+  World world;
+  for (std::size_t m = 0; m < machines; ++m) {
+    Machine machine;
+    machine.name = "m" + std::to_string(100 + m);
+    machine.zone = "z" + std::to_string(m % zones);
+    machine.takes = Span::millis(static_cast<std::int64_t>(60'000 + chance() % 840'000));
+    for (std::size_t n = 0; n < 1 + chance() % 3; ++n) {
+      const std::string node = machine.name + "n" + std::to_string(n);
+      auto& fact = world.facts.nodes[node];
+      fact.group = chance() % groups;
+      fact.live = fact.serves = true;
+      const bool isTwice = std::any_of(machine.nodes.begin(), machine.nodes.end(), [&](auto& other) {
+        return world.facts.nodes.at(other).group == fact.group;
+      });
+      if (isTwice)
+        world.facts.nodes.erase(node);
+      else
+        machine.nodes.push_back(node);
+    }
+    world.plan.machines.push_back(machine);
+  }
+  // Each group has a primary on a machine that is not on the list, and another replica.
+  for (std::size_t g = 0; g < groups; ++g)
+    for (const char* name : {"p", "x"}) {
+      auto& fact = world.facts.nodes[name + std::to_string(g)];
+      fact.group = g;
+      fact.live = fact.serves = true;
+      fact.primary = *name == 'p';
+    }
+  world.facts.routers["r0"].lives = true;
+  return world;
+}
+
+// Seconds until all is done, by whoever says which goes next, if any.
+using Chooser = std::function<const Machine*(const Plan&)>;
+double secondsOf(World world, const Chooser& choose) {
+  double now = 0;
+  std::map<std::string, double> ends;
+  for (;;) {
+    while (const Machine* next = choose(world.plan)) {
+      ends[next->name] = now + kTurn + next->takes.inSeconds();
+      world.plan.find(next->name)->phase = Phase::free;
+    }
+    if (ends.empty()) break;
+    const auto first =
+        std::min_element(ends.begin(), ends.end(), [](auto& a, auto& b) { return a.second < b.second; });
+    now = first->second;
+    world.plan.find(first->first)->phase = Phase::over;
+    ends.erase(first);
+  }
+  for (const auto& m : world.plan.machines)
+    if (m.phase != Phase::over) return -1;  // never: each group keeps two
+  return now;
+}
+Chooser taken(const World& world) {
+  return [&world](const Plan& plan) { return nextOf(plan, world.facts, world.bounds, {}); };
+}
+Chooser plainest() {
+  return [](const Plan& plan) -> const Machine* {
+    for (const auto& m : plan.machines)
+      if (m.phase == Phase::free) return nullptr;
+    for (const auto& m : plan.machines)
+      if (m.phase == Phase::waits) return &m;
+    return nullptr;
+  };
+}
+// The first in this order that nothing hinders.
+Chooser inOrder(const World& world, const std::vector<std::size_t>& order) {
+  return [&world, &order](const Plan& plan) -> const Machine* {
+    std::size_t out = 0;
+    std::string zone;
+    for (const auto& m : plan.machines)
+      if (m.phase == Phase::free) ++out, zone = m.zone;
+    if (out >= world.bounds.atOnce) return nullptr;
+    for (const std::size_t i : order) {
+      const Machine& m = plan.machines[i];
+      if (m.phase == Phase::waits && (zone.empty() || m.zone == zone) &&
+          heldUp(plan, m, world.facts, world.bounds).empty())
+        return &m;
+    }
+    return nullptr;
+  };
+}
+
+void small() {
+  double sum = 0, worst = 1, plain = 0;
+  constexpr std::size_t kFleets = 20, kMachines = 7;
+  for (std::uint64_t seed = 1; seed <= kFleets; ++seed) {
+    World world = drawn(seed, kMachines, 5, 1);
+    world.bounds.atOnce = 3;
+    std::vector<std::size_t> order(kMachines);
+    for (std::size_t i = 0; i < kMachines; ++i) order[i] = i;
+    double best = 1e18;
+    do best = std::min(best, secondsOf(world, inOrder(world, order)));
+    while (std::next_permutation(order.begin(), order.end()));
+    const double ours = secondsOf(world, taken(world)) / best;
+    sum += ours;
+    worst = std::max(worst, ours);
+    plain += secondsOf(world, plainest()) / best;
+  }
+  std::cout << std::fixed << std::setprecision(3) << kFleets << " fleets of " << kMachines
+            << " machines in one zone, three at once, time of the whole by the best of all orders: taken "
+            << sum / kFleets << ", at worst " << worst << "; by name, one at a time " << plain / kFleets
+            << "\n";
+}
+
+void large() {
+  for (const unsigned atOnce : {2u, 4u, 8u}) {
+    double ours = 0, plain = 0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      World world = drawn(seed, 60, 30, 3);
+      world.bounds.atOnce = atOnce;
+      ours += secondsOf(world, taken(world)) / 36000;
+      plain += secondsOf(world, plainest()) / 36000;
+    }
+    std::cout << std::fixed << std::setprecision(2)
+              << "60 machines with about 120 nodes of 30 groups in 3 zones, " << atOnce
+              << " at once: " << ours << " hours; by name, one at a time " << plain << "\n";
+  }
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  const std::string name = count > 1 ? words[1] : "";
+  if (name == "small")
+    small();
+  else if (name == "large")
+    large();
+  else
+    return 2;
+}
