--- a/tests/fleet/work.cpp
+++ b/tests/fleet/work.cpp
@@ -361,10 +361,10 @@
       case Trouble::routerDeaf: {
         // It knows that the machine is next, says so, and never hears that it leaves: its lease alone tells
         // it.
-        rig_.clockStands();
         if (phase == "next")
           for (std::size_t k = 0; k < rig_.keepers(); ++k) rig_.flow(router, k, Flow::deafBack);
         while (phase == "next" && !waited(goneOn(), by, "the next phase")) co_await tick();
+        rig_.clockStands();
         for (std::size_t k = 0; k < rig_.keepers(); ++k)
           rig_.flow(router, k, trouble_ == Trouble::routerDeaf ? Flow::deafBack : Flow::cut);
         const std::uint64_t before = committed_[router];
