--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -169,8 +169,8 @@
       << ",\"store\":\"" << folder(name) << "\",\"status_file\":\"" << path_ << "/r" << i
       << ".status.json\",\"retention_ms\":4000,\"longest_wait_ms\":800,\"first_txns\":1000,\"work\":{"
       << (name < mayKeep ? "\"folder\":\"" + work(name) + "\"," : "") << "\"announce_file\":\"" << path_
-      << "/r" << i << ".out.json\",\"out_of_group\":" << shape_.outOfGroup
-      << ",\"warm_ms\":300,\"rest_ms\":1000,\"announce_ms\":9000,\"leave_ms\":20000,\"tries\":9}}";
+      << "/r" << i
+      << ".out.json\",\"warm_ms\":300,\"rest_ms\":1000,\"announce_ms\":9000,\"leave_ms\":20000,\"tries\":9}}";
 }
 
 std::string Rig::request(std::size_t keeper, const std::string& text) {
--- a/tests/fleet/work.cpp
+++ b/tests/fleet/work.cpp
@@ -66,7 +66,8 @@
         rig_(loop_, seed, with(shape)),
         trouble_(trouble),
         phase_(phaseOf(rig_, trouble, shape)),
-        withPrimaries_(machineOfPrimaries) {
+        withPrimaries_(machineOfPrimaries),
+        hidesLoss_(shape.hidesLoss) {
     for (const std::uint64_t group : {1, 2})
       for (const char* name : {"p", "a", "b"}) {
         const std::string id = name + std::to_string(group);
@@ -113,7 +114,10 @@
 
  private:
   static const char* phaseOf(Rig& rig, Trouble trouble, const Shape& shape) {
+    // Where a built-in fault shows.
     if (shape.slowClock < SIZE_MAX) return kPhases[0];
+    if (shape.hidesLoss) return kPhases[1];
+    if (shape.lyingDisk) return kPhases[2];
     const bool early = trouble == Trouble::nodeLost || trouble == Trouble::operatorStops;
     return kPhases[rig.pick(early ? 2 : trouble == Trouble::asksAgain ? 3 : 4)];
   }
@@ -163,7 +167,7 @@
     std::map<std::uint64_t, std::size_t> away;
     for (const auto& [id, node] : nodes_) {
       const Machine* on = machineOf(id);
-      if ((on && on->off) || node->down) ++away[groups_.at(id)];
+      if ((on && on->off) || lost_.contains(id)) ++away[groups_.at(id)];
       if (on == &machine && node->primary) broken("a primary was told free: " + id);
     }
     for (const auto& [group, count] : away)
@@ -391,10 +395,12 @@
         break;
       case Trouble::nodeLost: {
         const std::string other = hit == "ma" ? "b1" : "a1";
-        nodes_.at(other)->down = true;
-        list(other, "gone");
+        lost_.insert(other);
+        nodes_.at(other)->down = !hidesLoss_;
+        if (!hidesLoss_) list(other, "gone");
         const auto gave = [&] { return machines_[hit].phase == "waits"; };
         while (!waited(gave(), by, "the machine to be given back")) co_await tick();
+        lost_.erase(other);
         nodes_.at(other)->down = false;
         list(other, "up");
         break;
@@ -454,6 +460,8 @@
   std::vector<std::size_t> logs_;  // read so far
   std::map<std::size_t, std::set<std::string>> knows_;
   std::set<std::size_t> cut_;
+  bool hidesLoss_;
+  std::set<std::string> lost_;  // nodes, for no work
   std::map<std::size_t, std::uint64_t> committed_;
   std::map<std::string, unsigned> runs_;
   std::uint64_t asked_ = 0;
@@ -513,9 +521,9 @@
   lying.lyingDisk = true;
   found("disks that say that they synced and did not", Trouble::powerAll, lying,
         "a txn came to a node that was told free");
-  Shape greedy;
-  greedy.outOfGroup = 2;
-  found("budgets of two where one may be away", Trouble::none, greedy,
+  Shape hidden;
+  hidden.hidesLoss = true;
+  found("a node that is lost, listed, and tells that it serves", Trouble::nodeLost, hidden,
         "more of a group away than its budget");
   return 0;
 }
