--- a/src/experiments/main.cpp
+++ b/src/experiments/main.cpp
@@ -1,10 +1,12 @@
 // gulltrestle_days: plays modelled days of an installation, and prints what came of them. All figures are
 // simulated; the same for the same seed.
 #include <CLI/CLI.hpp>
+#include <cmath>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
 
+#include "experiments/outages.h"
 #include "model/watch.h"
 
 using namespace gulltrestle;
@@ -54,6 +56,28 @@
   return 0;
 }
 
+// Traffic that shifts between a third and nine tenths of what all nodes can do, while machines are taken out.
+int work(const Asked& asked) {
+  std::cout << std::fixed << std::setprecision(3);
+  // As long for each order as the longest takes, so that all see the same traffic.
+  double length = asked.seconds;
+  for (const auto& order : experiments::orderNames())
+    length = std::max(length, experiments::scheduleOf(order, asked.nodes / 4).ends + 5);
+  for (const auto& order : asked.days) {
+    model::Day day = model::dayOf("calm", asked.routers, asked.nodes, asked.seed);
+    const auto schedule = experiments::scheduleOf(order, asked.nodes / 4);
+    day.sheet.trouble.outages = schedule.outages;
+    const auto demand = [](double t) { return 0.6 + 0.3 * std::sin(t * 0.15); };
+    const auto result = model::Fleet(day.sheet).run(length, demand);
+    std::cout << order << " " << asked.routers << "x" << asked.nodes << " seed " << asked.seed << ": value "
+              << result.value << ", worst 10 s " << result.worst << ", nodes pushed over " << result.fellOver
+              << ", rules broken " << result.broken.sum() << ", all back and warm after "
+              << std::setprecision(0) << schedule.ends << " s" << std::setprecision(3) << std::endl;
+    if (!asked.file.empty()) writeSeconds(asked.file + order + ".csv", result);
+  }
+  return 0;
+}
+
 int watch(const Asked& asked) {
   std::cout << std::fixed << std::setprecision(3);
   bool passed = true;
@@ -93,8 +117,17 @@
   CLI::App* playing = add("play", "Plays days");
   playing->add_option("--csv", asked.file, "a file for the figures by the second");
   CLI::App* watching = add("watch", "Plays days, and judges them by the rules and a gate");
+  CLI::App* working = app.add_subcommand("work", "Machines taken out for work, in several orders");
+  working->add_option("order", asked.days, "which, one or several")
+      ->required()
+      ->check(CLI::IsMember(experiments::orderNames()));
+  working->add_option("--routers", asked.routers)->check(CLI::Range(1, 1000))->capture_default_str();
+  working->add_option("--nodes", asked.nodes)->check(CLI::Range(12, 1000))->capture_default_str();
+  working->add_option("--seed", asked.seed)->capture_default_str();
+  working->add_option("--csv", asked.file, "what the names of files begin with: figures by the second");
   CLI11_PARSE(app, count, words);
   try {
+    if (working->parsed()) return work(asked);
     return watching->parsed() ? watch(asked) : play(asked);
   } catch (const std::exception& bad) {
     std::cerr << "gulltrestle_days: " << bad.what() << "\n";
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -167,8 +167,34 @@
   router.touched = true;
 }
 
+void Fleet::takeOut() {
+  for (const auto& outage : sheet_.trouble.outages) {
+    if (reaches(outage.leaves)) {
+      nodes_.drain(now_, outage.node);
+      publish();
+    }
+    if (!reaches(outage.off)) continue;
+    const Instant back = now_ + Span::seconds(outage.back - outage.off);
+    lose(outage.node, back, {});
+    publish();
+  }
+}
+
+// Whoever had a connection sees it end.
+void Fleet::lose(std::size_t node, Instant back, Span logLost) {
+  const auto connected = nodes_.all()[node].connections;
+  nodes_.lose(now_, node, back, logLost);
+  for (const auto& router : routers_)
+    if (router && connected.contains(router->number * 1'000'000 + router->start)) {
+      router->ledger.disconnected(nodes_.all()[node].id);
+      router->touched = true;
+    }
+  tellAt_.insert(back);
+}
+
 void Fleet::strike() {
   const Trouble& trouble = sheet_.trouble;
+  takeOut();
   const auto backAt = [&](const Trouble::Loss& loss) {
     return now_ + Span::seconds(std::uniform_real_distribution<>(loss.backFrom, loss.backTo)(chance_));
   };
@@ -181,16 +207,7 @@
   if (reaches(trouble.nodesLost.at)) {
     for (std::size_t i = 0; i < nodes_.all().size(); ++i) {
       if (std::uniform_real_distribution<>()(chance_) >= trouble.nodesLost.part) continue;
-      const Instant back = backAt(trouble.nodesLost);
-      const auto connected = nodes_.all()[i].connections;
-      nodes_.lose(now_, i, back, trouble.logLost);
-      // Whoever had a connection sees it end.
-      for (const auto& router : routers_)
-        if (router && connected.contains(router->number * 1'000'000 + router->start)) {
-          router->ledger.disconnected(nodes_.all()[i].id);
-          router->touched = true;
-        }
-      tellAt_.insert(back);
+      lose(i, backAt(trouble.nodesLost), trouble.logLost);
     }
     publish();
   }
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -47,6 +47,12 @@
   };
   Loss routersLost, nodesLost;
   Span logLost;  // of replicas that lose power: the end of their log
+  // Nodes that are taken out for work: listed as draining, off, and back, cold, if they go off at all.
+  struct Outage {
+    std::size_t node = 0;
+    double leaves = 0, off = 0, back = 0;
+  };
+  std::vector<Outage> outages;
   // Nothing passes between a part of the routers and a part of the nodes.
   struct Cut {
     double from = -1, to = -1, routers = 0.3, nodes = 0.3;
@@ -65,7 +71,7 @@
   // Built-in faults: what routers are told of their number, 0: the truth; that nodes start warm.
   std::size_t believedRouters = 0;
   bool believedWarm = false;
-  bool ramp = false;                // routers that start let in few at first (recovery/ramp.h)
+  bool ramp = false;  // routers that start let in few at first (recovery/ramp.h)
   Trouble trouble;
   std::uint64_t seed = 1;
 };
@@ -131,6 +137,8 @@
   };
 
   bool reaches(double at) const;
+  void takeOut();  // for work
+  void lose(std::size_t node, Instant back, Span logLost);
   void strike();  // what the sheet's troubles bring in this step
   void start(std::size_t router);
   void stop(std::size_t router);
--- a/src/model/nodes.cpp
+++ b/src/model/nodes.cpp
@@ -68,6 +68,8 @@
   Node& node = nodes_[row];
   node.logAt = logLost > Span() ? applied(now, node, {}) - logLost : Instant();
   ++node.starts;
+  node.draining = false;
+  node.toldToDrain = Instant();
   node.connections.clear();
   node.ends.clear();
   node.upAt = node.startedAt = node.busyUntil = backAt;
