No machine is free before discovery's list says so, where discovery is told what is out

Ruled out: the plan (keepers r1 and r2 held free, version 4, on disk). Cause: src/work/steps.cpp, Phase::leaves, asked routers alone; a start goes by its list until the first keeper is heard, and nothing made the list say so. Now announce_file, where it is set, has to have come back in the list first; the rig feeds its discovery by it.

--- a/src/peers/setup.cpp
+++ b/src/peers/setup.cpp
@@ -46,6 +46,7 @@
   setup.workFolder = work.text("folder", "");
   setup.announceFile = work.text("announce_file", "");
   work::Bounds& bounds = setup.work;
+  bounds.discoveryIsTold = !setup.announceFile.empty();
   const auto few = [&](const char* key, unsigned otherwise) {
     return static_cast<unsigned>(work.whole(key, otherwise, 1, 100));
   };
--- a/src/peers/worker.cpp
+++ b/src/peers/worker.cpp
@@ -111,8 +111,7 @@
 
 // --- Turns
 
-work::Facts Worker::factsOf(Instant now, const Membership& membership, const Service& service,
-                            bool strained) const {
+work::Facts Worker::factsOf(const Membership& membership, const Service& service, bool strained) const {
   work::Facts facts;
   facts.strained = strained;
   std::map<std::uint64_t, Instant> newest;
@@ -150,7 +149,6 @@
     router.clear = member.progress.clear;
     router.keeper = std::find(place_.keepers.begin(), place_.keepers.end(), name) != place_.keepers.end();
   }
-  (void)now;
   return facts;
 }
 
@@ -195,11 +193,11 @@
                                           changed ? work::encoded(plan) : read.value)});
 }
 
-void Worker::settle(Instant now) {
+void Worker::settle() {
   const auto settled = round_->takeSettled();
   if (!settled) return;
   dueSince_ = Instant();
-  lookedAt_ = now;
+  lookedAt_ = Instant();  // it is looked at anew by what is settled now
   for (const auto& step : proposed_.steps)
     log_("work.step", "machine=" + step.machine + " from=" + std::string(work::nameOf(step.from)) +
                           " to=" + std::string(work::nameOf(step.to)) +
@@ -231,25 +229,28 @@
     if (at != Instant() && (due_ == Instant() || at < due_)) due_ = at;
   };
   if (const auto read = round_->takeRead()) change(now, *read, words);
-  settle(now);
+  settle();
   sooner(round_->due(now));
   const bool isOpen = std::any_of(known_.settled().machines.begin(), known_.settled().machines.end(),
                                   [](const auto& m) { return m.phase != Phase::over; });
   // One that learns brings itself up to date: two that forgot one after the other would be too many.
   const bool learns = counts && !acceptor_->isWhole();
-  foremanNow_ = false;
-  if (!isOpen && asks_.empty() && !learns) return words;
+  if (!isOpen && asks_.empty() && !learns) {
+    foremanNow_ = isDue_ = false;
+    return words;
+  }
+  // Not in each of a busy keeper's many turns.
   if (now - lookedAt_ >= kLook || lookedAt_ == Instant()) {
     lookedAt_ = now;
-    facts_ = factsOf(now, membership, service, strained);
+    facts_ = factsOf(membership, service, strained);
     foreman_.see(now, known_.settled(), facts_);
+    isDue_ = foreman_.isDue(now, known_.settled(), facts_);
+    if (!isDue_) dueSince_ = Instant();
+    if (isDue_ && dueSince_ == Instant()) dueSince_ = now;
+    foremanNow_ = carriesOn(now, membership);
+    if (foremanNow_) askNodes(now);
   }
-  const bool due = foreman_.isDue(now, known_.settled(), facts_);
-  if (!due) dueSince_ = Instant();
-  if (due && dueSince_ == Instant()) dueSince_ = now;
-  foremanNow_ = carriesOn(now, membership);
-  if (foremanNow_) askNodes(now);
-  if (((due && foremanNow_) || !asks_.empty() || learns) && round_->begin(now))
+  if (((isDue_ && foremanNow_) || !asks_.empty() || learns) && round_->begin(now))
     words.push_back(WorkRead{round_->ballot()});
   sooner(round_->due(now));
   sooner(lookedAt_ + kLook);
--- a/src/peers/worker.h
+++ b/src/peers/worker.h
@@ -86,11 +86,11 @@
   Instant leaseUntil() const { return lease_.until(); }
 
  private:
-  work::Facts factsOf(Instant now, const Membership& membership, const Service& service, bool strained) const;
+  work::Facts factsOf(const Membership& membership, const Service& service, bool strained) const;
   bool carriesOn(Instant now, const Membership& membership) const;
   void askNodes(Instant now);
   void change(Instant now, const work::Round::Read& read, std::vector<Word>& words);
-  void settle(Instant now);
+  void settle();
 
   core::Ledger& ledger_;
   Place place_;
@@ -106,7 +106,7 @@
   Instant untilTold_;
   std::uint64_t ownBeat_ = 0;
   std::uint64_t clear_ = 0;
-  bool endTold_ = false, foremanNow_ = false;
+  bool endTold_ = false, foremanNow_ = false, isDue_ = false;
   Instant lookedAt_, dueSince_, askedAt_, due_, now_;
   std::deque<std::pair<std::string, work::Ask>> asks_;  // not settled yet
   std::vector<Answer> answers_;
--- a/src/work/asks.cpp
+++ b/src/work/asks.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::int64_t kMostMillis = 7 * 24 * 3'600'000LL;
 constexpr std::size_t kLongestName = 200;
+// Half of what a message between routers may hold: the other half is for what is said of each machine later.
+constexpr std::size_t kLongestPlan = 64 * 1024;
 
 void onlyKeys(const Json& object, const std::string& path, const std::set<std::string>& known) {
   for (const auto& [key, value] : object.items())
@@ -114,8 +116,14 @@
 std::string carryOut(Plan& plan, const std::string& request, const Ask& asked, const Facts& facts,
                      const Bounds& bounds) {
   switch (asked.what) {
-    case Ask::What::ask:
-      return ask(plan, request, asked.machines, facts, bounds);
+    case Ask::What::ask: {
+      Plan longer = plan;
+      const std::string why = ask(longer, request, asked.machines, facts, bounds);
+      if (!why.empty()) return why;
+      if (encoded(longer).size() > kLongestPlan) return "the plan would be too long: ask for fewer machines";
+      plan = std::move(longer);
+      return "";
+    }
     case Ask::What::stop:
       return stop(plan, request, asked.machine, asked.by);
     case Ask::What::done:
--- a/src/work/facts.h
+++ b/src/work/facts.h
@@ -48,6 +48,7 @@
   Span comeBack = Span::millis(300'000);  // returns: until what stands on it serves
   Span warm = Span::millis(10'000);       // that a node that came back serves before the next one goes
   Span caughtUp = Span::millis(1000);     // behind its group, at most
+  bool discoveryIsTold = false;           // what is out: no machine is free before the list says so, too
   unsigned tries = 3;                     // that are given up before the whole is
   Span rest = Span::millis(30'000);       // after one that was given up
   Span fence = fenceOf(Span::millis(5'000));
--- a/src/work/steps.cpp
+++ b/src/work/steps.cpp
@@ -14,7 +14,7 @@
 // see() is called twice a second; beyond this its process stood still.
 constexpr Span kStoodStill = Span::millis(2000);
 // A plan's text has to fit a message between routers.
-constexpr std::size_t kMostMachines = 200;
+constexpr std::size_t kMostMachines = 200, kLongestWhy = 160;
 
 constexpr const char* kAsked = "asked";
 
@@ -26,6 +26,7 @@
 }
 
 Step go(Plan& plan, Machine& machine, Phase to, std::string why) {
+  if (why.size() > kLongestWhy) why.resize(kLongestWhy);
   Step step{machine.name, machine.phase, to, why};
   machine.phase = to;
   machine.since = plan.version;
@@ -118,6 +119,14 @@
   });
 }
 
+bool Foreman::isListed(const Machine& machine, const Facts& facts) const {
+  return bounds_.discoveryIsTold &&
+         std::any_of(machine.nodes.begin(), machine.nodes.end(), [&](const auto& name) {
+           const auto at = facts.nodes.find(name);
+           return at != facts.nodes.end() && at->second.live;
+         });
+}
+
 std::vector<std::string> Foreman::unknowing(Instant now, const Plan& plan, const Machine& machine,
                                             const Facts& facts) const {
   std::vector<std::string> names;
@@ -154,8 +163,10 @@
     }
     case Phase::next:
       return "to know: " + joined(unknowing(now, plan, machine, facts));
-    case Phase::leaves:
-      return "nothing out there: " + joined(inTheWay(now, machine, facts));
+    case Phase::leaves: {
+      const auto who = inTheWay(now, machine, facts);
+      return who.empty() ? "discovery to list it as leaving" : "nothing out there: " + joined(who);
+    }
     case Phase::free:
       return "an operator's word that it is done";
     case Phase::returns:
@@ -186,10 +197,12 @@
       case Phase::leaves:
         if (const auto why = hindrance(plan, m, facts, bounds_); !why.empty())
           steps.push_back(go(plan, m, Phase::waits, why));
-        else if (const auto who = inTheWay(now, m, facts); who.empty())
+        else if (const auto who = inTheWay(now, m, facts); who.empty() && !isListed(m, facts))
           steps.push_back(go(plan, m, Phase::free, "no router can send there"));
         else if (inPhase >= bounds_.leave)
-          steps.push_back(giveBack(plan, m, bounds_, "still in the way: " + joined(who)));
+          steps.push_back(giveBack(
+              plan, m, bounds_,
+              who.empty() ? "discovery still lists it as live" : "still in the way: " + joined(who)));
         break;
       case Phase::returns:
         if (at->second.servesAt != Instant() && now - at->second.servesAt >= bounds_.warm)
--- a/src/work/steps.h
+++ b/src/work/steps.h
@@ -8,6 +8,8 @@
 //     still have had something out; or
 //   - had no lease for the time of the fence: it knew, as all did before the machine came to `leaves`, that
 //     it may send there with a lease alone.
+// Where discovery is told what is out, its list has to say so as well, for a router that starts and has heard
+// no keeper yet.
 // Guards against routers that are cut off, stand still or died. Hurts where a router is silent before it
 // knew: the machine waits until it is back, or an operator takes it off the list.
 #pragma once
@@ -60,6 +62,7 @@
                                      const Facts& facts) const;
   std::vector<std::string> inTheWay(Instant now, const Machine& machine, const Facts& facts) const;
   bool serves(const Machine& machine, const Facts& facts) const;
+  bool isListed(const Machine& machine, const Facts& facts) const;  // as live, where that matters
   bool fenced(Instant now, Instant since) const { return since != Instant() && now - since >= bounds_.fence; }
 
   Bounds bounds_;
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -29,6 +29,7 @@
   Syncs node = Syncs::never;
   bool clocksDiffer = false;         // each start's clock of the day is off by up to ten minutes
   std::size_t slowClock = SIZE_MAX;  // a built-in fault: this router's running clock, once it is told
+  bool announces = true;   // what is out to discovery
   bool hidesLoss = false;  // a built-in fault: a node that is lost is still listed, and tells that it serves
   std::string discovery;   // of stand-in nodes that speak HTTP: routers are external processors for them
 };
@@ -83,6 +84,7 @@
   void loseDisk(std::size_t router);                // of one that is killed
   std::string processor(std::size_t router) const;  // its address
   std::string folder(std::size_t router) const { return path_ + "/store" + std::to_string(router); }
+  std::string announced(std::size_t router) const;  // what discovery is told by it
   std::string work(std::size_t router) const { return path_ + "/work" + std::to_string(router); }
   std::string logFile(std::size_t router) const { return path_ + "/r" + std::to_string(router) + ".log"; }
   std::string log(std::size_t router) const;  // all that it wrote
