Who carries the plan on is decided in src/work, with its times

Need: read again, the reducer in src/peers held a decision and tuned values: which keeper begins rounds, after how long the next one does, and when a node counts as silent.

--- a/src/peers/worker.cpp
+++ b/src/peers/worker.cpp
@@ -14,11 +14,6 @@
 
 // How often the fleet is looked at where there is work; less than half of what a step is worth waiting for.
 constexpr Span kLook = Span::millis(500);
-// A node that said nothing for so long does not serve; where there is work in its group it is asked in time.
-constexpr Span kHeard = Span::millis(5000), kAsk = Span::millis(1000);
-// The foreman is the first keeper that lives. Where steps are due and nothing happens for so long, the next
-// one carries on beside it, then the next: one that lives for others and reaches nobody stops nothing.
-constexpr Span kTakesOver = Span::millis(5000);
 // Requests that wait for a round.
 constexpr std::size_t kMostAsks = 100;
 
@@ -132,7 +127,7 @@
     const auto at = facts.nodes.find(one.node);
     if (at == facts.nodes.end()) continue;
     work::NodeFact& node = at->second;
-    node.serves = node.live && one.age <= kHeard;
+    node.serves = node.live && one.age <= work::kHeard;
     if (one.role != Role::unknown) node.primary = one.role == Role::primary;
     if (one.position) node.behind = std::max(Span(), newest[node.group] - (*one.position + one.age));
   }
@@ -152,17 +147,16 @@
   return facts;
 }
 
-bool Worker::carriesOn(Instant now, const Membership& membership) const {
+std::size_t Worker::livingBefore(const Membership& membership) const {
   std::size_t before = 0;
   for (std::size_t k = 0; k < *place_.own; ++k)
     before += membership.view().of(place_.keepers[k]).state == View::State::lives;
-  if (before == 0) return true;
-  return dueSince_ != Instant() && now - dueSince_ > kTakesOver * static_cast<double>(before);
+  return before;
 }
 
 // Nodes of groups with work: whether they serve is known from their own word alone.
 void Worker::askNodes(Instant now) {
-  if (now - askedAt_ < kAsk) return;
+  if (now - askedAt_ < work::kAsk) return;
   askedAt_ = now;
   std::set<std::uint64_t> groups;
   for (const auto& m : known_.settled().machines)
@@ -196,7 +190,7 @@
 void Worker::settle() {
   const auto settled = round_->takeSettled();
   if (!settled) return;
-  dueSince_ = Instant();
+  foreman_.settled();
   lookedAt_ = Instant();  // it is looked at anew by what is settled now
   for (const auto& step : proposed_.steps)
     log_("work.step", "machine=" + step.machine + " from=" + std::string(work::nameOf(step.from)) +
@@ -245,9 +239,7 @@
     facts_ = factsOf(membership, service, strained);
     foreman_.see(now, known_.settled(), facts_);
     isDue_ = foreman_.isDue(now, known_.settled(), facts_);
-    if (!isDue_) dueSince_ = Instant();
-    if (isDue_ && dueSince_ == Instant()) dueSince_ = now;
-    foremanNow_ = carriesOn(now, membership);
+    foremanNow_ = foreman_.carriesOn(now, isDue_, livingBefore(membership));
     if (foremanNow_) askNodes(now);
   }
   if (((isDue_ && foremanNow_) || !asks_.empty() || learns) && round_->begin(now))
--- a/src/peers/worker.h
+++ b/src/peers/worker.h
@@ -87,7 +87,7 @@
 
  private:
   work::Facts factsOf(const Membership& membership, const Service& service, bool strained) const;
-  bool carriesOn(Instant now, const Membership& membership) const;
+  std::size_t livingBefore(const Membership& membership) const;  // keepers ahead of this one
   void askNodes(Instant now);
   void change(Instant now, const work::Round::Read& read, std::vector<Word>& words);
   void settle();
@@ -107,7 +107,7 @@
   std::uint64_t ownBeat_ = 0;
   std::uint64_t clear_ = 0;
   bool endTold_ = false, foremanNow_ = false, isDue_ = false;
-  Instant lookedAt_, dueSince_, askedAt_, due_, now_;
+  Instant lookedAt_, askedAt_, due_, now_;
   std::deque<std::pair<std::string, work::Ask>> asks_;  // not settled yet
   std::vector<Answer> answers_;
   struct Proposed {  // by the round that writes
--- a/src/work/facts.h
+++ b/src/work/facts.h
@@ -10,11 +10,15 @@
 
 namespace gulltrestle::work {
 
+// A node that said nothing for so long does not serve; where there is work in its group it is asked that
+// often.
+constexpr Span kHeard = Span::millis(5000), kAsk = Span::millis(1000);
+
 struct NodeFact {
   std::uint64_t group = 0;
   std::string zone;
   bool live = false;     // the list says so
-  bool serves = false;   // and it answered lately
+  bool serves = false;   // and it answered within kHeard
   bool primary = false;  // by its own word, or by the list while it says nothing
   Span behind;           // of the newest position that its group is known to have reached
 };
--- a/src/work/steps.cpp
+++ b/src/work/steps.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kMostOver = 50, kMostTaken = 200;
 // see() is called twice a second; beyond this its process stood still.
 constexpr Span kStoodStill = Span::millis(2000);
+// Some rounds, each with its pauses.
+constexpr Span kTakesOver = Span::millis(5000);
 // A plan's text has to fit a message between routers.
 constexpr std::size_t kMostMachines = 200, kLongestWhy = 160;
 
@@ -238,6 +240,12 @@
   return !advance(now, tried, facts).empty();
 }
 
+bool Foreman::carriesOn(Instant now, bool isDue, std::size_t before) {
+  if (!isDue) dueSince_ = Instant();
+  if (isDue && dueSince_ == Instant()) dueSince_ = now;
+  return before == 0 || (isDue && now - dueSince_ > kTakesOver * static_cast<double>(before));
+}
+
 // --- Operators
 
 std::string ask(Plan& plan, const std::string& request, const std::vector<Machine>& machines,
--- a/src/work/steps.h
+++ b/src/work/steps.h
@@ -44,6 +44,12 @@
   bool isDue(Instant now, const Plan& plan, const Facts& facts);
   // What a machine waits for, in words; empty: for nothing that can be told.
   std::string awaits(Instant now, const Plan& plan, const Machine& machine, const Facts& facts) const;
+  // Whether this keeper begins rounds for what is due, each time it is looked at: the first keeper that lives
+  // does, and where nothing happens for a while the next one beside it, then the next. `before`: keepers
+  // ahead of it that live. Guards against one that lives for others and reaches nobody; may cost a round.
+  bool carriesOn(Instant now, bool isDue, std::size_t before);
+  // Something was settled: what is due from here on is due anew.
+  void settled() { dueSince_ = Instant(); }
   const Bounds& bounds() const { return bounds_; }
 
  private:
@@ -66,7 +72,7 @@
   bool fenced(Instant now, Instant since) const { return since != Instant() && now - since >= bounds_.fence; }
 
   Bounds bounds_;
-  Instant seenAt_;
+  Instant seenAt_, dueSince_;
   std::map<std::string, SeenRouter> routers_;
   std::map<std::string, SeenMachine> machines_;
 };
--- a/tests/work.cpp
+++ b/tests/work.cpp
@@ -589,6 +589,20 @@
   std::string fault_;
 };
 
+// Who begins rounds where steps are due and nothing happens.
+void takeover() {
+  Foreman first{Bounds()}, third{Bounds()};
+  for (const int second : {0, 4, 6, 11}) {
+    const Instant now = kBegin + ms(second * 1000);
+    std::cout << second << " s: the first " << first.carriesOn(now, true, 0) << ", the third "
+              << third.carriesOn(now, true, 2) << "\n";
+  }
+  third.settled();
+  std::cout << "settled: the third " << third.carriesOn(kBegin + ms(12'000), true, 2)
+            << ", once both before it are silent " << third.carriesOn(kBegin + ms(12'000), true, 0)
+            << ", nothing due " << third.carriesOn(kBegin + ms(30'000), false, 2) << "\n";
+}
+
 void worlds(std::uint64_t seeds, std::uint64_t from) {
   Sum sum;
   std::uint64_t bad = 0;
@@ -858,6 +872,8 @@
   };
   if (name == "worlds")
     worlds(argument(2, 150), argument(3, 1));
+  else if (name == "takeover")
+    takeover();
   else if (name == "register")
     registered(argument(2, 1));
   else if (name == "bugs")
