--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -385,7 +385,10 @@
     txn.tried.push_back(&m);
     // A bounded read may wait for a connection, but not until what its replica has falls out of the bound.
     const bool ages = typeOf(txn).level == ReadLevel::bounded && m.position >= targetNow(txn);
-    const Instant sendBy = ages ? std::min(txn.answerBy, m.position + typeOf(txn).bound) : txn.answerBy;
+    Instant sendBy = ages ? std::min(txn.answerBy, m.position + typeOf(txn).bound) : txn.answerBy;
+    // Nor may a repeat, once its first is forgotten.
+    if (typeOf(txn).effect == Effect::referenced && txn.mayHaveRunAt != Instant())
+      sendBy = std::min(sendBy, repeatBy(txn));
     writer->submit(txn.txn.id, m.listed.node, sendBy, txn.answerBy);
   }
 
@@ -428,10 +431,15 @@
     }
   }
 
+  // A repeat is known for a window from the first send on; on its way it gets older: two rounds are left in hand.
+  Instant repeatBy(const Live& txn) const {
+    return txn.mayHaveRunAt + typeOf(txn).referenceWindow - terms.roundLength * 2;
+  }
+
   bool maySend(const Live& txn) const {
     const TxnType& type = typeOf(txn);
-    const bool known = type.effect == Effect::referenced && now - txn.mayHaveRunAt < type.referenceWindow;
-    const bool again = txn.mayHaveRunAt == Instant() || type.effect == Effect::repeatable || known;
+    const bool again = txn.mayHaveRunAt == Instant() || type.effect == Effect::repeatable ||
+                       (type.effect == Effect::referenced && now < repeatBy(txn));
     const unsigned earlier = txn.txn.earlier.submissions, mostHere = txn.txn.mostHere;
     return again && txn.submissions + earlier < terms.mostSubmissions &&
            (mostHere == 0 || txn.submissions < mostHere);
