An attempt that waits for a connection is withdrawn when its client leaves

Change: Carrier::withdraw(), called by the ledger as a client leaves, a txn is declined or rolled back: what the node has not got whole ends as never run.

--- a/src/carriers/pg/links.cpp
+++ b/src/carriers/pg/links.cpp
@@ -300,6 +300,15 @@
   ledger_.ended(job, id, outcomeOf(ConnectionEnd::calledOff, false));
 }
 
+void Links::withdraw(Job job, const NodeId& id) {
+  if (const auto at = carried_.find(job); at != carried_.end()) {
+    if (!links_.at(at->second).written) endLink(LinkId(at->second), ConnectionEnd::calledOff);
+  } else if (const auto place = places_.find(id); place != places_.end()) {
+    if (std::erase(place->second.waiting, job) > 0)
+      ledger_.ended(job, id, outcomeOf(ConnectionEnd::calledOff, false));
+  }
+}
+
 void Links::forget(const NodeId& id) {
   const auto place = places_.find(id);
   if (place == places_.end()) return;
--- a/src/carriers/pg/links.h
+++ b/src/carriers/pg/links.h
@@ -42,6 +42,7 @@
 
   void carry(core::Job job, const NodeId& node) override;
   void callOff(core::Job job, const NodeId& node) override;
+  void withdraw(core::Job job, const NodeId& node) override;
   void listed(const std::vector<NodeId>& moved) override;
   void forget(const NodeId& node) override;
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -143,6 +143,7 @@
   pass(*live, false);
   live->front = nullptr;
   if (!std::exchange(live->waiting, std::nullopt)) arrived([txn](Router& router) { router.clientLeft(txn); });
+  withdrawAll(txn);
   forget(txn);
 }
 
@@ -166,6 +167,19 @@
   forget(txn);
 }
 
+// Guards against attempts that begin for nobody: one that waits for a connection, or is written in part, would
+// go on as soon as it can, long after its client left. Hurts none: it has not run and no one waits for it.
+void Ledger::withdrawAll(TxnId txn) {
+  const auto at = live_.find(txn);
+  if (at == live_.end()) return;
+  Carrier& carrier = *at->second.carrier;
+  std::vector<std::pair<Job, NodeId>> out;
+  for (std::size_t i = 0; i < at->second.submissions.size(); ++i)
+    if (const Submission& one = at->second.submissions[i]; !one.over)
+      out.emplace_back(Job{txn, static_cast<unsigned>(i)}, one.node);
+  for (const auto& [job, node] : out) carrier.withdraw(job, node);
+}
+
 // What has its final answer is kept only while submissions of it are out.
 void Ledger::forget(TxnId txn) {
   const auto at = live_.find(txn);
@@ -357,12 +371,14 @@
     if (live->submissions.empty() && live->takenAt == now_) level = levels_->of(live->group).level;
   }
   finish(txn, [&](Front& front, OwnerId owner) { front.declined(owner, comeBackAfter, level); });
+  withdrawAll(txn);
 }
 
 void Ledger::rollBack(TxnId txn) {
   if (const Live* live = owed(txn); live && levels_)
     levels_->gaveUp(now_, live->group, live->type, waitedShare(*live));
   finish(txn, [&](Front& front, OwnerId owner) { front.rolledBack(owner); });
+  withdrawAll(txn);
 }
 
 void Ledger::probe(const NodeId& node) {
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -62,6 +62,9 @@
   virtual void carry(Job job, const NodeId& node) = 0;  // a probe, too
   // Nobody waits for it any more. It has not ended yet, and ends soon.
   virtual void callOff(Job job, const NodeId& node) = 0;
+  // Its txn has its final answer, or its client left: what the node has not got whole is not to get there. It
+  // ends at once where that is so; else as it would.
+  virtual void withdraw(Job, const NodeId&) {}
   // A list was taken over by the ledger's nodes: these have another address now, others may be leaving.
   virtual void listed(const std::vector<NodeId>& moved) = 0;
   // The node is known no more: whatever waits for it ends.
@@ -205,6 +208,7 @@
   template <typename Answer>
   void finish(TxnId txn, Answer answer);
   void pass(Live& live, bool committed);
+  void withdrawAll(TxnId txn);
   void forget(TxnId txn);
 
   Router router_;
