A pipelined statement's time counts from when it came, and is answered also at the end

Checked: a probe that logs each statement's coming, taking and end: of the txns that were taken and never answered because their client left, 123 of 129 had waited behind another and their client left 59 ms after their own time; those that had not waited were answered in time. Ruled out: statements left unread (none whose turn had come), closes by the router (none while one was waiting). At fault: takeStatement() gave each the whole of d from when its turn came. Change: Arrivals notes when bytes came; what a statement waited here is taken off its time. nextOf() dropped at the end of a router what a client had sent ahead: that is served now, and what comes later from one that was served is declined.

--- a/src/fronts/pg/clients.cpp
+++ b/src/fronts/pg/clients.cpp
@@ -54,6 +54,7 @@
 
 std::size_t Clients::sent(ClientId id, std::string_view bytes) {
   const auto size = bytes.size();
+  if (const auto at = clients_.find(id); at != clients_.end()) at->second.arrivals.waiting(size, ledger_.now());
   try {
     for (int taken = 0;; ++taken) {
       const auto at = clients_.find(id);
@@ -67,7 +68,7 @@
       }
       client.idleSince = ledger_.now();
       const bool opening = client.stage == Stage::opening;
-      if (opening ? takeOpening(id, client, bytes) : takeMessage(id, client, bytes)) {
+      if (opening ? takeOpening(id, client, bytes) : takeMessage(id, client, bytes, size - bytes.size())) {
         if (!clients_.contains(id) || client.stage == Stage::opening) continue;
         if (client.due != Instant()) awaitMessage(id, client, {});
         continue;
@@ -80,6 +81,8 @@
     fatal(id, wire::kProtocolViolation, bad.what());
     return size;
   }
+  if (const auto at = clients_.find(id); at != clients_.end())
+    at->second.arrivals.taken(size - bytes.size());
   return size - bytes.size();
 }
 
@@ -99,7 +102,9 @@
   return true;
 }
 
-bool Clients::takeMessage(ClientId id, Client& client, std::string_view& bytes) {
+// `before`: how much of what waited has been taken already.
+bool Clients::takeMessage(ClientId id, Client& client, std::string_view& bytes, std::size_t before) {
+  const auto waiting = bytes.size();
   const auto message = wire::takeMessage(bytes, kLongestQuery);
   if (!message) return false;
   const auto request = wire::requestOf(message->type);
@@ -109,7 +114,8 @@
   auto body = message->body;
   switch (request) {
     case wire::Request::query:
-      takeStatement(id, client, wire::takeText(body));
+      takeStatement(id, client, wire::takeText(body),
+                    client.arrivals.of(before + waiting - bytes.size()));
       break;
     case wire::Request::goodbye:
       drop(id);
@@ -133,13 +139,15 @@
   return true;
 }
 
-void Clients::takeStatement(ClientId id, Client& client, std::string_view text) {
+void Clients::takeStatement(ClientId id, Client& client, std::string_view text, Instant cameAt) {
   if (wire::isBlank(text)) {
     if (listKnown_) return answerEmpty(id, client);
     client.waitsForList = true;
     return;
   }
   try {
+    if (stoppedAt_ != Instant() && cameAt >= stoppedAt_ && client.asked)
+      throw wire::BadStatement(wire::kDeclined, "declined: this router ends");
     const auto statement = wire::readStatement(text);
     const auto type = types_.find(statement.typeName);
     if (type == types_.end())
@@ -166,7 +174,8 @@
             ledger_.now() - (Instant() + Span::millis(static_cast<std::int64_t>(*statement.afterMs))),
             Span::micros(1));
     }
-    txn.patience = Span::millis(static_cast<std::int64_t>(statement.waitMs));
+    // Its client counts from when it was sent, also where it waited here behind others.
+    txn.patience = Span::millis(static_cast<std::int64_t>(statement.waitMs)) - (ledger_.now() - cameAt);
     const auto at = [&](std::string_view slice) {
       return static_cast<std::size_t>(slice.data() - text.data());
     };
@@ -255,7 +264,6 @@
 
 void Clients::nextOf(ClientId id) {
   clients_.at(id).idleSince = ledger_.now();
-  if (stopped_) return drop(id);
   clients_.at(id).toRead = true;
   effects_.readClient(id);
   makeRoomToAsk();
@@ -305,7 +313,7 @@
 void Clients::closeIdleAtEnd() {
   std::vector<ClientId> idle;
   for (const auto& [id, client] : clients_)
-    if (client.txn == 0 && !isFresh(client, bounds_.connectLimit)) idle.push_back(id);
+    if (client.txn == 0 && !client.toRead && !isFresh(client, bounds_.connectLimit)) idle.push_back(id);
   for (const ClientId id : idle) drop(id);
 }
 
--- a/src/fronts/pg/clients.h
+++ b/src/fronts/pg/clients.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/ledger.h"
+#include "fronts/pg/arrivals.h"
 #include "pg/messages.h"
 
 namespace gulltrestle::fronts::pg {
@@ -51,8 +52,9 @@
   void endTurn();
   Instant nextDue() const { return due_.empty() ? Instant() : due_.begin()->first; }
 
-  // Nothing new is taken; who is owed an answer is closed with it.
-  void stop() { stopped_ = true; }
+  // Who is owed an answer, or has sent more before, is closed after that; more that comes from those is
+  // declined. One that has just come is served once.
+  void stop() { stoppedAt_ = ledger_.now(); }
   // Closes those that are idle and did not just come.
   void closeIdleAtEnd();
   // Closes the clients that have been idle longest, some at most; false if none is idle.
@@ -70,6 +72,7 @@
     bool sendsNoMore = false;
     bool asked = false;   // had a txn here
     bool toRead = false;  // what it has sent meanwhile is not looked at yet
+    Arrivals arrivals;    // of what it has sent and is not taken yet
     Instant idleSince;
     Instant due;  // when a message that has begun, or its greeting, must be whole; never: nothing is awaited
   };
@@ -80,8 +83,8 @@
   void rolledBack(core::OwnerId owner) override;
 
   bool takeOpening(ClientId id, Client& client, std::string_view& bytes);
-  bool takeMessage(ClientId id, Client& client, std::string_view& bytes);
-  void takeStatement(ClientId id, Client& client, std::string_view text);
+  bool takeMessage(ClientId id, Client& client, std::string_view& bytes, std::size_t before);
+  void takeStatement(ClientId id, Client& client, std::string_view text, Instant cameAt);
   void answerEmpty(ClientId id, Client& client);
   void answerError(ClientId id, std::string_view code, std::string_view text, std::string_view detail = {});
   void fatal(ClientId id, std::string_view code, std::string_view text);
@@ -98,7 +101,8 @@
   std::vector<ReadLevel> levels_;
   Bounds bounds_;
   Effects& effects_;
-  bool listKnown_ = false, stopped_ = false;
+  bool listKnown_ = false;
+  Instant stoppedAt_;  // never: it goes on
   std::map<ClientId, Client> clients_;
   std::set<std::pair<Instant, ClientId>> due_;
   std::size_t asking_ = 0;  // clients that had a txn
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -644,6 +644,59 @@
   std::cout << "finished: " << s.finished() << "\n";
 }
 
+// Several statements of one connection: each has its time from when it came, not from when its turn came.
+void pipelined() {
+  Sockets s;
+  s.open(1, read("aa") + read("bb") + read("cc"));
+  s.up(1);
+  s.pass(400);
+  s.say("the second has waited 400 ms behind the first, and the node is told what is left");
+  s.answers(1, row("first"));
+  s.pass(580);
+  s.say("the third has 20 ms left; it is answered before they are over");
+  s.answers(1, row("second"));
+  s.say("one that comes in pieces counts from its last byte, also where it lies behind another");
+  s.pass(20);
+  s.sent(1, read("dd") + read("ee").substr(0, 30));
+  s.up(2);
+  s.pass(100);
+  s.sent(1, read("ee").substr(30));
+  s.pass(100);
+  s.answers(2, row("fourth"));
+  s.answers(2, row("fifth"));
+  s.say("told to end: what had come is served, what comes later from the same client is declined");
+  s.sent(1, read("ff") + read("gg"));
+  s.shutDown();
+  s.pass(500);
+  s.sent(1, read("hh"));
+  s.answers(2, row("sixth"));
+  std::cout << "finished: " << s.finished() << "\n";
+  s.answers(2, row("seventh"));
+  std::cout << "finished: " << s.finished() << "\n";
+}
+
+// A client that leaves while its txn waits for a connection, or is written in part: no attempt begins.
+void withdrawn() {
+  Sockets s;
+  s.say("a write whose client leaves while its connection comes up");
+  s.open(1, write("aa"));
+  s.left(1);
+  s.up(1);
+  s.say("its connection serves the next");
+  s.open(2, write("bb"));
+  s.say("one that is written in part: its connection ends, and it never ran");
+  s.answers(1, row("second"));
+  s.writesWhole = false;
+  s.open(3, write("cc"));
+  s.left(3);
+  s.say("one that is written whole goes on");
+  s.writesWhole = true;
+  s.open(4, write("dd"));
+  s.up(s.to("p"));
+  s.left(4);
+  s.answers(s.to("p"), row("fourth"));
+}
+
 void configurations() {
   Sockets s;
   s.say("the first, one that moves discovery, one that changes nothing, one that changes what waits");
@@ -690,6 +743,8 @@
                                                 {"held-for-connection", heldForConnection},
                                                 {"ending", ending},
                                                 {"configurations", configurations},
+                                                {"pipelined", pipelined},
+                                                {"withdrawn", withdrawn},
                                                 {"ends", ends}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
   if (found == cases.end()) return 2;
