A close ends the sending first and reads to the end; lists may come indented and cut

Cause: read line by line. serveClient() closed over bytes not read, which resets the connection and can take the answer on its way with it; acceptClients() did so with each new client it declined. A client that was reset while much of what it sent lay unread was noticed only once that was read, and its next statement was begun. A watch was cut at line ends, so an indented change broke it off and cost a call for the whole list. Change: shutdown of the sending side, then reading and throwing away for two connection times at most, twelve of the reserved descriptors for it; a reset ends a client at once, an end behind unread bytes is asked about by the notice; lists are told apart by the parser.

--- a/src/loop/sockets.cpp
+++ b/src/loop/sockets.cpp
@@ -97,6 +97,8 @@
   }
 }
 
+void endSending(int descriptor) { ::shutdown(descriptor, SHUT_WR); }
+
 Io accept(int descriptor, Descriptor& taken) {
   for (;;) {
     taken = Descriptor(::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
--- a/src/loop/sockets.h
+++ b/src/loop/sockets.h
@@ -24,6 +24,7 @@
 };
 IoResult readInto(int descriptor, std::span<char> buffer);
 IoResult writeFrom(int descriptor, std::span<const std::string_view> parts);
+void endSending(int descriptor);  // the other side reads an end; it can still send
 Io accept(int descriptor, Descriptor& taken);
 
 // What a signal asks of a process: to end, or to read its configuration anew.
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -48,8 +48,15 @@
           start.descriptors / kTxnsPart};
 }
 
+// A client that is told that nothing more comes ends its side within a turn of the network, or rests: two of the
+// times in which a connection comes up.
+constexpr double kClosingTimes = 2;
+
 // Of the clients that are idle this part makes room at a time: one by one each costs a look at all.
 constexpr std::size_t kRoomPart = 32;
+// Clients that are being closed, and no longer count, take of the reserved descriptors. Beyond that, and where
+// a new client wants the place, those that have been at it longest go at once.
+constexpr std::size_t kMostClosing = 12;
 // New clients that are taken in a turn: those that are there come first where many knock at once.
 constexpr int kAcceptsATurn = 8;
 
@@ -95,6 +102,7 @@
   std::string unsent;    // short writes leave this
   bool offer = false;    // what is kept may be taken now
   bool closing = false;  // to be closed once all is sent
+  bool hurried = false;  // its place is wanted: what it still sends is waited for no longer
   bool gone = false;     // to be closed at once
   bool ended = false;    // the other side sends no more
   bool broken = false;
@@ -297,7 +305,8 @@
   int taken = 0;  // in this turn
   // What the kernel has accepted when this ends is taken, too.
   for (bool accepting = true; accepting;) {
-    const bool full = clients_.size() >= mostClients_;
+    const bool full = clients_.size() >= mostClients_ + std::min(closing_.size(), kMostClosing);
+    if (full && closing_.size() > kMostClosing) hurry(closing_.front());
     const bool makesRoom = full && gateway_.closeIdleClients(1 + mostClients_ / kRoomPart);
     if (makesRoom || ++taken > kAcceptsATurn) {
       taken = 0;
@@ -307,13 +316,9 @@
     }
     loop::Descriptor descriptor;
     const Io how = loop::accept(listener_->descriptor(), descriptor);
-    if (how == Io::some && full) {
-      const std::string answer = pg::error("FATAL", pg::kDeclined, "declined: too many clients");
-      const std::string_view part = answer;
-      loop::writeFrom(descriptor.number(), {&part, 1});
-    } else if (how == Io::some) {
+    if (how == Io::some) {
       clients_.emplace(++lastClient_, nullptr);
-      loop_.spawn(serveClient(lastClient_, std::move(descriptor)));
+      loop_.spawn(serveClient(lastClient_, std::move(descriptor), !full));
     } else if (how == Io::wouldBlock) {
       accepting = accepting_;
       taken = 0;
@@ -329,15 +334,21 @@
   listener_.reset();
 }
 
-loop::Task Server::serveClient(ClientId id, loop::Descriptor descriptor) {
+loop::Task Server::serveClient(ClientId id, loop::Descriptor descriptor, bool welcome) {
   ConnectionEnd how = ConnectionEnd::broken;
   try {
     Connection client(loop_, std::move(descriptor));
     const Place<ClientId> place(*this, clients_, id, client);
-    gateway_.clientOpened(loop_.now(), id);
+    if (welcome) {
+      gateway_.clientOpened(loop_.now(), id);
+    } else {
+      send(client, {pg::error("FATAL", pg::kDeclined, "declined: too many clients")});
+      client.closing = true;
+    }
     const auto take = [&](std::string_view bytes) { return gateway_.clientSent(loop_.now(), id, bytes); };
-    // One that sends no more is still there as long as nothing reports a reset.
-    while (!client.broken && !(client.ended && client.stream.hungUp)) {
+    // One that sends no more is still there as long as nothing reports a reset. One that was reset is gone,
+    // also where what it sent before could still be read.
+    while (!client.broken && !client.stream.hungUp) {
       flush(client);
       if (client.broken || (client.closing && client.unsent.empty())) break;
       if (client.unsent.empty()) client.stuckAt = Instant();
@@ -362,14 +373,39 @@
         if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
         // One read a turn: the others have theirs.
         if (client.stream.canRead || client.broken || client.offer) client.stream.wake();
+      } else if (client.stream.readEnds && !client.ended && gateway_.isWaiting(id)) {
+        // Its end is behind what is not read yet, as it waits and has sent much ahead.
+        gateway_.clientSendsNoMore(loop_.now(), id);
       }
       co_await client.stream.changed();
     }
+    // Guards against bytes that come as this end closes, or are not read yet: a close over them resets the
+    // connection, and the answer that is on its way is lost with it. Nothing of them is sent on. May hurt where
+    // the descriptor is wanted meanwhile.
+    if (client.closing && !client.broken && !client.stream.hungUp && how != ConnectionEnd::clientStuck) {
+      loop::endSending(client.stream.descriptor());
+      const Instant until = loop_.now() + start_.told.connectLimit * kClosingTimes;
+      client.stream.wakeAt(until);
+      closing_.push_back(id);
+      while (!client.ended && !client.broken && !client.stream.hungUp && !client.hurried && loop_.now() < until) {
+        if (client.stream.canRead) read(client, [](std::string_view bytes) { return bytes.size(); });
+        if (client.stream.canRead && !client.ended && !client.broken) client.stream.wake();
+        if (!client.ended && !client.broken) co_await client.stream.changed();
+      }
+    }
   } catch (const std::exception& bad) { spdlog::error("a client's connection failed: {}", bad.what()); }
   clients_.erase(id);
+  std::erase(closing_, id);
   gateway_.clientEnded(loop_.now(), id, how);
 }
 
+void Server::hurry(ClientId id) {
+  const auto at = clients_.find(id);
+  if (at == clients_.end() || !at->second || at->second->hurried) return;
+  at->second->hurried = true;
+  at->second->stream.wake();
+}
+
 // Whether more of what a client sends may be read. Guards the memory limit: what a client sends ahead waits
 // in the kernel while it is owed an answer, and where too much is kept one that goes on with a long message
 // is closed. May hurt clients with long values when many send them at a time.
@@ -438,11 +474,8 @@
   } catch (const std::exception& bad) { gateway_.misconfigured(loop_.now(), bad.what()); }
 }
 
-void Server::takeList(std::string_view line, bool isChange) {
-  json::Parser parser;
-  parser.feed(line);
-  parser.finish();
-  auto list = startup::readList(parser.take(), start_.told.zone);
+void Server::takeList(json::Value value, bool isChange) {
+  auto list = startup::readList(value, start_.told.zone);
   if (list.whole || !isChange) {
     listVersion_ = list.version;
   } else if (list.version < listVersion_) {
@@ -469,17 +502,32 @@
       Connection from(loop_, std::move(descriptor));
       toDiscovery_ = &from.stream;
       http::Response response;
-      std::string line;
+      json::Parser parser;
+      std::size_t begun = 0;  // bytes of what the parser has begun
       bool asked = false;
       const Span patience = watch ? kListSilence : kListAnswer;
       const Instant begunAt = loop_.now();
       Instant heardAt = begunAt;
+      // Lists may be cut and indented in any way: what ends one is its last bracket. The answer to a call for
+      // the whole list is taken once it is over, as one that breaks off may lack more than it shows.
       const auto body = [&](std::string_view part) {
-        line += part;
-        if (line.size() > kLongestList) throw http::Malformed("the list is too long");
-        for (auto end = line.find('\n'); watch && end != std::string::npos; end = line.find('\n')) {
-          if (end > 1) takeList(std::string_view(line).substr(0, end), true);
-          line.erase(0, end + 1);
+        while (!part.empty()) {
+          if (parser.done() && !watch) {
+            if (part.find_first_not_of(" \t\r\n") != std::string_view::npos)
+              throw http::Malformed("more than a list");
+            return;
+          }
+          if (begun == 0 && (part[0] == ' ' || part[0] == '\t' || part[0] == '\r' || part[0] == '\n')) {
+            part.remove_prefix(1);
+            continue;
+          }
+          const auto used = parser.feed(part);
+          part.remove_prefix(used);
+          begun += used;
+          if (begun > kLongestList) throw http::Malformed("the list is too long");
+          if (!watch || !parser.done()) continue;
+          begun = 0;
+          takeList(parser.take(), true);
         }
       };
       try {
@@ -511,7 +559,8 @@
         }
         if (from.ended) response.end();
         if (at == discovery_ && response.done() && !watch) {
-          takeList(line, false);
+          parser.finish();
+          takeList(parser.take(), false);
           watch = true;
           why.clear();
           lastWhy.clear();
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "gateway/gateway.h"
+#include "json/json.h"
 #include "loop/loop.h"
 #include "startup/startup.h"
 
@@ -51,7 +52,7 @@
   void log(std::string line) override;
 
   loop::Task acceptClients();
-  loop::Task serveClient(gateway::ClientId id, loop::Descriptor descriptor);
+  loop::Task serveClient(gateway::ClientId id, loop::Descriptor descriptor, bool welcome);
   loop::Task serveLink(gateway::LinkId id, std::string address);
   loop::Task followList();
   loop::Task watchSignals();
@@ -62,8 +63,9 @@
   void read(Connection& connection, Take take);
   void account(Connection& connection);
   bool mayKeep(gateway::ClientId id, Connection& client);
+  void hurry(gateway::ClientId id);
   void readAnew();
-  void takeList(std::string_view line, bool isChange);
+  void takeList(json::Value value, bool isChange);
   Instant endTurn(Instant now);
 
   startup::Start start_;
@@ -75,6 +77,7 @@
   gateway::Gateway gateway_;
   std::map<gateway::ClientId, Connection*> clients_;
   std::map<gateway::LinkId, Connection*> links_;
+  std::vector<gateway::ClientId> closing_;  // that have been told the end, those that were first in front
   gateway::ClientId lastClient_ = 0;
   startup::Address discovery_;
   loop::Stream* toDiscovery_ = nullptr;  // the connection to it, while there is one
