The end of a connection is told in its turn, ahead of what is decided then

Seen: a new test lays out two events while the program stands still (SIGSTOP) and sets it going. A resting node connection whose end and a client's write were there in one turn carried the write: rolled back, in both orders. A statement on a resting connection in the moment in which a router that was told to end closes those got no answer. Checked: the log of the node (the write came after its end), one turn at a time. At fault: serveLink() noted the end of reading and left its loop only a turn later, after the round; serveClient() likewise with a reset; Loop::wait() took a wait that was broken off (EINTR, after a stop) for one in which nothing had come, so the turn decided by the clock alone. Change: both loops leave at once; a broken-off wait looks again.

--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -90,7 +90,11 @@
     millis = static_cast<int>(std::clamp<std::int64_t>((left + 999) / 1000, 0, 60000));
   }
   std::array<epoll_event, kEventsATurn> events;
-  const int count = epoll_wait(epoll_.number(), events.data(), static_cast<int>(events.size()), millis);
+  int count = epoll_wait(epoll_.number(), events.data(), static_cast<int>(events.size()), millis);
+  // Guards against a process that was stopped and goes on: its wait is broken off, and what has come meanwhile
+  // is to be seen before anything is decided by the clock. Costs a call, and only then.
+  if (count < 0 && errno == EINTR)
+    count = epoll_wait(epoll_.number(), events.data(), static_cast<int>(events.size()), 0);
   for (int i = 0; i < count; ++i) {
     const auto& event = events[static_cast<std::size_t>(i)];
     const auto at = streams_.find(event.data.u64);
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -372,7 +372,8 @@
         read(client, take);
         if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
         // One read a turn: the others have theirs.
-        if (client.stream.canRead || client.broken || client.offer) client.stream.wake();
+        if (client.broken) break;  // told in this turn, before anything more is sent for it
+        if (client.stream.canRead || client.offer) client.stream.wake();
       } else if (client.stream.readEnds && !client.ended && gateway_.isWaiting(id)) {
         // Its end is behind what is not read yet, as it waits and has sent much ahead.
         gateway_.clientSendsNoMore(loop_.now(), id);
@@ -441,7 +442,9 @@
           if (link.unsent.empty() && !link.broken) gateway_.linkWritten(loop_.now(), id);
         }
         if (link.stream.canRead && !link.broken) read(link, take);
-        if (link.stream.canRead || link.broken || link.ended) link.stream.wake();
+        // Its end is told in this turn, before anything more is decided: nothing is to be written on it.
+        if (link.broken || link.ended) break;
+        if (link.stream.canRead) link.stream.wake();
         co_await link.stream.changed();
       }
     }
--- /dev/null
+++ b/tests/crossings.cpp
@@ -0,0 +1,248 @@
+// Pairs of events that can cross, on real connections with the program itself: docs/crossings.md has the table.
+// Both orders are laid out while the program stands still, or one event waits for the other. Run as
+// `crossings CASE`: prints what each side saw.
+#include <spdlog/spdlog.h>
+
+#include "program.h"
+
+using namespace gulltrestle;
+using namespace gulltrestle::peers;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+void say(const std::string& text) { std::cout << "-- " << text << "\n"; }
+
+std::string statement(const std::string& key, const std::string& type, int wait = 60000) {
+  const std::string comment =
+      " /* " + nextId() + ",c=" + type + ",d=" + std::to_string(wait) + ",cluster=1 */";
+  return type == "write" || type == "known"
+             ? query("INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x77') RETURNING body" + comment)
+             : query("SELECT body FROM objects WHERE oid = '" + key + "'" + comment);
+}
+
+std::string one(const Node& node, const std::string& state = "up") {
+  return list(1, entry(node.side(), "s-1", state));
+}
+
+// As long as it takes until this time has passed: the clock is the event.
+void until(Clock::time_point at) {
+  while (Clock::now() < at) pause(1);
+}
+
+// --- Clients that go
+
+// A client is reset while its statement waits in some way; the next one's statement is the first that the node
+// sees after that.
+void goneWhileConnecting() {
+  for (const std::string type : {"write", "known", "read"}) {
+    Node node({}, true);
+    Side discovery(silentDiscovery);
+    Program router(discovery.port(), one(node), 20000);
+    Peer leaves = router.client();
+    leaves.send(statement("gone", type));
+    node.events.await("connection");
+    leaves.reset();
+    router.settles();
+    Peer stays = router.client();
+    stays.send(statement("next", "write"));
+    router.settles();
+    node.events.happen("greet");
+    std::cout << type << ": " << stays.answer() << "the node saw " << node.saw() << "\n";
+  }
+}
+
+void goneBehindAnother() {
+  for (const bool inOrder : {false, true}) {
+    Node node({"slow"});
+    Side discovery(silentDiscovery);
+    Program router(discovery.port(), one(node));
+    Peer leaves = router.client();
+    leaves.send(statement("slow", "write") + statement("gone", "write"));
+    node.events.await("saw slow");
+    inOrder ? leaves.close() : leaves.reset();
+    router.settles();
+    node.go("slow");
+    Peer stays = router.client();
+    stays.send(statement("next", "read"));
+    std::cout << (inOrder ? "closed: " : "reset: ") << stays.answer() << "the node saw " << node.saw() << "\n";
+  }
+}
+
+// It has sent so much ahead that its bytes are not being read when it goes.
+void goneUnread() {
+  for (const bool inOrder : {false, true}) {
+    Node node({"slow"});
+    Side discovery(silentDiscovery);
+    Program router(discovery.port(), one(node));
+    Peer leaves = router.client();
+    std::string much = statement("slow", "write");
+    while (much.size() < 48 * 1024) much += statement("gone", "write");
+    leaves.send(much);
+    node.events.await("saw slow");
+    router.settles();
+    inOrder ? leaves.close() : leaves.reset();
+    router.settles();
+    node.go("slow");
+    Peer stays = router.client();
+    stays.send(statement("next", "read"));
+    std::cout << (inOrder ? "closed: " : "reset: ") << stays.answer() << "the node saw " << node.saw() << "\n";
+  }
+}
+
+// Its reset and what would send its statement on are there in one turn.
+void goneAtRelease() {
+  for (const bool resetFirst : {true, false}) {
+    Node node({}, true);
+    Side discovery(silentDiscovery);
+    Program router(discovery.port(), one(node), 20000);
+    Peer leaves = router.client(), stays = router.client();
+    leaves.send(statement("gone", "read"));
+    node.events.await("connection");
+    router.halt();
+    if (resetFirst) leaves.reset();
+    node.events.happen("greet");
+    node.events.await("greeted");
+    if (!resetFirst) leaves.reset();
+    router.go();
+    router.settles();
+    stays.send(statement("next", "read"));
+    // Where the greeting comes first the statement goes out ahead of the reset.
+    std::cout << (resetFirst ? "reset first: " : "greeting first: ") << stays.answer() << "the node saw "
+              << node.saw() << "\n";
+  }
+}
+
+// --- Statements behind others
+
+void pipelined() {
+  Node node({"first"});
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node));
+  Peer client = router.client();
+  const auto sentAt = Clock::now();
+  client.send(statement("first", "read") + statement("second", "read") + statement("late", "read", 250));
+  node.events.await("saw first");
+  until(sentAt + std::chrono::milliseconds(300));
+  node.go("first");
+  std::cout << client.answer() << client.answer() << client.answer() << "\n";
+  std::cout << "the node saw " << node.saw() << "; what waited 300 ms is told to take at most what is left: "
+            << (node.told("second") <= 59700) << "\n";
+}
+
+// --- Closing
+
+void closing() {
+  Node node;
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node));
+  say("what can't be read, with much behind it that is not read any more: the error comes, and an end");
+  {
+    Peer client = router.client();
+    router.halt();
+    client.send(pg::message('x', "nonsense") + std::string(200 * 1024, 'x'));
+    router.go();
+    std::cout << client.answer();
+    std::cout << (client.wasReset() ? " by a reset\n" : " in order\n");
+  }
+  say("more comes after the end of sending: it is thrown away, and sent on nowhere");
+  {
+    Peer client = router.client();
+    client.send(pg::message('x', "nonsense"));
+    std::cout << client.answer();
+    client.send(statement("after", "write"));
+    router.settles();
+    std::cout << (client.wasReset() ? " by a reset" : " in order") << "; the node saw " << node.saw() << "\n";
+  }
+}
+
+// --- The end of the program
+
+void ending() {
+  Node node({"slow"});
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node));
+  Peer busy = router.client(), resting = router.client(), half = router.client();
+  resting.send(query(""));
+  resting.answer();
+  busy.send(statement("slow", "write") + statement("behind", "write"));
+  half.send(statement("half", "write").substr(0, 40));
+  node.events.await("saw slow");
+  router.signal(SIGHUP);
+  router.signal(SIGTERM);
+  router.says("told to end");
+  router.signal(SIGTERM);
+  std::cout << "resting: " << resting.answer() << "\n";
+  resting.send(statement("after", "write"));
+  busy.send(statement("later", "write"));
+  node.go("slow");
+  std::cout << "busy: " << busy.answer() << busy.answer() << "\n";
+  std::cout << "what it sent after the end began: " << busy.answer() << busy.answer()
+            << (busy.wasReset() ? " by a reset" : "") << "\n";
+  std::cout << "half a statement: " << half.answer() << "\n";
+  std::cout << "the node saw " << node.saw() << "\n";
+}
+
+// In the moment in which resting connections are closed.
+void endingCrossed() {
+  Node node;
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node));
+  Peer resting = router.client();
+  router.signal(SIGTERM);
+  router.says("told to end");
+  router.halt();
+  const auto haltedAt = Clock::now();
+  resting.send(statement("crossing", "write"));
+  Peer waiting = Peer::to(router.port());
+  waiting.send(pg::startup("worker", "catalog") + statement("waiting", "write"));
+  until(haltedAt + std::chrono::milliseconds(700));
+  router.go();
+  std::cout << "on a resting connection: " << resting.answer() << resting.answer() << "\n";
+  waiting.answer();
+  std::cout << "on one that waits to be accepted: " << waiting.answer() << waiting.answer() << "\n";
+}
+
+// --- Connections to nodes at rest
+
+void stray() {
+  for (const std::string bytes : {"T", ""}) {
+    for (const bool nodeFirst : {true, false}) {
+      Node node;
+      Side discovery(silentDiscovery);
+      Program router(discovery.port(), one(node));
+      Peer client = router.client();
+      client.send(statement("first", "write"));
+      std::cout << client.answer();
+      node.events.await("rests");
+      router.settles();
+      router.halt();
+      if (nodeFirst) node.sendAll(bytes);
+      client.send(statement("second", "write"));
+      if (!nodeFirst) node.sendAll(bytes);
+      router.go();
+      std::cout << client.answer() << (bytes.empty() ? "its end" : "a stray byte")
+                << (nodeFirst ? " first" : " second") << ", connections: " << node.connections() << "\n";
+    }
+  }
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  std::signal(SIGPIPE, SIG_IGN);
+  spdlog::set_level(spdlog::level::off);
+  const std::map<std::string, void (*)()> cases{{"gone-connecting", goneWhileConnecting},
+                                                {"gone-behind", goneBehindAnother},
+                                                {"gone-unread", goneUnread},
+                                                {"gone-release", goneAtRelease},
+                                                {"pipelined", pipelined},
+                                                {"closing", closing},
+                                                {"ending", ending},
+                                                {"ending-crossed", endingCrossed},
+                                                {"stray", stray}};
+  const auto found = count == 2 ? cases.find(words[1]) : cases.end();
+  if (found == cases.end()) return 2;
+  found->second();
+}
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -13,6 +13,7 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <vector>
 
@@ -33,6 +34,24 @@
   return ntohs(address.sin_port);
 }
 
+// A free port, held for a process that is about to listen there: bound here, but not listened on.
+class Port {
+ public:
+  Port() : held_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int on = 1;
+    setsockopt(held_.number(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::bind(held_.number(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0)
+      throw std::system_error(errno, std::generic_category(), "no free port");
+  }
+  unsigned short number() const { return portOf(held_); }
+
+ private:
+  Descriptor held_;
+};
+
 // One end of a connection, which waits for what it reads; an end of the other side reads as nothing.
 class Peer {
  public:
@@ -54,11 +73,20 @@
     }
   }
   void sendsNoMore() { shutdown(descriptor_.number(), SHUT_WR); }
+  // Ends it in order, or so that the other side sees a reset.
+  void close() { descriptor_ = Descriptor(); }
+  void reset() {
+    const linger at{1, 0};
+    setsockopt(descriptor_.number(), SOL_SOCKET, SO_LINGER, &at, sizeof at);
+    close();
+  }
+  bool wasReset() const { return reset_; }
   bool readMore() {
     char bytes[700];
     for (;;) {
       const auto got = loop::readInto(descriptor_.number(), bytes);
       if (got.how == loop::Io::some) kept_.append(bytes, got.size);
+      reset_ = reset_ || got.how == loop::Io::failed;
       if (got.how != loop::Io::wouldBlock) return got.how == loop::Io::some;
       if (!wait(POLLIN)) return false;
     }
@@ -111,6 +139,7 @@
   }
   Descriptor descriptor_;
   std::string kept_;
+  bool reset_ = false;
 };
 
 // Accepts connections and serves each on a thread of its own until it is destroyed.
@@ -171,7 +200,7 @@
 class Running {
  public:
   Running(const Side& discovery, const std::string& known, int descriptors = 256)
-      : port_(portOf(loop::listenOn(kHost, 0))), thread_([this, file = text(discovery, known, descriptors)] {
+      : port_(held_.number()), thread_([this, file = text(discovery, known, descriptors)] {
           server::Server server(startup::readStart(file));
           up_ = true;
           up_.notify_all();
@@ -206,6 +235,7 @@
   }
 
  private:
+  Port held_;
   unsigned short port_;
   std::atomic<bool> up_ = false;
   std::jthread thread_;
--- /dev/null
+++ b/tests/program.h
@@ -0,0 +1,237 @@
+// The program itself as a child process of a test, which can be halted while events are laid out for it and then
+// set going: all of them are there in one turn, in the order in which they were laid out. And a node whose
+// greetings and answers wait for the test.
+#pragma once
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <set>
+
+#include "peers.h"
+
+namespace gulltrestle::peers {
+
+// Nothing here takes so long: who waits longer says so, and the trace differs.
+inline constexpr auto kLongest = std::chrono::seconds(30);
+
+class Program {
+ public:
+  // `connectMs`: what is not up by then does not come up.
+  Program(unsigned short discovery, const std::string& known, int connectMs = 250, int descriptors = 256)
+      : connectMs_(connectMs), descriptors_(descriptors), file_("crossings-" + std::to_string(getpid()) + "-" + std::to_string(port_.number()) + ".json") {
+    configure(discovery, known);
+    const std::string variable = "BALANCER_CONFIG=" + file_;
+    char* const words[] = {const_cast<char*>(GULLTRESTLE_PROGRAM), nullptr};
+    char* const variables[] = {const_cast<char*>(variable.c_str()), nullptr};
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "pipe");
+    child_ = fork();
+    if (child_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      sigset_t none;
+      sigemptyset(&none);
+      sigprocmask(SIG_SETMASK, &none, nullptr);
+      dup2(ends[1], 1);
+      execve(GULLTRESTLE_PROGRAM, words, variables);
+      _exit(127);
+    }
+    ::close(ends[1]);
+    log_ = Descriptor(ends[0]);
+    says("listens on");
+  }
+  ~Program() {
+    if (child_ > 0) std::cout << "exit code " << end() << "\n";
+    unlink(file_.c_str());
+  }
+
+  void configure(unsigned short discovery, const std::string& known) {
+    std::ofstream(file_)
+        << R"({"name":"n","listen":"127.0.0.1:)" << port_.number() << R"(","discovery":"127.0.0.1:)" << discovery
+        << R"(","seed":"7","limits":{"memory_mb":64,"sockets":)" << descriptors_ << R"(},"known":)" << known
+        << R"(,"settings":{"zone":"a","round":5000,"limits":{"probes":true,"cancel":true,"maxAttempts":3,)"
+        << R"("connectTimeout":)" << connectMs_ << R"(000},"lanes":[)"
+        << R"({"name":"read","effect":"idempotent","objective":30000000,"deadline":60000000},)"
+        << R"({"name":"write","effect":"at_most_once","objective":30000000,"deadline":60000000},)"
+        << R"({"name":"any","effect":"idempotent","objective":30000000,"deadline":60000000},)"
+        << R"({"name":"known","effect":"deduplicated","group":"all","window":400000,"objective":30000000,)"
+        << R"("deadline":60000000}],"specifics":{"readLevel":["latest","update","loose","update"],)"
+        << R"("lagAllowed":[0,0,0,0]}}})";
+  }
+  unsigned short port() const { return port_.number(); }
+  Peer client() const {
+    Peer made = Peer::to(port());
+    made.send(pg::startup("worker", "catalog"));
+    made.answer();
+    return made;
+  }
+
+  void signal(int number) { kill(child_, number); }
+  // All threads of it stand still when this returns.
+  void halt() {
+    signal(SIGSTOP);
+    int status = 0;
+    waitpid(child_, &status, WUNTRACED);
+  }
+  void go() { signal(SIGCONT); }
+  // It has handled all that came before: an empty query is answered, twice, as what it writes may bring news.
+  void settles() {
+    Peer asks = client();
+    for (int i = 0; i < 2; ++i) asks.send(query("")), asks.answer();
+  }
+  // Waits for a line of its log.
+  bool says(const std::string& text) {
+    for (;;) {
+      if (const auto end = said_.find('\n'); end != std::string::npos) {
+        const bool found = said_.substr(0, end).find(text) != std::string::npos;
+        said_.erase(0, end + 1);
+        if (found) return true;
+        continue;
+      }
+      char bytes[4096];
+      const auto size = ::read(log_.number(), bytes, sizeof bytes);
+      if (size <= 0) return false;
+      said_.append(bytes, static_cast<std::size_t>(size));
+    }
+  }
+  int end() {
+    signal(SIGTERM);
+    int status = 0;
+    waitpid(std::exchange(child_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
+  }
+
+ private:
+  Port port_;
+  int connectMs_, descriptors_;
+  std::string file_;
+  pid_t child_ = 0;
+  Descriptor log_;
+  std::string said_;
+};
+
+// What several threads wait for.
+class Events {
+ public:
+  void happen(const std::string& event) {
+    const std::lock_guard lock(mutex_);
+    happened_.push_back(event);
+    changed_.notify_all();
+  }
+  void await(const std::string& event, std::ptrdiff_t times = 1) {
+    std::unique_lock lock(mutex_);
+    if (!changed_.wait_for(lock, kLongest, [&] { return count(event) >= times; }))
+      std::cout << "'" << event << "' has not happened\n";
+  }
+  bool has(const std::string& event) {
+    const std::lock_guard lock(mutex_);
+    return count(event) > 0;
+  }
+
+ private:
+  std::ptrdiff_t count(const std::string& event) const {
+    return std::count(happened_.begin(), happened_.end(), event);
+  }
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> happened_;
+};
+
+// A primary that tells the events `connection` and `saw KEY`, and answers a statement for KEY after `go KEY`
+// where it is told to wait for that, likewise each greeting after `greet`.
+class Node {
+ public:
+  explicit Node(std::set<std::string> waits = {}, bool waitsToGreet = false)
+      : waits_(std::move(waits)), waitsToGreet_(waitsToGreet), side_([this](Peer& peer) { serve(peer); }) {}
+
+  Events events;
+  unsigned short port() const { return side_.port(); }
+  const Side& side() const { return side_; }
+  void go(const std::string& key) { events.happen("go " + key); }
+  // The keys of all statements that came, in their order.
+  std::string saw() {
+    const std::lock_guard lock(mutex_);
+    std::string out;
+    for (const auto& key : keys_) out += (out.empty() ? "" : " ") + key;
+    return out.empty() ? "nothing" : out;
+  }
+  int told(const std::string& key) {  // how long it was told to take
+    const std::lock_guard lock(mutex_);
+    return told_[key];
+  }
+  std::size_t connections() {
+    const std::lock_guard lock(mutex_);
+    return peers_.size();
+  }
+  // Each connection that is open and at rest gets this, or its end.
+  void sendAll(std::string_view bytes) {
+    const std::lock_guard lock(mutex_);
+    for (Peer* peer : peers_)
+      if (peer) bytes.empty() ? peer->sendsNoMore() : peer->send(bytes);
+  }
+
+ private:
+  void serve(Peer& peer) {
+    std::size_t number = 0;
+    {
+      const std::lock_guard lock(mutex_);
+      number = peers_.size();
+      peers_.push_back(&peer);
+    }
+    events.happen("connection");
+    peer.startup();
+    if (waitsToGreet_) events.await("greet");
+    peer.send(pg::welcome());
+    events.happen("greeted");
+    while (answer(peer)) {}
+    const std::lock_guard lock(mutex_);
+    peers_[number] = nullptr;
+  }
+  bool answer(Peer& peer) {
+    const auto [type, body] = peer.message();
+    if (type != 'Q') return false;
+    if (body.size() == 1) {
+      peer.send(pg::emptyQueryResponse() + pg::readyForQuery());
+      events.happen("rests");
+      return true;
+    }
+    if (body.starts_with("SHOW")) {
+      const auto now = std::chrono::system_clock::now().time_since_epoch();
+      peer.send(row("x0=" + std::to_string(std::chrono::duration<double>(now).count()) + ",x1=1"));
+      return true;
+    }
+    const auto quote = body.find('\'');
+    const auto first = body.starts_with("INSERT") ? body.find("('", quote - 1) + 1 : quote;
+    const auto key = body.substr(first + 1, body.find('\'', first + 1) - first - 1);
+    {
+      const std::lock_guard lock(mutex_);
+      keys_.push_back(key);
+      told_[key] = std::stoi(body.substr(body.find(",d=") + 3));
+    }
+    events.happen("saw " + key);
+    if (waits_.contains(key)) events.await("go " + key);
+    if (key == "breaks") {
+      peer.reset();
+      return false;
+    }
+    peer.send(row("v-" + key));
+    return true;
+  }
+
+  std::set<std::string> waits_;
+  bool waitsToGreet_;
+  std::mutex mutex_;
+  std::vector<Peer*> peers_;
+  std::vector<std::string> keys_;
+  std::map<std::string, int> told_;
+  Side side_;  // last: its threads use the rest
+};
+
+}  // namespace gulltrestle::peers
