A router that is told to end looks once more at what has come before it closes what rests

Seen: crossings.ending-crossed failed 7 of 60 runs side by side, crossings.gone-release once (of 60). Checked: where the program stood when it was halted. Within a turn, past its look at what had come, the turn's end closed resting connections by the clock alone; and the second test took an accepted connection for one whose startup message had come, so that the greeting it waited for could not be sent (the test's fault). Change: the stop takes effect a turn after its time; Node tells 'connection' once the startup message is there.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -127,7 +127,9 @@
   links_.endTurn();
   clients_.endTurn();
   for (Part* part : parts_) part->endTurn();
-  if (stopping_ && ledger_.now() >= stopAt_) {
+  // A turn later than its time: what came while this process stood still is seen first.
+  const bool stops = std::exchange(stopDue_, stopping_ && ledger_.now() >= stopAt_);
+  if (stops) {
     if (!std::exchange(stopped_, true)) {
       effects_.stopListening();
       clients_.stop();
@@ -144,7 +146,7 @@
   sooner(links_.nextDue());
   sooner(clients_.nextDue());
   for (const Part* part : parts_) sooner(part->nextDue());
-  if (stopping_) sooner(stopped_ ? ledger_.now() + bounds_.connectLimit : stopAt_);
+  if (stopping_) sooner(stopped_ ? ledger_.now() + bounds_.connectLimit : stopDue_ ? ledger_.now() : stopAt_);
   return next;
 }
 
--- a/tests/program.h
+++ b/tests/program.h
@@ -185,8 +185,8 @@
       number = peers_.size();
       peers_.push_back(&peer);
     }
-    events.happen("connection");
     peer.startup();
+    events.happen("connection");
     if (waitsToGreet_) events.await("greet");
     peer.send(pg::welcome());
     events.happen("greeted");
