--- a/tests/program.h
+++ b/tests/program.h
@@ -96,6 +96,11 @@
         continue;
       }
       char bytes[4096];
+      pollfd more{log_.number(), POLLIN, 0};
+      if (poll(&more, 1, 1000 * static_cast<int>(kLongest.count())) <= 0) {
+        std::cout << "it has not said '" << text << "'\n";
+        return false;
+      }
       const auto size = ::read(log_.number(), bytes, sizeof bytes);
       if (size <= 0) return false;
       said_.append(bytes, static_cast<std::size_t>(size));
@@ -145,7 +150,8 @@
 };
 
 // A primary that tells the events `connection` and `saw KEY`, and answers a statement for KEY after `go KEY`
-// where it is told to wait for that, likewise each greeting after `greet`.
+// where it is told to wait for that, likewise each greeting after `greet`. Where it waits for `breaks` its answer to
+// that is a reset.
 class Node {
  public:
   explicit Node(std::set<std::string> waits = {}, bool waitsToGreet = false)
@@ -217,8 +223,9 @@
     }
     events.happen("saw " + key);
     if (waits_.contains(key)) events.await("go " + key);
-    if (key == "breaks") {
+    if (key == "breaks" && waits_.contains(key)) {
       peer.reset();
+      events.happen("broke");
       return false;
     }
     peer.send(row("v-" + key));
