A signal that comes while the program starts no longer ends it by itself

Seen: crossings.signalled holds the program at the opening of its configuration (a pipe) and sends SIGHUP: it died of it (exit by signal 1), with SIGTERM by signal 15. At fault: both were held back only once the server was made, after the configuration had been read. Change: loop::holdSignals(), the first thing main() does when it serves.

--- a/src/loop/sockets.cpp
+++ b/src/loop/sockets.cpp
@@ -120,15 +120,27 @@
   }
 }
 
-Descriptor signals() {
+namespace {
+
+sigset_t taken() {
   sigset_t set;
   sigemptyset(&set);
-  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-    sigaddset(&set, number);
-    // A signal that is ignored is not kept while it is blocked, and whoever starts a program may have it so.
-    std::signal(number, SIG_DFL);
-  }
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&set, number);
+  return set;
+}
+
+}  // namespace
+
+void holdSignals() {
+  const sigset_t set = taken();
   if (sigprocmask(SIG_BLOCK, &set, nullptr) != 0) fail("sigprocmask");
+  // A signal that is ignored is not kept while it is blocked, and whoever starts a program may have it so.
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) std::signal(number, SIG_DFL);
+}
+
+Descriptor signals() {
+  holdSignals();
+  const sigset_t set = taken();
   Descriptor made(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!made) fail("signalfd");
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <memory>
 
+#include "loop/sockets.h"
 #include "reduced/reduced.h"
 #include "server/server.h"
 #include "startup/startup.h"
@@ -91,6 +92,7 @@
 #ifdef GULLTRESTLE_FLEET
     if (count > 1) return commands::run(count, words, std::cout, std::cerr);
 #endif
+    loop::holdSignals();
     spdlog::set_pattern("%H:%M:%S.%e %L %v");
     spdlog::flush_on(spdlog::level::info);
     serve();
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -204,6 +204,18 @@
   std::cout << "on one that waits to be accepted: " << waiting.answer() << waiting.answer() << "\n";
 }
 
+// While it starts: told to read its configuration anew it serves, told to end it ends.
+void signalled() {
+  for (const int number : {SIGHUP, SIGTERM}) {
+    Node node;
+    Side discovery(silentDiscovery);
+    Program router(discovery.port(), one(node), 250, 256, number);
+    Peer client = router.client();
+    client.send(statement("k", "write"));
+    std::cout << (number == SIGHUP ? "SIGHUP: " : "SIGTERM: ") << client.answer() << "\n";
+  }
+}
+
 // --- Connections to nodes at rest
 
 void stray() {
@@ -241,6 +253,7 @@
                                                 {"closing", closing},
                                                 {"ending", ending},
                                                 {"ending-crossed", endingCrossed},
+                                                {"signalled", signalled},
                                                 {"stray", stray}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
   if (found == cases.end()) return 2;
--- a/tests/program.h
+++ b/tests/program.h
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -25,9 +26,12 @@
 class Program {
  public:
   // `connectMs`: what is not up by then does not come up.
-  Program(unsigned short discovery, const std::string& known, int connectMs = 250, int descriptors = 256)
+  // `early`: a signal that comes while it reads its configuration, ahead of all else; 0: none does.
+  Program(unsigned short discovery, const std::string& known, int connectMs = 250, int descriptors = 256,
+          int early = 0)
       : connectMs_(connectMs), descriptors_(descriptors), file_("crossings-" + std::to_string(getpid()) + "-" + std::to_string(port_.number()) + ".json") {
-    configure(discovery, known);
+    if (early != 0) mkfifo(file_.c_str(), 0600);
+    if (early == 0) configure(discovery, known);
     const std::string variable = "BALANCER_CONFIG=" + file_;
     char* const words[] = {const_cast<char*>(GULLTRESTLE_PROGRAM), nullptr};
     char* const variables[] = {const_cast<char*>(variable.c_str()), nullptr};
@@ -45,6 +49,18 @@
     }
     ::close(ends[1]);
     log_ = Descriptor(ends[0]);
+    if (early != 0) {
+      // Opened once the program opens it, which then waits for the text. Who reads it anew finds a plain file.
+      const Descriptor pipe(::open(file_.c_str(), O_WRONLY | O_CLOEXEC));
+      signal(early);
+      const std::string name = std::exchange(file_, file_ + ".plain");
+      configure(discovery, known);
+      std::ifstream plain(file_);
+      const std::string text(std::istreambuf_iterator<char>(plain), {});
+      rename(file_.c_str(), name.c_str());
+      file_ = name;
+      if (::write(pipe.number(), text.data(), text.size()) < 0) std::cout << "it has not read on\n";
+    }
     says("listens on");
   }
   ~Program() {
