Ends with held statements, windows, broken answers and floods are tried

Change: four cases more of tests/crossings: at SIGTERM a statement at a node that hangs, one queued for a connection, one held, discovery down; a repeat whose connection comes up after its window; answers that break off or stall after every eighth byte; floods, a client that reads late, one that sends byte by byte.

--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -37,7 +37,7 @@
 // sees after that.
 void goneWhileConnecting() {
   for (const std::string type : {"write", "known", "read"}) {
-    Node node({}, true);
+    Node node({}, 0);
     Side discovery(silentDiscovery);
     Program router(discovery.port(), one(node), 20000);
     Peer leaves = router.client();
@@ -94,7 +94,7 @@
 // Its reset and what would send its statement on are there in one turn.
 void goneAtRelease() {
   for (const bool resetFirst : {true, false}) {
-    Node node({}, true);
+    Node node({}, 0);
     Side discovery(silentDiscovery);
     Program router(discovery.port(), one(node), 20000);
     Peer leaves = router.client(), stays = router.client();
@@ -204,6 +204,26 @@
   std::cout << "on one that waits to be accepted: " << waiting.answer() << waiting.answer() << "\n";
 }
 
+// With statements that are held as no node may be used, that wait for a connection, and that a node hangs over,
+// and with discovery down: each has its answer in its time, and the program ends after them.
+void endingHeld() {
+  Node hangs({"hangs"}, 1);
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(hangs));
+  Peer atNode = router.client(), queued = router.client(), held = router.client();
+  atNode.send(statement("hangs", "write", 1500));
+  hangs.events.await("saw hangs");
+  queued.send(statement("queued", "write", 1500));
+  hangs.events.await("connection", 2);
+  held.send(query("SELECT body FROM objects WHERE oid = 'k' /* " + nextId() + ",c=read,d=1500,cluster=2 */"));
+  router.signal(SIGTERM);
+  std::cout << "at a node that hangs: " << atNode.answer() << atNode.answer() << "\n";
+  std::cout << "queued for a connection: " << queued.answer() << queued.answer() << "\n";
+  std::cout << "held: " << held.answer() << held.answer() << "\n";
+  hangs.go("hangs");
+  hangs.events.happen("greet");
+}
+
 // While it starts: told to read its configuration anew it serves, told to end it ends.
 void signalled() {
   for (const int number : {SIGHUP, SIGTERM}) {
@@ -240,6 +260,75 @@
   }
 }
 
+// --- Attempts
+
+// The first attempt may have run, and the repeat waits for a connection until its window is over.
+void windowOver() {
+  Node node({"breaks"}, 1);
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node), 20000);
+  Peer client = router.client();
+  client.send(statement("breaks", "known"));
+  node.events.await("saw breaks");
+  const auto seenAt = Clock::now();
+  node.go("breaks");
+  node.events.await("connection", 2);
+  until(seenAt + std::chrono::milliseconds(500));
+  node.events.happen("greet");
+  std::cout << client.answer() << "the node saw " << node.saw() << "\n";
+}
+
+// Answers that break off, or never end, after any number of their bytes: a read has the whole value from another
+// attempt, a write that may run once is rolled back.
+void brokenAnswers() {
+  const std::size_t size = row("v-cut-0").size();  // of the shortest of these answers
+  for (const std::string how : {"cut-", "stall-"}) {
+    Node node;
+    Side discovery(silentDiscovery);
+    Program router(discovery.port(), one(node));
+    Peer client = router.client();
+    std::map<std::string, int> reads, writes;
+    for (std::size_t at = 1; at < size; at += 8) {
+      const auto key = how + std::to_string(at);
+      client.send(statement(key, "read"));
+      auto said = client.answer();
+      ++reads[said == "T D(" + std::to_string(key.size() + 2) + " bytes) C Z " ? "whole" : said];
+    }
+    for (std::size_t at = 1; at < size; at += 8) {
+      client.send(statement(how + std::to_string(at + 1000).substr(1), "write", 3000));
+      ++writes[client.answer()];
+    }
+    std::cout << how << " reads:";
+    for (const auto& [said, times] : reads) std::cout << " " << times << " " << said;
+    std::cout << "; writes:";
+    for (const auto& [said, times] : writes) std::cout << " " << times << " " << said;
+    std::cout << "\n";
+  }
+}
+
+// --- What strangers send
+
+void floods() {
+  Node node;
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node));
+  Peer junk = Peer::to(router.port()), unread = router.client(), slow = Peer::to(router.port());
+  junk.send(std::string(4 << 20, 'x'));
+  std::string many;
+  for (int i = 0; i < 20000; ++i) many += query("");
+  unread.send(many);  // and reads none of its answers
+  const auto whole = pg::startup("worker", "catalog") + statement("slow", "read");
+  slow.send(whole, 1);
+  Peer usual = router.client();
+  usual.send(statement("k", "read"));
+  std::cout << "a usual one: " << usual.answer() << "\n";
+  slow.answer();
+  std::cout << "byte by byte: " << slow.answer() << "\njunk: " << junk.answer() << "\n";
+  int answered = 0;
+  while (answered < 20000 && unread.answer() == "I Z ") ++answered;
+  std::cout << "read late: " << answered << " answers\n";
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -253,6 +342,10 @@
                                                 {"closing", closing},
                                                 {"ending", ending},
                                                 {"ending-crossed", endingCrossed},
+                                                {"ending-held", endingHeld},
+                                                {"window", windowOver},
+                                                {"broken-answers", brokenAnswers},
+                                                {"floods", floods},
                                                 {"signalled", signalled},
                                                 {"stray", stray}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
--- a/tests/program.h
+++ b/tests/program.h
@@ -166,12 +166,12 @@
 };
 
 // A primary that tells the events `connection` and `saw KEY`, and answers a statement for KEY after `go KEY`
-// where it is told to wait for that, likewise each greeting after `greet`. Where it waits for `breaks` its answer to
+// where it is told to wait for that; connections beyond the first `greeted` are greeted after `greet`. Where it waits for `breaks` its answer to
 // that is a reset.
 class Node {
  public:
-  explicit Node(std::set<std::string> waits = {}, bool waitsToGreet = false)
-      : waits_(std::move(waits)), waitsToGreet_(waitsToGreet), side_([this](Peer& peer) { serve(peer); }) {}
+  explicit Node(std::set<std::string> waits = {}, std::size_t greeted = 1 << 20)
+      : waits_(std::move(waits)), greeted_(greeted), side_([this](Peer& peer) { serve(peer); }) {}
 
   Events events;
   unsigned short port() const { return side_.port(); }
@@ -209,7 +209,7 @@
     }
     peer.startup();
     events.happen("connection");
-    if (waitsToGreet_) events.await("greet");
+    if (number >= greeted_) events.await("greet");
     peer.send(pg::welcome());
     events.happen("greeted");
     while (answer(peer)) {}
@@ -232,8 +232,10 @@
     const auto quote = body.find('\'');
     const auto first = body.starts_with("INSERT") ? body.find("('", quote - 1) + 1 : quote;
     const auto key = body.substr(first + 1, body.find('\'', first + 1) - first - 1);
+    bool again = false;
     {
       const std::lock_guard lock(mutex_);
+      again = std::count(keys_.begin(), keys_.end(), key) > 0;
       keys_.push_back(key);
       told_[key] = std::stoi(body.substr(body.find(",d=") + 3));
     }
@@ -244,12 +246,16 @@
       events.happen("broke");
       return false;
     }
-    peer.send(row("v-" + key));
-    return true;
+    const std::string all = row("v-" + key);
+    // `cut-N` gets N bytes of its answer and an end, `stall-N` so many and no more, the first time each.
+    const auto dash = key.find('-');
+    if (again || (!key.starts_with("cut-") && !key.starts_with("stall-"))) return peer.send(all), true;
+    peer.send(all.substr(0, std::stoul(key.substr(dash + 1))));
+    return key[0] == 's';
   }
 
   std::set<std::string> waits_;
-  bool waitsToGreet_;
+  std::size_t greeted_;
   std::mutex mutex_;
   std::vector<Peer*> peers_;
   std::vector<std::string> keys_;
--- a/tests/watches.cpp
+++ b/tests/watches.cpp
@@ -159,7 +159,7 @@
 // Told while the connection comes up, for which a statement waits.
 void drainWhileConnecting() {
   for (const bool sameTurn : {false, true}) {
-    Node first({}, true), second;
+    Node first({}, 0), second;
     Lists discovery(both(1, first, second, "up"));
     Program router(discovery.port(), both(1, first, second, "up"), 20000);
     discovery.events.await("watch");
