--- a/src/carriers/delegated/delegated.cpp
+++ b/src/carriers/delegated/delegated.cpp
@@ -6,12 +6,12 @@
 
 void Delegated::carry(Job job, const NodeId& id) {
   const auto* node = ledger_.nodes().find(id);
-  const auto* submission = ledger_.submission(job);
-  // Probes are another carrier's, and a second submission beside one that is out can't be told to anyone.
-  if (!submission || !node || ledger_.nodes().leaving(id) || out_.contains(job.txn))
+  const auto* attempt = ledger_.attempt(job);
+  // Probes are another carrier's, and a second attempt beside one that is out can't be told to anyone.
+  if (!attempt || !node || ledger_.nodes().leaving(id) || out_.contains(job.txn))
     return ledger_.ended(job, id, End::notSent);
-  const Instant now = ledger_.now(), cutAt = submission->cutAt;
-  const Span within = grants::sendWithin(now, submission->sendBy, rule_, list_);
+  const Instant now = ledger_.now(), cutAt = attempt->cutAt;
+  const Span within = grants::sendWithin(now, attempt->sendBy, rule_, list_);
   if (within == Span()) return ledger_.ended(job, id, End::notSent);
   const Out out{job, id, node->address, cutAt};
   out_.emplace(job.txn, out);
@@ -31,9 +31,9 @@
 }
 
 // What was granted can't be taken back; its place is free, and what is told of it later counts no more.
-void Delegated::callOff(Job job, const NodeId& id) {
+void Delegated::cancel(Job job, const NodeId& id) {
   take(job.txn);
-  ledger_.ended(job, id, End::calledOff);
+  ledger_.ended(job, id, End::cancelled);
 }
 
 std::optional<End> Delegated::reported(TxnId txn, const grants::Report& report) {
--- a/src/carriers/delegated/delegated.h
+++ b/src/carriers/delegated/delegated.h
@@ -1,5 +1,5 @@
-// A carrier that sends nothing itself: it grants a submission to whoever asked, who sends it to the node and
-// tells how that ended. A submission of it ends by what is told, by silence until its time is up, or when
+// A carrier that sends nothing itself: it grants an attempt to whoever asked, who sends it to the node and
+// tells how that ended. An attempt of it ends by what is told, by silence until its time is up, or when
 // nobody is there any more who could tell. It reads no socket and no clock.
 #pragma once
 
@@ -36,7 +36,7 @@
       : ledger_(ledger), rule_(rule), granting_(granting) {}
 
   void carry(core::Job job, const NodeId& node) override;
-  void callOff(core::Job job, const NodeId& node) override;
+  void cancel(core::Job job, const NodeId& node) override;
   void listed(const std::vector<NodeId>&) override {}
   void forget(const NodeId&) override {}
 
--- a/src/carriers/http/probes.cpp
+++ b/src/carriers/http/probes.cpp
@@ -35,7 +35,7 @@
   while (!due_.empty() && due_.begin()->first <= ledger_.now()) {
     const ProbeId probe = due_.begin()->second;
     effects_.drop(probe);
-    end(probe, End::noAnswer, {});
+    end(probe, End::timeout, {});
   }
 }
 
--- a/src/carriers/http/probes.h
+++ b/src/carriers/http/probes.h
@@ -32,7 +32,7 @@
       : ledger_(ledger), limit_(limit), most_(most), effects_(effects) {}
 
   void carry(core::Job job, const NodeId& node) override;
-  void callOff(core::Job, const NodeId&) override {}
+  void cancel(core::Job, const NodeId&) override {}
   void listed(const std::vector<NodeId>& moved) override;
   void forget(const NodeId& node) override;
 
--- a/src/carriers/pg/links.cpp
+++ b/src/carriers/pg/links.cpp
@@ -37,8 +37,8 @@
       return End::committed;
     case wire::Verdict::notHere:
       return End::notHere;
-    case wire::Verdict::turnedAway:
-      return End::turnedAway;
+    case wire::Verdict::rejected:
+      return End::rejected;
     default:
       return End::error;
   }
@@ -102,7 +102,7 @@
     return;
   }
   const core::Message& message = ledger_.message(job.txn);
-  const Instant cutAt = ledger_.submission(job)->cutAt;
+  const Instant cutAt = ledger_.attempt(job)->cutAt;
   carried_[job] = id;
   setDue(id, link, cutAt);
   // The node is told how long this router will wait, in whole milliseconds.
@@ -138,8 +138,8 @@
         const auto greeting = wire::takeGreeting(bytes);
         if (!greeting) break;
         if (*greeting != wire::Greeting::welcome) {
-          endLink(id, *greeting == wire::Greeting::turnedAway ? ConnectionEnd::turnedAway
-                                                              : ConnectionEnd::broken);
+          endLink(id,
+                  *greeting == wire::Greeting::rejected ? ConnectionEnd::rejected : ConnectionEnd::broken);
           continue;
         }
         Place& place = places_.at(link.node);
@@ -188,7 +188,7 @@
   place.spoilt = 0;
 }
 
-// Its answer is whole. Guards against more than that, a second copy or noise, which must not be taken for the
+// Its answer is whole. Guards against more than that, a hedge or noise, which must not be taken for the
 // next txn's answer, however late it comes: an empty query is asked, and once its answer has come nothing
 // older is on the way. Costs a message each way; may hurt at nodes that answer empty queries late.
 void Links::clear(LinkId id, Link& link, bool more) {
@@ -224,8 +224,8 @@
   while (!place.waiting.empty()) {
     const Job job = place.waiting.front();
     place.waiting.pop_front();
-    const auto* submission = ledger_.submission(job);
-    if (job.txn == 0 || (submission && submission->sendBy > ledger_.now())) return write(id, link, job);
+    const auto* attempt = ledger_.attempt(job);
+    if (job.txn == 0 || (attempt && attempt->sendBy > ledger_.now())) return write(id, link, job);
     ledger_.ended(job, link.node, End::notSent);
   }
   place.idle.push_back(id);
@@ -293,19 +293,19 @@
   }
 }
 
-void Links::callOff(Job job, const NodeId& id) {
+void Links::cancel(Job job, const NodeId& id) {
   if (const auto at = carried_.find(job); at != carried_.end())
-    return endLink(LinkId(at->second), ConnectionEnd::calledOff);
+    return endLink(LinkId(at->second), ConnectionEnd::cancelled);
   std::erase(places_.at(id).waiting, job);
-  ledger_.ended(job, id, outcomeOf(ConnectionEnd::calledOff, false));
+  ledger_.ended(job, id, outcomeOf(ConnectionEnd::cancelled, false));
 }
 
 void Links::withdraw(Job job, const NodeId& id) {
   if (const auto at = carried_.find(job); at != carried_.end()) {
-    if (!links_.at(at->second).written) endLink(LinkId(at->second), ConnectionEnd::calledOff);
+    if (!links_.at(at->second).written) endLink(LinkId(at->second), ConnectionEnd::cancelled);
   } else if (const auto place = places_.find(id); place != places_.end()) {
     if (std::erase(place->second.waiting, job) > 0)
-      ledger_.ended(job, id, outcomeOf(ConnectionEnd::calledOff, false));
+      ledger_.ended(job, id, outcomeOf(ConnectionEnd::cancelled, false));
   }
 }
 
--- a/src/carriers/pg/links.h
+++ b/src/carriers/pg/links.h
@@ -1,4 +1,4 @@
-// Takes submissions and probes to nodes over the PostgreSQL protocol: owns the connections to nodes, what
+// Takes attempts and probes to nodes over the PostgreSQL protocol: owns the connections to nodes, what
 // waits for one, and what each carries. It reads no socket and no clock.
 #pragma once
 
@@ -41,7 +41,7 @@
       : ledger_(ledger), nodes_(ledger.nodes()), bounds_(bounds), effects_(effects) {}
 
   void carry(core::Job job, const NodeId& node) override;
-  void callOff(core::Job job, const NodeId& node) override;
+  void cancel(core::Job job, const NodeId& node) override;
   void withdraw(core::Job job, const NodeId& node) override;
   void listed(const std::vector<NodeId>& moved) override;
   void forget(const NodeId& node) override;
@@ -99,8 +99,8 @@
   std::map<LinkId, Link> links_;
   std::map<NodeId, Place> places_;
   std::map<Job, LinkId, bool (*)(const Job&, const Job&)> carried_{[](const Job& a, const Job& b) {
-    return std::pair(a.txn, a.submission) < std::pair(b.txn, b.submission);
-  }};  // the link that has a submission in hand
+    return std::pair(a.txn, a.attempt) < std::pair(b.txn, b.attempt);
+  }};  // the link that has an attempt in hand
   std::set<std::pair<Instant, LinkId>> due_;
   LinkId lastLink_ = 0;
 };
--- a/src/commands/status.cpp
+++ b/src/commands/status.cpp
@@ -29,7 +29,7 @@
     }
     out << "started " << status.at("started_ms_ago").get<std::int64_t>() / 1000 << " s ago; ramp "
         << status.at("ramp").at("state").get<std::string>() << ", "
-        << status.at("ramp").at("turned_away").get<std::uint64_t>() << " turned away\n";
+        << status.at("ramp").at("turned_away").get<std::uint64_t>() << " rejected\n";
     if (status.contains("forced_by")) out << "forced by " << status["forced_by"].get<std::string>() << "\n";
     for (const auto& group : groups) {
       if (!group.contains("awaits") && !asked.all) continue;
--- a/src/core/connection_end.cpp
+++ b/src/core/connection_end.cpp
@@ -6,12 +6,12 @@
   switch (how) {
     case ConnectionEnd::notOpened:
       return End::notSent;
-    case ConnectionEnd::calledOff:
-      return writtenWhole ? End::calledOff : End::notSent;
-    case ConnectionEnd::turnedAway:
-      return End::turnedAway;
+    case ConnectionEnd::cancelled:
+      return writtenWhole ? End::cancelled : End::notSent;
+    case ConnectionEnd::rejected:
+      return End::rejected;
     case ConnectionEnd::unanswered:
-      return writtenWhole ? End::noAnswer : End::noConnection;
+      return writtenWhole ? End::timeout : End::noConnection;
     case ConnectionEnd::nodeLeft:
     case ConnectionEnd::retired:
       return writtenWhole ? End::connectionLost : End::notSent;
@@ -28,14 +28,14 @@
       return "refused";
     case ConnectionEnd::neverUp:
       return "never up";
-    case ConnectionEnd::turnedAway:
-      return "turned away";
+    case ConnectionEnd::rejected:
+      return "rejected";
     case ConnectionEnd::broken:
       return "broken";
     case ConnectionEnd::malformed:
       return "malformed";
-    case ConnectionEnd::calledOff:
-      return "called off";
+    case ConnectionEnd::cancelled:
+      return "cancelled";
     case ConnectionEnd::unanswered:
       return "unanswered";
     case ConnectionEnd::retired:
--- a/src/core/connection_end.h
+++ b/src/core/connection_end.h
@@ -1,4 +1,4 @@
-// Every way in which a connection can end, and what that says of the submission it carried.
+// Every way in which a connection can end, and what that says of the attempt it carried.
 #pragma once
 
 #include <string_view>
@@ -11,11 +11,11 @@
   notOpened,     // no descriptor or address was to be had for it
   refused,       // the other side took no connection
   neverUp,       // it was not up within the time that is allowed for it
-  turnedAway,    // a node refused the session before it took a query
+  rejected,      // a node refused the session before it took a query
   broken,        // reset, or ended by the other side
   malformed,     // the other side sent what can't be read
-  calledOff,     // nobody waits for its answer any more
-  unanswered,    // no answer came while the submission was waited for
+  cancelled,     // nobody waits for its answer any more
+  unanswered,    // no answer came while the attempt was waited for
   retired,       // closed here after it had been idle for long, or to make room for another
   nodeLeft,      // closed here as its node drains or is gone
   clientDone,    // the client said good-bye, or all it had asked is answered and it sends no more
@@ -23,7 +23,7 @@
   shuttingDown,  // this router ends
 };
 
-// The outcome of a submission whose connection ended so. `writtenWhole`: its last byte had been written, so
+// The outcome of an attempt whose connection ended so. `writtenWhole`: its last byte had been written, so
 // that the node may have run it.
 End outcomeOf(ConnectionEnd how, bool writtenWhole);
 
--- a/src/core/door.h
+++ b/src/core/door.h
@@ -11,10 +11,10 @@
 class Door {
  public:
   virtual ~Door() = default;
-  // None: it is let in. Else it is declined at once; its client may come back after this.
-  virtual std::optional<Span> turnsAway(GroupId group, std::size_t type) = 0;
+  // None: it is let in. Else it is declined at once; its client may retry after this.
+  virtual std::optional<Span> rejects(GroupId group, std::size_t type) = 0;
   // One that was let in has its final answer, or its client left; told once for each. `sent`: on to a node,
-  // at least once; `share`: of its SLA time that it took.
+  // at least once; `share`: of its latency target that it took.
   struct Passage {
     bool sent = false, committed = false;
     double share = 0;
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -13,7 +13,7 @@
       askForList_(std::move(askForList)),
       nodes_(!terms.onlyDrainingBinds) {
   for (const auto& type : terms.types) {
-    slaTimes_.push_back(type.slaTime);
+    latencyTargets_.push_back(type.latencyTarget);
     onceOnly_.push_back(type.effect == Effect::onceOnly);
   }
 }
@@ -48,12 +48,12 @@
   live.group = txn.group;
   live.type = txn.type;
   live.takenAt = now_;
-  live.slaTime = std::max(slaTimes_.at(txn.type), Span::micros(1));
+  live.latencyTarget = std::max(latencyTargets_.at(txn.type), Span::micros(1));
   heldBytes_ += live.message.bytes.size();
   if (!live.id().empty()) openIds_.insert(live.id());
-  if (const auto after = door_ ? door_->turnsAway(txn.group, txn.type) : std::nullopt) {
+  if (const auto after = door_ ? door_->rejects(txn.group, txn.type) : std::nullopt) {
     // Not from within its front's call.
-    turnedAway_.emplace_back(txn.id, *after);
+    rejected_.emplace_back(txn.id, *after);
     return txn.id;
   }
   live.admitted = door_ != nullptr;
@@ -94,8 +94,8 @@
   });
 }
 
-void Ledger::refuseDeclined(TxnId txn, Span comeBackAfter) {
-  if (stopWaiting(txn)) finish(txn, [&](Front& f, OwnerId owner) { f.declined(owner, comeBackAfter, 0); });
+void Ledger::refuseDeclined(TxnId txn, Span retryAfter) {
+  if (stopWaiting(txn)) finish(txn, [&](Front& f, OwnerId owner) { f.declined(owner, retryAfter, 0); });
 }
 
 void Ledger::refuseRolledBack(TxnId txn) {
@@ -105,19 +105,19 @@
 // Nothing that a proxy says of earlier tries elsewhere is taken for a proof that it never ran.
 Fate Ledger::fateOf(const Live& live) const {
   bool mayHaveRun = live.earlierMayHaveRun;
-  for (const Submission& submission : live.submissions) {
-    switch (submission.how) {
+  for (const Attempt& attempt : live.attempts) {
+    switch (attempt.how) {
       case End::committed:
         return Fate::committed;
-      case End::turnedAway:
+      case End::rejected:
       case End::noConnection:
       case End::notSent:
       case End::notHere:
         break;
       case End::error:
-      case End::noAnswer:
+      case End::timeout:
       case End::connectionLost:
-      case End::calledOff:
+      case End::cancelled:
         mayHaveRun = true;
     }
   }
@@ -128,7 +128,7 @@
 
 void Ledger::pass(Live& live, bool committed) {
   if (door_ && std::exchange(live.admitted, false))
-    door_->passed(live.group, live.type, {!live.submissions.empty(), committed, waitedShare(live)});
+    door_->passed(live.group, live.type, {!live.attempts.empty(), committed, waitedShare(live)});
 }
 
 void Ledger::learn(const NodeId& node, const Standing& standing) {
@@ -167,24 +167,25 @@
   forget(txn);
 }
 
-// Guards against attempts that begin for nobody: one that waits for a connection, or is written in part, would
-// go on as soon as it can, long after its client left. Hurts none: it has not run and no one waits for it.
+// Guards against attempts that begin for nobody: one that waits for a connection, or is written in part,
+// would go on as soon as it can, long after its client left. Hurts none: it has not run and no one waits for
+// it.
 void Ledger::withdrawAll(TxnId txn) {
   const auto at = live_.find(txn);
   if (at == live_.end()) return;
   Carrier& carrier = *at->second.carrier;
   std::vector<std::pair<Job, NodeId>> out;
-  for (std::size_t i = 0; i < at->second.submissions.size(); ++i)
-    if (const Submission& one = at->second.submissions[i]; !one.over)
+  for (std::size_t i = 0; i < at->second.attempts.size(); ++i)
+    if (const Attempt& one = at->second.attempts[i]; !one.over)
       out.emplace_back(Job{txn, static_cast<unsigned>(i)}, one.node);
   for (const auto& [job, node] : out) carrier.withdraw(job, node);
 }
 
-// What has its final answer is kept only while submissions of it are out.
+// What has its final answer is kept only while attempts of it are out.
 void Ledger::forget(TxnId txn) {
   const auto at = live_.find(txn);
   if (at == live_.end() || at->second.front) return;
-  const auto& all = at->second.submissions;
+  const auto& all = at->second.attempts;
   if (!std::all_of(all.begin(), all.end(), [](auto& s) { return s.over; })) return;
   if (at->second.guarded && guard_) guard_->over(txn, fateOf(at->second));
   heldBytes_ -= at->second.message.bytes.size();
@@ -194,10 +195,10 @@
 
 // --- Carriers
 
-const Ledger::Submission* Ledger::submission(Job job) const {
+const Ledger::Attempt* Ledger::attempt(Job job) const {
   const auto at = live_.find(job.txn);
-  if (at == live_.end() || job.submission >= at->second.submissions.size()) return nullptr;
-  return &at->second.submissions[job.submission];
+  if (at == live_.end() || job.attempt >= at->second.attempts.size()) return nullptr;
+  return &at->second.attempts[job.attempt];
 }
 
 void Ledger::commit(TxnId txn, const Value& value) {
@@ -214,19 +215,19 @@
   arrived([=](Router& router) { router.disconnected(node); });
 }
 
-// The outcome of a submission or a probe, told to the module.
+// The outcome of an attempt or a probe, told to the module.
 void Ledger::ended(Job job, const NodeId& node, End how, const Standing& answer, const Standing& report) {
   if (door_ && how == End::committed) door_->told(node, job.txn == 0 ? report : answer);
   if (job.txn == 0) return arrived([=](Router& router) { router.probed(node, how, report); });
   const auto at = live_.find(job.txn);
-  if (at == live_.end() || job.submission >= at->second.submissions.size()) return;
-  Submission& submission = at->second.submissions[job.submission];
-  if (std::exchange(submission.over, true)) return;
-  submission.how = how;
-  const Span latency = now_ - submission.sentAt;
+  if (at == live_.end() || job.attempt >= at->second.attempts.size()) return;
+  Attempt& attempt = at->second.attempts[job.attempt];
+  if (std::exchange(attempt.over, true)) return;
+  attempt.how = how;
+  const Span latency = now_ - attempt.sentAt;
   const bool txnOver = !at->second.front;
   arrived([=](Router& router) {
-    router.ended(job.txn, job.submission, node, how, txnOver, latency, answer, report);
+    router.ended(job.txn, job.attempt, node, how, txnOver, latency, answer, report);
   });
   forget(job.txn);
 }
@@ -280,8 +281,8 @@
 
 bool Ledger::isOutAt(const std::set<NodeId>& nodes) const {
   for (const auto& [txn, live] : live_)
-    for (const auto& submission : live.submissions)
-      if (!submission.over && nodes.contains(submission.node)) return true;
+    for (const auto& attempt : live.attempts)
+      if (!attempt.over && nodes.contains(attempt.node)) return true;
   return false;
 }
 
@@ -330,7 +331,7 @@
   // Long after the turn that was asked for: this process was held up, and measures its own delay.
   constexpr Span kHeldUp = Span::millis(50);
   if (levels_ && wakeAt_ != Instant() && now_ - wakeAt_ > kHeldUp) levels_->stoodStill(now_);
-  for (const auto& [txn, after] : std::exchange(turnedAway_, {}))
+  for (const auto& [txn, after] : std::exchange(rejected_, {}))
     finish(txn, [after = after](Front& front, OwnerId owner) { front.declined(owner, after, 0); });
   if (levels_ && (levels_->nextDue() == Instant() || now_ >= levels_->nextDue())) reduce();
   if (!arrivals_.empty() || (wakeAt_ != Instant() && wakeAt_ <= now_)) {
@@ -343,34 +344,34 @@
 }
 
 void Ledger::deliver(Router& router) {
-  // What the module asks for meanwhile may end submissions at once: that is for the next round.
+  // What the module asks for meanwhile may end attempts at once: that is for the next round.
   for (const auto& call : std::exchange(arrivals_, {})) call(router);
 }
 
 void Ledger::submit(TxnId txn, const NodeId& node, Instant sendBy, Instant cutAt) {
   Live* live = owed(txn);
   if (!live) return;
-  const Job job{txn, static_cast<unsigned>(live->submissions.size())};
-  live->submissions.push_back({node, now_, sendBy, cutAt, false});
+  const Job job{txn, static_cast<unsigned>(live->attempts.size())};
+  live->attempts.push_back({node, now_, sendBy, cutAt, false});
   // Guards against a decision by a list that has not reached the module: nothing at all may go there. Hurts a
   // txn that no other node can take: it is decided anew, and may be declined.
   if (out_.contains(node)) return ended(job, node, End::notSent);
   live->carrier->carry(job, node);
 }
 
-void Ledger::callOff(TxnId txn, unsigned number) {
+void Ledger::cancel(TxnId txn, unsigned number) {
   const Job job{txn, number};
-  const Submission* out = submission(job);
-  if (out && !out->over) live_.at(txn).carrier->callOff(job, NodeId(out->node));
+  const Attempt* out = attempt(job);
+  if (out && !out->over) live_.at(txn).carrier->cancel(job, NodeId(out->node));
 }
 
-void Ledger::decline(TxnId txn, Span comeBackAfter) {
+void Ledger::decline(TxnId txn, Span retryAfter) {
   unsigned level = 0;
   if (const Live* live = owed(txn); live && levels_) {
     levels_->gaveUp(now_, live->group, live->type, waitedShare(*live));
-    if (live->submissions.empty() && live->takenAt == now_) level = levels_->of(live->group).level;
+    if (live->attempts.empty() && live->takenAt == now_) level = levels_->of(live->group).level;
   }
-  finish(txn, [&](Front& front, OwnerId owner) { front.declined(owner, comeBackAfter, level); });
+  finish(txn, [&](Front& front, OwnerId owner) { front.declined(owner, retryAfter, level); });
   withdrawAll(txn);
 }
 
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -1,10 +1,10 @@
 // The ledger of open txns, whoever asked and however they are sent: who is owed the one final answer, which
-// submissions are out and how each ended, and what is bounded. It runs the decision module's rounds: what
+// attempts are out and how each ended, and what is bounded. It runs the decision module's rounds: what
 // comes in is gathered, and handed to the module once a turn; what the module writes goes to the txn's
 // front or carrier. It reads no socket and no clock.
 //
-// A txn is open from take() until its final answer went to its front and its last submission has ended.
-// A submission ends once, by ended(); so does a probe.
+// A txn is open from take() until its final answer went to its front and its last attempt has ended.
+// An attempt ends once, by ended(); so does a probe.
 #pragma once
 
 #include <array>
@@ -31,7 +31,7 @@
 
 struct Job {      // what a carrier has in hand
   TxnId txn = 0;  // 0: a probe
-  unsigned submission = 0;
+  unsigned attempt = 0;
   bool operator==(const Job&) const = default;
 };
 
@@ -49,19 +49,19 @@
   virtual ~Front() = default;
   virtual void committed(OwnerId owner, const Value& value) = 0;
   // `level`: of reduced service, where that is why it was refused as it came; 0: it is not.
-  virtual void declined(OwnerId owner, Span comeBackAfter, unsigned level) = 0;
+  virtual void declined(OwnerId owner, Span retryAfter, unsigned level) = 0;
   virtual void rolledBack(OwnerId owner) = 0;
   // Committed means nothing to its clients without the value that a node answered.
   virtual bool needsValue() const { return true; }
 };
 
-// Who takes a submission to a node and tells how it ended, by Ledger::ended(), once; at once or later.
+// Who takes an attempt to a node and tells how it ended, by Ledger::ended(), once; at once or later.
 class Carrier {
  public:
   virtual ~Carrier() = default;
   virtual void carry(Job job, const NodeId& node) = 0;  // a probe, too
   // Nobody waits for it any more. It has not ended yet, and ends soon.
-  virtual void callOff(Job job, const NodeId& node) = 0;
+  virtual void cancel(Job job, const NodeId& node) = 0;
   // Its txn has its final answer, or its client left: what the node has not got whole is not to get there. It
   // ends at once where that is so; else as it would.
   virtual void withdraw(Job, const NodeId&) {}
@@ -107,12 +107,12 @@
   // It may not run, and this is its final answer: committed where that and its value are known, declined
   // where trying again is harmless, else rolled back.
   void refuseCommitted(TxnId txn, const Value& value);
-  void refuseDeclined(TxnId txn, Span comeBackAfter);
+  void refuseDeclined(TxnId txn, Span retryAfter);
   void refuseRolledBack(TxnId txn);
 
   // --- For fronts
 
-  struct Submission {
+  struct Attempt {
     NodeId node;
     Instant sentAt, sendBy, cutAt;
     bool over = false;
@@ -131,16 +131,16 @@
 
   const Message& message(TxnId txn) const { return live_.at(txn).message; }
   // Null once it is not known any more; valid until the next event.
-  const Submission* submission(Job job) const;
+  const Attempt* attempt(Job job) const;
   // Nobody waits for its answer any more, or for that of any other of its txn.
   bool isOwed(TxnId txn) const;
   // The txn's final answer, ahead of ended().
   void commit(TxnId txn, const Value& value);
-  // A second call for the same submission is passed over.
+  // A second call for the same attempt is passed over.
   void ended(Job job, const NodeId& node, End how, const Standing& answer = {}, const Standing& report = {});
 
   // It took no connection, or the last one to it was ended from there: it may have been down. Called beside
-  // ended() where a submission was on it.
+  // ended() where an attempt was on it.
   void disconnected(const NodeId& node);
 
   // --- Lists and turns
@@ -149,10 +149,10 @@
   void listed(ListKind kind, std::vector<Addressed> list, std::uint64_t version = 0);
   // The guard has learnt of these nodes: they leave, whatever the last list said.
   void leave(const std::vector<NodeId>& nodes);
-  // Nothing new goes to the nodes of `now`; nor, from `from` on, to those of `later`: whatever lists say, until
-  // it is called again. Never: there is no such moment. Where there is a guard.
+  // Nothing new goes to the nodes of `now`; nor, from `from` on, to those of `later`: whatever lists say,
+  // until it is called again. Never: there is no such moment. Where there is a guard.
   void keepOut(std::set<NodeId> now, std::set<NodeId> later, Instant from);
-  // A submission is out at one of these, or waits for a connection there.
+  // An attempt is out at one of these, or waits for a connection there.
   bool isOutAt(const std::set<NodeId>& nodes) const;
   // Service of some group is reduced.
   bool isReduced() const;
@@ -166,16 +166,16 @@
   std::size_t open() const { return live_.size(); }
 
  private:
-  struct Live {              // a txn that is owed its answer, or has submissions out
+  struct Live {              // a txn that is owed its answer, or has attempts out
     Front* front = nullptr;  // null: it has its final answer
     OwnerId owner = 0;
     Carrier* carrier = nullptr;
     Message message;
-    std::vector<Submission> submissions;
+    std::vector<Attempt> attempts;
     GroupId group = 0;
     std::size_t type = 0;
     Instant takenAt;
-    Span slaTime;
+    Span latencyTarget;
     bool guarded = false, earlierMayHaveRun = false;
     bool admitted = false;       // by the door, which is owed a word once it is over
     std::optional<Txn> waiting;  // for the guard's word: the module has not seen it
@@ -187,8 +187,8 @@
   // Feed and Writer.
   void deliver(Router& router) override;
   void submit(TxnId txn, const NodeId& node, Instant sendBy, Instant cutAt) override;
-  void callOff(TxnId txn, unsigned submission) override;
-  void decline(TxnId txn, Span comeBackAfter) override;
+  void cancel(TxnId txn, unsigned attempt) override;
+  void decline(TxnId txn, Span retryAfter) override;
   void rollBack(TxnId txn) override;
   void probe(const NodeId& node) override;
   void wakeAfter(Span after) override;
@@ -196,7 +196,7 @@
   void forget(const NodeId& node) override;
 
   void reduce();
-  double waitedShare(const Live& live) const { return (now_ - live.takenAt) / live.slaTime; }
+  double waitedShare(const Live& live) const { return (now_ - live.takenAt) / live.latencyTarget; }
 
   using Arrival = std::function<void(Router&)>;
   void arrived(Arrival call) { arrivals_.push_back(std::move(call)); }
@@ -215,8 +215,8 @@
   std::size_t mostBytes_, mostOpen_;
   std::function<void()> askForList_;
   Nodes nodes_;
-  std::vector<Span> slaTimes_;  // a row a txn type
-  std::vector<bool> onceOnly_;  // likewise
+  std::vector<Span> latencyTargets_;  // a row a txn type
+  std::vector<bool> onceOnly_;        // likewise
   Guard* guard_ = nullptr;
   Door* door_ = nullptr;
   std::map<NodeId, Addressed> last_;  // of each node that lists name, where there is a guard
@@ -232,8 +232,8 @@
   std::map<TxnId, Live> live_;
   std::unordered_set<std::string_view> openIds_;  // of the txns in live_
   std::vector<Arrival> arrivals_;
-  std::vector<std::pair<TxnId, Span>> turnedAway_;  // by the door, to be declined in this turn
-  std::size_t heldBytes_ = 0;                       // of the messages in live_
+  std::vector<std::pair<TxnId, Span>> rejected_;  // by the door, to be declined in this turn
+  std::size_t heldBytes_ = 0;                     // of the messages in live_
   TxnId lastTxn_ = 0;
 };
 
--- a/src/experiments/main.cpp
+++ b/src/experiments/main.cpp
@@ -37,7 +37,7 @@
   for (std::size_t s = 0; s < result.seconds.size(); ++s) {
     const auto& at = result.seconds[s];
     file << s << "," << (at.asked > 0 ? at.earned / at.asked : 0) << "," << at.txns << "," << at.late << ","
-         << at.submissions << "," << at.probes << "," << at.connections << "," << at.declined << "\n";
+         << at.attempts << "," << at.probes << "," << at.connections << "," << at.declined << "\n";
   }
   file.close();
   if (!file) throw std::runtime_error("'" + path + "' can't be written");
--- a/src/fronts/ext_proc/mapping.cpp
+++ b/src/fronts/ext_proc/mapping.cpp
@@ -68,7 +68,7 @@
   asked.txn.group = number(names_.group, need(headers, names_.group), kMostGroup);
   const auto patience = number(names_.patience, need(headers, names_.patience), kMostMs);
   asked.txn.patience = asked.ask.patience =
-      std::min(Span::millis(static_cast<std::int64_t>(patience)), type.expiry);
+      std::min(Span::millis(static_cast<std::int64_t>(patience)), type.deadline);
   if (type.level == ReadLevel::session) {
     asked.txn.session = core::sessionOf(need(headers, names_.session));
     asked.txn.writeAge = Span();  // it owes nothing
@@ -83,7 +83,7 @@
     asked.ask.attempt =
         static_cast<unsigned>(std::max<std::uint64_t>(1, number(names_.attempt, *attempt, kMostTries)));
   if (const auto* written = find(headers, names_.written)) asked.ask.written = writtenOf(*written);
-  if (const auto* token = find(headers, names_.submission)) asked.ask.token = token->substr(0, kLongestId);
+  if (const auto* token = find(headers, names_.token)) asked.ask.token = token->substr(0, kLongestId);
   return asked;
 }
 
--- a/src/fronts/ext_proc/mapping.h
+++ b/src/fronts/ext_proc/mapping.h
@@ -23,8 +23,8 @@
   std::string id = "x-txn-id", type = "x-txn-type", group = "x-txn-group", session = "x-txn-session",
               patience = "x-txn-patience-ms", writeAge = "x-txn-write-age-ms",
               attempt = "x-envoy-attempt-count", written = "x-txn-written";
-  // Of a decision; the submission's is also read from a request.
-  std::string destination = "x-gateway-destination-endpoint", submission = "x-txn-submission",
+  // Of a decision; the token of its attempt is also read from a request.
+  std::string destination = "x-gateway-destination-endpoint", token = "x-txn-submission",
               sendWithin = "x-txn-send-within-ms", outcome = "x-txn-outcome",
               retryAfterMs = "x-txn-retry-after-ms";
   // Of a node's answer, with those of its standing.
--- a/src/fronts/ext_proc/streams.cpp
+++ b/src/fronts/ext_proc/streams.cpp
@@ -181,7 +181,7 @@
   const auto& names = mapping_.names();
   effects_.send(key, wire::continued(wire::Phase::requestHeaders,
                                      {{names.destination, grant.address},
-                                      {names.submission, token},
+                                      {names.token, token},
                                       {names.sendWithin, std::to_string(grant.within.inMicros() / 1000)}}));
   if (stream.halfClosed) {  // it can't tell the end
     letGo(key, stream);
@@ -208,7 +208,7 @@
   if (owed) return;  // the module's answer is there by the end of the turn
   // The module gave it up before; nothing was told to anyone yet, and a commit is the truth.
   decided(key, how == End::committed ? Outcome::committed : stream.given.value_or(Outcome::rolledBack),
-          stream.comeBackAfter);
+          stream.retryAfter);
 }
 
 // --- Answers
@@ -220,17 +220,17 @@
 }
 void Streams::rolledBack(core::OwnerId owner) { decided(owner, Outcome::rolledBack, {}); }
 
-void Streams::decided(StreamKey key, Outcome outcome, Span comeBackAfter) {
+void Streams::decided(StreamKey key, Outcome outcome, Span retryAfter) {
   const auto at = streams_.find(key);
   if (at == streams_.end()) return;
   Stream& stream = at->second;
   if (stream.stage == Stage::granted) {  // nothing can be told before the proxy asks again
     stream.given = outcome;
-    stream.comeBackAfter = comeBackAfter;
+    stream.retryAfter = retryAfter;
     return;
   }
   if (stream.stage == Stage::answered) return;
-  if (outcome != Outcome::committed) return immediate(key, stream, outcome, comeBackAfter, "");
+  if (outcome != Outcome::committed) return immediate(key, stream, outcome, retryAfter, "");
   ++counts_.committed;
   owners_.erase(stream.txn);
   stream.stage = Stage::answered;
@@ -240,7 +240,7 @@
   if (stream.halfClosed) effects_.close(key, Close::done, "");
 }
 
-void Streams::immediate(StreamKey key, Stream& stream, Outcome outcome, Span comeBackAfter,
+void Streams::immediate(StreamKey key, Stream& stream, Outcome outcome, Span retryAfter,
                         std::string_view why) {
   ++(outcome == Outcome::declined ? counts_.declined : counts_.rolledBack);
   owners_.erase(stream.txn);
@@ -251,9 +251,9 @@
   wire::Immediate answer;
   answer.status = outcome == Outcome::declined ? 503 : 500;
   answer.headers = {{names.outcome, std::string(nameOf(outcome))}};
-  if (outcome == Outcome::declined && comeBackAfter > Span()) {
+  if (outcome == Outcome::declined && retryAfter > Span()) {
     // Seconds are all that the standard header has; the exact time stands beside it.
-    const auto millis = comeBackAfter.inMicros() / 1000;
+    const auto millis = retryAfter.inMicros() / 1000;
     answer.headers.push_back({"retry-after", std::to_string((millis + 999) / 1000)});
     answer.headers.push_back({names.retryAfterMs, std::to_string(millis)});
   }
--- a/src/fronts/ext_proc/streams.h
+++ b/src/fronts/ext_proc/streams.h
@@ -84,7 +84,7 @@
     grants::Hold hold;
     carriers::delegated::Grant grant;
     std::optional<grants::Outcome> given;  // by the module, while nothing could be told
-    Span comeBackAfter;
+    Span retryAfter;
     unsigned level = 0;  // of reduced service, by which it was refused
     bool halfClosed = false, endTold = false;
     Instant due;  // never: nothing is awaited
@@ -92,7 +92,7 @@
 
   // Front.
   void committed(core::OwnerId owner, const core::Value& value) override;
-  void declined(core::OwnerId owner, Span comeBackAfter, unsigned level) override;
+  void declined(core::OwnerId owner, Span retryAfter, unsigned level) override;
   void rolledBack(core::OwnerId owner) override;
   bool needsValue() const override { return false; }
   // Granting.
@@ -100,8 +100,8 @@
 
   void ask(StreamKey key, Stream& stream);
   void report(StreamKey key, Stream& stream, const wire::Headers& headers);
-  void decided(StreamKey key, grants::Outcome outcome, Span comeBackAfter);
-  void immediate(StreamKey key, Stream& stream, grants::Outcome outcome, Span comeBackAfter,
+  void decided(StreamKey key, grants::Outcome outcome, Span retryAfter);
+  void immediate(StreamKey key, Stream& stream, grants::Outcome outcome, Span retryAfter,
                  std::string_view why);
   void bad(StreamKey key, Stream& stream, std::string_view why);
   void invalid(StreamKey key, std::string_view why);
--- a/src/fronts/pg/clients.cpp
+++ b/src/fronts/pg/clients.cpp
@@ -54,7 +54,8 @@
 
 std::size_t Clients::sent(ClientId id, std::string_view bytes) {
   const auto size = bytes.size();
-  if (const auto at = clients_.find(id); at != clients_.end()) at->second.arrivals.waiting(size, ledger_.now());
+  if (const auto at = clients_.find(id); at != clients_.end())
+    at->second.arrivals.waiting(size, ledger_.now());
   try {
     for (int taken = 0;; ++taken) {
       const auto at = clients_.find(id);
@@ -81,8 +82,7 @@
     fatal(id, wire::kProtocolViolation, bad.what());
     return size;
   }
-  if (const auto at = clients_.find(id); at != clients_.end())
-    at->second.arrivals.taken(size - bytes.size());
+  if (const auto at = clients_.find(id); at != clients_.end()) at->second.arrivals.taken(size - bytes.size());
   return size - bytes.size();
 }
 
@@ -114,8 +114,7 @@
   auto body = message->body;
   switch (request) {
     case wire::Request::query:
-      takeStatement(id, client, wire::takeText(body),
-                    client.arrivals.of(before + waiting - bytes.size()));
+      takeStatement(id, client, wire::takeText(body), client.arrivals.of(before + waiting - bytes.size()));
       break;
     case wire::Request::goodbye:
       drop(id);
@@ -276,9 +275,8 @@
   answered(owner);
 }
 
-void Clients::declined(core::OwnerId owner, Span comeBackAfter, unsigned level) {
-  effects_.writeClient(owner,
-                       {wire::declined(comeBackAfter.inMicros() / 1000, level), wire::readyForQuery()});
+void Clients::declined(core::OwnerId owner, Span retryAfter, unsigned level) {
+  effects_.writeClient(owner, {wire::declined(retryAfter.inMicros() / 1000, level), wire::readyForQuery()});
   answered(owner);
 }
 
--- a/src/fronts/pg/clients.h
+++ b/src/fronts/pg/clients.h
@@ -79,7 +79,7 @@
 
   // Front.
   void committed(core::OwnerId owner, const core::Value& value) override;
-  void declined(core::OwnerId owner, Span comeBackAfter, unsigned level) override;
+  void declined(core::OwnerId owner, Span retryAfter, unsigned level) override;
   void rolledBack(core::OwnerId owner) override;
 
   bool takeOpening(ClientId id, Client& client, std::string_view& bytes);
--- a/src/grants/book.cpp
+++ b/src/grants/book.cpp
@@ -31,7 +31,7 @@
 // What is known of a txn's earlier tries, for the module.
 Verdict Book::taken(Instant now, const Entry& entry) const {
   Verdict verdict;
-  verdict.earlier.submissions = entry.grants;
+  verdict.earlier.attempts = entry.grants;
   if (entry.firstAt != Instant() && entry.firstAt < now) verdict.earlier.since = now - entry.firstAt;
   if (entry.mayHaveRunAt != Instant()) verdict.earlier.mayHaveRunFor = now - entry.mayHaveRunAt;
   verdict.earlier.tried = entry.tried;
@@ -59,7 +59,7 @@
   const bool another = !ask.token.empty() && !ask.token.starts_with(start_ + "-");
   if ((ask.attempt > 1 || another || !ask.token.empty()) && ask.written != Written::nothing) {
     // Its first try can't have come longer ago than its client waits in all.
-    const Span before = std::max(types_[ask.type].expiry - ask.patience, Span::millis(1));
+    const Span before = std::max(types_[ask.type].deadline - ask.patience, Span::millis(1));
     entry.mayHaveRunAt = now - before;
     entry.firstAt = Instant();  // nor is it known when it did
     entry.grants = std::max(1u, ask.attempt - 1);
@@ -136,8 +136,8 @@
 void Book::ended(Instant now, const std::string& id, StreamKey stream, End how) {
   Entry* entry = of(id, stream);
   if (!entry || entry->state != State::granted) return;
-  const bool ran = how == End::error || how == End::noAnswer || how == End::connectionLost ||
-                   how == End::calledOff || how == End::committed;
+  const bool ran = how == End::error || how == End::timeout || how == End::connectionLost ||
+                   how == End::cancelled || how == End::committed;
   if (ran && entry->mayHaveRunAt == Instant()) entry->mayHaveRunAt = entry->grantedAt;
   remember(now, id, *entry, State::between);
 }
@@ -147,7 +147,7 @@
   if (!entry) return;
   entry->outcome = outcome;
   // A try that was granted and declined for what became of it may be followed by another: so the proxy is
-  // set up. One that was declined without a grant was turned away, which is final.
+  // set up. One that was declined without a grant was rejected, which is final.
   const bool goesOn =
       placement_ == Placement::tries && outcome == Outcome::declined && entry->state != State::asked;
   remember(now, id, *entry, goesOn ? State::between : State::over);
@@ -162,7 +162,7 @@
 
 void Book::remember(Instant now, const std::string& id, Entry& entry, State state) {
   entry.state = state;
-  const Instant until = now + types_[entry.type].expiry;
+  const Instant until = now + types_[entry.type].deadline;
   if (entry.until == until) return;
   entry.until = until;
   auto& queue = mayRepeat(entry.type) ? repeatables_ : others_;
--- a/src/grants/book.h
+++ b/src/grants/book.h
@@ -1,6 +1,6 @@
 // Which streams are tries of one txn, and what is known of its earlier ones: whether a stream that asks may
 // be put to the module at all, as what, or what it gets instead. Server choice, whether a txn is sent again
-// and what is turned away are the module's, which is told the earlier tries (Earlier). No I/O, no clock.
+// and what is rejected are the module's, which is told the earlier tries (Earlier). No I/O, no clock.
 //
 // A txn goes by the id that its client gave it. Its states, and what a further stream with its id gets:
 //
@@ -17,7 +17,7 @@
 //              of this program, or forgotten     grant, as one that may have run unless nothing was written
 //
 // A later try is one whose count is above the last that was seen. What may not run twice is remembered until
-// its client's time is up by its type's expiry; where there is no room for that, no such txn is taken.
+// its client's time is up by its type's deadline; where there is no room for that, no such txn is taken.
 #pragma once
 
 #include <deque>
@@ -74,9 +74,9 @@
 
   // A stream asks. Called again for one that was told to wait.
   Verdict asked(Instant now, StreamKey stream, const Ask& ask);
-  // The stream that asks has been granted a submission at the node. Returns the grant's token.
+  // The stream that asks has been granted an attempt at the node. Returns the grant's token.
   std::string granted(Instant now, const std::string& id, StreamKey stream, const NodeId& node);
-  // That submission ended so.
+  // That attempt ended so.
   void ended(Instant now, const std::string& id, StreamKey stream, End how);
   // The stream gets its answer by the module; it is the txn's final one unless another try may come.
   void answered(Instant now, const std::string& id, StreamKey stream, Outcome outcome);
--- a/src/grants/ends.h
+++ b/src/grants/ends.h
@@ -1,4 +1,4 @@
-// How a granted submission ended, by what the proxy that sent it tells: the one place where that becomes the
+// How a granted attempt ended, by what the proxy that sent it tells: the one place where that becomes the
 // module's End. No I/O, no clock.
 #pragma once
 
@@ -12,7 +12,7 @@
 // What is known to have been written to a node.
 enum class Written { unknown, nothing, something };
 
-// What a proxy tells of a submission once its answer's headers are there.
+// What a proxy tells of an attempt once its answer's headers are there.
 struct Report {
   int status = 0;  // of HTTP
   Written written = Written::unknown;
@@ -30,7 +30,7 @@
 End endOf(const Report& report, const std::string& told);
 
 // Without any report: the exchange was broken off by the proxy or its connection, or ended without a word; or
-// (`waitedOut`) nothing came for as long as the submission may take.
+// (`waitedOut`) nothing came for as long as the attempt may take.
 End endUnreported(bool waitedOut);
 
 // The Standing that may be learnt of the node that was told: none if another answered.
--- a/src/levels/levels.cpp
+++ b/src/levels/levels.cpp
@@ -12,15 +12,15 @@
 constexpr Span kShortest = Span::millis(500), kLongest = Span::millis(3000);
 // Samples that an interval keeps: a busy group has thousands, and the last tell what is.
 constexpr std::size_t kMostKept = 256;
-// A txn that was let in and given up counts as if it had taken this many times its SLA time.
+// A txn that was let in and given up counts as if it had taken this many times its latency target.
 constexpr double kGivenUp = 2;
-// One that was given up before this share of its SLA time was over did not wait: it was refused, by a level
-// or as it came too late. It tells nothing of the load. Guards against clients that come again at once, whose
-// storm would hold a level up; may hurt where nodes turn away at once what they can't take: their answers to
-// the others show it.
+// One that was given up before this share of its latency target was over did not wait: it was refused, by a
+// level or as it came too late. It tells nothing of the load. Guards against clients that come again at once,
+// whose storm would hold a level up; may hurt where nodes reject at once what they can't take: their answers
+// to the others show it.
 constexpr double kWaited = 0.1;
 // Where so much of this router's own limits is taken, every group that has txns waiting counts as waiting:
-// beyond, clients and txns would be turned away blindly. Above the three quarters at which the module makes
+// beyond, clients and txns would be rejected blindly. Above the three quarters at which the module makes
 // room by itself, so that a level comes only where that was not enough.
 constexpr double kOwnFull = 0.85;
 // Groups that are kept; lists name far fewer.
--- a/src/levels/levels.h
+++ b/src/levels/levels.h
@@ -28,7 +28,7 @@
 using Level = unsigned;  // 0: full service
 constexpr Level kMostLevel = 4;
 
-// How a level is entered and left. Waits are shares of the txns' SLA times.
+// How a level is entered and left. Waits are shares of the txns' latency targets.
 struct Bounds {
   double up = 0.6, down = 0.3;
   Span shortestStay = Span::millis(5000);
@@ -57,7 +57,7 @@
   Levels(Bounds bounds, std::uint64_t seed);
 
   // --- What is observed
-  // A txn got its answer after this share of its SLA time.
+  // A txn got its answer after this share of its latency target.
   void answered(Instant now, GroupId group, std::size_t type, double share);
   // A txn was given up after it had waited for this share.
   void gaveUp(Instant now, GroupId group, std::size_t type, double share);
--- a/src/levels/table.cpp
+++ b/src/levels/table.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-// A long any read: its SLA time is four times the shortest, as for the module's placing of them.
+// A long any read: its latency target is four times the shortest, as for the module's placing of them.
 constexpr double kLong = 4;
 
-// What a type pays for the time it may take: the SLA time stands for the work, which no setting tells.
-double pay(const TxnType& type) { return type.value / std::max(type.slaTime.inSeconds(), 1e-3); }
+// What a type pays for the time it may take: the latency target stands for the work, which no setting tells.
+double pay(const TxnType& type) { return type.value / std::max(type.latencyTarget.inSeconds(), 1e-3); }
 
 bool isRead(const TxnType& type) { return type.level < ReadLevel::write; }
 
@@ -31,10 +31,10 @@
 }
 
 Table tableOf(const std::vector<TxnType>& types) {
-  Span shortest = types.empty() ? Span() : types.front().slaTime;
+  Span shortest = types.empty() ? Span() : types.front().latencyTarget;
   std::vector<double> pays;
   for (const auto& type : types) {
-    shortest = std::min(shortest, type.slaTime);
+    shortest = std::min(shortest, type.latencyTarget);
     if (isRead(type)) pays.push_back(pay(type));
   }
   std::sort(pays.begin(), pays.end());
@@ -44,7 +44,7 @@
     Reduction& row = table[level - 1];
     row.sparing = true;
     for (const auto& type : types) {
-      const bool isLong = type.level == ReadLevel::any && type.slaTime >= shortest * kLong;
+      const bool isLong = type.level == ReadLevel::any && type.latencyTarget >= shortest * kLong;
       const bool owes = type.level == ReadLevel::session || type.level == ReadLevel::bounded;
       Admit admit = Admit::all;
       if ((isRead(type) && isLong) || (owes && level >= 2)) admit = Admit::ready;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -50,7 +50,7 @@
   peers::Setup fleet;
   Span longest;
   for (const auto& type : told.terms.types)
-    if (type.effect == Effect::onceOnly) longest = std::max(longest, type.expiry);
+    if (type.effect == Effect::onceOnly) longest = std::max(longest, type.deadline);
   const auto readFleet = [&] { return peers::readSetupFile(fleetFile, start.name, longest); };
   if (!fleetFile.empty()) {
     fleet = readFleet();
--- a/src/model/days.cpp
+++ b/src/model/days.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-Kind kindOf(ReadLevel level, Effect effect, std::int64_t sla, std::int64_t expiry, double value, double share,
-            std::int64_t work) {
+Kind kindOf(ReadLevel level, Effect effect, std::int64_t sla, std::int64_t deadline, double value,
+            double share, std::int64_t work) {
   Kind kind;
   kind.type.level = level;
   kind.type.effect = effect;
-  kind.type.slaTime = Span::millis(sla);
-  kind.type.expiry = Span::millis(expiry);
+  kind.type.latencyTarget = Span::millis(sla);
+  kind.type.deadline = Span::millis(deadline);
   kind.type.value = value;
   kind.type.lateShare = 0.2;
   kind.type.bound = Span::millis(3000);
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -15,7 +15,7 @@
 constexpr Span kStep = Span::millis(5);
 // Rule 3: the grace after which nothing new may go to a node that was told to drain.
 constexpr Span kDrainGrace = Span::millis(1000);
-// A refusal was right if no replica could have begun the txn within this part of its SLA time.
+// A refusal was right if no replica could have begun the txn within this part of its latency target.
 constexpr double kFreePart = 0.35;
 // In windows of this many seconds with fewer txns the part that was committed says little.
 constexpr double kWindow = 10, kFewest = 50;
@@ -27,10 +27,10 @@
   terms.routers = static_cast<unsigned>(sheet.believedRouters > 0 ? sheet.believedRouters : sheet.routers);
   terms.coldShare = sheet.believedWarm ? 1 : 0.2;
   terms.coldTime = Span::millis(10'000);
-  terms.secondCopies = terms.comeBackAllowed = terms.sessionAgeCarried = true;
+  terms.hedges = terms.retryAfterAllowed = terms.sessionAgeCarried = true;
   terms.probesAllowed = sheet.probes;
-  terms.longestComeBack = Span::millis(400);
-  terms.mostSubmissions = 4;
+  terms.longestRetryAfter = Span::millis(400);
+  terms.mostAttempts = 4;
   terms.reducedByLevel = sheet.refusing != Refusing::byModule;
   return terms;
 }
@@ -62,7 +62,7 @@
     if (of.sheet_.refusing == Refusing::byLevels)
       ledger.reduceBy(levels, levels::tableOf(terms.types), [this](const levels::Change&) { ++changes; });
     if (!of.sheet_.ramp) return;
-    ramp.emplace(of.now_, terms.routers, recovery::Ramp::kFirst, terms.longestComeBack,
+    ramp.emplace(of.now_, terms.routers, recovery::Ramp::kFirst, terms.longestRetryAfter,
                  of.sheet_.seed * 1000 + index);
     ramp->listed(of.nodes_.all().size());
     ledger.doorBy(this);
@@ -71,16 +71,16 @@
   void committed(core::OwnerId owner, const core::Value&) override {
     fleet.answered(*this, owner, true, false, {});
   }
-  void declined(core::OwnerId owner, Span comeBackAfter, unsigned level) override {
+  void declined(core::OwnerId owner, Span retryAfter, unsigned level) override {
     if (level > 0) fleet.judge(asked.at(owner).wish);
-    fleet.answered(*this, owner, false, true, comeBackAfter);
+    fleet.answered(*this, owner, false, true, retryAfter);
   }
   void rolledBack(core::OwnerId owner) override { fleet.answered(*this, owner, false, false, {}); }
   void carry(core::Job job, const NodeId& node) override { fleet.carry(*this, job, node); }
-  void callOff(core::Job job, const NodeId& node) override { ledger.ended(job, node, End::calledOff); }
+  void cancel(core::Job job, const NodeId& node) override { ledger.ended(job, node, End::cancelled); }
   void listed(const std::vector<NodeId>&) override {}
   void forget(const NodeId&) override {}
-  std::optional<Span> turnsAway(GroupId, std::size_t) override { return ramp->turnsAway(fleet.now_); }
+  std::optional<Span> rejects(GroupId, std::size_t) override { return ramp->rejects(fleet.now_); }
   void passed(GroupId, std::size_t, const Passage& how) override {
     ramp->passed(fleet.now_, how.sent, how.committed && how.share <= 1);
   }
@@ -279,7 +279,7 @@
     if (!router) continue;
     result_.changes += router->changes;
     for (const auto& [owner, asked] : router->asked)
-      result_.broken.unanswered += now_ - asked.at > router->terms.types[asked.wish.kind].expiry;
+      result_.broken.unanswered += now_ - asked.at > router->terms.types[asked.wish.kind].deadline;
   }
   result_.changes += changesBefore_;
   result_.value = asked_ > 0 ? earned_ / asked_ : 0;
@@ -315,7 +315,7 @@
   Txn txn;
   txn.type = wish.kind;
   txn.group = wish.group;
-  txn.patience = sheet_.trouble.insist ? type.expiry - (now_ - wish.firstAt) : type.expiry;
+  txn.patience = sheet_.trouble.insist ? type.deadline - (now_ - wish.firstAt) : type.deadline;
   Router::Asked asked{wish, now_, {}, 0};
   if (wish.session > 0) {
     txn.session = wish.session;
@@ -334,7 +334,7 @@
 // While there is time for it.
 void Fleet::askAgain(Wish wish, Span after) {
   ++wish.tries;
-  const Instant over = wish.firstAt + sheet_.kinds[wish.kind].type.expiry;
+  const Instant over = wish.firstAt + sheet_.kinds[wish.kind].type.deadline;
   if (now_ + after + kStep * 4 < over) again_.emplace(now_ + after, wish);
 }
 
@@ -358,11 +358,11 @@
   const auto& node = nodes_.all()[row];
   Ending end{now_, router.number, router.start, job, row, node.starts, End::committed};
   const bool isProbe = job.txn == 0;
-  ++(isProbe ? secondOf(now_).probes : secondOf(now_).submissions);
-  const auto* submission = isProbe ? nullptr : router.ledger.submission(job);
+  ++(isProbe ? secondOf(now_).probes : secondOf(now_).attempts);
+  const auto* attempt = isProbe ? nullptr : router.ledger.attempt(job);
   if (isCut(router, row)) {
-    end.at = submission ? submission->cutAt : now_ + Span::millis(1000);
-    end.how = End::noAnswer;
+    end.at = attempt ? attempt->cutAt : now_ + Span::millis(1000);
+    end.how = End::timeout;
     return ends_.push(end);
   }
   if (node.draining && now_ - node.toldToDrain > kDrainGrace) ++result_.broken.drained;
@@ -376,7 +376,7 @@
   if (served.how == Nodes::How::noConnection) router.ledger.disconnected(id);
   if (served.how != Nodes::How::served)
     return router.ledger.ended(job, id,
-                               served.how == Nodes::How::turnedAway ? End::turnedAway : End::noConnection);
+                               served.how == Nodes::How::rejected ? End::rejected : End::noConnection);
   end.at = served.end;
   ends_.push(end);
   if (!asked) return;
@@ -404,20 +404,20 @@
   router.ledger.ended(end.job, node.id, End::committed, said, sheet_.probes ? said : Standing());
 }
 
-void Fleet::answered(Router& router, core::OwnerId owner, bool committed, bool declined, Span comeBackAfter) {
+void Fleet::answered(Router& router, core::OwnerId owner, bool committed, bool declined, Span retryAfter) {
   const auto asked = router.asked.extract(owner).mapped();
   const Wish& wish = asked.wish;
   const TxnType& type = router.terms.types[wish.kind];
   const Trouble& trouble = sheet_.trouble;
   const Instant since = trouble.insist ? wish.firstAt : asked.at;
-  if (now_ - since > type.expiry) ++result_.broken.late;
+  if (now_ - since > type.deadline) ++result_.broken.late;
   if (declined && type.effect == Effect::onceOnly && router.runs.contains(asked.txn))
     ++result_.broken.declined;
   router.runs.erase(asked.txn);
   router.owners.erase(asked.txn);
   secondOf(now_).declined += declined;
   if (!committed && trouble.insist && (declined || type.effect == Effect::repeatable))
-    askAgain(wish, trouble.heed ? std::max(comeBackAfter, trouble.again) : trouble.again);
+    askAgain(wish, trouble.heed ? std::max(retryAfter, trouble.again) : trouble.again);
   else if (declined && wish.tries < trouble.comeAgain)  // as another, with all of its time before it
     askAgain({wish.kind, wish.group, 0, now_ + kStep * 4, wish.tries}, kStep * 4);
   if (!committed) return;
@@ -426,20 +426,20 @@
     last = std::max(last, now_);
   }
   ++window_.second;
-  const double earned = type.value * (now_ - since <= type.slaTime ? 1 : type.lateShare);
+  const double earned = type.value * (now_ - since <= type.latencyTarget ? 1 : type.lateShare);
   earned_ += earned;
   result_.kinds[wish.kind].second += earned;
   Second& second = secondOf(wish.firstAt);
   second.earned += earned;
   ++second.committed;
-  second.late += now_ - since > type.slaTime;
+  second.late += now_ - since > type.latencyTarget;
 }
 
 void Fleet::judge(const Wish& wish) {
   const auto& nodes = nodes_.all();
   const bool free = std::any_of(nodes.begin(), nodes.end(), [&](const Nodes::Node& node) {
     return node.group == wish.group && !node.primary && !node.draining &&
-           node.busyUntil - now_ < sheet_.kinds[wish.kind].type.slaTime * kFreePart;
+           node.busyUntil - now_ < sheet_.kinds[wish.kind].type.latencyTarget * kFreePart;
   });
   ++(free ? result_.wrong : result_.right);
 }
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -83,19 +83,20 @@
   std::uint64_t twice = 0;       // once-only txns that ran more than once
   std::uint64_t declined = 0;    // once-only txns that ran and were declined
   std::uint64_t stale = 0;       // reads answered from data older than allowed
-  std::uint64_t drained = 0;     // submissions to a node a second after it was told to drain
+  std::uint64_t drained = 0;     // attempts to a node a second after it was told to drain
   std::uint64_t sum() const { return late + unanswered + twice + declined + stale + drained; }
 };
 
 // What happened in one second.
 struct Second {
-  double asked = 0, earned = 0;                // value, by when it was first asked for
-  unsigned txns = 0, committed = 0, late = 0;  // first asked for in it; answered at last; past the SLA time
-  unsigned submissions = 0, probes = 0, connections = 0, declined = 0;
+  double asked = 0, earned = 0;  // value, by when it was first asked for
+  unsigned txns = 0, committed = 0,
+           late = 0;  // first asked for in it; answered at last; past the latency target
+  unsigned attempts = 0, probes = 0, connections = 0, declined = 0;
 };
 
 struct Result {
-  double value = 0;                       // answered within the SLA time over asked for
+  double value = 0;                       // answered within the latency target over asked for
   double worst = 1;                       // the least part of a 10 s window's txns that was committed
   unsigned changes = 0, mostAMinute = 0;  // of levels: of all routers; of the first one in a minute
   unsigned mostLevel = 0;
@@ -150,7 +151,7 @@
   void turn();
   void carry(Router& router, core::Job job, const NodeId& node);
   void finish(const Ending& end);
-  void answered(Router& router, core::OwnerId owner, bool committed, bool declined, Span comeBackAfter);
+  void answered(Router& router, core::OwnerId owner, bool committed, bool declined, Span retryAfter);
   void judge(const Wish& wish);
   bool isCut(const Router& router, std::size_t node) const;
   Instant appliedBy(const Nodes::Node& node) const;
--- a/src/model/nodes.cpp
+++ b/src/model/nodes.cpp
@@ -46,14 +46,14 @@
   }
   Served served;
   served.connected = node.connections.insert(router).second;
-  // Who is turned away has connected all the same.
+  // Who is rejected has connected all the same.
   const Span connecting = served.connected ? machines_.connection : Span();
   const bool full = begin - now > machines_.queue;
   const Span all = full ? connecting : work() + connecting;
   if (all > Span()) node.busyUntil = begin + all * (1 / speed(begin, node));
   served.end = node.busyUntil;
   if (full)
-    served.how = How::turnedAway;
+    served.how = How::rejected;
   else
     node.ends.push_back(served.end);
   return served;
--- a/src/model/nodes.h
+++ b/src/model/nodes.h
@@ -18,7 +18,7 @@
 // What nodes are like. Spans below zero make no sense; a share is from 0 to 1.
 struct Machines {
   std::size_t groups = 1, replicas = 2;  // a primary and so many replicas in each group
-  Span queue = Span::millis(2000);       // a node turns away what would wait for longer
+  Span queue = Span::millis(2000);       // a node rejects what would wait for longer
   Span lag = Span::millis(40);           // of replicas
   double coldShare = 1;                  // of its speed that a node has as it starts
   Span coldTime;                         // until it has all of it
@@ -44,7 +44,7 @@
 
   explicit Nodes(Machines machines);
 
-  enum class How { served, turnedAway, noConnection };
+  enum class How { served, rejected, noConnection };
   struct Served {
     How how = How::served;
     Instant end;             // of the work
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -99,7 +99,7 @@
     kept = store_->takeKept();
   }
   Span longest;
-  for (const auto& type : terms.types) longest = std::max(longest, type.expiry);
+  for (const auto& type : terms.types) longest = std::max(longest, type.deadline);
   setup_.work.fence = work::fenceOf(longest);
   if (!setup_.workFolder.empty()) requests_.emplace(setup_.workFolder);
   Effects& effects = *this;
--- a/src/peers/service.cpp
+++ b/src/peers/service.cpp
@@ -17,7 +17,7 @@
 // Of whose primaries something is remembered: far more than there are.
 constexpr std::size_t kMostGroups = 10'000;
 
-Span longestBackOf(const Terms& terms) { return terms.comeBackAllowed ? terms.longestComeBack : Span(); }
+Span longestBackOf(const Terms& terms) { return terms.retryAfterAllowed ? terms.longestRetryAfter : Span(); }
 
 std::int64_t millis(Span span) { return span.inMicros() / 1000; }
 
@@ -33,9 +33,9 @@
 
 // --- The ledger
 
-std::optional<Span> Service::turnsAway(GroupId group, std::size_t type) {
+std::optional<Span> Service::rejects(GroupId group, std::size_t type) {
   if (!stages_.lets(group, type)) return back_ * std::uniform_real_distribution<>(0.5, 1)(chance_);
-  return ramp_.turnsAway(ledger_.now());
+  return ramp_.rejects(ledger_.now());
 }
 
 void Service::passed(GroupId, std::size_t, const Passage& how) {
@@ -140,7 +140,7 @@
   if (ramp_.state() != rampLogged_) {
     rampLogged_ = ramp_.state();
     log_("recovery.ramp", "state=" + std::string(nameOf(rampLogged_)) +
-                              " turned_away=" + std::to_string(ramp_.turnedAway()) +
+                              " turned_away=" + std::to_string(ramp_.rejected()) +
                               " after_ms=" + std::to_string(millis(now - ramp_.startedAt())));
   }
   return confirmed;
--- a/src/peers/service.h
+++ b/src/peers/service.h
@@ -35,7 +35,7 @@
   Service(core::Ledger& ledger, const Terms& terms, double firstTxns, std::uint64_t seed, Log log);
 
   // --- The ledger
-  std::optional<Span> turnsAway(GroupId group, std::size_t type) override;
+  std::optional<Span> rejects(GroupId group, std::size_t type) override;
   void passed(GroupId group, std::size_t type, const Passage& how) override;
   void told(const NodeId& node, const Standing& said) override;
   void disconnected(const NodeId& node) override { sightings_.disconnected(node); }
--- a/src/peers/status.cpp
+++ b/src/peers/status.cpp
@@ -65,7 +65,7 @@
   const auto& ramp = service.ramp();
   all["time_ms"] = now.inMicros() / 1000;
   all["started_ms_ago"] = millis(now - ramp.startedAt());
-  all["ramp"] = {{"state", nameOf(ramp.state())}, {"turned_away", ramp.turnedAway()}};
+  all["ramp"] = {{"state", nameOf(ramp.state())}, {"turned_away", ramp.rejected()}};
   if (ramp.state() != recovery::Ramp::State::over) all["ramp"]["txns_a_second"] = ramp.rate();
   if (!service.forcedBy().empty()) all["forced_by"] = service.forcedBy();
   all["groups"] = groupsOf(now, service);
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -100,7 +100,7 @@
 
 Verdict verdictOf(std::string_view code) {
   if (code == "25006" || code == "72000") return Verdict::notHere;
-  if (code == "53300" || code == "57P03") return Verdict::turnedAway;
+  if (code == "53300" || code == "57P03") return Verdict::rejected;
   return Verdict::error;
 }
 
@@ -156,8 +156,8 @@
   while (const auto message = takeMessage(bytes, kLongestMessage)) {
     if (message->type == 'Z') return Greeting::welcome;
     if (message->type == 'E')
-      return verdictOf(readError(message->body).code) == Verdict::turnedAway ? Greeting::turnedAway
-                                                                             : Greeting::refused;
+      return verdictOf(readError(message->body).code) == Verdict::rejected ? Greeting::rejected
+                                                                           : Greeting::refused;
     if (message->type == 'R' && message->body != std::string_view("\0\0\0\0", 4))
       throw Malformed("a password is asked for");
   }
@@ -183,11 +183,11 @@
   }
 }
 
-std::string declined(std::int64_t comeBackAfterMs, unsigned level) {
+std::string declined(std::int64_t retryAfterMs, unsigned level) {
   const std::string reduced =
       level > 0 ? ", service is reduced to level " + std::to_string(level) : std::string();
   return error("ERROR", kDeclined, "declined: trying again is harmless" + reduced,
-               comeBackAfterMs > 0 ? std::to_string(comeBackAfterMs) : std::string());
+               retryAfterMs > 0 ? std::to_string(retryAfterMs) : std::string());
 }
 
 std::string rolledBack() { return error("ERROR", kMayHaveRun, "rolled back: it may or may not have run"); }
--- a/src/pg/answer.h
+++ b/src/pg/answer.h
@@ -11,10 +11,10 @@
 
 // What an error says of the query.
 enum class Verdict {
-  row,         // no error: it ran
-  notHere,     // no effect: a write, and this is no primary; or too far behind
-  turnedAway,  // never ran: queue full, draining, too many connections, or the txn is already over
-  error,       // it may have run
+  row,       // no error: it ran
+  notHere,   // no effect: a write, and this is no primary; or too far behind
+  rejected,  // never ran: queue full, draining, too many connections, or the txn is already over
+  error,     // it may have run
 };
 
 struct Report {
@@ -45,7 +45,7 @@
 Report readReport(std::string_view text);  // empty where it can't be read
 
 // How a node takes to a new connection.
-enum class Greeting { welcome, turnedAway, refused };
+enum class Greeting { welcome, rejected, refused };
 // Takes messages off the front of `bytes` up to the one that tells; none if it is not there yet.
 std::optional<Greeting> takeGreeting(std::string_view& bytes);
 
@@ -54,7 +54,7 @@
 
 // An answer that declines: harmless to try again, after so many milliseconds where that is advised. `level`:
 // of reduced service, named where it is not 0.
-std::string declined(std::int64_t comeBackAfterMs, unsigned level = 0);
+std::string declined(std::int64_t retryAfterMs, unsigned level = 0);
 // An answer that promises nothing about the effect.
 std::string rolledBack();
 
--- a/src/processor/setup.cpp
+++ b/src/processor/setup.cpp
@@ -54,7 +54,7 @@
                            {"attempt", &headers.attempt},
                            {"written", &headers.written},
                            {"destination", &headers.destination},
-                           {"submission", &headers.submission},
+                           {"submission", &headers.token},
                            {"send_within", &headers.sendWithin},
                            {"outcome", &headers.outcome},
                            {"retry_after", &headers.retryAfterMs},
--- a/src/recovery/ramp.cpp
+++ b/src/recovery/ramp.cpp
@@ -15,7 +15,7 @@
 // How often the rate changes. Sooner, by the number of answers, it overshot what cold nodes can do: on the
 // modelled storm (docs/fleet.md) 58 were pushed over, with a second none.
 constexpr Span kAdjust = Span::millis(1000);
-// With nobody turned away for so long, it is over.
+// With nobody rejected for so long, it is over.
 constexpr Span kQuiet = Span::millis(3000);
 // Cold nodes are warm long before, and a router must serve in the end.
 constexpr Span kLongest = Span::millis(60'000);
@@ -33,7 +33,7 @@
       longestBack_(longestBack * (1 / (1 + kSpread))),
       chance_(seed),
       startedAt_(now),
-      lastTurnedAway_(now),
+      lastRejected_(now),
       adjustedAt_(now),
       filledAt_(now) {}
 
@@ -65,19 +65,19 @@
     rate_ = std::max(least(), rate_ * 0.67), last_.clear();
 }
 
-// As long as it takes, at the present rate, until all that were turned away lately have come in; spread, so
+// As long as it takes, at the present rate, until all that were rejected lately have come in; spread, so
 // that they don't come back together.
 Span Ramp::comeBack() {
-  const Span over = std::max(lastTurnedAway_ - refused_.front(), Span::millis(50));
+  const Span over = std::max(lastRejected_ - refused_.front(), Span::millis(50));
   const double refusals = static_cast<double>(refused_.size()) / over.inSeconds();
   const Span mean =
       std::min(std::max(Span::seconds(refusals / std::max(rate_, 0.1)), kBackLeast), longestBack_);
   return mean * std::uniform_real_distribution<>(1 - kSpread, 1 + kSpread)(chance_);
 }
 
-std::optional<Span> Ramp::turnsAway(Instant now) {
+std::optional<Span> Ramp::rejects(Instant now) {
   if (state_ == State::over) return {};
-  if (now - startedAt_ > kLongest || now - lastTurnedAway_ > kQuiet) {
+  if (now - startedAt_ > kLongest || now - lastRejected_ > kQuiet) {
     end();
     return {};
   }
@@ -89,8 +89,8 @@
     tokens_ -= 1;
     return {};
   }
-  lastTurnedAway_ = now;
-  ++turnedAway_;
+  lastRejected_ = now;
+  ++rejected_;
   keepLast(refused_, now, kCounted);
   return comeBack();
 }
--- a/src/recovery/ramp.h
+++ b/src/recovery/ramp.h
@@ -5,7 +5,7 @@
 //   state     what it is                                       goes to
 //   opening   the rate doubles each second                     steady: of the last txns sent on, too many
 //                                                              were late
-//   steady    it grows by a quarter each second, and falls by  over: nobody was turned away for the quiet
+//   steady    it grows by a quarter each second, and falls by  over: nobody was rejected for the quiet
 //             a third while most of them are late              time, or the longest time has passed
 //   over      all are let in, until the next start
 //
@@ -42,13 +42,13 @@
   void alone() { end(); }
 
   // None: it may come in. Else when its client may come back.
-  std::optional<Span> turnsAway(Instant now);
-  // One that came in is over: `sent` on to a node, and committed within its SLA time.
+  std::optional<Span> rejects(Instant now);
+  // One that came in is over: `sent` on to a node, and committed within its latency target.
   void passed(Instant now, bool sent, bool inTime);
 
   State state() const { return state_; }
   double rate() const { return rate_; }  // txns a second
-  std::uint64_t turnedAway() const { return turnedAway_; }
+  std::uint64_t rejected() const { return rejected_; }
   Instant startedAt() const { return startedAt_; }
 
  private:
@@ -62,12 +62,12 @@
   double first_;
   Span longestBack_;
   std::mt19937_64 chance_;
-  Instant startedAt_, lastTurnedAway_, adjustedAt_, filledAt_;
+  Instant startedAt_, lastRejected_, adjustedAt_, filledAt_;
   std::size_t nodes_ = 0;
   double rate_ = 0, tokens_ = 1;
   std::deque<bool> last_;        // of those sent on: committed in time
   std::deque<Instant> refused_;  // the last
-  std::uint64_t turnedAway_ = 0;
+  std::uint64_t rejected_ = 0;
 };
 
 std::string_view nameOf(Ramp::State state);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -28,7 +28,7 @@
 // What has left, and what was committed, is over after this: no txn, wrong list or lag lasts so long.
 constexpr Span kForgetAfter = Span::seconds(60);
 
-struct Out {  // a submission that is still out
+struct Out {  // an attempt that is still out
   TxnId txn;
   unsigned number;
   std::size_t type;
@@ -48,7 +48,7 @@
   double inHand = 0;
   Instant fullAt, behindAt;     // when it last turned a txn away unseen; a read, for being too far behind
   Instant overtookAt, triedAt;  // when the last it answered was sent; when it was last tried while unwell
-  Instant failedAt;             // when a submission to it last failed
+  Instant failedAt;             // when an attempt to it last failed
   Instant coldUntil;            // while cold, it gets its next txn after this
   Samples answers;              // latencies as multiples of what is usual for the txn type
   std::deque<bool> successes;
@@ -61,17 +61,17 @@
   Instant askedAt;                  // when its replicas were last probed for held reads
   Reduction level, below;           // of service, and what a level less would be
   double trial = 0;                 // the part of txns that is judged by the latter
-  Samples strains, primaryStrains;  // the last latencies of its replicas, its primary, by SLA time
+  Samples strains, primaryStrains;  // the last latencies of its replicas, its primary, by latency target
 };
 
 struct Live {  // a txn that is owed its final answer
   Txn txn;
   Instant takenAt, firstAt;  // firstAt: when its client's first try came, as far as can be told
-  Instant slaBy, answerBy;
+  Instant latencyTargetBy, answerBy;
   Instant target;  // session reads: what the answering member must have applied
-  unsigned submissions = 0, out = 0;
+  unsigned attempts = 0, out = 0;
   Instant lastSentAt;
-  Instant mayHaveRunAt;  // when the first submission that may have run was sent; never: none may have
+  Instant mayHaveRunAt;  // when the first attempt that may have run was sent; never: none may have
   std::vector<const Member*> tried;
   Member* erredAt = nullptr;                // where it got an error, while it is not known whose the error is
   bool streaming = false, weighed = false;  // weighed: whether it may be sent, where its group is short
@@ -90,21 +90,22 @@
   std::knuth_b chance;
   Instant now;
   Writer* writer = nullptr;
-  Span shortestSla;
+  Span shortestLatencyTarget;
   Span shortestBound = Span::seconds(2);  // where no type has one: sessions read soon after they write
   std::map<NodeId, Member> members;
   std::map<GroupId, Group> groups;
   Group noGroup;  // stands for those that no member is in
   std::map<TxnId, Live> live;
-  std::vector<Samples> latencies;                 // a row a txn type: the last few, over all members
-  mutable std::vector<Span> usuals;               // their medians, once worked out in this round
-  Samples times;                                  // the last latencies of all txn types
-  std::map<KindId, Samples> kinds;                // the last answers of each kind, as those of members
-  Samples arrivals;                               // the last few txns taken and the time they usually take
-  std::deque<bool> secondLuck;                    // of the last txns that erred: another node committed them
-  std::deque<GivenUp> givenUp;                    // the last few
-  std::deque<std::pair<double, bool>> patiences;  // the last, as shares of the expiry; whether others had it
-  std::map<SessionId, Instant> commits;           // the last write of a session that was committed here
+  std::vector<Samples> latencies;    // a row a txn type: the last few, over all members
+  mutable std::vector<Span> usuals;  // their medians, once worked out in this round
+  Samples times;                     // the last latencies of all txn types
+  std::map<KindId, Samples> kinds;   // the last answers of each kind, as those of members
+  Samples arrivals;                  // the last few txns taken and the time they usually take
+  std::deque<bool> secondLuck;       // of the last txns that erred: another node committed them
+  std::deque<GivenUp> givenUp;       // the last few
+  std::deque<std::pair<double, bool>>
+      patiences;                         // the last, as shares of the deadline; whether others had it
+  std::map<SessionId, Instant> commits;  // the last write of a session that was committed here
   std::deque<std::pair<SessionId, Instant>> remembered;  // all of them, oldest first
   Instant commitFloor;            // the newest commit among sessions no longer remembered
   std::deque<double> reportAges;  // how far the last reports' positions were behind
@@ -120,26 +121,28 @@
   const TxnType& typeOf(const Live& txn) const { return terms.types[txn.txn.type]; }
   double draw01() { return std::uniform_real_distribution<>(0, 1)(chance); }
 
-  // The median of a type's last latencies; the lower quarter of old ones; before any a fifth of the SLA time.
+  // The median of a type's last latencies; the lower quarter of old ones; before any a fifth of the latency
+  // target.
   Span usual(std::size_t type) const {
     const auto& last = latencies[type];
-    if (last.empty()) return terms.types[type].slaTime * 0.2;
+    if (last.empty()) return terms.types[type].latencyTarget * 0.2;
     Span& known = usuals[type];
     if (known == Span())
       known = std::max(Span::seconds(quantile(last, outdated(last, now) ? 4 : 2)), Span::millis(1));
     return known;
   }
 
-  // Times that were tuned where the shortest SLA time is 200 ms or more; where txns are quicker, all is.
+  // Times that were tuned where the shortest latency target is 200 ms or more; where txns are quicker, all
+  // is.
   Span paced(std::int64_t millis) const {
-    return Span::millis(millis) * std::min(1.0, shortestSla / Span::millis(200));
+    return Span::millis(millis) * std::min(1.0, shortestLatencyTarget / Span::millis(200));
   }
 
-  // How long a submission may be out before its silence counts: six times the usual, as service times spread
+  // How long an attempt may be out before its silence counts: six times the usual, as service times spread
   // widely; 200 ms at least, so that a few quick answers don't make it nervous.
   Span patience(std::size_t type) const { return std::max(usual(type) * 6, paced(200)); }
 
-  // The part of the last submissions that were answered within `left`, and one more, so that few leave hope.
+  // The part of the last attempts that were answered within `left`, and one more, so that few leave hope.
   double chanceWithin(std::size_t type, Span left) const {
     if (left <= Span()) return 0;
     const auto& last = latencies[type];
@@ -149,31 +152,31 @@
     return static_cast<double>(quick + 1) / static_cast<double>(last.size() + 1);
   }
 
-  // How long a txn's client has waited in earlier tries. Its SLA time runs from the first; tries that come
-  // when that is past earn nothing, and crowd out others in an overload. A session that asks for the same
-  // within a second of being given up comes back, unless the first try has expired: it asks anew. Else, first
-  // tries of all types are given up after one share of the expiry, common among the last few (a sixth of them
-  // within 1%); a later one has what the expiry leaves, which dates it. May hurt the few whose patience is
-  // their own.
+  // How long a txn's client has waited in earlier tries. Its latency target runs from the first; tries that
+  // come when that is past earn nothing, and crowd out others in an overload. A session that asks for the
+  // same within a second of being given up comes back, unless the first try has expired: it asks anew. Else,
+  // first tries of all types are given up after one share of the deadline, common among the last few (a sixth
+  // of them within 1%); a later one has what the deadline leaves, which dates it. May hurt the few whose
+  // patience is their own.
   Span waitedBefore(const Txn& txn) {
-    const Span expiry = terms.types[txn.type].expiry;
+    const Span deadline = terms.types[txn.type].deadline;
     const auto same = std::find_if(givenUp.rbegin(), givenUp.rend(), [&](const GivenUp& g) {
       return txn.session == g.session && txn.type == g.type && now - g.at < Span::seconds(1) &&
-             now - g.firstAt < expiry;
+             now - g.firstAt < deadline;
     });
     if (same != givenUp.rend()) {
       const Span waited = now - same->firstAt;
       givenUp.erase(std::next(same).base());
       return waited;
     }
-    const double share = txn.patience / expiry;
+    const double share = txn.patience / deadline;
     const auto near = std::count_if(patiences.begin(), patiences.end(),
                                     [&](auto& p) { return std::abs(p.first - share) < 0.01; });
     const bool common = near * 6 >= std::ssize(patiences);
     keepLast(patiences, {share, common}, 64);
     const auto usual = std::count_if(patiences.begin(), patiences.end(), [](auto& p) { return p.second; });
     const bool dated = !common && patiences.size() >= 16 && usual * 4 >= std::ssize(patiences);
-    return dated ? expiry - txn.patience : Span();
+    return dated ? deadline - txn.patience : Span();
   }
 
   // Own ones, but for once-only txns left behind where each has a connection: what was sent long after has
@@ -206,7 +209,7 @@
     return terms.onlyDrainingBinds ? m.seenDraining : m.listed.health != Health::live;
   }
 
-  // A hung node looks idle: it takes submissions and answers none. Guards against every kind of silence
+  // A hung node looks idle: it takes attempts and answers none. Guards against every kind of silence
   // (hang, cut link, a machine that is gone unsaid). May hurt when all of a node's few txns are long at once.
   bool silent(const Member& m) const {
     if (m.outs.empty()) return false;
@@ -243,8 +246,9 @@
   }
 
   // What may be in flight to a member: its rate of answers times the time a txn may spend there, a third of
-  // the shortest SLA time, as all types wait in one queue. Six over all routers at least, to measure a rate.
-  Span timeThere() const { return shortestSla * 0.35; }
+  // the shortest latency target, as all types wait in one queue. Six over all routers at least, to measure a
+  // rate.
+  Span timeThere() const { return shortestLatencyTarget * 0.35; }
   // What may stay `part` times as long has room for as many times the rate, but for three times the least at
   // most: ten times it is seconds of queue. Twice cost an overload 0.004, thrice nothing.
   double inFlightBound(const Member& m, double part) const {
@@ -263,7 +267,7 @@
     return load(m) > std::max({1.0, mean(told), mean(told) / mean(times) * timeThere().inSeconds()});
   }
 
-  // The last latencies at a group or a primary, as a part of the SLA time; 0 where they are few or old.
+  // The last latencies at a group or a primary, as a part of the latency target; 0 where they are few or old.
   double strain(const Samples& last) const {
     return !oneOfMany() || last.size() < 3 || outdated(last, now) ? 0 : quantile(last, 2);
   }
@@ -296,7 +300,7 @@
     // Of few routers each leaves half the room of a replica on its way out of the bound, to apply the log.
     if (!oneOfMany() && m.lag > shortestBound * 0.33 && m.lag < shortestBound * 1.2) part *= 0.5;
     if (leaving(m) || inFlight(m) >= inFlightBound(m, part)) return false;
-    // One that was full rests for a quarter of a second: what it turns away takes work, too.
+    // One that was full rests for a quarter of a second: what it rejects takes work, too.
     if (now - m.fullAt < paced(250) || crowded(m) || !coldRoom(m, txn.txn.type)) return false;
     // An unwell node gets a trial with a repeatable read, four a second over all routers: it may be full.
     // With any other txn once a second: where no read comes to a primary, it would be left for ever.
@@ -330,12 +334,13 @@
   // Draws among the replicas known to have reached the target; if unsure, also among those that may have, but
   // not for half a second after one turned a read away: it catches up no faster.
   Member* draw(const Live& txn, const Member* primary, bool unsure) {
-    // An any read whose SLA time is four times the shortest takes long, and is put where it keeps nothing
-    // fresh from being applied: on replicas that told they are behind the bound, else on the first by id, as
-    // all routers do; on one more for each third of its SLA time that it takes. May hurt by filling it.
+    // An any read whose latency target is four times the shortest takes long, and is put where it keeps
+    // nothing fresh from being applied: on replicas that told they are behind the bound, else on the first by
+    // id, as all routers do; on one more for each third of its latency target that it takes. May hurt by
+    // filling it.
     const TxnType& type = typeOf(txn);
-    const bool longRead = type.level == ReadLevel::any && type.slaTime >= shortestSla * 4;
-    const double part = longRead ? type.slaTime / shortestSla : 1;
+    const bool longRead = type.level == ReadLevel::any && type.latencyTarget >= shortestLatencyTarget * 4;
+    const double part = longRead ? type.latencyTarget / shortestLatencyTarget : 1;
     std::vector<Member*> able;
     std::vector<double> weights;
     for (const bool again : {false, true}) {
@@ -351,7 +356,7 @@
     if (able.empty()) return nullptr;
     if (longRead) {
       std::stable_partition(able.begin(), able.end(), [&](auto* m) { return m->lag > shortestBound; });
-      const double used = 1 + usual(txn.txn.type) / (type.slaTime * 0.35);
+      const double used = 1 + usual(txn.txn.type) / (type.latencyTarget * 0.35);
       for (std::size_t i = 0; i < able.size(); ++i) weights[i] = static_cast<double>(i) + 1 <= used;
     }
     Member* m = able[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(chance)];
@@ -364,22 +369,23 @@
     Member* primary = primaryOf(txn.txn.group);
     if (typeOf(txn).level >= ReadLevel::fresh) return primary && usable(*primary, txn) ? primary : nullptr;
     if (Member* replica = draw(txn, primary, false)) return replica;
-    // Held for a third of the SLA time, so that the primary has time to answer; it keeps room for its writes.
+    // Held for a third of the latency target, so that the primary has time to answer; it keeps room for its
+    // writes.
     if (now < holdEnd(txn)) return nullptr;
-    // Each of many routers sees room there: none goes while the last took a quarter of their SLA time.
+    // Each of many routers sees room there: none goes while the last took a quarter of their latency target.
     const bool strained = strain(groupOf(txn.txn.group).primaryStrains) > 0.25;
     if (primary && !strained && !wasTried(*primary, txn) && usable(*primary, txn, 0.6)) return primary;
-    // Where nodes turn away what they are too far behind for, a replica of unknown position may be asked all
+    // Where nodes reject what they are too far behind for, a replica of unknown position may be asked all
     // the same. Guards against news that come late or never; may hurt when all really are behind.
     return terms.nodesGuard ? draw(txn, primary, true) : nullptr;
   }
 
-  Instant holdEnd(const Live& txn) const { return txn.takenAt + typeOf(txn).slaTime * 0.35; }
+  Instant holdEnd(const Live& txn) const { return txn.takenAt + typeOf(txn).latencyTarget * 0.35; }
 
   void submit(Live& txn, Member& m) {
     if (!well(m)) m.triedAt = now;
     if (warmth(m) < 1) m.coldUntil = now + coldGap(m, txn.txn.type);
-    m.outs.push_back({txn.txn.id, txn.submissions++, txn.txn.type, now, targetNow(txn)});
+    m.outs.push_back({txn.txn.id, txn.attempts++, txn.txn.type, now, targetNow(txn)});
     ++txn.out;
     txn.lastSentAt = now;
     txn.tried.push_back(&m);
@@ -399,18 +405,18 @@
     const bool neverRan = txn.out == 0 && txn.mayHaveRunAt == Instant();
     const bool harmless = type.effect == Effect::referenced && type.dropsRepeatsAnywhere;
     if (type.effect == Effect::repeatable || neverRan || harmless)
-      writer->decline(txn.txn.id, terms.comeBackAllowed ? terms.longestComeBack * 0.5 : Span());
+      writer->decline(txn.txn.id, terms.retryAfterAllowed ? terms.longestRetryAfter * 0.5 : Span());
     else
       writer->rollBack(txn.txn.id);
-    callOffAll(txn);
+    cancelAll(txn);
     live.erase(TxnId(txn.txn.id));
   }
 
-  void callOffAll(const Live& txn) {
+  void cancelAll(const Live& txn) {
     if (!terms.cancelAllowed || typeOf(txn).effect != Effect::repeatable || txn.out == 0) return;
     for (const Member* m : groupOf(txn.txn.group).members)
       for (const Out& out : m->outs)
-        if (out.txn == txn.txn.id) writer->callOff(out.txn, out.number);
+        if (out.txn == txn.txn.id) writer->cancel(out.txn, out.number);
   }
 
   // Whether errors are the txns' own and come again elsewhere. Guards against txns that can only err. May
@@ -422,16 +428,17 @@
     ++m.errorsInARow;
     if (txn && txn->erredAt) {
       if (txn->erredAt != &m) keepLast(secondLuck, false, 8);
-      txn->submissions = terms.mostSubmissions;
+      txn->attempts = terms.mostAttempts;
     } else if (txn && typeOf(*txn).effect != Effect::onceOnly) {
       txn->erredAt = &m;
-      if (errorsStick() && m.errorsInARow < 3 && draw01() > 0.125) txn->submissions = terms.mostSubmissions;
+      if (errorsStick() && m.errorsInARow < 3 && draw01() > 0.125) txn->attempts = terms.mostAttempts;
     } else if (!errorsStick() || m.errorsInARow >= 8) {
       keepLast(m.successes, false, 8);
     }
   }
 
-  // A repeat is known for a window from the first send on; on its way it gets older: two rounds are left in hand.
+  // A repeat is known for a window from the first send on; on its way it gets older: two rounds are left in
+  // hand.
   Instant repeatBy(const Live& txn) const {
     return txn.mayHaveRunAt + typeOf(txn).referenceWindow - terms.roundLength * 2;
   }
@@ -440,14 +447,13 @@
     const TxnType& type = typeOf(txn);
     const bool again = txn.mayHaveRunAt == Instant() || type.effect == Effect::repeatable ||
                        (type.effect == Effect::referenced && now < repeatBy(txn));
-    const unsigned earlier = txn.txn.earlier.submissions, mostHere = txn.txn.mostHere;
-    return again && txn.submissions + earlier < terms.mostSubmissions &&
-           (mostHere == 0 || txn.submissions < mostHere);
+    const unsigned earlier = txn.txn.earlier.attempts, mostHere = txn.txn.mostHere;
+    return again && txn.attempts + earlier < terms.mostAttempts && (mostHere == 0 || txn.attempts < mostHere);
   }
 
   // The part of its value that a txn can be expected to earn if it is sent now.
   double hope(const Live& txn) const {
-    const double inTime = chanceWithin(txn.txn.type, txn.slaBy - now);
+    const double inTime = chanceWithin(txn.txn.type, txn.latencyTargetBy - now);
     const double late = chanceWithin(txn.txn.type, txn.answerBy - now) - inTime;
     return inTime + std::max(0.0, late) * typeOf(txn).lateShare;
   }
@@ -519,7 +525,7 @@
     std::map<GroupId, std::size_t> ahead;         // held for a group's primary, and to be sent before
     Instant next = now + terms.roundLength * 10;  // at least: late rounds are told by the wake asked for
     for (auto& [value, txn] : order) {
-      // The last rounds before expiry: the final answer must be there in time.
+      // The last rounds before deadline: the final answer must be there in time.
       const Span hold = txn->txn.hold && txn->out == 0 ? *txn->txn.hold : txn->txn.patience;
       const Instant last = std::min(txn->takenAt + hold, txn->answerBy) - terms.roundLength * 2;
       const bool isNew = !std::exchange(txn->weighed, true);
@@ -529,9 +535,9 @@
         continue;
       }
       next = std::min(next, last);
-      // A read whose node has been silent for long gets a second copy elsewhere, once.
+      // A read whose node has been silent for long gets a hedge elsewhere, once.
       const Instant copyAt = txn->lastSentAt + patience(txn->txn.type);
-      const bool mayCopy = txn->out == 1 && txn->submissions == 1 && terms.secondCopies &&
+      const bool mayCopy = txn->out == 1 && txn->attempts == 1 && terms.hedges &&
                            !groupOf(txn->txn.group).level.sparing &&
                            typeOf(*txn).effect == Effect::repeatable && !hopeless(*txn);
       if (mayCopy && now <= copyAt) next = std::min(next, copyAt + terms.roundLength);
@@ -594,7 +600,7 @@
   }
 
   // Guards against growing with every node that ever was: one that no list has named and that said nothing
-  // for a minute is forgotten, unless a submission is out there. May hurt one that drained and is back later.
+  // for a minute is forgotten, unless an attempt is out there. May hurt one that drained and is back later.
   void forgetLongGone() {
     std::erase_if(members, [&](auto& entry) {
       const Member& m = entry.second;
@@ -631,7 +637,9 @@
   s.latencies.resize(s.terms.types.size());
   s.chance.seed(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32)));
   for (const auto& type : s.terms.types) {
-    s.shortestSla = s.shortestSla == Span() ? type.slaTime : std::min(s.shortestSla, type.slaTime);
+    s.shortestLatencyTarget = s.shortestLatencyTarget == Span()
+                                  ? type.latencyTarget
+                                  : std::min(s.shortestLatencyTarget, type.latencyTarget);
     if (type.level == ReadLevel::bounded) s.shortestBound = std::min(s.shortestBound, type.bound);
   }
 }
@@ -697,15 +705,15 @@
   taken.txn = txn;
   taken.takenAt = s.now;
   taken.answerBy = s.now + txn.patience;
-  const Span sla = type.slaTime + (txn.work ? *txn.work * type.slaStretch : Span());
-  // Earlier tries that the front knows of count as submissions of this one: what may have run then may have
+  const Span sla = type.latencyTarget + (txn.work ? *txn.work * type.latencyTargetStretch : Span());
+  // Earlier tries that the front knows of count as attempts of this one: what may have run then may have
   // run.
   const Earlier& earlier = txn.earlier;
   taken.firstAt = s.now - (earlier.since ? *earlier.since : s.waitedBefore(txn));
   if (earlier.mayHaveRunFor) taken.mayHaveRunAt = s.now - *earlier.mayHaveRunFor;
   for (const auto& node : earlier.tried)
     if (const auto at = s.members.find(node); at != s.members.end()) taken.tried.push_back(&at->second);
-  taken.slaBy = taken.firstAt + std::min(sla, type.expiry);
+  taken.latencyTargetBy = taken.firstAt + std::min(sla, type.deadline);
   if (type.level == ReadLevel::session) taken.target = s.targetOf(txn);
   keepLast(s.arrivals, {s.now, s.usual(txn.type).inSeconds()}, 64);
 }
@@ -713,7 +721,7 @@
 void Router::clientLeft(TxnId id) {
   const auto found = state_->live.find(id);
   if (found == state_->live.end()) return;
-  state_->callOffAll(found->second);
+  state_->cancelAll(found->second);
   state_->live.erase(found);
 }
 
@@ -730,7 +738,7 @@
   if (const auto at = state_->live.find(id); at != state_->live.end()) at->second.streaming = true;
 }
 
-void Router::ended(TxnId id, unsigned submission, const NodeId& node, End how, bool txnOver, Span latency,
+void Router::ended(TxnId id, unsigned attempt, const NodeId& node, End how, bool txnOver, Span latency,
                    const Standing& answer, const Standing& report) {
   auto& s = *state_;
   const auto found = s.live.find(id);
@@ -738,25 +746,25 @@
   const auto at = s.members.find(node);
   if (at == s.members.end()) return;
   Member& m = at->second;
-  const auto sent = std::find_if(m.outs.begin(), m.outs.end(),
-                                 [&](auto& o) { return o.txn == id && o.number == submission; });
+  const auto sent =
+      std::find_if(m.outs.begin(), m.outs.end(), [&](auto& o) { return o.txn == id && o.number == attempt; });
   if (sent == m.outs.end()) return;
   const Out out = *sent;
   m.outs.erase(sent);
   const bool committed = how == End::committed;
   const TxnType& type = s.terms.types[out.type];
-  if (committed || how == End::error || how == End::turnedAway || how == End::notHere) m.heardAt = s.now;
+  if (committed || how == End::error || how == End::rejected || how == End::notHere) m.heardAt = s.now;
   // A write's commit is rounded up to the next millisecond; what is known to be applied is rounded down.
   const bool commit = committed && type.level == ReadLevel::write;
   s.learn(m, answer, s.now, commit ? Span::millis(1) : Span());
   s.learnReport(m, report);
   // A node that guards itself and answers a read has what the read needed.
   if (how == End::notHere && type.level != ReadLevel::write) m.behindAt = s.now;
-  if (how == End::turnedAway) m.fullAt = s.now;
+  if (how == End::rejected) m.fullAt = s.now;
   if (committed && s.terms.nodesGuard) m.position = std::max(m.position, out.target);
-  // Called off after a long wait is no answer either, and took at least that long: else a node that answers
+  // Cancelled after a long wait is no answer either, and took at least that long: else a node that answers
   // nothing, or only what nobody waits for any more, is never found out, and looks as quick as its answers.
-  const bool unanswered = how == End::calledOff || how == End::noAnswer;
+  const bool unanswered = how == End::cancelled || how == End::timeout;
   const bool late = unanswered && s.now - out.sentAt > s.usual(out.type) * 3;
   if ((committed || late) && !s.stalled) {
     auto& last = s.latencies[out.type];
@@ -773,11 +781,11 @@
     keepLast(s.kinds[m.listed.kind], multiple, 64);
   }
   Group& group = s.groupOf(m.listed.group);
-  if ((committed || how == End::turnedAway) && !s.stalled)
+  if ((committed || how == End::rejected) && !s.stalled)
     keepLast(m.primaryAt > m.replicaAt ? group.primaryStrains : group.strains,
-             {s.now, committed ? latency / type.slaTime : 1}, 16);
+             {s.now, committed ? latency / type.latencyTarget : 1}, 16);
   if (committed && m.triedAt >= out.sentAt) m.successes.clear();  // the trial went well
-  const bool failed = late || how == End::noAnswer || how == End::turnedAway || how == End::noConnection ||
+  const bool failed = late || how == End::timeout || how == End::rejected || how == End::noConnection ||
                       how == End::connectionLost;
   if (failed) m.failedAt = s.now;
   if (committed || (failed && !s.stalled)) keepLast(m.successes, committed, 8);
@@ -792,7 +800,7 @@
     keepLast(txn->erredAt->successes, false, 8);
   }
   if (!txnOver && !committed) return;
-  s.callOffAll(*txn);
+  s.cancelAll(*txn);
   s.live.erase(found);
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -27,12 +27,12 @@
 struct TxnType {
   Effect effect = Effect::repeatable;
   ReadLevel level = ReadLevel::any;
-  Span bound;             // how old the data of a bounded read may be when it is sent
-  Span slaTime;           // full value when answered within this
-  double slaStretch = 0;  // the SLA time grows by this many times the expected work
-  Span expiry;            // the client's whole wait, over all its tries
+  Span bound;                       // how old the data of a bounded read may be when it is sent
+  Span latencyTarget;               // full value when answered within this
+  double latencyTargetStretch = 0;  // the latency target grows by this many times the expected work
+  Span deadline;                    // the client's whole wait, over all its tries
   double value = 1;
-  double lateShare = 0;              // part of the value that is left after the SLA time
+  double lateShare = 0;              // part of the value that is left after the latency target
   bool dropsRepeatsAnywhere = true;  // referenced: every node drops repeats, or only the txn's own group
   Span referenceWindow;              // referenced: how long a repeat is known
   bool operator==(const TxnType&) const = default;
@@ -48,15 +48,15 @@
   bool onlyDrainingBinds =
       false;  // a node that is gone without having been listed as draining may be sent to
   bool probesAllowed = false;
-  bool secondCopies = false;
+  bool hedges = false;
   bool cancelAllowed = false;
-  bool comeBackAllowed = false;
-  Span longestComeBack;
-  unsigned mostSubmissions = 1;
-  bool ownConnections = false;  // each submission out has a connection, which may fall silent by itself
+  bool retryAfterAllowed = false;
+  Span longestRetryAfter;
+  unsigned mostAttempts = 1;
+  bool ownConnections = false;  // each attempt out has a connection, which may fall silent by itself
   std::size_t mostOpen = 0;     // txns that clients can have open here at a time; 0: any number
-  double crossZonePrice = 0;    // what a submission into another zone costs, as a part of the value of a txn
-  bool nodesGuard = false;      // a node turns away untouched a read that it is too far behind for
+  double crossZonePrice = 0;    // what an attempt into another zone costs, as a part of the value of a txn
+  bool nodesGuard = false;      // a node rejects untouched a read that it is too far behind for
   bool sessionAgeCarried =
       false;  // reads carry the age of their session's last write; else it is remembered here
   bool listMustBeAsked = false;
@@ -66,9 +66,9 @@
 
 // What is known of tries of a txn that came to another front, or to another stream of it, before this one.
 struct Earlier {
-  unsigned submissions = 0;
+  unsigned attempts = 0;
   std::optional<Span> since;          // how long ago the first try came; none: not known
-  std::optional<Span> mayHaveRunFor;  // how long ago the first submission that may have run was sent
+  std::optional<Span> mayHaveRunFor;  // how long ago the first attempt that may have run was sent
   std::vector<NodeId> tried;
 };
 
@@ -81,8 +81,8 @@
   Span patience;                 // how long until the client gives up this try
   std::optional<Span> work;      // expected, rough
   Earlier earlier;
-  unsigned mostHere = 0;     // submissions that can be carried for this try; 0: as many as the terms allow
-  std::optional<Span> hold;  // how long it may go without a submission; none: as long as its patience
+  unsigned mostHere = 0;     // attempts that can be carried for this try; 0: as many as the terms allow
+  std::optional<Span> hold;  // how long it may go without an attempt; none: as long as its patience
 };
 
 // Which txns of a type are let in while service is reduced; the further down, the fewer.
@@ -93,7 +93,7 @@
 // What one level of reduced service asks for, in one group.
 struct Reduction {
   std::vector<Admit> admits;  // a row a txn type; empty: all are let in
-  bool sparing = false;       // no second copies, and replicas are asked for their position half as often
+  bool sparing = false;       // no hedges, and replicas are asked for their position half as often
 };
 
 enum class Health { live, draining, gone };
@@ -110,15 +110,15 @@
 
 enum class ListKind { changes, whole, disk };
 
-// How a submission or a probe ended.
+// How an attempt or a probe ended.
 enum class End {
   committed,
   error,           // may have run
-  turnedAway,      // never ran: full, or draining
-  noAnswer,        // may have run
+  rejected,        // never ran: full, or draining
+  timeout,         // may have run
   noConnection,    // never ran
   connectionLost,  // may have run
-  calledOff,       // may have run
+  cancelled,       // may have run
   notSent,         // never ran: it was not sent at all
   notHere,         // never ran: a write at a node that is no primary, or a read where data is too old
 };
@@ -147,8 +147,8 @@
   virtual ~Writer() = default;
   // To be written to the node by `sendBy`, else it is not sent; given up at `cutAt`.
   virtual void submit(TxnId txn, const NodeId& node, Instant sendBy, Instant cutAt) = 0;
-  virtual void callOff(TxnId txn, unsigned submission) = 0;
-  virtual void decline(TxnId txn, Span comeBackAfter) = 0;
+  virtual void cancel(TxnId txn, unsigned attempt) = 0;
+  virtual void decline(TxnId txn, Span retryAfter) = 0;
   virtual void rollBack(TxnId txn) = 0;
   virtual void probe(const NodeId& node) = 0;
   virtual void wakeAfter(Span after) = 0;
@@ -174,7 +174,7 @@
   // Service of the group is reduced so from now on; `trial` of its txns are judged by the level `below`. It
   // can only refuse what comes: what is let in, and what was, keeps to the rules of its type.
   void reduced(GroupId group, const Reduction& level, const Reduction& below, double trial);
-  void ended(TxnId txn, unsigned submission, const NodeId& node, End how, bool txnOver, Span latency,
+  void ended(TxnId txn, unsigned attempt, const NodeId& node, End how, bool txnOver, Span latency,
              const Standing& answer, const Standing& report);
   void probed(const NodeId& node, End how, const Standing& report);
   // The node took no connection, or the last one to it was ended from there.
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -48,14 +48,14 @@
           start.descriptors / kTxnsPart};
 }
 
-// A client that is told that nothing more comes ends its side within a turn of the network, or rests: two of the
-// times in which a connection comes up.
+// A client that is told that nothing more comes ends its side within a turn of the network, or rests: two of
+// the times in which a connection comes up.
 constexpr double kClosingTimes = 2;
 
 // Of the clients that are idle this part makes room at a time: one by one each costs a look at all.
 constexpr std::size_t kRoomPart = 32;
-// Clients that are being closed, and no longer count, take of the reserved descriptors. Beyond that, and where
-// a new client wants the place, those that have been at it longest go at once.
+// Clients that are being closed, and no longer count, take of the reserved descriptors. Beyond that, and
+// where a new client wants the place, those that have been at it longest go at once.
 constexpr std::size_t kMostClosing = 12;
 // New clients that are taken in a turn: those that are there come first where many knock at once.
 constexpr int kAcceptsATurn = 8;
@@ -83,7 +83,7 @@
   }
 }
 
-// After a turn that failed: long enough not to spin, and short against any expiry.
+// After a turn that failed: long enough not to spin, and short against any deadline.
 constexpr Span kPauseAfterFault = Span::millis(10);
 
 std::vector<gateway::Addressed> addressed(startup::NodeList list) {
@@ -141,7 +141,8 @@
   if (mostClients_ <= beside.descriptors)
     throw startup::BadKey("limits.sockets", "leaves none for clients beside the other fronts' connections");
   mostClients_ -= beside.descriptors;
-  for (const auto& type : start_.told.terms.types) longestExpiry_ = std::max(longestExpiry_, type.expiry);
+  for (const auto& type : start_.told.terms.types)
+    longestDeadline_ = std::max(longestDeadline_, type.deadline);
 }
 
 Server::~Server() { loop_.endTasks(); }
@@ -356,7 +357,7 @@
         // Guards against clients that ask and never read, which would keep a descriptor and an answer for
         // good.
         if (client.stuckAt == Instant()) {
-          client.stuckAt = loop_.now() + longestExpiry_;
+          client.stuckAt = loop_.now() + longestDeadline_;
           client.stream.wakeAt(client.stuckAt);
         } else if (loop_.now() >= client.stuckAt) {
           how = ConnectionEnd::clientStuck;
@@ -381,14 +382,15 @@
       co_await client.stream.changed();
     }
     // Guards against bytes that come as this end closes, or are not read yet: a close over them resets the
-    // connection, and the answer that is on its way is lost with it. Nothing of them is sent on. May hurt where
-    // the descriptor is wanted meanwhile.
+    // connection, and the answer that is on its way is lost with it. Nothing of them is sent on. May hurt
+    // where the descriptor is wanted meanwhile.
     if (client.closing && !client.broken && !client.stream.hungUp && how != ConnectionEnd::clientStuck) {
       loop::endSending(client.stream.descriptor());
       const Instant until = loop_.now() + start_.told.connectLimit * kClosingTimes;
       client.stream.wakeAt(until);
       closing_.push_back(id);
-      while (!client.ended && !client.broken && !client.stream.hungUp && !client.hurried && loop_.now() < until) {
+      while (!client.ended && !client.broken && !client.stream.hungUp && !client.hurried &&
+             loop_.now() < until) {
         if (client.stream.canRead) read(client, [](std::string_view bytes) { return bytes.size(); });
         if (client.stream.canRead && !client.ended && !client.broken) client.stream.wake();
         if (!client.ended && !client.broken) co_await client.stream.changed();
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -73,7 +73,7 @@
   std::unique_ptr<loop::Stream> signals_, listener_;
   std::size_t mostClients_;
   std::size_t mostBytes_, bytes_ = 0;  // that connections may keep, and do
-  Span longestExpiry_;
+  Span longestDeadline_;
   gateway::Gateway gateway_;
   std::map<gateway::ClientId, Connection*> clients_;
   std::map<gateway::LinkId, Connection*> links_;
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -39,9 +39,9 @@
   type.level = choice<ReadLevel>("specifics.readLevel", levels[row], kLevels);
   if (row < bounds.size())
     type.bound = micros("specifics.lagAllowed", toWhole("specifics.lagAllowed", bounds[row]));
-  type.slaTime = span(settings, prefix + "objective");
-  type.slaStretch = settings.number(prefix + "aimStretch", 0);
-  type.expiry = span(settings, prefix + "deadline");
+  type.latencyTarget = span(settings, prefix + "objective");
+  type.latencyTargetStretch = settings.number(prefix + "aimStretch", 0);
+  type.deadline = span(settings, prefix + "deadline");
   type.value = settings.number(prefix + "worth", 1);
   type.lateShare = settings.number(prefix + "lateShare", 0);
   type.dropsRepeatsAnywhere = settings.find(prefix + "group").value_or("all") == "all";
@@ -124,11 +124,11 @@
   terms.coldTime = span(settings, "rules.cold", 0);
   terms.onlyDrainingBinds = settings.flag("rules.softRemoval");
   terms.probesAllowed = settings.flag("limits.probes");
-  terms.secondCopies = settings.flag("limits.secondCopies");
+  terms.hedges = settings.flag("limits.secondCopies");
   terms.cancelAllowed = settings.flag("limits.cancel");
-  terms.comeBackAllowed = settings.flag("limits.retryAfter");
-  terms.longestComeBack = span(settings, "limits.maxRetryAfter", 0);
-  terms.mostSubmissions = static_cast<unsigned>(settings.whole("limits.maxAttempts", 1));
+  terms.retryAfterAllowed = settings.flag("limits.retryAfter");
+  terms.longestRetryAfter = span(settings, "limits.maxRetryAfter", 0);
+  terms.mostAttempts = static_cast<unsigned>(settings.whole("limits.maxAttempts", 1));
   terms.crossZonePrice = settings.number("penalties.crossZone", 0);
   terms.nodesGuard = settings.find("specifics.guards").value_or("off") != "off";
   terms.sessionAgeCarried = settings.find("specifics.sessionMarks").value_or("client") == "client";
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -147,12 +147,10 @@
   void submit(TxnId txn, const NodeId& node, Instant, Instant cutAt) override {  // sent at once
     line("ASSIGN", " rid=", txn, " node=", node, " cutAt=", cutAt.inMicros());
   }
-  void callOff(TxnId txn, unsigned submission) override {
-    line("ABANDON", " rid=", txn, " sendNo=", submission);
-  }
-  void decline(TxnId txn, Span comeBackAfter) override {
-    if (comeBackAfter > Span())
-      line("REJECT", " rid=", txn, " notBeforeFor=", comeBackAfter.inMicros());
+  void cancel(TxnId txn, unsigned attempt) override { line("ABANDON", " rid=", txn, " sendNo=", attempt); }
+  void decline(TxnId txn, Span retryAfter) override {
+    if (retryAfter > Span())
+      line("REJECT", " rid=", txn, " notBeforeFor=", retryAfter.inMicros());
     else
       line("REJECT", " rid=", txn);
   }
--- a/src/work/facts.h
+++ b/src/work/facts.h
@@ -38,10 +38,10 @@
   bool strained = false;                      // service is reduced, or has not returned yet
 };
 
-// From when a router lost its lease until nothing of it can be out: the longest expiry of a txn type, and how
-// old what is heard of it may be. Reports come each second, and a stream that answers no beat ends after
+// From when a router lost its lease until nothing of it can be out: the longest deadline of a txn type, and
+// how old what is heard of it may be. Reports come each second, and a stream that answers no beat ends after
 // three.
-constexpr Span fenceOf(Span longestExpiry) { return longestExpiry + Span::millis(5'000); }
+constexpr Span fenceOf(Span longestDeadline) { return longestDeadline + Span::millis(5'000); }
 
 struct Bounds {
   unsigned outOfGroup = 1;                // nodes of a group that may be away at a time, whatever the reason
--- a/tests/book.cpp
+++ b/tests/book.cpp
@@ -16,7 +16,7 @@
 TxnType typeOf(Effect effect) {
   TxnType type;
   type.effect = effect;
-  type.expiry = Span::millis(2000);
+  type.deadline = Span::millis(2000);
   return type;
 }
 
--- a/tests/day.cpp
+++ b/tests/day.cpp
@@ -199,8 +199,8 @@
   f.proxy.faults.neverReport = [&] { return ++reports == 2; };
   f.ask("book-charge", "w2");
   co_await f.pause(600);
-  std::cout << "granted too late to be sent, then run and not reported: " << f.last.status << " '" << f.last.outcome
-            << "', ran " << f.runsOf("w2") << "\n";
+  std::cout << "granted too late to be sent, then run and not reported: " << f.last.status << " '"
+            << f.last.outcome << "', ran " << f.runsOf("w2") << "\n";
   f.tellRules();
   f.loop.stop();
 }
@@ -277,8 +277,7 @@
       left = faults;
       f.ask(type, type + std::to_string(faults));
       co_await f.pause(400);
-      std::cout << type << (faults ? " turned away: " : ": ") << f.last.status << " " << f.last.outcome
-                << "\n";
+      std::cout << type << (faults ? " rejected: " : ": ") << f.last.status << " " << f.last.outcome << "\n";
     }
   }
   f.tellRules();
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -22,7 +22,7 @@
   });
 }
 
-// The txn's submission ends where it was sent.
+// The txn's attempt ends where it was sent.
 void end(Bench& b, Router& r, TxnId txn, End how, Role role = Role::replica, unsigned number = 0) {
   r.ended(txn, number, b.nodeOf(txn), how, how == End::committed, ms(50), {role, std::nullopt}, {});
 }
@@ -38,7 +38,7 @@
   b.say("one that is owed a newer write is held while the group is probed, until a replica has it");
   b.at(110, [&](Router& r) { r.taken(b.sessionRead(5, 2, 20)); });
   b.at(130, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, 100)); });
-  b.say("none ever has it: held for a third of the SLA time, then the primary");
+  b.say("none ever has it: held for a third of the latency target, then the primary");
   b.at(200, [&](Router& r) { r.taken(b.sessionRead(6, 2, 20)); });
   b.run(205, 410);
 }
@@ -59,10 +59,10 @@
   Bench b(usualTerms({kWrite}));
   start(b);
   b.say(
-      "turned away unseen: sent again, once the full node has rested. Lost while out: it may have run, so it "
+      "rejected unseen: sent again, once the full node has rested. Lost while out: it may have run, so it "
       "is rolled back at once");
   b.at(10, [&](Router& r) { r.taken(b.txn(1)); });
-  b.at(20, [&](Router& r) { end(b, r, 1, End::turnedAway, Role::primary); });
+  b.at(20, [&](Router& r) { end(b, r, 1, End::rejected, Role::primary); });
   b.run(25, 275);
   b.at(280, [&](Router& r) { end(b, r, 1, End::connectionLost, Role::unknown, 1); });
   b.say("no answer by the expiry: rolled back, never declined");
@@ -78,7 +78,7 @@
   b.at(10, [&](Router& r) { r.taken(b.txn(1)); });
   b.at(20, [&](Router& r) { end(b, r, 1, End::connectionLost); });
   b.at(70, [&](Router& r) { end(b, r, 1, End::committed, Role::replica, 1); });
-  b.say("expiry while out: declined in time, and its submission called off");
+  b.say("expiry while out: declined in time, and its submission cancelled");
   b.at(80, [&](Router& r) { r.taken(b.txn(2, 0, 100)); });
   b.run(85, 180);
 }
@@ -281,7 +281,8 @@
   b.quietProbes = true;
   for (TxnId id = 1; id <= 3; ++id) {
     b.at(static_cast<std::int64_t>(id) * 10, [&](Router& r) { r.taken(b.txn(id)); });
-    b.at(static_cast<std::int64_t>(id) * 10 + 5, [&](Router& r) { end(b, r, id, End::connectionLost, Role::unknown); });
+    b.at(static_cast<std::int64_t>(id) * 10 + 5,
+         [&](Router& r) { end(b, r, id, End::connectionLost, Role::unknown); });
   }
   std::set<TxnId> answered;
   for (TxnId id = 4; id <= 20; ++id) {
@@ -291,7 +292,8 @@
       b.at(t, [&](Router& r) {
         if (b.nodeOf(id) == "none" || answered.contains(id)) return;
         answered.insert(id);
-        end(b, r, id, id < 11 ? End::connectionLost : End::committed, id < 11 ? Role::unknown : Role::primary);
+        end(b, r, id, id < 11 ? End::connectionLost : End::committed,
+            id < 11 ? Role::unknown : Role::primary);
       });
     }
   }
@@ -332,11 +334,11 @@
 
 void quickTxns() {
   auto session = kSession;
-  session.slaTime = ms(80);
-  session.expiry = ms(400);
+  session.latencyTarget = ms(80);
+  session.deadline = ms(400);
   Bench b(usualTerms({session}));
   start(b);
-  b.say("with an SLA time of 80 ms the next two replicas are asked after 10 ms, not 25");
+  b.say("with an latency target of 80 ms the next two replicas are asked after 10 ms, not 25");
   b.at(90, [&](Router& r) { r.listed(ListKind::changes, {b.entry("c"), b.entry("d")}); });
   b.at(100, [&](Router& r) { r.taken(b.sessionRead(1, 0, 10)); });
   b.run(105, 110);
@@ -361,7 +363,7 @@
   Bench b(usualTerms({kWrite, kAny}));
   start(b);
   b.quietProbes = true;
-  b.say("p takes a write and answers nothing: later writes are held; half-hung reads get a second copy");
+  b.say("p takes a write and answers nothing: later writes are held; half-hung reads get a hedge");
   b.at(10, [&](Router& r) { r.taken(b.txn(1, 0)), r.taken(b.txn(2, 1)); });
   b.run(15, 490);
   b.at(500, [&](Router& r) { r.taken(b.txn(3, 0)); });
@@ -375,7 +377,7 @@
   start(b);
   b.quietProbes = true;
   b.say(
-      "a answers only what nobody waits for any more: once its reads were called off late it is drawn no "
+      "a answers only what nobody waits for any more: once its reads were cancelled late it is drawn no "
       "more");
   for (TxnId id = 1; id <= 30; ++id) {
     const auto from = static_cast<std::int64_t>(id) * 405;
@@ -384,7 +386,7 @@
       b.at(from + 50, [&](Router& r) { end(b, r, id, End::committed); });
     } else if (b.nodeOf(id) == "a") {
       b.run(from + 395, from + 395);
-      b.at(from + 400, [&](Router& r) { end(b, r, id, End::calledOff); });
+      b.at(from + 400, [&](Router& r) { end(b, r, id, End::cancelled); });
     }
   }
 }
@@ -420,7 +422,7 @@
   b.run(15, 215);
   b.say("its answer tells what it has: the next read that needs no more is drawn at once");
   b.at(250, [&](Router& r) { end(b, r, 4, End::committed), r.taken(b.sessionRead(5, 0, 345)); });
-  b.say("one that is turned away is asked of another");
+  b.say("one that is rejected is asked of another");
   b.at(260, [&](Router& r) { r.taken(b.sessionRead(6, 0, 10)); });
   b.run(265, 465);
   b.at(480, [&](Router& r) { end(b, r, 6, End::notHere); });
@@ -445,7 +447,7 @@
 
 void longReads() {
   auto report = type(ReadLevel::any);
-  report.slaTime = ms(3000);
+  report.latencyTarget = ms(3000);
   Bench b(usualTerms({report, kBounded, kBounded}));
   start(b);
   b.quietProbes = true;
@@ -459,7 +461,8 @@
   }
   Bench many(usualTerms({report, kBounded}));
   start(many);
-  many.say("many at once: a gets no more than it can answer in a third of their SLA time, b the others");
+  many.say(
+      "many at once: a gets no more than it can answer in a third of their latency target, b the others");
   many.at(30, [&](Router& r) {
     for (TxnId id = 1; id <= 12; ++id) r.taken(many.txn(id));
   });
@@ -498,7 +501,8 @@
   Bench b(terms);
   start(b);
   b.quietProbes = true;
-  b.say("a few answers took half of the SLA time, at both: part of what comes next is declined at once");
+  b.say(
+      "a few answers took half of the latency target, at both: part of what comes next is declined at once");
   for (TxnId id = 1; id <= 6; ++id) {
     const auto from = static_cast<std::int64_t>(id) * 220;
     b.at(from, [&](Router& r) { r.taken(b.txn(id)); });
@@ -509,7 +513,7 @@
   for (TxnId id = 11; id <= 20; ++id) {
     const auto from = static_cast<std::int64_t>(id) * 10 + 1500;
     b.at(from, [&](Router& r) { r.taken(b.txn(id)); });
-    b.at(from + 5, [&](Router& r) { end(b, r, id, End::calledOff), r.clientLeft(id); });
+    b.at(from + 5, [&](Router& r) { end(b, r, id, End::cancelled), r.clientLeft(id); });
   }
 }
 
@@ -530,7 +534,7 @@
     b.at(static_cast<std::int64_t>(id) * 30, [&](Router& r) { r.taken(b.txn(id)); });
     b.at(static_cast<std::int64_t>(id) * 30 + 10, [&](Router& r) {
       const NodeId node = b.nodeOf(id);
-      r.ended(id, 0, node, node == "a" || node == "b" ? End::committed : End::calledOff, false,
+      r.ended(id, 0, node, node == "a" || node == "b" ? End::committed : End::cancelled, false,
               ms(node == "a" ? 60 : 20), {Role::replica, {}}, {});
       r.clientLeft(id);
     });
@@ -543,7 +547,9 @@
   Bench b(terms);
   start(b);
   b.quietProbes = true;
-  b.say("one of many routers, whose writes took half of their SLA time: an owed read stays off the primary");
+  b.say(
+      "one of many routers, whose writes took half of their latency target: an owed read stays off the "
+      "primary");
   for (TxnId id = 1; id <= 3; ++id) {
     b.at(static_cast<std::int64_t>(id) * 10, [&](Router& r) { r.taken(b.txn(id, 0)); });
     b.at(static_cast<std::int64_t>(id) * 10 + 5, [&](Router& r) {
@@ -615,7 +621,7 @@
   b.holdUp();
   b.at(2010, [&](Router& r) {
     for (TxnId id = 1; id <= 4; ++id)
-      r.ended(id, 0, b.nodeOf(id), id > 1 ? End::noAnswer : End::committed, id <= 1, ms(2000), {}, {});
+      r.ended(id, 0, b.nodeOf(id), id > 1 ? End::timeout : End::committed, id <= 1, ms(2000), {}, {});
   });
   b.at(2015, [&](Router& r) { r.taken(b.txn(11)), r.taken(b.txn(12)); });
 }
@@ -624,7 +630,9 @@
   Bench b(usualTerms({kAny}));
   start(b);
   b.quietProbes = true;
-  b.say("five answers took 450 ms, longer than the SLA time: what comes now is declined, but not for ever");
+  b.say(
+      "five answers took 450 ms, longer than the latency target: what comes now is declined, but not for "
+      "ever");
   for (TxnId id = 1; id <= 5; ++id) {
     b.at(static_cast<std::int64_t>(id) * 10, [&](Router& r) { r.taken(b.txn(id)); });
     b.at(static_cast<std::int64_t>(id) * 10 + 5, [&](Router& r) {
@@ -639,7 +647,8 @@
   Bench b(usualTerms({kSession}));
   start(b);
   b.quietProbes = true;
-  b.say("no member has what session 9 wrote: given up at its SLA time, and when it comes back, at once");
+  b.say(
+      "no member has what session 9 wrote: given up at its latency target, and when it comes back, at once");
   b.at(10, [&](Router& r) {
     r.listed(ListKind::changes, {b.entry("p", false, Health::draining)});
     r.taken(b.sessionRead(1, 0, 20, 9));
@@ -677,13 +686,13 @@
   b.at(1310, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, 1240)); });
 }
 
-void secondCopy() {
+void hedge() {
   auto slow = kAny;
-  slow.slaTime = ms(2000);
+  slow.latencyTarget = ms(2000);
   Bench b(usualTerms({slow}));
   start(b);
   b.quietProbes = true;
-  b.say("a read that has been out for six times the usual gets one copy elsewhere; the loser is called off");
+  b.say("a read that has been out for six times the usual gets one copy elsewhere; the loser is cancelled");
   b.at(10, [&](Router& r) { r.taken(b.txn(1, 0, 3000)); });
   b.at(60, [&](Router& r) { end(b, r, 1, End::committed); });
   b.at(70, [&](Router& r) { r.taken(b.txn(2, 0, 3000)); });
@@ -720,7 +729,7 @@
     {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
     {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"late-clock", lateClock}, {"keeps-asking", keepsAsking}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"dead-work", deadWork},
     {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
-    {"asked-list", askedList}, {"second-copy", secondCopy}, {"stall", stall},
+    {"asked-list", askedList}, {"second-copy", hedge}, {"stall", stall},
     {"old-latencies", oldLatencies}, {"worthless", worthless}, {"told", told},
     {"crowded-replica", crowdedReplica}, {"odd-news", oddNews}, {"cold-group", coldGroup},
     {"strained-primary", strainedPrimary}, {"short-group", shortGroup}, {"kinds", kinds},
--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -321,7 +321,7 @@
 
 void tries() {
   Processor p;
-  p.say("turned away: declined, and the next try goes to another node");
+  p.say("rejected: declined, and the next try goes to another node");
   p.ask(1, "r1", "any");
   p.reports(1, "turned-away", p.standing("replica", 0), "503");
   p.ask(2, "r1", "any", attempt(2, "none"));
@@ -550,9 +550,9 @@
   static std::string go(bool throughProxy) {
     std::string out;
     Terms same = terms();
-    same.secondCopies = false;  // this front can carry one submission a stream
+    same.hedges = false;  // this front can carry one attempt a stream
     same.probesAllowed = false;
-    same.mostSubmissions = 1;
+    same.mostAttempts = 1;
     core::Ledger ledger(same, 11, 1 << 20, [] {});
     Instant now = Instant::atMicros(1'700'000'000'000'000);
     struct Node final : core::Carrier {  // stands for the carrier of either, and answers in order
@@ -564,7 +564,7 @@
         out += " " + std::to_string(job.txn) + ">" + node;
         jobs.emplace_back(job, node);
       }
-      void callOff(core::Job, const NodeId&) override {}
+      void cancel(core::Job, const NodeId&) override {}
       void listed(const std::vector<NodeId>&) override {}
       void forget(const NodeId&) override {}
     };
@@ -617,7 +617,7 @@
     for (int step = 0; step < 400; ++step) {
       now = now + ms(5);
       ledger.see(now);
-      // What is due is answered, a twentieth of it as turned away.
+      // What is due is answered, a twentieth of it as rejected.
       for (auto at = open.begin(); at != open.end();) {
         const bool sent = throughProxy ? effects.granted.contains(at->first)
                                        : std::any_of(node.jobs.begin(), node.jobs.end(),
@@ -644,7 +644,7 @@
                                                  [&](auto& j) { return j.first.txn == txn; });
                    job != node.jobs.end()) {
           if (!away) ledger.commit(txn, {});
-          ledger.ended(job->first, job->second, away ? End::turnedAway : End::committed, {role, rounded});
+          ledger.ended(job->first, job->second, away ? End::rejected : End::committed, {role, rounded});
         }
       }
       for (int n = static_cast<int>(chance() % 3); n > 0; --n) {
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -90,7 +90,7 @@
     gateway_.linkSent(now_, link, kGreeting);
     settle();
   }
-  void turnsAway(LinkId link) {
+  void rejects(LinkId link) {
     gateway_.linkUp(now_, link);
     answers(link, pg::error("FATAL", "53300", "too many connections"));
   }
@@ -308,7 +308,7 @@
   t.pass(600);
   t.say("nor has one that refuses the session");
   t.open(3, read("cc"));
-  t.turnsAway(t.to("a"));
+  t.rejects(t.to("a"));
   t.pass(300);
 }
 
@@ -369,7 +369,7 @@
   s.answers(1, kAllClear.substr(0, 3));
   s.answers(1, kAllClear);
   s.answers(1, row("second"));
-  s.say("a second copy in the same read, and one that comes later: the value is kept, the connection is not");
+  s.say("a hedge in the same read, and one that comes later: the value is kept, the connection is not");
   s.sent(1, read("cc"));
   s.answers(1, kAllClear);
   s.answers(1, row("third") + row("third"));
@@ -502,7 +502,7 @@
   s.answers(s.to("a"), row("body"));
 }
 
-void calledOff() {
+void cancelled() {
   Sockets s;
   s.list(ListKind::changes, {"b"});
   s.open(1, read("aa"));
@@ -714,9 +714,8 @@
 void ends() {
   for (int i = 0; i <= static_cast<int>(ConnectionEnd::shuttingDown); ++i) {
     const auto how = static_cast<ConnectionEnd>(i);
-    constexpr const char* kEnds[] = {"committed",  "error",         "turned away",
-                                     "no answer",  "no connection", "connection lost",
-                                     "called off", "not sent",      "not here"};
+    constexpr const char* kEnds[] = {"committed",       "error",     "rejected", "no answer", "no connection",
+                                     "connection lost", "cancelled", "not sent", "not here"};
     std::cout << nameOf(how) << ": " << kEnds[static_cast<int>(outcomeOf(how, false))]
               << ", written whole: " << kEnds[static_cast<int>(outcomeOf(how, true))] << "\n";
   }
@@ -736,7 +735,7 @@
                                                 {"forgotten", forgotten},
                                                 {"leftovers", leftovers},
                                                 {"spoilt", spoilt},
-                                                {"called-off", calledOff},
+                                                {"called-off", cancelled},
                                                 {"half-closed", halfClosed},
                                                 {"drains", drains},
                                                 {"bounds", bounds},
--- a/tests/guard.cpp
+++ b/tests/guard.cpp
@@ -74,14 +74,14 @@
     std::cout << "  front " << owner << ": committed '" << v[0] << v[1] << v[2] << "'\n";
   }
   void declined(OwnerId owner, Span after, unsigned) override {
-    std::cout << "  front " << owner << ": declined, come back after " << after.inMicros() / 1000 << "\n";
+    std::cout << "  front " << owner << ": declined, retry after " << after.inMicros() / 1000 << "\n";
   }
   void rolledBack(OwnerId owner) override { std::cout << "  front " << owner << ": rolled back\n"; }
   bool needsValue() const override { return wantsValue; }
   void carry(Job job, const NodeId& node) override {
     if (job.txn != 0) std::cout << "  carrier: " << job.txn << " to " << node << "\n";
   }
-  void callOff(Job, const NodeId&) override {}
+  void cancel(Job, const NodeId&) override {}
   void listed(const std::vector<NodeId>&) override {}
   void forget(const NodeId&) override {}
   void asked(TxnId txn, std::string_view id, Span patience) override {
@@ -149,7 +149,7 @@
   world.ledger().admit(out);
   world.turn();
   world.ledger().leave(out);
-  world.end(out, End::calledOff);
+  world.end(out, End::cancelled);
   std::cout << "tried elsewhere before\n";
   const TxnId again = world.take(0, "b3", true);
   world.ledger().admit(again);
@@ -181,8 +181,8 @@
     world.turn();
     std::cout << "  out there: " << world.ledger().isOutAt({"p"}) << ", elsewhere "
               << world.ledger().isOutAt({"q"}) << "\n";
-    const auto* submission = world.ledger().submission({txn, 0});
-    if (submission && !submission->over)
+    const auto* attempt = world.ledger().attempt({txn, 0});
+    if (attempt && !attempt->over)
       world.end(txn, End::committed);
     else
       world.ledger().leave(txn);
--- a/tests/levels.cpp
+++ b/tests/levels.cpp
@@ -46,7 +46,7 @@
     }
   }
   void say(const std::string& text) { std::cout << "-- " << text << "\n"; }
-  // Four txns a step that took this share of their SLA time.
+  // Four txns a step that took this share of their latency target.
   std::function<void(Instant, int)> load(double share, GroupId group = 1) {
     return [this, share, group](Instant at, int) {
       for (int i = 0; i < 4; ++i) levels_.answered(at, group, 0, share);
@@ -175,10 +175,11 @@
 }
 
 std::vector<TxnType> hanulTypes() {
-  const auto made = [](ReadLevel level, std::int64_t sla, std::int64_t expiry, double value, Effect effect) {
+  const auto made = [](ReadLevel level, std::int64_t sla, std::int64_t deadline, double value,
+                       Effect effect) {
     TxnType type = trace::type(level, effect);
-    type.slaTime = ms(sla);
-    type.expiry = ms(expiry);
+    type.latencyTarget = ms(sla);
+    type.deadline = ms(deadline);
     type.value = value;
     type.bound = ms(3000);
     return type;
@@ -305,7 +306,7 @@
     void declined(core::OwnerId, Span, unsigned level) override { ++refusals[level]; }
     void rolledBack(core::OwnerId) override {}
     void carry(core::Job job, const NodeId& node) override { jobs.emplace_back(job, node); }
-    void callOff(core::Job, const NodeId&) override {}
+    void cancel(core::Job, const NodeId&) override {}
     void listed(const std::vector<NodeId>&) override {}
     void forget(const NodeId&) override {}
     std::vector<std::pair<core::Job, NodeId>> jobs;
--- a/tests/returning.cpp
+++ b/tests/returning.cpp
@@ -200,7 +200,7 @@
       Span longest;
       for (int n = 0; n < asked; ++n) {
         const Instant now = kStart + ms(second * 1000 + n * 1000 / asked);
-        const auto back = ramp.turnsAway(now);
+        const auto back = ramp.rejects(now);
         if (back) longest = std::max(longest, *back);
         if (back) continue;
         ++in;
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-std::atomic<bool> slowBegun = false, begun = false, calledOff = false;
+std::atomic<bool> slowBegun = false, begun = false, cancelled = false;
 
 // A node: a probe is told that it is a current primary; a write gets back as many bytes as it brought; a read
 // of `slow` takes 700 ms, one of `cut` is cut off, of `huge` gets 64 KiB.
@@ -41,8 +41,8 @@
     if (body.find("'until-the-end'") != std::string::npos) {
       begun = true;
       begun.notify_all();
-      calledOff = !peer.readMore();
-      calledOff.notify_all();
+      cancelled = !peer.readMore();
+      cancelled.notify_all();
       return;
     }
     if (body.find("'cut'") != std::string::npos) {
@@ -86,7 +86,7 @@
     leaving.send(read("until-the-end", 60000));
     begun.wait(false);
   }
-  calledOff.wait(false);
+  cancelled.wait(false);
   Peer other = router.client();
   other.send("nonsense that is no message");
   std::cout << other.answer() << "\n";
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -22,9 +22,9 @@
   terms.routers = 2;
   terms.coldShare = 0.2;
   terms.coldTime = ms(10000);
-  terms.probesAllowed = terms.secondCopies = terms.cancelAllowed = terms.comeBackAllowed = true;
-  terms.longestComeBack = ms(400);
-  terms.mostSubmissions = 4;
+  terms.probesAllowed = terms.hedges = terms.cancelAllowed = terms.retryAfterAllowed = true;
+  terms.longestRetryAfter = ms(400);
+  terms.mostAttempts = 4;
   terms.sessionAgeCarried = true;
   return terms;
 }
@@ -34,8 +34,8 @@
   made.level = level;
   made.effect = effect;
   made.bound = ms(1000);
-  made.slaTime = ms(400);
-  made.expiry = ms(2000);
+  made.latencyTarget = ms(400);
+  made.deadline = ms(2000);
   made.lateShare = level == ReadLevel::write ? 0.5 : 0;
   made.referenceWindow = ms(1000);
   return made;
@@ -108,11 +108,9 @@
     if (sendBy < cutAt) out_ << ", sent by " << (sendBy - instant(0)).inMicros() / 1000;
     out_ << ";";
   }
-  void callOff(TxnId txn, unsigned submission) override {
-    out_ << " call off " << txn << "/" << submission << ";";
-  }
+  void cancel(TxnId txn, unsigned attempt) override { out_ << " cancel " << txn << "/" << attempt << ";"; }
   void decline(TxnId txn, Span after) override {
-    out_ << " decline " << txn << ", come back after " << after.inMicros() / 1000 << ";";
+    out_ << " decline " << txn << ", retry after " << after.inMicros() / 1000 << ";";
   }
   void rollBack(TxnId txn) override { out_ << " roll back " << txn << ";"; }
   void probe(const NodeId& node) override {
