That no descriptor is left is logged once, not at each try

Seen: crossings.no-descriptors takes the program's descriptors away for a while (prlimit): a line each 10 ms. Cause: acceptClients() logged each try that failed. Change: once, until one succeeds or none waits. A second case, closing-for-good, shows that forty clients that never close their side don't keep a router from its end.

--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -303,7 +303,8 @@
 // where none is idle the new one is declined. May hurt clients that come back often, which connect anew each
 // time.
 loop::Task Server::acceptClients() {
-  int taken = 0;  // in this turn
+  int taken = 0;        // in this turn
+  bool failed = false;  // the last one could not be taken, which was logged
   // What the kernel has accepted when this ends is taken, too.
   for (bool accepting = true; accepting;) {
     const bool full = clients_.size() >= mostClients_ + std::min(closing_.size(), kMostClosing);
@@ -317,6 +318,7 @@
     }
     loop::Descriptor descriptor;
     const Io how = loop::accept(listener_->descriptor(), descriptor);
+    if (how == Io::some || how == Io::wouldBlock) failed = false;
     if (how == Io::some) {
       clients_.emplace(++lastClient_, nullptr);
       loop_.spawn(serveClient(lastClient_, std::move(descriptor), !full));
@@ -326,8 +328,9 @@
       if (accepting) co_await listener_->changed();
     } else {
       // A pause, lest it spins: what is in the way goes as clients and nodes come and go.
-      spdlog::warn("no new client can be taken: {}",
-                   how == Io::noDescriptor ? "no descriptor is left" : "the listening socket failed");
+      if (!std::exchange(failed, true))
+        spdlog::warn("no new client can be taken: {}",
+                     how == Io::noDescriptor ? "no descriptor is left" : "the listening socket failed");
       gateway_.closeIdleClients();
       co_await loop_.sleepUntil(loop_.now() + Span::millis(10));
     }
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -329,6 +329,44 @@
   std::cout << "read late: " << answered << " answers\n";
 }
 
+// No descriptor is to be had for a while: who is there is served, who comes is once there is one, and the log has
+// a line of it.
+void noDescriptors() {
+  Node node({"slow"});
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node));
+  Peer busy = router.client();
+  busy.send(statement("slow", "write"));
+  node.events.await("saw slow");
+  router.allow(3);
+  Peer comes = Peer::to(router.port());
+  comes.send(pg::startup("worker", "catalog") + statement("comes", "write"));
+  router.says("no new client can be taken");
+  node.go("slow");
+  std::cout << "at work meanwhile: " << busy.answer() << "\n";
+  node.events.await("rests");
+  router.allow(256);
+  comes.answer();
+  std::cout << "who came: " << comes.answer() << "\n";
+  std::cout << "lines of it: " << router.said("no new client can be taken") << "\n";
+}
+
+// A client that rests on, where its connection is being closed, keeps its place for a while only.
+void closingForGood() {
+  Node node;
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node));
+  std::vector<Peer> rest;
+  for (int i = 0; i < 40; ++i) {
+    rest.push_back(router.client());
+    rest.back().send(pg::message('x', "nonsense"));
+  }
+  int told = 0;
+  for (Peer& peer : rest) told += peer.answer() == "E(08P01) end";
+  std::cout << told << " were told why, and none has closed its side\n";
+  std::cout << "ended: " << router.said("ended") << "\n";
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -346,6 +384,8 @@
                                                 {"window", windowOver},
                                                 {"broken-answers", brokenAnswers},
                                                 {"floods", floods},
+                                                {"no-descriptors", noDescriptors},
+                                                {"closing-for-good", closingForGood},
                                                 {"signalled", signalled},
                                                 {"stray", stray}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
--- a/tests/program.h
+++ b/tests/program.h
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -89,6 +90,11 @@
     return made;
   }
 
+  // How many descriptors it may have from now on; those it has stay.
+  void allow(rlim_t descriptors) {
+    const rlimit most{descriptors, 4096};
+    prlimit(child_, RLIMIT_NOFILE, &most, nullptr);
+  }
   void signal(int number) { kill(child_, number); }
   // All threads of it stand still when this returns.
   void halt() {
@@ -106,8 +112,9 @@
   bool says(const std::string& text) {
     for (;;) {
       if (const auto end = said_.find('\n'); end != std::string::npos) {
-        const bool found = said_.substr(0, end).find(text) != std::string::npos;
+        lines_.push_back(said_.substr(0, end));
         said_.erase(0, end + 1);
+        const bool found = lines_.back().find(text) != std::string::npos;
         if (found) return true;
         continue;
       }
@@ -122,6 +129,13 @@
       said_.append(bytes, static_cast<std::size_t>(size));
     }
   }
+  // How many lines of its log, up to its end, had this.
+  std::ptrdiff_t said(const std::string& text) {
+    signal(SIGTERM);
+    says("no line has this");
+    return std::count_if(lines_.begin(), lines_.end(),
+                         [&](const std::string& line) { return line.find(text) != std::string::npos; });
+  }
   int end() {
     signal(SIGTERM);
     int status = 0;
@@ -136,6 +150,7 @@
   pid_t child_ = 0;
   Descriptor log_;
   std::string said_;
+  std::vector<std::string> lines_;
 };
 
 // What several threads wait for.
