A new client waits a turn where a connection that is being closed gives way to it

Beyond twelve connections that are being closed the first was hurried, and the new client declined in the same turn, though its place was about to come. Change: hurried() makes room as closing an idle one does.

--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -308,8 +308,7 @@
   // What the kernel has accepted when this ends is taken, too.
   for (bool accepting = true; accepting;) {
     const bool full = clients_.size() >= mostClients_ + std::min(closing_.size(), kMostClosing);
-    if (full && closing_.size() > kMostClosing) hurry(closing_.front());
-    const bool makesRoom = full && gateway_.closeIdleClients(1 + mostClients_ / kRoomPart);
+    const bool makesRoom = full && (hurried() || gateway_.closeIdleClients(1 + mostClients_ / kRoomPart));
     if (makesRoom || ++taken > kAcceptsATurn) {
       taken = 0;
       listener_->wake();
@@ -405,11 +404,13 @@
   gateway_.clientEnded(loop_.now(), id, how);
 }
 
-void Server::hurry(ClientId id) {
-  const auto at = clients_.find(id);
-  if (at == clients_.end() || !at->second || at->second->hurried) return;
-  at->second->hurried = true;
-  at->second->stream.wake();
+// Whether there are so many that are being closed that the first goes within a turn.
+bool Server::hurried() {
+  if (closing_.size() <= kMostClosing) return false;
+  Connection& first = *clients_.at(closing_.front());
+  first.hurried = true;
+  first.stream.wake();
+  return true;
 }
 
 // Whether more of what a client sends may be read. Guards the memory limit: what a client sends ahead waits
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -63,7 +63,7 @@
   void read(Connection& connection, Take take);
   void account(Connection& connection);
   bool mayKeep(gateway::ClientId id, Connection& client);
-  void hurry(gateway::ClientId id);
+  bool hurried();
   void readAnew();
   void takeList(json::Value value, bool isChange);
   Instant endTurn(Instant now);
