--- a/tests/watches.cpp
+++ b/tests/watches.cpp
@@ -217,6 +217,36 @@
   std::cout << client.answer() << "first saw " << first.saw() << ", second saw " << second.saw() << "\n";
 }
 
+// A statement is held as there is no primary; one is named, and drained in the same turn. Then in the other order:
+// the last word counts.
+void drainAtRelease() {
+  for (const bool drainLast : {true, false}) {
+    Node first, second;
+    const auto says = [&](int version, const std::string& state, bool whole = false) {
+      return list(version, named(first, "s-1", "draining", false) + "," + named(second, "s-2", state, true), whole);
+    };
+    const auto none = list(1, named(first, "s-1", "draining", false));
+    Lists discovery(none);
+    Program router(discovery.port(), none);
+    discovery.events.await("watch");
+    Peer client = router.client();
+    client.send(write("k"));
+    router.settles();
+    router.halt();
+    discovery.tell(says(2, drainLast ? "up" : "draining") + "\n");
+    discovery.tell(says(3, drainLast ? "draining" : "up") + "\n");
+    router.go();
+    router.says("list version 3");
+    router.settles();
+    std::cout << (drainLast ? "named, then drained: " : "drained, then named: ");
+    if (drainLast) {
+      std::cout << "second saw " << second.saw() << "; ";
+      discovery.tell(says(4, "up") + "\n");
+    }
+    std::cout << client.answer() << "first saw " << first.saw() << ", second saw " << second.saw() << "\n";
+  }
+}
+
 // --- Descriptors and starts
 
 // Clients that rest have taken all their places while discovery is down: its return is noticed all the same.
@@ -276,6 +306,7 @@
                                                 {"drain-connecting", drainWhileConnecting},
                                                 {"drain-turn", drainInTheTurn},
                                                 {"drain-retry", drainAtRetry},
+                                                {"drain-release", drainAtRelease},
                                                 {"crowded", crowdedDiscovery},
                                                 {"starts-alone", startsAlone}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
