A statement that was left unread counts from when it was first left

What a client sends beyond 16 KiB ahead stays in the socket until others are answered, and its time ran from when it was read. Change: unreadSince; such a statement counts from when its connection was first left unread, a little early rather than late.

--- a/src/fronts/pg/clients.cpp
+++ b/src/fronts/pg/clients.cpp
@@ -52,10 +52,11 @@
   if (due != Instant()) due_.insert({due, id});
 }
 
-std::size_t Clients::sent(ClientId id, std::string_view bytes) {
+std::size_t Clients::sent(ClientId id, std::string_view bytes, Instant unreadSince) {
   const auto size = bytes.size();
-  if (const auto at = clients_.find(id); at != clients_.end())
-    at->second.arrivals.waiting(size, ledger_.now());
+  // What was left unread may have come at any time since: a little early, so that no more time is told than is.
+  const Instant cameAt = unreadSince == Instant() ? ledger_.now() : std::min(unreadSince, ledger_.now());
+  if (const auto at = clients_.find(id); at != clients_.end()) at->second.arrivals.waiting(size, cameAt);
   try {
     for (int taken = 0;; ++taken) {
       const auto at = clients_.find(id);
--- a/src/fronts/pg/clients.h
+++ b/src/fronts/pg/clients.h
@@ -42,7 +42,8 @@
   // Events. The ledger has been told when.
   void opened(ClientId client);
   // Returns how much was taken; the rest is offered again, with more behind it, after readClient().
-  std::size_t sent(ClientId client, std::string_view bytes);
+  // `unreadSince`: from when on what came last had been left unread; never: it was read as it came.
+  std::size_t sent(ClientId client, std::string_view bytes, Instant unreadSince = {});
   void sendsNoMore(ClientId client);
   void ended(ClientId client);
   void refuse(ClientId client);  // there is no room for what it sends
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,9 +30,9 @@
   clients_.opened(id);
 }
 
-std::size_t Gateway::clientSent(Instant now, ClientId id, std::string_view bytes) {
+std::size_t Gateway::clientSent(Instant now, ClientId id, std::string_view bytes, Instant unreadSince) {
   ledger_.see(now);
-  return clients_.sent(id, bytes);
+  return clients_.sent(id, bytes, unreadSince);
 }
 
 void Gateway::clientSendsNoMore(Instant now, ClientId id) {
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -102,6 +102,7 @@
   std::string unsent;    // short writes leave this
   bool offer = false;    // what is kept may be taken now
   bool closing = false;  // to be closed once all is sent
+  Instant unreadSince;   // when what it sends was first left unread; never: it is not
   bool hurried = false;  // its place is wanted: what it still sends is waited for no longer
   bool gone = false;     // to be closed at once
   bool ended = false;    // the other side sends no more
@@ -348,13 +349,16 @@
       send(client, {pg::error("FATAL", pg::kDeclined, "declined: too many clients")});
       client.closing = true;
     }
-    const auto take = [&](std::string_view bytes) { return gateway_.clientSent(loop_.now(), id, bytes); };
+    const auto take = [&](std::string_view bytes) {
+      return gateway_.clientSent(loop_.now(), id, bytes, client.unreadSince);
+    };
     // One that sends no more is still there as long as nothing reports a reset. One that was reset is gone,
     // also where what it sent before could still be read.
     while (!client.broken && !client.stream.hungUp) {
       flush(client);
       if (client.broken || (client.closing && client.unsent.empty())) break;
       if (client.unsent.empty()) client.stuckAt = Instant();
+      if (client.stream.canRead && client.unreadSince == Instant()) client.unreadSince = loop_.now();
       if (!client.unsent.empty()) {
         // Guards against clients that ask and never read, which would keep a descriptor and an answer for
         // good.
@@ -373,6 +377,7 @@
         client.stream.wake();  // the rest in another turn: the others have theirs
       } else if (client.stream.canRead && !client.ended && mayKeep(id, client)) {
         read(client, take);
+        client.unreadSince = Instant();
         if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
         // One read a turn: the others have theirs.
         if (client.broken) break;  // told in this turn, before anything more is sent for it
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -131,6 +131,26 @@
             << (node.told("second") <= 59700) << "\n";
 }
 
+// More than is read ahead, all of it with too little time for the wait: what is read only as the others are
+// answered has had that time, too.
+void pipelinedUnread() {
+  Node node({"first"});
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node));
+  Peer client = router.client();
+  std::string much = statement("first", "read");
+  for (int i = 0; i < 60; ++i) much += statement(std::string(2000, 'x'), "read", 400);
+  client.send(much);
+  node.events.await("saw first");
+  router.settles();
+  until(Clock::now() + std::chrono::milliseconds(500));
+  node.go("first");
+  std::map<std::string, int> said;
+  for (int i = 0; i < 61; ++i) ++said[client.answer()];
+  for (const auto& [what, times] : said) std::cout << times << " times " << what;
+  std::cout << "\n";
+}
+
 // --- Closing
 
 void closing() {
@@ -377,6 +397,7 @@
                                                 {"gone-unread", goneUnread},
                                                 {"gone-release", goneAtRelease},
                                                 {"pipelined", pipelined},
+                                                {"pipelined-unread", pipelinedUnread},
                                                 {"closing", closing},
                                                 {"ending", ending},
                                                 {"ending-crossed", endingCrossed},
