--- a/src/carriers/pg/links.cpp
+++ b/src/carriers/pg/links.cpp
@@ -188,7 +188,7 @@
   place.spoilt = 0;
 }
 
-// Its answer is whole. Guards against more than that, a hedge or noise, which must not be taken for the
+// Its answer is whole. Guards against more than that, the same again or noise, which must not be taken for the
 // next txn's answer, however late it comes: an empty query is asked, and once its answer has come nothing
 // older is on the way. Costs a message each way; may hurt at nodes that answer empty queries late.
 void Links::clear(LinkId id, Link& link, bool more) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,7 +48,7 @@
   // Events. Each tells when it was seen.
   void clientOpened(Instant now, ClientId client);
   // Returns how much was taken; the rest is offered again, with more behind it, after readClient().
-  // `unreadSince`: how long what came last had been left unread; never: it was read as it came.
+  // `unreadSince`: from when on what came last had been left unread; never: it was read as it came.
   std::size_t clientSent(Instant now, ClientId client, std::string_view bytes, Instant unreadSince = {});
   void clientSendsNoMore(Instant now, ClientId client);
   void clientEnded(Instant now, ClientId client, ConnectionEnd how);
