What one read leaves behind counts as left unread as long as what it took

Cause: serveClient set unreadSince anew after each read of 64 KiB, though the rest had been there as long; 31 statements are a read, so 13 of 60 counted as just come where the first read was short. Ruled out: bytes that the closed window kept at the client. Change: unreadSince is forgotten once the socket is empty. The test lays out what is read ahead first and the rest after, so that the rest takes two reads each time.

--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -377,7 +377,8 @@
         client.stream.wake();  // the rest in another turn: the others have theirs
       } else if (client.stream.canRead && !client.ended && mayKeep(id, client)) {
         read(client, take);
-        client.unreadSince = Instant();
+        // Only once all is read: what one read leaves behind has been there as long as what it took.
+        if (!client.stream.canRead) client.unreadSince = Instant();
         if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
         // One read a turn: the others have theirs.
         if (client.broken) break;  // told in this turn, before anything more is sent for it
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -125,11 +125,17 @@
   Side discovery(silentDiscovery);
   Program router(discovery.port(), one(node));
   Peer client = router.client();
-  std::string much = statement("first", "read");
-  for (int i = 0; i < 60; ++i) much += statement(std::string(2000, 'x'), "read", 400);
-  client.send(much);
+  const auto many = [](int times) {
+    std::string much;
+    for (int i = 0; i < times; ++i) much += statement(std::string(2000, 'x'), "read", 400);
+    return much;
+  };
+  // What is read ahead, and then more than one read takes: it is left unread together, and read in turns.
+  client.send(statement("first", "read") + many(9));
   node.events.await("saw first");
   router.settles();
+  client.send(many(51));
+  router.settles();
   until(Clock::now() + std::chrono::milliseconds(500));
   node.go("first");
   std::map<std::string, int> said;
