A router that stood still looks at the answer to its call for the list before the clock

Seen: read line by line. followList gave up a call after 0.4 s by the clock, then looked what had come; a process that stood still meanwhile threw away an answer that was there, and called again 0.25 s later. With stand-stills of up to 0.76 s every 2.3 s, as the users' settings have, a restarted router may know of a drain well over a second after it counts as told. Change: a call's answer that can be read is read first, and a connection that came up is asked on. A watch is still judged by the clock, as what is read late may have come before it fell silent.

--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -547,8 +547,11 @@
       };
       try {
         while (!from.broken && !from.ended && !response.done() && at == discovery_) {
-          if (loop_.now() - heardAt > patience) break;
-          if (!asked && loop_.now() - begunAt > start_.told.connectLimit) {
+          // Guards against a router that stood still and gives up what is there by then: an answer to a call is
+          // looked at first. A watch is not, as what it reads late may have come before it fell silent.
+          const bool there = !watch && from.stream.canRead;
+          if (loop_.now() - heardAt > patience && !there && (asked || !from.stream.canWrite)) break;
+          if (!asked && !from.stream.canWrite && loop_.now() - begunAt > start_.told.connectLimit) {
             why = "does not come up";
             break;
           }
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
 void say(const std::string& text) { std::cout << "-- " << text << "\n"; }
 
 std::string statement(const std::string& key, const std::string& type, int wait = 60000) {
@@ -26,11 +24,6 @@
   return list(1, entry(node.side(), "s-1", state));
 }
 
-// As long as it takes until this time has passed: the clock is the event.
-void until(Clock::time_point at) {
-  while (Clock::now() < at) pause(1);
-}
-
 // --- Clients that go
 
 // A client is reset while its statement waits in some way; the next one's statement is the first that the node
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -81,6 +81,11 @@
     close();
   }
   bool wasReset() const { return reset_; }
+  // The other side has ended its sending, or all.
+  bool hasEnded() const {
+    pollfd at{descriptor_.number(), POLLRDHUP, 0};
+    return poll(&at, 1, 0) > 0 && (at.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
   bool readMore() {
     char bytes[700];
     for (;;) {
--- a/tests/program.h
+++ b/tests/program.h
@@ -24,6 +24,13 @@
 // Nothing here takes so long: who waits longer says so, and the trace differs.
 inline constexpr auto kLongest = std::chrono::seconds(30);
 
+using Clock = std::chrono::steady_clock;
+
+// As long as it takes until this time has passed: the clock is the event.
+inline void until(Clock::time_point at) {
+  while (Clock::now() < at) pause(1);
+}
+
 class Program {
  public:
   // `connectMs`: what is not up by then does not come up.
--- a/tests/watches.cpp
+++ b/tests/watches.cpp
@@ -133,6 +133,32 @@
   tellBoth(router, first, second, "a whole list without the primary");
 }
 
+// The answer to a call for the list is there when a router that stood still goes on, longer after the call than it
+// would have waited. A call that it had given up before it was halted is passed over.
+void stoodStill() {
+  Node first, second;
+  Lists discovery(both(9, first, second, "up"));
+  Events events;
+  std::optional<Program> router;
+  const std::string answer = http(both(5, first, second, "draining"));
+  for (int i = 0; i < 12; ++i)
+    discovery.nextList([&](Peer& peer) {
+      if (!events.has("started")) return void(peer.readMore());
+      router->halt();
+      const bool waits = !peer.hasEnded();
+      if (waits) {
+        peer.send(answer);
+        until(Clock::now() + std::chrono::milliseconds(800));
+      }
+      router->go();
+      if (waits) peer.readMore();
+    });
+  router.emplace(discovery.port(), both(1, first, second, "up"));
+  events.happen("started");
+  router->says("list version");
+  tellBoth(*router, first, second, "by the first answer that was there");
+}
+
 // SIGHUP moves discovery; what the old place still sends is there in the same turn, before or after.
 void movedLate() {
   for (const bool oldFirst : {true, false}) {
@@ -302,6 +328,7 @@
                                                 {"failing", failing},
                                                 {"no-length", noLength},
                                                 {"left-out", leftOut},
+                                                {"stood-still", stoodStill},
                                                 {"moved-late", movedLate},
                                                 {"drain-connecting", drainWhileConnecting},
                                                 {"drain-turn", drainInTheTurn},
