Thirty routers that start together and a crowd of closing connections are tried

Cause: the two that docs/crossings.md told as forced by no test. Change: watches.start-together, thirty processes let go by one event with an old list and one discovery; crossings.closing-crowd, a hundred connections that never close their side where about 32 descriptors are left for them, the time they have sixty times what the case takes.

--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -373,6 +373,26 @@
   std::cout << "ended: " << router.said("ended") << "\n";
 }
 
+// More are being closed than there are places for, none of which closes its side, and their time has not come: the
+// first of them go, and each new client is still told why, and one is served.
+void closingCrowd() {
+  Node node;
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node), 60000, 64);
+  std::vector<Peer> rest;
+  int told = 0;
+  for (int i = 0; i < 100; ++i) {
+    rest.push_back(Peer::to(router.port()));
+    rest.back().send(pg::startup("worker", "catalog") + pg::message('x', "nonsense"));
+    rest.back().answer();
+    told += rest.back().answer() == "E(08P01) end";
+  }
+  std::cout << told << " were told why\n";
+  Peer stays = router.client();
+  stays.send(statement("next", "read"));
+  std::cout << stays.answer() << "the node saw " << node.saw() << "\n";
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -393,6 +413,7 @@
                                                 {"floods", floods},
                                                 {"no-descriptors", noDescriptors},
                                                 {"closing-for-good", closingForGood},
+                                                {"closing-crowd", closingCrowd},
                                                 {"signalled", signalled},
                                                 {"stray", stray}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
--- a/tests/watches.cpp
+++ b/tests/watches.cpp
@@ -317,6 +317,32 @@
   std::cout << client.answer() << client.answer() << "\n";
 }
 
+// Thirty start in one moment, by a list that is old: each takes clients, serves by the new one and ends in order.
+void startTogether() {
+  Node first, second;
+  Lists discovery(both(5, first, second, "draining"));
+  std::atomic<int> ready = 0, served = 0, ended = 0;
+  Events events;
+  std::vector<std::jthread> all;
+  for (int i = 0; i < 30; ++i)
+    all.emplace_back([&, i] {
+      events.await("start");
+      Program router(discovery.port(), both(1, first, second, "up"));
+      Peer client = router.client();
+      client.send(query(""));
+      ready += client.answer() == "I Z ";
+      router.says("list version 5");
+      client.send(write("k" + std::to_string(i)));
+      served += client.answer().starts_with("T D");
+      ended += router.end() == 0;
+    });
+  events.happen("start");
+  all.clear();
+  const auto saw = second.saw();
+  std::cout << ready << " ready, " << served << " served, " << ended << " ended with code 0; first saw "
+            << first.saw() << ", second " << 1 + std::count(saw.begin(), saw.end(), ' ') << "\n";
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -335,7 +361,8 @@
                                                 {"drain-retry", drainAtRetry},
                                                 {"drain-release", drainAtRelease},
                                                 {"crowded", crowdedDiscovery},
-                                                {"starts-alone", startsAlone}};
+                                                {"starts-alone", startsAlone},
+                                                {"start-together", startTogether}};
   const auto found = count == 2 ? cases.find(words[1]) : cases.end();
   if (found == cases.end()) return 2;
   found->second();
