Tests lay out events on several connections by what has arrived, not by what was sent

Checked: both came in one turn of the loop, which takes them in the order in which the system has them; a busy system hands over loopback's packets later than the call that sends them returns. So the order was not forced; the program was right by the order it saw. Change: an end or a reset returns once the other side's end is not open any more, and what greets or tells returns once it is acknowledged.

--- a/tests/lists.h
+++ b/tests/lists.h
@@ -33,6 +33,7 @@
       chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
       watch_->send(chunk.str());
     }
+    watch_->arrives();
   }
   void resetWatch() {
     const std::lock_guard lock(mutex_);
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -3,12 +3,16 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -52,6 +56,8 @@
   Descriptor held_;
 };
 
+inline void pause(int millis) { std::this_thread::sleep_for(std::chrono::milliseconds(millis)); }
+
 // One end of a connection, which waits for what it reads; an end of the other side reads as nothing.
 class Peer {
  public:
@@ -72,9 +78,23 @@
       if (done.how == loop::Io::wouldBlock) wait(POLLOUT);
     }
   }
-  void sendsNoMore() { shutdown(descriptor_.number(), SHUT_WR); }
+  // What it does has reached the other side's system when these return: what is laid out on another connection
+  // after it comes after it, also where the system's own threads lag behind.
+  void arrives() const {
+    int left = 1;
+    for (int tries = 0; tries < 10000 && ioctl(descriptor_.number(), SIOCOUTQ, &left) == 0 && left > 0; ++tries)
+      pause(1);
+  }
+  void sendsNoMore() {
+    shutdown(descriptor_.number(), SHUT_WR);
+    awaitEnd(ends());
+  }
   // Ends it in order, or so that the other side sees a reset.
-  void close() { descriptor_ = Descriptor(); }
+  void close() {
+    const auto both = ends();
+    descriptor_ = Descriptor();
+    awaitEnd(both);
+  }
   void reset() {
     const linger at{1, 0};
     setsockopt(descriptor_.number(), SOL_SOCKET, SO_LINGER, &at, sizeof at);
@@ -138,6 +158,30 @@
   }
 
  private:
+  // Own port and the other side's, as the system's table of connections has them.
+  std::string ends() const {
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    char text[64] = "";
+    const auto port = [&](auto get) {
+      at = {};
+      size = sizeof at;
+      get(descriptor_.number(), reinterpret_cast<sockaddr*>(&at), &size);
+      return static_cast<unsigned>(ntohs(at.sin_port));
+    };
+    const unsigned own = port(getsockname), other = port(getpeername);
+    if (own != 0 && other != 0) std::snprintf(text, sizeof text, "0100007F:%04X 0100007F:%04X 01", other, own);
+    return text;
+  }
+  // The other side's end is open (01) no more.
+  static void awaitEnd(const std::string& both) {
+    for (int tries = 0; tries < 10000 && !both.empty(); ++tries) {
+      std::ifstream table("/proc/net/tcp");
+      const std::string all(std::istreambuf_iterator<char>(table), {});
+      if (all.find(both) == std::string::npos) return;
+      pause(1);
+    }
+  }
   bool wait(short what) {
     pollfd ready{descriptor_.number(), what, 0};
     return poll(&ready, 1, 10000) > 0;  // far more than anything here takes
@@ -179,7 +223,6 @@
          pg::readyForQuery();
 }
 
-inline void pause(int millis) { std::this_thread::sleep_for(std::chrono::milliseconds(millis)); }
 
 inline std::string entry(const Side& at, const std::string& id, const std::string& state) {
   return R"({"id":")" + id + R"(","addr":"127.0.0.1:)" + std::to_string(at.port()) +
--- a/tests/program.h
+++ b/tests/program.h
@@ -218,7 +218,7 @@
   void sendAll(std::string_view bytes) {
     const std::lock_guard lock(mutex_);
     for (Peer* peer : peers_)
-      if (peer) bytes.empty() ? peer->sendsNoMore() : peer->send(bytes);
+      if (peer) bytes.empty() ? peer->sendsNoMore() : (peer->send(bytes), peer->arrives());
   }
 
  private:
@@ -233,6 +233,7 @@
     events.happen("connection");
     if (number >= greeted_) events.await("greet");
     peer.send(pg::welcome());
+    peer.arrives();
     events.happen("greeted");
     while (answer(peer)) {}
     const std::lock_guard lock(mutex_);
