A session sees its writes also where their answer was lost or their client had left

Lines at fault: Router::ended returned for a txn whose client had left before it noted the commit; targetOf looked only at answered writes. Change: the commit is noted for the session that the attempt carries; a write that got no answer counts as committed when it ended; while one is out, its session's reads must see all up to their arrival. Only where reads carry no age: elsewhere the age says it. Trace lost-answers: without the change a read goes to a replica behind in the three cases.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -34,6 +34,7 @@
   std::size_t type;
   Instant sentAt;
   Instant target;  // the position its answer needs; never: any
+  std::optional<SessionId> session;
 };
 
 struct Member {
@@ -385,7 +386,7 @@
   void submit(Live& txn, Member& m) {
     if (!well(m)) m.triedAt = now;
     if (warmth(m) < 1) m.coldUntil = now + coldGap(m, txn.txn.type);
-    m.outs.push_back({txn.txn.id, txn.attempts++, txn.txn.type, now, targetNow(txn)});
+    m.outs.push_back({txn.txn.id, txn.attempts++, txn.txn.type, now, targetNow(txn), txn.txn.session});
     ++txn.out;
     txn.lastSentAt = now;
     txn.tried.push_back(&m);
@@ -620,10 +621,22 @@
     std::erase_if(kinds, [&](auto& kind) { return !used.contains(kind.first); });
   }
 
-  Instant targetOf(const Txn& txn) const {
+  // Whether a write of its session is out: it may have been committed, and its answer be lost on the way. Guards
+  // the session against not seeing it; may hurt those that read beside a write, which wait or go to the primary.
+  bool writes(const Txn& txn) {
+    const auto& all = groupOf(txn.group).members;
+    return txn.session && std::any_of(all.begin(), all.end(), [&](const Member* m) {
+      return std::any_of(m->outs.begin(), m->outs.end(), [&](const Out& out) {
+        return out.session == txn.session && terms.types[out.type].level == ReadLevel::write;
+      });
+    });
+  }
+
+  Instant targetOf(const Txn& txn) {
     const auto found = txn.session ? commits.find(*txn.session) : commits.end();
     const Instant own = found != commits.end() ? found->second : Instant();
-    if (!terms.sessionAgeCarried || !txn.writeAge) return std::max(own, commitFloor);
+    if (!terms.sessionAgeCarried || !txn.writeAge)
+      return writes(txn) ? now : std::max(own, commitFloor);
     if (*txn.writeAge == Span()) return Instant();
     // The position our own write returned, if that was the session's last one; else what the age says.
     const Instant carried = now - *txn.writeAge + Span::millis(1);
@@ -790,11 +803,14 @@
   if (failed) m.failedAt = s.now;
   if (committed || (failed && !s.stalled)) keepLast(m.successes, committed, 8);
   if (how == End::error) s.erred(m, txn);
+  const bool lost = unanswered || how == End::connectionLost;
+  // Also where its client has left: the session reads on. What got no answer may have been committed until now.
+  if (out.session && type.level == ReadLevel::write && (committed || lost))
+    s.remember(*out.session, committed ? answer.position.value_or(s.now) : s.now);
   if (!txn) return;
   txn->out -= txn->out > 0;
-  const bool ran = unanswered || how == End::error || how == End::connectionLost;
+  const bool ran = lost || how == End::error;
   if (ran && txn->mayHaveRunAt == Instant()) txn->mayHaveRunAt = out.sentAt;
-  if (commit && txn->txn.session) s.remember(*txn->txn.session, answer.position.value_or(s.now));
   if (committed && txn->erredAt && txn->erredAt != &m) {
     keepLast(s.secondLuck, true, 8);
     keepLast(txn->erredAt->successes, false, 8);
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -55,6 +55,40 @@
   b.at(10, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, -100)); });
 }
 
+// Where reads carry no age a session's writes are remembered here, whatever became of their answer.
+void lostAnswers() {
+  auto terms = usualTerms({kSession, kWrite});
+  terms.sessionAgeCarried = false;
+  for (const std::string what : {"its client has left", "it is out", "its connection is lost", "it was never sent"}) {
+    Bench b(terms);
+    start(b);
+    b.quietProbes = true;
+    b.say("a write at 10, and " + what + "; the replicas have all up to 30 once the session reads, at 40");
+    b.at(10, [&](Router& r) {
+      auto write = b.txn(1, 1);
+      write.session = 9;
+      r.taken(write);
+    });
+    b.at(25, [&](Router& r) {
+      r.probed("a", End::committed, b.standing(Role::replica, 30));
+      r.probed("b", End::committed, b.standing(Role::replica, 30));
+    });
+    const bool left = what == "its client has left", unsent = what == "it was never sent";
+    if (left || unsent) b.at(30, [&](Router& r) { r.clientLeft(1); });
+    if (what != "it is out")
+      b.at(35, [&](Router& r) {
+        r.ended(1, 0, "p", left ? End::committed : unsent ? End::notSent : End::connectionLost, left, ms(20),
+                {Role::primary, left ? std::optional(b.instant(33)) : std::nullopt}, {});
+      });
+    b.at(40, [&](Router& r) {
+      auto read = b.txn(2);
+      read.session = 9;
+      r.taken(read);
+    });
+    b.at(60, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, 50)); });
+  }
+}
+
 void onceOnly() {
   Bench b(usualTerms({kWrite}));
   start(b);
@@ -725,7 +759,7 @@
 
 // clang-format off
 const std::map<std::string, void (*)()> kCases{
-    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly},
+    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly}, {"lost-answers", lostAnswers},
     {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
     {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"late-clock", lateClock}, {"keeps-asking", keepsAsking}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"dead-work", deadWork},
     {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
