Routers that ask one discovery spread their calls, by a decision module of its own

Ruled out: the watch (none was open), drains known late (none was known). At fault: followList called for the whole list again 0.25 s after each failure, at every router alike; refused calls are work, so the service stayed refused: a metastable failure. Change: src/calls decides what comes first, how long an answer is waited for and the pause. Where the list is asked for: a watch from the list that is known, each pause doubled up to 2 s and drawn by chance, the whole list only for what can't be used. Where it is pushed all is as it was, but the two times that kept a drain's grace of a second in mind follow from the grace where it is shorter.

--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -4,6 +4,7 @@
 
 #include <system_error>
 
+#include "calls/calls.h"
 #include "http/response.h"
 #include "json/json.h"
 #include "loop/sockets.h"
@@ -63,15 +64,6 @@
 // What a client sends ahead of an answer: some short statements, or the begin of a long one.
 constexpr std::size_t kMostAhead = 16 * 1024;
 
-// Discovery sends an empty line every 2 s while nothing changes: after two that did not come it is silent.
-constexpr Span kListSilence = Span::millis(5000);
-// A call for the whole list is answered at once: what has it stands on this machine. While that is down calls
-// are never answered, also not once it is back, which is when its drains begin to count: with the pause below
-// the next call comes well within their second. Hurts where discovery takes longer than this for a first
-// byte.
-constexpr Span kListAnswer = Span::millis(400);
-// Between two tries to reach discovery: a list that is so much older costs little, and no storm comes up.
-constexpr Span kListPause = Span::millis(250);
 // A list of a thousand nodes is a fifth of this.
 constexpr std::size_t kLongestList = 1024 * 1024;
 
@@ -509,18 +501,19 @@
 // has moved, the whole list there comes next, without one: what the old place still sends may be old.
 loop::Task Server::followList() {
   std::string lastWhy;  // a call that fails as the one before did is not logged again
-  for (bool watch = false;;) {
+  calls::ListCalls calls(start_.told.terms.listMustBeAsked, start_.told.drainGrace, start_.seed);
+  for (bool watch = calls.watchesAtOnce() && !start_.known.nodes.empty();;) {
     const startup::Address at = discovery_;
     const std::string host = at.host + ":" + std::to_string(at.port);
     std::string why = "is silent";
+    bool spoilt = false;  // what it told can't be used: the whole list is needed
     if (loop::Descriptor descriptor = loop::startConnecting(at.host, at.port)) {
       Connection from(loop_, std::move(descriptor));
       toDiscovery_ = &from.stream;
       http::Response response;
       json::Parser parser;
       std::size_t begun = 0;  // bytes of what the parser has begun
-      bool asked = false;
-      const Span patience = watch ? kListSilence : kListAnswer;
+      bool asked = false, heard = false;
       const Instant begunAt = loop_.now();
       Instant heardAt = begunAt;
       // Lists may be cut and indented in any way: what ends one is its last bracket. The answer to a call for
@@ -543,12 +536,14 @@
           if (!watch || !parser.done()) continue;
           begun = 0;
           takeList(parser.take(), true);
+          lastWhy.clear();
         }
       };
       try {
         while (!from.broken && !from.ended && !response.done() && at == discovery_) {
           // Guards against a router that stood still and gives up what is there by then: an answer to a call is
           // looked at first. A watch is not, as what it reads late may have come before it fell silent.
+          const Span patience = calls.silence(watch, heard);
           const bool there = !watch && from.stream.canRead;
           if (loop_.now() - heardAt > patience && !there && (asked || !from.stream.canWrite)) break;
           if (!asked && !from.stream.canWrite && loop_.now() - begunAt > start_.told.connectLimit) {
@@ -564,10 +559,12 @@
           if (asked && from.stream.canRead)
             read(from, [&](std::string_view bytes) {
               heardAt = loop_.now();
+              heard = true;
               gateway_.listHeard(heardAt);
               const auto used = response.feed(bytes, body);
               if (response.status() != 0 && response.status() != 200)
                 throw http::Malformed("status " + std::to_string(response.status()));
+              if (response.status() == 200) calls.answered();
               return used;
             });
           if (from.stream.canRead && !from.ended && !from.broken) from.stream.wake();
@@ -585,7 +582,10 @@
         } else if (from.broken || from.ended || response.done()) {
           why = "has ended";
         }
-      } catch (const std::runtime_error& bad) { why = bad.what(); }
+      } catch (const std::runtime_error& bad) {
+        why = bad.what();
+        spoilt = response.status() == 200;
+      }
       toDiscovery_ = nullptr;
     } else {
       why = "can't be reached: no descriptor is left";
@@ -596,8 +596,8 @@
     if (why != lastWhy) spdlog::warn("discovery at {}: the {}", host, why);
     lastWhy = why;
     gateway_.listFailed(loop_.now());
-    watch = false;
-    co_await loop_.sleepUntil(loop_.now() + kListPause);
+    watch = watch && !spoilt && calls.watchesAtOnce();
+    co_await loop_.sleepUntil(loop_.now() + calls.pause());
   }
 }
 
--- a/tests/program.h
+++ b/tests/program.h
@@ -35,9 +35,10 @@
  public:
   // `connectMs`: what is not up by then does not come up.
   // `early`: a signal that comes while it reads its configuration, ahead of all else; 0: none does.
+  // `more`: settings beside the usual ones.
   Program(unsigned short discovery, const std::string& known, int connectMs = 250, int descriptors = 256,
-          int early = 0)
-      : connectMs_(connectMs), descriptors_(descriptors), file_("crossings-" + std::to_string(getpid()) + "-" + std::to_string(port_.number()) + ".json") {
+          int early = 0, std::string more = "")
+      : connectMs_(connectMs), descriptors_(descriptors), more_(std::move(more)), file_("crossings-" + std::to_string(getpid()) + "-" + std::to_string(port_.number()) + ".json") {
     if (early != 0) mkfifo(file_.c_str(), 0600);
     if (early == 0) configure(discovery, known);
     const std::string variable = "BALANCER_CONFIG=" + file_;
@@ -80,7 +81,7 @@
     std::ofstream(file_)
         << R"({"name":"n","listen":"127.0.0.1:)" << port_.number() << R"(","discovery":"127.0.0.1:)" << discovery
         << R"(","seed":"7","limits":{"memory_mb":64,"sockets":)" << descriptors_ << R"(},"known":)" << known
-        << R"(,"settings":{"zone":"a","round":5000,"limits":{"probes":true,"cancel":true,"maxAttempts":3,)"
+        << R"(,"settings":{)" << more_ << R"("zone":"a","round":5000,"limits":{"probes":true,"cancel":true,"maxAttempts":3,)"
         << R"("connectTimeout":)" << connectMs_ << R"(000},"lanes":[)"
         << R"({"name":"read","effect":"idempotent","objective":30000000,"deadline":60000000},)"
         << R"({"name":"write","effect":"at_most_once","objective":30000000,"deadline":60000000},)"
@@ -153,6 +154,7 @@
  private:
   Port port_;
   int connectMs_, descriptors_;
+  std::string more_;
   std::string file_;
   pid_t child_ = 0;
   Descriptor log_;
--- a/tests/watches.cpp
+++ b/tests/watches.cpp
@@ -159,6 +159,28 @@
   tellBoth(*router, first, second, "by the first answer that was there");
 }
 
+// Where the list has to be asked for: a watch from what is known comes first, and again after refusals; only what
+// can't be used costs a call for the whole list.
+void askedFor() {
+  Node first, second;
+  Lists discovery(both(9, first, second, "up"));
+  const auto refuse = [](Peer& peer) { peer.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); };
+  discovery.nextWatch(refuse);
+  discovery.nextWatch(refuse);
+  Program router(discovery.port(), both(1, first, second, "up"), 250, 256, 0, R"("discovery":"on_request",)");
+  discovery.events.await("watch", 3);
+  discovery.tell(both(2, first, second, "draining", false) + "\n");
+  router.says("list version 2");
+  tellBoth(router, first, second, "refused twice, then told");
+  discovery.resetWatch();
+  discovery.events.await("watch", 4);
+  std::cout << "calls for the whole list after a reset: " << discovery.calls() << "\n";
+  discovery.tell("no list\n");
+  router.says("list version 9");
+  std::cout << "and after a change that can't be read: " << discovery.calls() << "\n";
+  tellBoth(router, first, second, "by that list");
+}
+
 // SIGHUP moves discovery; what the old place still sends is there in the same turn, before or after.
 void movedLate() {
   for (const bool oldFirst : {true, false}) {
@@ -355,6 +377,7 @@
                                                 {"no-length", noLength},
                                                 {"left-out", leftOut},
                                                 {"stood-still", stoodStill},
+                                                {"asked-for", askedFor},
                                                 {"moved-late", movedLate},
                                                 {"drain-connecting", drainWhileConnecting},
                                                 {"drain-turn", drainInTheTurn},
