A session's own write is its last only where the carried age leaves no other

At fault: targetOf took the own commit where it was within a round of what the age says. Ruled out: the replica's word (14.690 and 14.692, both true), a commit rounded down (it is rounded up). Change: the own commit counts where it is as late as any write that the age allows; else the age's. This holds at every deployment whose reads carry an age, on sockets too, where a round is 1 ms. It had been taken for granted that no two writes of a session are so close. Trace other-write: the old code sends to the replica that lacks the write.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -638,9 +638,10 @@
     if (!terms.sessionAgeCarried || !txn.writeAge)
       return writes(txn) ? now : std::max(own, commitFloor);
     if (*txn.writeAge == Span()) return Instant();
-    // The position our own write returned, if that was the session's last one; else what the age says.
-    const Instant carried = now - *txn.writeAge + Span::millis(1);
-    return own + terms.roundLength >= carried ? std::min(own, carried) : carried;
+    // The position our own write returned, if that was the session's last one; else what the age says. A write
+    // that another router took may have come within a round after our own: the age alone can tell.
+    const Instant latest = now - *txn.writeAge;
+    return own >= latest ? std::min(own, latest + Span::millis(1)) : latest + Span::millis(1);
   }
 };
 
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -55,6 +55,27 @@
   b.at(10, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, -100)); });
 }
 
+// A session wrote here and, a few ms later, at another router: the age says so, the own write does not.
+void otherWrite() {
+  Bench b(usualTerms({kSession, kWrite}));
+  start(b);
+  b.quietProbes = true;
+  b.say("our write was committed at 20, the session's last one at 23; a has all up to 21, b more once it is 45");
+  b.at(10, [&](Router& r) {
+    auto write = b.txn(1, 1);
+    write.session = 9;
+    r.taken(write);
+  });
+  b.at(25, [&](Router& r) {
+    r.ended(1, 0, "p", End::committed, true, ms(10), {Role::primary, b.instant(20)}, {});
+    r.probed("a", End::committed, b.standing(Role::replica, 21));
+  });
+  b.at(30, [&](Router& r) { r.taken(b.sessionRead(2, 0, 7)); });
+  b.at(45, [&](Router& r) { r.probed("b", End::committed, b.standing(Role::replica, 40)); });
+  b.say("the age says that ours was the last: a may answer");
+  b.at(50, [&](Router& r) { r.taken(b.sessionRead(3, 0, 30)); });
+}
+
 // Where reads carry no age a session's writes are remembered here, whatever became of their answer.
 void lostAnswers() {
   auto terms = usualTerms({kSession, kWrite});
@@ -759,7 +780,7 @@
 
 // clang-format off
 const std::map<std::string, void (*)()> kCases{
-    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly}, {"lost-answers", lostAnswers},
+    {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly}, {"lost-answers", lostAnswers}, {"other-write", otherWrite},
     {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
     {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"late-clock", lateClock}, {"keeps-asking", keepsAsking}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"dead-work", deadWork},
     {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
