--- a/benchmarks/fronts.cpp
+++ b/benchmarks/fronts.cpp
@@ -96,7 +96,7 @@
   double rate = 0;  // a second; 0: as fast as they are answered
   bool on = true;
   Instant begunAt;
-  std::uint64_t due = 0, answered = 0, declined = 0;
+  std::uint64_t due = 0, answered = 0, refused = 0;
   std::vector<double> latencies;                      // ms, from when it was due
   std::deque<std::function<void(Instant due)>> free;  // whoever can ask
   Instant dueAt(std::uint64_t n) const { return begunAt + Span::seconds(static_cast<double>(n) / rate); }
@@ -117,7 +117,7 @@
   }
   void done(Instant at, bool committed) {
     ++answered;
-    declined += !committed;
+    refused += !committed;
     latencies.push_back((loop.now() - at).inSeconds() * 1000);
   }
   double percentile(double part) {
@@ -315,7 +315,7 @@
 }
 
 struct Result {
-  double rate, cpuMicros, p50, p99, p999, declined, memory;
+  double rate, cpuMicros, p50, p99, p999, refused, memory;
 };
 
 Result measure(const char* path, int core, bool throughProxy, std::size_t atATime, double rate,
@@ -351,7 +351,7 @@
     }
     co_await loop.sleepUntil(loop.now() + ms(1000));  // places and latencies settle
     const double cpu = program.cpuSeconds();
-    const std::uint64_t before = load.answered, declined = load.declined;
+    const std::uint64_t before = load.answered, refused = load.refused;
     load.latencies.clear();
     const Instant from = loop.now();
     co_await loop.sleepUntil(from + Span::seconds(seconds));
@@ -361,7 +361,7 @@
               load.percentile(0.5),
               load.percentile(0.99),
               load.percentile(0.999),
-              static_cast<double>(load.declined - declined) / std::max(1.0, done),
+              static_cast<double>(load.refused - refused) / std::max(1.0, done),
               program.memoryMb()};
     load.on = false;
     loop.stop();
@@ -392,7 +392,7 @@
   sched_getaffinity(0, sizeof others, &others);
   CPU_CLR(static_cast<std::size_t>(core), &others);
   sched_setaffinity(0, sizeof others, &others);
-  std::cout << "front      at a time  asked/s  answered/s  CPU us  p50 ms  p99 ms  p99.9 ms  declined  MB\n";
+  std::cout << "front      at a time  asked/s  answered/s  CPU us  p50 ms  p99 ms  p99.9 ms  refused  MB\n";
   for (const std::size_t atATime : {1, 100, 1000}) {
     for (const double part : {0.0, 0.5}) {
       static double full[2];
@@ -404,7 +404,7 @@
         std::snprintf(line, sizeof line, "%-10s %9zu %8s %11.0f %7.1f %7.2f %7.2f %9.2f %8.3f %5.1f\n",
                       proxy ? "processor" : "postgresql", atATime,
                       part == 0 ? "full" : std::to_string(static_cast<int>(rate)).c_str(), r.rate,
-                      r.cpuMicros, r.p50, r.p99, r.p999, r.declined, r.memory);
+                      r.cpuMicros, r.p50, r.p99, r.p999, r.refused, r.memory);
         std::cout << line << std::flush;
       }
     }
--- a/src/claims/claimant.cpp
+++ b/src/claims/claimant.cpp
@@ -16,7 +16,7 @@
 
 Claimant::Claimant(ClaimantBounds bounds, std::uint64_t seed) : bounds_(bounds), chance_(seed) {}
 
-// Spread out, so that those that are declined in the same moment don't come back in another one.
+// Spread out, so that those that are refused in the same moment don't come back in another one.
 Span Claimant::comeBack() {
   return bounds_.comeBack * std::uniform_real_distribution<double>(0.5, 1.5)(chance_);
 }
@@ -38,14 +38,14 @@
 
 void Claimant::begin(Instant now, TxnKey txn, const std::string& id, Span patience) {
   ++counts_.asked;
-  const auto declined = [&](std::string_view why) {
-    ++counts_.declined;
-    decisions_.push_back({Decision::What::decline, txn, "", comeBack(), why});
+  const auto refused = [&](std::string_view why) {
+    ++counts_.refused;
+    decisions_.push_back({Decision::What::refuse, txn, "", comeBack(), why});
   };
-  if (id.empty()) return declined("it has no id");
-  if (patience > bounds_.retention * kShareOfRetention) return declined("its time is too long for retention");
-  if (claims_.size() >= bounds_.most) return declined("too many claims are open");
-  if (reachable_.size() < majorityOf(bounds_.keepers)) return declined("too few keepers can be reached");
+  if (id.empty()) return refused("it has no id");
+  if (patience > bounds_.retention * kShareOfRetention) return refused("its time is too long for retention");
+  if (claims_.size() >= bounds_.most) return refused("too many claims are open");
+  if (reachable_.size() < majorityOf(bounds_.keepers)) return refused("too few keepers can be reached");
   const ClaimNumber number = ++last_;
   Claim& claim = claims_[number];
   claim.txn = txn;
@@ -89,7 +89,7 @@
   if (!late && open > 0 && (claim.yours.size() + open >= wanted || !claim.taken.empty())) return;
   if (!claim.taken.empty())
     return decide(number, Decision::What::rollBack, "", "another claim has its votes");
-  decide(number, Decision::What::decline, "", late ? "votes came too late" : "too few keepers vote");
+  decide(number, Decision::What::refuse, "", late ? "votes came too late" : "too few keepers vote");
 }
 
 void Claimant::decide(ClaimNumber number, Decision::What what, std::string value, std::string_view why) {
@@ -107,8 +107,8 @@
     case Decision::What::rollBack:
       ++counts_.rolledBack;
       break;
-    case Decision::What::decline:
-      ++counts_.declined;
+    case Decision::What::refuse:
+      ++counts_.refused;
       made.comeBack = comeBack();
   }
   decisions_.push_back(std::move(made));
--- a/src/claims/claimant.h
+++ b/src/claims/claimant.h
@@ -6,14 +6,14 @@
 //                                                 committed: a keeper knows that another claim was
 //                                                 rolled back: another claim has a vote, and more than half
 //                                                   can't be had any more, or not within its time
-//                                                 declined: likewise, and no other claim was seen; or too few
+//                                                 refused: likewise, and no other claim was seen; or too few
 //                                                   keepers can be reached to begin with
 //   admitted  it may be sent, and is told as      over: committed, never ran (its votes are given back), or
 //             ended when its txn is               unknown (they are kept)
 //
 // What ends without being admitted gives back the votes that it may have got: it was never sent. Nothing that
 // one keeper or a minority says, or keeps silent about, lets a txn run. A keeper that tells falsely can make
-// txns be declined, rolled back or answered as committed; it takes more than half of them to run one twice.
+// txns be refused, rolled back or answered as committed; it takes more than half of them to run one twice.
 #pragma once
 
 #include <map>
@@ -38,7 +38,7 @@
   Span retention;                         // the keepers' own
   std::size_t most = 65536;               // claims open at a time, admitted ones included
   Span longestWait = Span::millis(1000);  // for votes
-  Span comeBack = Span::millis(250);      // what declined txns are told, give or take half of it
+  Span comeBack = Span::millis(250);      // what refused txns are told, give or take half of it
 };
 
 class Claimant {
@@ -46,10 +46,10 @@
   Claimant(ClaimantBounds bounds, std::uint64_t seed);
 
   struct Decision {
-    enum class What { admit, committed, rollBack, decline } what = What::decline;
+    enum class What { admit, committed, rollBack, refuse } what = What::refuse;
     TxnKey txn = 0;
     std::string value;  // committed: empty where it is not known
-    Span comeBack;      // declined
+    Span comeBack;      // refused
     std::string_view why;
   };
   // What is to be said to a keeper, in this order.
@@ -80,7 +80,7 @@
   std::size_t open() const { return claims_.size(); }
   std::size_t reachable() const { return reachable_.size(); }
   struct Counts {
-    std::uint64_t asked = 0, admitted = 0, committed = 0, rolledBack = 0, declined = 0;
+    std::uint64_t asked = 0, admitted = 0, committed = 0, rolledBack = 0, refused = 0;
   };
   const Counts& counts() const { return counts_; }
 
--- a/src/claims/keeper.h
+++ b/src/claims/keeper.h
@@ -23,7 +23,7 @@
 //
 // Guards against a router whose disk is lost, swapped or restored voting a second time for an id that it no
 // longer knows. Hurts for the time of retention after that: one keeper fewer; and after a loss of more than
-// half of the disks at once all once-only txns are declined for so long. What it can't notice: an old copy of
+// half of the disks at once all once-only txns are refused for so long. What it can't notice: an old copy of
 // the disk put back, while those that were told of its newest start are all among the few that it does not
 // hear (of three keepers, one of the two others was away during all of that start; it takes two of four, of
 // five); and a copy that was made during the newest start itself. Operators are told to remove a disk's file,
--- a/src/core/door.h
+++ b/src/core/door.h
@@ -11,7 +11,7 @@
 class Door {
  public:
   virtual ~Door() = default;
-  // None: it is let in. Else it is declined at once; its client may retry after this.
+  // None: it is let in. Else it is refused at once; its client may retry after this.
   virtual std::optional<Span> rejects(GroupId group, std::size_t type) = 0;
   // One that was let in has its final answer, or its client left; told once for each. `sent`: on to a node,
   // at least once; `share`: of its latency target that it took.
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -86,7 +86,7 @@
   return live && std::exchange(live->waiting, std::nullopt).has_value();
 }
 
-void Ledger::refuseCommitted(TxnId txn, const Value& value) {
+void Ledger::answerCommitted(TxnId txn, const Value& value) {
   const bool empty = std::all_of(value.begin(), value.end(), [](auto part) { return part.empty(); });
   if (!stopWaiting(txn)) return;
   finish(txn, [&](Front& f, OwnerId owner) {
@@ -94,11 +94,11 @@
   });
 }
 
-void Ledger::refuseDeclined(TxnId txn, Span retryAfter) {
-  if (stopWaiting(txn)) finish(txn, [&](Front& f, OwnerId owner) { f.declined(owner, retryAfter, 0); });
+void Ledger::answerRefused(TxnId txn, Span retryAfter) {
+  if (stopWaiting(txn)) finish(txn, [&](Front& f, OwnerId owner) { f.refused(owner, retryAfter, 0); });
 }
 
-void Ledger::refuseRolledBack(TxnId txn) {
+void Ledger::answerRolledBack(TxnId txn) {
   if (stopWaiting(txn)) finish(txn, [&](Front& f, OwnerId owner) { f.rolledBack(owner); });
 }
 
@@ -332,7 +332,7 @@
   constexpr Span kHeldUp = Span::millis(50);
   if (levels_ && wakeAt_ != Instant() && now_ - wakeAt_ > kHeldUp) levels_->stoodStill(now_);
   for (const auto& [txn, after] : std::exchange(rejected_, {}))
-    finish(txn, [after = after](Front& front, OwnerId owner) { front.declined(owner, after, 0); });
+    finish(txn, [after = after](Front& front, OwnerId owner) { front.refused(owner, after, 0); });
   if (levels_ && (levels_->nextDue() == Instant() || now_ >= levels_->nextDue())) reduce();
   if (!arrivals_.empty() || (wakeAt_ != Instant() && wakeAt_ <= now_)) {
     if (wakeAt_ <= now_) wakeAt_ = Instant();
@@ -354,7 +354,7 @@
   const Job job{txn, static_cast<unsigned>(live->attempts.size())};
   live->attempts.push_back({node, now_, sendBy, cutAt, false});
   // Guards against a decision by a list that has not reached the module: nothing at all may go there. Hurts a
-  // txn that no other node can take: it is decided anew, and may be declined.
+  // txn that no other node can take: it is decided anew, and may be refused.
   if (out_.contains(node)) return ended(job, node, End::notSent);
   live->carrier->carry(job, node);
 }
@@ -365,13 +365,13 @@
   if (out && !out->over) live_.at(txn).carrier->cancel(job, NodeId(out->node));
 }
 
-void Ledger::decline(TxnId txn, Span retryAfter) {
+void Ledger::refuse(TxnId txn, Span retryAfter) {
   unsigned level = 0;
   if (const Live* live = owed(txn); live && levels_) {
     levels_->gaveUp(now_, live->group, live->type, waitedShare(*live));
     if (live->attempts.empty() && live->takenAt == now_) level = levels_->of(live->group).level;
   }
-  finish(txn, [&](Front& front, OwnerId owner) { front.declined(owner, retryAfter, level); });
+  finish(txn, [&](Front& front, OwnerId owner) { front.refused(owner, retryAfter, level); });
   withdrawAll(txn);
 }
 
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -49,7 +49,7 @@
   virtual ~Front() = default;
   virtual void committed(OwnerId owner, const Value& value) = 0;
   // `level`: of reduced service, where that is why it was refused as it came; 0: it is not.
-  virtual void declined(OwnerId owner, Span retryAfter, unsigned level) = 0;
+  virtual void refused(OwnerId owner, Span retryAfter, unsigned level) = 0;
   virtual void rolledBack(OwnerId owner) = 0;
   // Committed means nothing to its clients without the value that a node answered.
   virtual bool needsValue() const { return true; }
@@ -104,11 +104,11 @@
   // --- For the guard, from outside its own calls. A txn that is not waiting for it is passed over.
 
   void admit(TxnId txn);
-  // It may not run, and this is its final answer: committed where that and its value are known, declined
+  // It may not run, and this is its final answer: committed where that and its value are known, refused
   // where trying again is harmless, else rolled back.
-  void refuseCommitted(TxnId txn, const Value& value);
-  void refuseDeclined(TxnId txn, Span retryAfter);
-  void refuseRolledBack(TxnId txn);
+  void answerCommitted(TxnId txn, const Value& value);
+  void answerRefused(TxnId txn, Span retryAfter);
+  void answerRolledBack(TxnId txn);
 
   // --- For fronts
 
@@ -188,7 +188,7 @@
   void deliver(Router& router) override;
   void submit(TxnId txn, const NodeId& node, Instant sendBy, Instant cutAt) override;
   void cancel(TxnId txn, unsigned attempt) override;
-  void decline(TxnId txn, Span retryAfter) override;
+  void refuse(TxnId txn, Span retryAfter) override;
   void rollBack(TxnId txn) override;
   void probe(const NodeId& node) override;
   void wakeAfter(Span after) override;
@@ -232,7 +232,7 @@
   std::map<TxnId, Live> live_;
   std::unordered_set<std::string_view> openIds_;  // of the txns in live_
   std::vector<Arrival> arrivals_;
-  std::vector<std::pair<TxnId, Span>> rejected_;  // by the door, to be declined in this turn
+  std::vector<std::pair<TxnId, Span>> rejected_;  // by the door, to be refused in this turn
   std::size_t heldBytes_ = 0;                     // of the messages in live_
   TxnId lastTxn_ = 0;
 };
--- a/src/experiments/main.cpp
+++ b/src/experiments/main.cpp
@@ -33,11 +33,11 @@
 
 void writeSeconds(const std::string& path, const model::Result& result) {
   std::ofstream file(path);
-  file << "second,served,txns,late,submissions,probes,connections,declined\n";
+  file << "second,served,txns,late,submissions,probes,connections,refused\n";
   for (std::size_t s = 0; s < result.seconds.size(); ++s) {
     const auto& at = result.seconds[s];
     file << s << "," << (at.asked > 0 ? at.earned / at.asked : 0) << "," << at.txns << "," << at.late << ","
-         << at.attempts << "," << at.probes << "," << at.connections << "," << at.declined << "\n";
+         << at.attempts << "," << at.probes << "," << at.connections << "," << at.refused << "\n";
   }
   file.close();
   if (!file) throw std::runtime_error("'" + path + "' can't be written");
--- a/src/fronts/ext_proc/streams.cpp
+++ b/src/fronts/ext_proc/streams.cpp
@@ -21,8 +21,8 @@
   switch (outcome) {
     case Outcome::committed:
       return "committed";
-    case Outcome::declined:
-      return "declined";
+    case Outcome::refused:
+      return "refused";
     case Outcome::rolledBack:
       return "rolled-back";
   }
@@ -140,8 +140,8 @@
   waiting_.erase(key);
   stream.stage = Stage::asking;
   if (verdict.what == Verdict::What::answer) {
-    ++counts_.refused;
-    logBounded("ext_proc.refused", "why=" + quoted(verdict.why) + " id=" + quoted(stream.asked.ask.id));
+    ++counts_.denied;
+    logBounded("ext_proc.denied", "why=" + quoted(verdict.why) + " id=" + quoted(stream.asked.ask.id));
     stream.asked.ask.id.clear();  // the book's entry is another stream's
     return immediate(key, stream, verdict.outcome, {}, verdict.why);
   }
@@ -154,7 +154,7 @@
     } else if (at->second.stage != Stage::answered) {
       letGo(other, at->second);
       at->second.asked.ask.id.clear();
-      immediate(other, at->second, Outcome::declined, {}, "a later try has come");
+      immediate(other, at->second, Outcome::refused, {}, "a later try has come");
     }
   }
   Txn txn = stream.asked.txn;
@@ -214,9 +214,9 @@
 // --- Answers
 
 void Streams::committed(core::OwnerId owner, const core::Value&) { decided(owner, Outcome::committed, {}); }
-void Streams::declined(core::OwnerId owner, Span after, unsigned level) {
+void Streams::refused(core::OwnerId owner, Span after, unsigned level) {
   if (const auto at = streams_.find(owner); at != streams_.end()) at->second.level = level;
-  decided(owner, Outcome::declined, after);
+  decided(owner, Outcome::refused, after);
 }
 void Streams::rolledBack(core::OwnerId owner) { decided(owner, Outcome::rolledBack, {}); }
 
@@ -242,23 +242,23 @@
 
 void Streams::immediate(StreamKey key, Stream& stream, Outcome outcome, Span retryAfter,
                         std::string_view why) {
-  ++(outcome == Outcome::declined ? counts_.declined : counts_.rolledBack);
+  ++(outcome == Outcome::refused ? counts_.refused : counts_.rolledBack);
   owners_.erase(stream.txn);
   stream.stage = Stage::answered;
   setDue(key, stream, {});
   if (!stream.asked.ask.id.empty()) book_.answered(ledger_.now(), stream.asked.ask.id, key, outcome);
   const auto& names = mapping_.names();
   wire::Immediate answer;
-  answer.status = outcome == Outcome::declined ? 503 : 500;
+  answer.status = outcome == Outcome::refused ? 503 : 500;
   answer.headers = {{names.outcome, std::string(nameOf(outcome))}};
-  if (outcome == Outcome::declined && retryAfter > Span()) {
+  if (outcome == Outcome::refused && retryAfter > Span()) {
     // Seconds are all that the standard header has; the exact time stands beside it.
     const auto millis = retryAfter.inMicros() / 1000;
     answer.headers.push_back({"retry-after", std::to_string((millis + 999) / 1000)});
     answer.headers.push_back({names.retryAfterMs, std::to_string(millis)});
   }
   if (stream.level > 0) answer.headers.push_back({"x-txn-level", std::to_string(stream.level)});
-  answer.details = "txn_" + std::string(outcome == Outcome::declined ? "declined" : "rolled_back");
+  answer.details = "txn_" + std::string(outcome == Outcome::refused ? "refused" : "rolled_back");
   answer.body = std::string(nameOf(outcome)) + (why.empty() ? "" : ": " + std::string(why)) + "\n";
   effects_.send(key, wire::answered(answer));
   effects_.close(key, Close::done, "");
@@ -331,7 +331,7 @@
         if (due < stream.hold.answerBy) break;
         if (stream.txn != 0) ledger_.leave(stream.txn);
         waiting_.erase(key);
-        immediate(key, stream, Outcome::declined, {}, "no node was free in time");
+        immediate(key, stream, Outcome::refused, {}, "no node was free in time");
         break;
       default:
         break;
--- a/src/fronts/ext_proc/streams.h
+++ b/src/fronts/ext_proc/streams.h
@@ -61,7 +61,7 @@
 
   // Since the start, for logs and status.
   struct Counts {
-    std::uint64_t asked = 0, granted = 0, committed = 0, declined = 0, rolledBack = 0, refused = 0,
+    std::uint64_t asked = 0, granted = 0, committed = 0, refused = 0, rolledBack = 0, denied = 0,
                   unreported = 0, misused = 0, malformed = 0;
   };
   const Counts& counts() const { return counts_; }
@@ -92,7 +92,7 @@
 
   // Front.
   void committed(core::OwnerId owner, const core::Value& value) override;
-  void declined(core::OwnerId owner, Span retryAfter, unsigned level) override;
+  void refused(core::OwnerId owner, Span retryAfter, unsigned level) override;
   void rolledBack(core::OwnerId owner) override;
   bool needsValue() const override { return false; }
   // Granting.
--- a/src/fronts/pg/clients.cpp
+++ b/src/fronts/pg/clients.cpp
@@ -147,7 +147,7 @@
   }
   try {
     if (stoppedAt_ != Instant() && cameAt >= stoppedAt_ && client.asked)
-      throw wire::BadStatement(wire::kDeclined, "declined: this router ends");
+      throw wire::BadStatement(wire::kRefused, "refused: this router ends");
     const auto statement = wire::readStatement(text);
     const auto type = types_.find(statement.typeName);
     if (type == types_.end())
@@ -160,7 +160,7 @@
       throw wire::BadStatement(wire::kBadValue, "field id of the comment names a txn that is open");
     // Guards the memory limit against many long statements at a time; may hurt while nodes are slow.
     if (!ledger_.hasRoomFor(text.size()))
-      throw wire::BadStatement(wire::kDeclined, "declined: too much is held here");
+      throw wire::BadStatement(wire::kRefused, "refused: too much is held here");
     Txn txn;
     asking_ += !std::exchange(client.asked, true);
     txn.type = type->second;
@@ -254,7 +254,7 @@
 }
 
 void Clients::refuse(ClientId id) {
-  if (clients_.contains(id)) fatal(id, wire::kDeclined, "declined: too much is held here");
+  if (clients_.contains(id)) fatal(id, wire::kRefused, "refused: too much is held here");
 }
 
 bool Clients::isWaiting(ClientId id) const {
@@ -276,8 +276,8 @@
   answered(owner);
 }
 
-void Clients::declined(core::OwnerId owner, Span retryAfter, unsigned level) {
-  effects_.writeClient(owner, {wire::declined(retryAfter.inMicros() / 1000, level), wire::readyForQuery()});
+void Clients::refused(core::OwnerId owner, Span retryAfter, unsigned level) {
+  effects_.writeClient(owner, {wire::refused(retryAfter.inMicros() / 1000, level), wire::readyForQuery()});
   answered(owner);
 }
 
--- a/src/fronts/pg/clients.h
+++ b/src/fronts/pg/clients.h
@@ -54,7 +54,7 @@
   Instant nextDue() const { return due_.empty() ? Instant() : due_.begin()->first; }
 
   // Who is owed an answer, or has sent more before, is closed after that; more that comes from those is
-  // declined. One that has just come is served once.
+  // refused. One that has just come is served once.
   void stop() { stoppedAt_ = ledger_.now(); }
   // Closes those that are idle and did not just come.
   void closeIdleAtEnd();
@@ -80,7 +80,7 @@
 
   // Front.
   void committed(core::OwnerId owner, const core::Value& value) override;
-  void declined(core::OwnerId owner, Span retryAfter, unsigned level) override;
+  void refused(core::OwnerId owner, Span retryAfter, unsigned level) override;
   void rolledBack(core::OwnerId owner) override;
 
   bool takeOpening(ClientId id, Client& client, std::string_view& bytes);
--- a/src/grants/book.cpp
+++ b/src/grants/book.cpp
@@ -54,7 +54,7 @@
 Verdict Book::unknown(Instant now, StreamKey stream, const Ask& ask) {
   // Guards against ids without an end: what may not run twice must be remembered to be refused.
   if (!mayRepeat(ask.type) && others_.size() >= bounds_.most)
-    return answer(Outcome::declined, "too many txns are remembered");
+    return answer(Outcome::refused, "too many txns are remembered");
   Entry& entry = begin(now, stream, ask);
   const bool another = !ask.token.empty() && !ask.token.starts_with(start_ + "-");
   if ((ask.attempt > 1 || another || !ask.token.empty()) && ask.written != Written::nothing) {
@@ -70,7 +70,7 @@
 // An answer to a stream beside another one of the same txn. Harmless to try again only where it may run
 // twice.
 Verdict Book::refused(const Entry& entry, std::string_view why) const {
-  return answer(mayRepeat(entry.type) ? Outcome::declined : Outcome::rolledBack, why);
+  return answer(mayRepeat(entry.type) ? Outcome::refused : Outcome::rolledBack, why);
 }
 
 Verdict Book::asked(Instant now, StreamKey stream, const Ask& ask) {
@@ -84,11 +84,11 @@
   const bool later = ask.attempt > entry.attempt || waits;
   if (entry.state == State::over) {
     if (later) {  // the proxy goes on after the final answer: it stays what it was
-      const auto same = entry.outcome == Outcome::declined ? Outcome::declined : Outcome::rolledBack;
+      const auto same = entry.outcome == Outcome::refused ? Outcome::refused : Outcome::rolledBack;
       if (entry.outcome != Outcome::committed || !mayRepeat(entry.type))
         return answer(same, "the txn had its final answer");
     } else if (!mayRepeat(entry.type) &&
-               (entry.outcome != Outcome::declined || entry.mayHaveRunAt != Instant())) {
+               (entry.outcome != Outcome::refused || entry.mayHaveRunAt != Instant())) {
       return refused(entry, "the id names a txn that may have run");
     }
     return unknown(now, stream, ask);
@@ -146,10 +146,10 @@
   Entry* entry = of(id, stream);
   if (!entry) return;
   entry->outcome = outcome;
-  // A try that was granted and declined for what became of it may be followed by another: so the proxy is
-  // set up. One that was declined without a grant was rejected, which is final.
+  // A try that was granted and refused for what became of it may be followed by another: so the proxy is
+  // set up. One that was refused without a grant was rejected, which is final.
   const bool goesOn =
-      placement_ == Placement::tries && outcome == Outcome::declined && entry->state != State::asked;
+      placement_ == Placement::tries && outcome == Outcome::refused && entry->state != State::asked;
   remember(now, id, *entry, goesOn ? State::between : State::over);
 }
 
--- a/src/grants/book.h
+++ b/src/grants/book.h
@@ -5,14 +5,14 @@
 // A txn goes by the id that its client gave it. Its states, and what a further stream with its id gets:
 //
 //   state      what it is                        a later try of it            any other stream
-//   asked      a stream waits, nothing granted   takes the place of the one   refused: declined, or rolled
+//   asked      a stream waits, nothing granted   takes the place of the one   denied: refused, or rolled
 //                                                that waits                   back where it may not run twice
-//   granted    a grant is out, no end is told    waits a moment for the end,  refused likewise
+//   granted    a grant is out, no end is told    waits a moment for the end,  denied likewise
 //                                                then goes on as may-have-run
-//   between    its last try ended, and another   goes on, with what is known  refused likewise; a new txn
+//   between    its last try ended, and another   goes on, with what is known  denied likewise; a new txn
 //              may come                          of the earlier ones          where nothing was granted
 //   over       it had its final answer           the same answer once more    a new txn if it may run again
-//                                                                             or never ran; else refused
+//                                                                             or never ran; else denied
 //   (unknown)  never seen, or by another start   taken as new; with a later try's count or another start's
 //              of this program, or forgotten     grant, as one that may have run unless nothing was written
 //
@@ -34,7 +34,7 @@
 
 using StreamKey = std::uint64_t;  // a stream's own number; never 0
 
-enum class Outcome { committed, declined, rolledBack };
+enum class Outcome { committed, refused, rolledBack };
 
 // How a proxy is placed: it asks once a request, and what ends without effect is over; or once a try, and the
 // next try may go on.
@@ -57,9 +57,9 @@
   } what = What::take;
   Earlier earlier;  // take
   Instant until;    // wait
-  Outcome outcome = Outcome::declined;
+  Outcome outcome = Outcome::refused;
   std::string_view why;          // answer
-  StreamKey supersedes = 0;      // take: this stream waited for the same txn, and gets declined
+  StreamKey supersedes = 0;      // take: this stream waited for the same txn, and gets refused
   StreamKey endsUnreported = 0;  // take: this stream's grant counts as ended, and may have run
 };
 
@@ -99,7 +99,7 @@
     Instant mayHaveRunAt, grantedAt, until;
     std::vector<NodeId> tried;
     std::string token;  // of the last grant
-    Outcome outcome = Outcome::declined;
+    Outcome outcome = Outcome::refused;
     std::optional<std::pair<StreamKey, Instant>> crossing;  // a try that waits for the end, and until when
   };
   Entry* of(const std::string& id, StreamKey stream);
--- a/src/grants/worth.cpp
+++ b/src/grants/worth.cpp
@@ -29,7 +29,7 @@
 // Guards against drains whose news is late: a list that said nothing for longer than its pulse may hold back
 // a drain that counts as told `toldWithin` after it was due. From then on the grace is running, and a grant
 // must be used before it can be over. May hurt while discovery is away for long: where the rule counts
-// what was never told, nothing is granted in the end, and what is asked is declined.
+// what was never told, nothing is granted in the end, and what is asked is refused.
 Span sendWithin(Instant now, Instant sendBy, const DrainRule& rule, const ListAge& list) {
   Span within = std::min(rule.grace * kGracePart, sendBy - now);
   if (rule.toldWithin > Span() && list.heardAt != Instant() && now - list.heardAt > list.pulse)
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -71,7 +71,7 @@
   void committed(core::OwnerId owner, const core::Value&) override {
     fleet.answered(*this, owner, true, false, {});
   }
-  void declined(core::OwnerId owner, Span retryAfter, unsigned level) override {
+  void refused(core::OwnerId owner, Span retryAfter, unsigned level) override {
     if (level > 0) fleet.judge(asked.at(owner).wish);
     fleet.answered(*this, owner, false, true, retryAfter);
   }
@@ -404,21 +404,21 @@
   router.ledger.ended(end.job, node.id, End::committed, said, sheet_.probes ? said : Standing());
 }
 
-void Fleet::answered(Router& router, core::OwnerId owner, bool committed, bool declined, Span retryAfter) {
+void Fleet::answered(Router& router, core::OwnerId owner, bool committed, bool refused, Span retryAfter) {
   const auto asked = router.asked.extract(owner).mapped();
   const Wish& wish = asked.wish;
   const TxnType& type = router.terms.types[wish.kind];
   const Trouble& trouble = sheet_.trouble;
   const Instant since = trouble.insist ? wish.firstAt : asked.at;
   if (now_ - since > type.deadline) ++result_.broken.late;
-  if (declined && type.effect == Effect::onceOnly && router.runs.contains(asked.txn))
-    ++result_.broken.declined;
+  if (refused && type.effect == Effect::onceOnly && router.runs.contains(asked.txn))
+    ++result_.broken.refused;
   router.runs.erase(asked.txn);
   router.owners.erase(asked.txn);
-  secondOf(now_).declined += declined;
-  if (!committed && trouble.insist && (declined || type.effect == Effect::repeatable))
+  secondOf(now_).refused += refused;
+  if (!committed && trouble.insist && (refused || type.effect == Effect::repeatable))
     askAgain(wish, trouble.heed ? std::max(retryAfter, trouble.again) : trouble.again);
-  else if (declined && wish.tries < trouble.comeAgain)  // as another, with all of its time before it
+  else if (refused && wish.tries < trouble.comeAgain)  // as another, with all of its time before it
     askAgain({wish.kind, wish.group, 0, now_ + kStep * 4, wish.tries}, kStep * 4);
   if (!committed) return;
   if (type.level >= ReadLevel::write) {
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -35,7 +35,7 @@
   double newsLate = 0;                    // what nodes tell of their position is so old
   double drainAt = -1;                    // a replica is listed as draining
   double restartAt = -1;                  // all routers start anew, knowing nothing
-  unsigned comeAgain = 0;                 // declined clients ask again at once, so many times
+  unsigned comeAgain = 0;                 // refused clients ask again at once, so many times
   // Clients ask again whatever went wrong, at any router, until their whole wait is over; as they are told to
   // or, where they don't heed that, at once.
   bool insist = false, heed = true;
@@ -81,10 +81,10 @@
   std::uint64_t late = 0;        // final answers past the client's time
   std::uint64_t unanswered = 0;  // txns without one, of routers that went on
   std::uint64_t twice = 0;       // once-only txns that ran more than once
-  std::uint64_t declined = 0;    // once-only txns that ran and were declined
+  std::uint64_t refused = 0;    // once-only txns that ran and were refused
   std::uint64_t stale = 0;       // reads answered from data older than allowed
   std::uint64_t drained = 0;     // attempts to a node a second after it was told to drain
-  std::uint64_t sum() const { return late + unanswered + twice + declined + stale + drained; }
+  std::uint64_t sum() const { return late + unanswered + twice + refused + stale + drained; }
 };
 
 // What happened in one second.
@@ -92,7 +92,7 @@
   double asked = 0, earned = 0;  // value, by when it was first asked for
   unsigned txns = 0, committed = 0,
            late = 0;  // first asked for in it; answered at last; past the latency target
-  unsigned attempts = 0, probes = 0, connections = 0, declined = 0;
+  unsigned attempts = 0, probes = 0, connections = 0, refused = 0;
 };
 
 struct Result {
@@ -151,7 +151,7 @@
   void turn();
   void carry(Router& router, core::Job job, const NodeId& node);
   void finish(const Ending& end);
-  void answered(Router& router, core::OwnerId owner, bool committed, bool declined, Span retryAfter);
+  void answered(Router& router, core::OwnerId owner, bool committed, bool refused, Span retryAfter);
   void judge(const Wish& wish);
   bool isCut(const Router& router, std::size_t node) const;
   Instant appliedBy(const Nodes::Node& node) const;
--- a/src/model/watch.cpp
+++ b/src/model/watch.cpp
@@ -36,7 +36,7 @@
   for (const auto& [count, what] : {std::pair{broken.late, "answered too late"},
                                     {broken.unanswered, "never answered"},
                                     {broken.twice, "ran twice"},
-                                    {broken.declined, "ran and were declined"},
+                                    {broken.refused, "ran and were refused"},
                                     {broken.stale, "read data that is too old"},
                                     {broken.drained, "were sent to a drained node"}})
     if (count > 0) faults.push_back(std::to_string(count) + " txns " + what);
--- a/src/peers/desk.cpp
+++ b/src/peers/desk.cpp
@@ -377,13 +377,13 @@
         ledger_.admit(decision.txn);
         break;
       case What::committed:
-        ledger_.refuseCommitted(decision.txn, {decision.value, "", ""});
+        ledger_.answerCommitted(decision.txn, {decision.value, "", ""});
         break;
       case What::rollBack:
-        ledger_.refuseRolledBack(decision.txn);
+        ledger_.answerRolledBack(decision.txn);
         break;
-      case What::decline:
-        ledger_.refuseDeclined(decision.txn, decision.comeBack);
+      case What::refuse:
+        ledger_.answerRefused(decision.txn, decision.comeBack);
     }
   }
   settle();
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -226,8 +226,8 @@
   saidAt_ = now;
   saidAsked_ = counts.asked;
   spdlog::info(
-      "event=claims.counts asked={} admitted={} committed={} rolled_back={} declined={} open={} reached={}",
-      counts.asked, counts.admitted, counts.committed, counts.rolledBack, counts.declined,
+      "event=claims.counts asked={} admitted={} committed={} rolled_back={} refused={} open={} reached={}",
+      counts.asked, counts.admitted, counts.committed, counts.rolledBack, counts.refused,
       desk_->claimant().open(), desk_->claimant().reachable());
   if (!store_) return;
   const auto figures = store_->figures();
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -183,10 +183,10 @@
   }
 }
 
-std::string declined(std::int64_t retryAfterMs, unsigned level) {
+std::string refused(std::int64_t retryAfterMs, unsigned level) {
   const std::string reduced =
       level > 0 ? ", service is reduced to level " + std::to_string(level) : std::string();
-  return error("ERROR", kDeclined, "declined: trying again is harmless" + reduced,
+  return error("ERROR", kRefused, "refused: trying again is harmless" + reduced,
                retryAfterMs > 0 ? std::to_string(retryAfterMs) : std::string());
 }
 
--- a/src/pg/answer.h
+++ b/src/pg/answer.h
@@ -52,9 +52,9 @@
 // The verdict of an error's SQLSTATE.
 Verdict verdictOf(std::string_view code);
 
-// An answer that declines: harmless to try again, after so many milliseconds where that is advised. `level`:
+// An answer that refuses: harmless to try again, after so many milliseconds where that is advised. `level`:
 // of reduced service, named where it is not 0.
-std::string declined(std::int64_t retryAfterMs, unsigned level = 0);
+std::string refused(std::int64_t retryAfterMs, unsigned level = 0);
 // An answer that promises nothing about the effect.
 std::string rolledBack();
 
--- a/src/pg/messages.h
+++ b/src/pg/messages.h
@@ -43,7 +43,7 @@
 Request requestOf(char type);
 
 // SQLSTATEs that this router gives.
-constexpr std::string_view kDeclined = "53300", kMayHaveRun = "08007", kProtocolViolation = "08P01",
+constexpr std::string_view kRefused = "53300", kMayHaveRun = "08007", kProtocolViolation = "08P01",
                            kNotSupported = "0A000", kBadValue = "22023", kSyntaxError = "42601",
                            kTooLarge = "54000";
 
--- a/src/processor/processor.cpp
+++ b/src/processor/processor.cpp
@@ -91,9 +91,9 @@
   if (counts.asked == said_.asked || ledger_.now() - saidAt_ < kCountsPause) return;
   if (saidAt_ != Instant())
     spdlog::info(
-        "event=ext_proc.counts asked={} granted={} committed={} declined={} rolled_back={} refused={} "
+        "event=ext_proc.counts asked={} granted={} committed={} refused={} rolled_back={} denied={} "
         "unreported={} misused={} malformed={} remembered={} grants_out={}",
-        counts.asked, counts.granted, counts.committed, counts.declined, counts.rolledBack, counts.refused,
+        counts.asked, counts.granted, counts.committed, counts.refused, counts.rolledBack, counts.denied,
         counts.unreported, counts.misused, counts.malformed, streams_.remembered(), streams_.grantsOut());
   saidAt_ = ledger_.now();
   said_ = counts;
--- a/src/recovery/stages.cpp
+++ b/src/recovery/stages.cpp
@@ -9,7 +9,7 @@
 // How long a stage waits. A list: discovery answers within a second where it lives at all, and without it
 // what was known before is better than nothing. Positions: a few times what it takes to ask a node.
 // Primaries: discovery names a new one within seconds. Keepers: as long as routers of one room take to start;
-// once-only txns are declined anyway while too few keepers are there.
+// once-only txns are refused anyway while too few keepers are there.
 constexpr Span kList = Span::millis(5000), kPositions = Span::millis(2000), kPrimary = Span::millis(5000),
                kKeepers = Span::millis(10'000);
 // A node is asked so often over all routers, at most: a small part of what even a cold one can do.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -406,7 +406,7 @@
     const bool neverRan = txn.out == 0 && txn.mayHaveRunAt == Instant();
     const bool harmless = type.effect == Effect::referenced && type.dropsRepeatsAnywhere;
     if (type.effect == Effect::repeatable || neverRan || harmless)
-      writer->decline(txn.txn.id, terms.retryAfterAllowed ? terms.longestRetryAfter * 0.5 : Span());
+      writer->refuse(txn.txn.id, terms.retryAfterAllowed ? terms.longestRetryAfter * 0.5 : Span());
     else
       writer->rollBack(txn.txn.id);
     cancelAll(txn);
@@ -621,8 +621,8 @@
     std::erase_if(kinds, [&](auto& kind) { return !used.contains(kind.first); });
   }
 
-  // Whether a write of its session is out: it may have been committed, and its answer be lost on the way. Guards
-  // the session against not seeing it; may hurt those that read beside a write, which wait or go to the primary.
+  // Whether a write of its session is out: it may have been committed, and its answer be lost on the way.
+  // Guards the session against not seeing it; may hurt reads beside a write, which wait or go to the primary.
   bool writes(const Txn& txn) {
     const auto& all = groupOf(txn.group).members;
     return txn.session && std::any_of(all.begin(), all.end(), [&](const Member* m) {
@@ -638,8 +638,8 @@
     if (!terms.sessionAgeCarried || !txn.writeAge)
       return writes(txn) ? now : std::max(own, commitFloor);
     if (*txn.writeAge == Span()) return Instant();
-    // The position our own write returned, if that was the session's last one; else what the age says. A write
-    // that another router took may have come within a round after our own: the age alone can tell.
+    // The position our own write returned, if that was the session's last one; else what the age says. A
+    // write that another router took may have come within a round after our own: the age alone can tell.
     const Instant latest = now - *txn.writeAge;
     return own >= latest ? std::min(own, latest + Span::millis(1)) : latest + Span::millis(1);
   }
@@ -805,7 +805,7 @@
   if (committed || (failed && !s.stalled)) keepLast(m.successes, committed, 8);
   if (how == End::error) s.erred(m, txn);
   const bool lost = unanswered || how == End::connectionLost;
-  // Also where its client has left: the session reads on. What got no answer may have been committed until now.
+  // Also where its client has left: the session reads on. What got no answer may have been committed.
   if (out.session && type.level == ReadLevel::write && (committed || lost))
     s.remember(*out.session, committed ? answer.position.value_or(s.now) : s.now);
   if (!txn) return;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -148,7 +148,7 @@
   // To be written to the node by `sendBy`, else it is not sent; given up at `cutAt`.
   virtual void submit(TxnId txn, const NodeId& node, Instant sendBy, Instant cutAt) = 0;
   virtual void cancel(TxnId txn, unsigned attempt) = 0;
-  virtual void decline(TxnId txn, Span retryAfter) = 0;
+  virtual void refuse(TxnId txn, Span retryAfter) = 0;
   virtual void rollBack(TxnId txn) = 0;
   virtual void probe(const NodeId& node) = 0;
   virtual void wakeAfter(Span after) = 0;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -293,7 +293,7 @@
 }
 
 // Guards against running out of descriptors: at the bound the client that was idle longest makes room, and
-// where none is idle the new one is declined. May hurt clients that come back often, which connect anew each
+// where none is idle the new one is refused. May hurt clients that come back often, which connect anew each
 // time.
 loop::Task Server::acceptClients() {
   int taken = 0;        // in this turn
@@ -338,7 +338,7 @@
     if (welcome) {
       gateway_.clientOpened(loop_.now(), id);
     } else {
-      send(client, {pg::error("FATAL", pg::kDeclined, "declined: too many clients")});
+      send(client, {pg::error("FATAL", pg::kRefused, "refused: too many clients")});
       client.closing = true;
     }
     const auto take = [&](std::string_view bytes) {
--- a/src/wire/drill.cpp
+++ b/src/wire/drill.cpp
@@ -148,7 +148,7 @@
     line("ASSIGN", " rid=", txn, " node=", node, " cutAt=", cutAt.inMicros());
   }
   void cancel(TxnId txn, unsigned attempt) override { line("ABANDON", " rid=", txn, " sendNo=", attempt); }
-  void decline(TxnId txn, Span retryAfter) override {
+  void refuse(TxnId txn, Span retryAfter) override {
     if (retryAfter > Span())
       line("REJECT", " rid=", txn, " notBeforeFor=", retryAfter.inMicros());
     else
--- a/tests/book.cpp
+++ b/tests/book.cpp
@@ -1,5 +1,5 @@
 // The book of tries against a small world that knows the truth: every history up to a length is played, and
-// in none may a once-only txn run twice, or be declined though it ran. Run as `book CASE`: prints what was
+// in none may a once-only txn run twice, or be refused though it ran. Run as `book CASE`: prints what was
 // found.
 #include "grants/book.h"
 
@@ -44,8 +44,8 @@
   int runs = 0;
   std::string fault;
 
-  void declinedNow() {
-    if (type.effect == Effect::onceOnly && runs > 0) fault = "declined though it ran";
+  void refusedNow() {
+    if (type.effect == Effect::onceOnly && runs > 0) fault = "refused though it ran";
   }
 
   void ask(bool mine, Written written) {
@@ -71,7 +71,7 @@
     stream.waiting = verdict.what == Verdict::What::wait;
     if (stream.waiting) return;
     if (verdict.what == Verdict::What::answer) {
-      if (verdict.outcome == Outcome::declined) declinedNow();
+      if (verdict.outcome == Outcome::refused) refusedNow();
       if (verdict.outcome == Outcome::committed) fault = "committed without a node";
       open.erase(key);
       return;
@@ -104,9 +104,9 @@
     book.ended(now, "x", key, how);
     const Outcome outcome = how == End::committed ? Outcome::committed
                             : how == End::noConnection || type.effect == Effect::repeatable
-                                ? Outcome::declined
+                                ? Outcome::refused
                                 : Outcome::rolledBack;
-    if (outcome == Outcome::declined) declinedNow();
+    if (outcome == Outcome::refused) refusedNow();
     book.answered(now, "x", key, outcome);
     open.erase(key);
   }
--- a/tests/claims.cpp
+++ b/tests/claims.cpp
@@ -690,12 +690,12 @@
 }
 
 void shown(Claimant& claimant) {
-  constexpr const char* kWhat[] = {"admit", "committed", "roll back", "decline"};
+  constexpr const char* kWhat[] = {"admit", "committed", "roll back", "refuse"};
   constexpr const char* kWords[] = {"claim", "release", "committed"};
   for (const auto& d : claimant.takeDecisions()) {
     std::cout << "  " << d.txn << ": " << kWhat[static_cast<int>(d.what)];
     if (d.what == Claimant::Decision::What::committed) std::cout << " '" << d.value << "'";
-    if (d.what == Claimant::Decision::What::decline)
+    if (d.what == Claimant::Decision::What::refuse)
       std::cout << (d.comeBack >= ms(125) && d.comeBack <= ms(375) ? ", come back" : ", come back when?");
     std::cout << (d.why.empty() ? "" : ", ") << d.why << "\n";
   }
--- a/tests/day.cpp
+++ b/tests/day.cpp
@@ -124,7 +124,7 @@
   void take(const standins::Answer& answer) {
     ++answers[answer.txn];
     last = answer;
-    if (answer.outcome == "declined") declined.insert(answer.txn);
+    if (answer.outcome == "refused") refused.insert(answer.txn);
     if (answer.outcome == "committed") committed.insert(answer.txn);
     if (ownReads.contains(answer.txn))
       ownAtReplicas += answer.from == a.address() || answer.from == b.address();
@@ -152,21 +152,21 @@
     std::cout << what << (holds ? ": yes" : ": NO") << "\n";
   }
   void tellRules() {
-    std::size_t twice = 0, declinedRan = 0, lost = 0;
+    std::size_t twice = 0, refusedRan = 0, lost = 0;
     for (const auto& id : onceOnly) {
       twice += runsOf(id) > 1;
-      declinedRan += declined.contains(id) && runsOf(id) > 0;
+      refusedRan += refused.contains(id) && runsOf(id) > 0;
       lost += committed.contains(id) && runsOf(id) != 1;
     }
     bool once = answers.size() == asked;
     for (const auto& [id, count] : answers) once = once && count == 1;
     say("each txn has one final answer", once);
     say("no once-only txn ran twice", twice == 0);
-    say("no declined once-only txn ran", declinedRan == 0);
+    say("no refused once-only txn ran", refusedRan == 0);
     say("each committed once-only txn ran", lost == 0);
     if (!std::getenv("DAY_COUNTS")) return;
     for (const auto& [what, count] : proxy.seen) std::cerr << count << " " << what << "\n";
-    std::cerr << asked << " asked " << committed.size() << " committed " << declined.size() << " declined\n";
+    std::cerr << asked << " asked " << committed.size() << " committed " << refused.size() << " refused\n";
   }
 
   loop::Loop loop;
@@ -176,7 +176,7 @@
   standins::Proxy proxy;
   std::size_t asked = 0;
   std::map<std::string, unsigned> answers;
-  std::set<std::string> onceOnly, ownReads, declined, committed;
+  std::set<std::string> onceOnly, ownReads, refused, committed;
   std::size_t ownAtReplicas = 0;
   standins::Answer last;
 };
@@ -265,7 +265,7 @@
   f.play(killedTask);
 }
 
-// Asked once a request: one grant, and what ends without effect is declined for good.
+// Asked once a request: one grant, and what ends without effect is refused for good.
 loop::Task requestTask(Fleet& f) {
   f.program.start();
   co_await f.pause(300);
@@ -404,7 +404,7 @@
   Fleet::say("most was committed", f.committed.size() * 2 > f.asked);
   for (const std::string what :
        {"gave up before a decision", "too late to send", "never reported", "reported twice",
-        "stream broke before a decision", "ended declined", "ended rolled-back"})
+        "stream broke before a decision", "ended refused", "ended rolled-back"})
     Fleet::say("seen: " + what, f.proxy.seen[what] > 0);
   f.loop.stop();
 }
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -120,7 +120,7 @@
   b.at(20, [&](Router& r) { end(b, r, 1, End::rejected, Role::primary); });
   b.run(25, 275);
   b.at(280, [&](Router& r) { end(b, r, 1, End::connectionLost, Role::unknown, 1); });
-  b.say("no answer by the expiry: rolled back, never declined");
+  b.say("no answer by the expiry: rolled back, never refused");
   b.at(290, [&](Router& r) { r.taken(b.txn(2, 0, 100)); });
   b.run(295, 390);
 }
@@ -133,7 +133,7 @@
   b.at(10, [&](Router& r) { r.taken(b.txn(1)); });
   b.at(20, [&](Router& r) { end(b, r, 1, End::connectionLost); });
   b.at(70, [&](Router& r) { end(b, r, 1, End::committed, Role::replica, 1); });
-  b.say("expiry while out: declined in time, and its submission cancelled");
+  b.say("expiry while out: refused in time, and its submission cancelled");
   b.at(80, [&](Router& r) { r.taken(b.txn(2, 0, 100)); });
   b.run(85, 180);
 }
@@ -557,7 +557,7 @@
   start(b);
   b.quietProbes = true;
   b.say(
-      "a few answers took half of the latency target, at both: part of what comes next is declined at once");
+      "a few answers took half of the latency target, at both: part of what comes next is refused at once");
   for (TxnId id = 1; id <= 6; ++id) {
     const auto from = static_cast<std::int64_t>(id) * 220;
     b.at(from, [&](Router& r) { r.taken(b.txn(id)); });
@@ -660,7 +660,7 @@
   b.at(15, [&](Router& r) { r.probed("p", End::committed, b.standing(Role::primary, 14)); });
   for (TxnId id = 1; id <= 16; ++id)
     b.at(static_cast<std::int64_t>(id) * 10 + 10, [&](Router& r) { r.taken(b.txn(id, id % 4 == 0)); });
-  b.say("writes are held while time remains; what can't be served in time is declined");
+  b.say("writes are held while time remains; what can't be served in time is refused");
   b.run(175, 600);
 }
 
@@ -686,7 +686,7 @@
   start(b);
   b.quietProbes = true;
   b.say(
-      "five answers took 450 ms, longer than the latency target: what comes now is declined, but not for "
+      "five answers took 450 ms, longer than the latency target: what comes now is refused, but not for "
       "ever");
   for (TxnId id = 1; id <= 5; ++id) {
     b.at(static_cast<std::int64_t>(id) * 10, [&](Router& r) { r.taken(b.txn(id)); });
--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -133,7 +133,7 @@
   void tellCounts() {
     const auto& c = streams_.counts();
     std::cout << "asked " << c.asked << " granted " << c.granted << " committed " << c.committed
-              << " declined " << c.declined << " rolled back " << c.rolledBack << " unreported "
+              << " refused " << c.refused << " rolled back " << c.rolledBack << " unreported "
               << c.unreported << " misused " << c.misused << "; grants out " << streams_.grantsOut()
               << ", open txns " << ledger_.open() << ", remembered " << streams_.remembered() << "\n";
   }
@@ -321,7 +321,7 @@
 
 void tries() {
   Processor p;
-  p.say("rejected: declined, and the next try goes to another node");
+  p.say("rejected: refused, and the next try goes to another node");
   p.ask(1, "r1", "any");
   p.reports(1, "turned-away", p.standing("replica", 0), "503");
   p.ask(2, "r1", "any", attempt(2, "none"));
@@ -361,7 +361,7 @@
   Setup once;
   once.placement = grants::Placement::request;
   Processor q(once);
-  q.say("asked once a request: what is declined after a grant is over");
+  q.say("asked once a request: what is refused after a grant is over");
   q.ask(1, "r1", "any");
   q.reports(1, "turned-away", q.standing("replica", 0), "503");
   q.ask(2, "r1", "any", attempt(2, "none"));
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -63,7 +63,7 @@
 constexpr Span kRepeats = Span::millis(2500);
 
 struct Sum {
-  std::uint64_t asked = 0, committed = 0, declined = 0, rolledBack = 0, none = 0, ran = 0, losses = 0;
+  std::uint64_t asked = 0, committed = 0, refused = 0, rolledBack = 0, none = 0, ran = 0, losses = 0;
 };
 
 class World : private Scene {
@@ -80,7 +80,7 @@
       const Asked& asked = rig_.asked(row);
       ++sum_.asked;
       ++(asked.outcome == Outcome::committed    ? sum_.committed
-         : asked.outcome == Outcome::declined   ? sum_.declined
+         : asked.outcome == Outcome::refused   ? sum_.refused
          : asked.outcome == Outcome::rolledBack ? sum_.rolledBack
                                                 : sum_.none);
     }
@@ -349,7 +349,7 @@
 
 void say(const Sum& sum) {
   std::cerr << "asked " << sum.asked << ", ran " << sum.ran << ", committed " << sum.committed
-            << ", declined " << sum.declined << ", rolled back " << sum.rolledBack << ", none " << sum.none
+            << ", refused " << sum.refused << ", rolled back " << sum.rolledBack << ", none " << sum.none
             << ", power losses " << sum.losses << "\n";
 }
 
--- a/tests/fleet/last.cpp
+++ b/tests/fleet/last.cpp
@@ -1,6 +1,6 @@
 // All routers and nodes lose power. The only replica that has what a session wrote is the last to come back;
 // the primary never does, and another replica, an hour behind, is there at once. The session's reads wait or
-// are declined, and nobody waits for ever. Judged by what ran at which node.
+// are refused, and nobody waits for ever. Judged by what ran at which node.
 #include <algorithm>
 #include <iostream>
 
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -521,7 +521,7 @@
         if (message->type == 'C') asked->outcome = Outcome::committed;
         if (message->type == 'E') {
           const std::string code(pg::readError(message->body).code);
-          asked->outcome = code == "53300" || code == "57P03" ? Outcome::declined : Outcome::rolledBack;
+          asked->outcome = code == "53300" || code == "57P03" ? Outcome::refused : Outcome::rolledBack;
         }
         answered = asked->outcome != Outcome::none && (message->type == 'Z' || message->type == 'E');
         if (answered) break;
@@ -534,7 +534,7 @@
   asked->over = true;
   asked->took = loop_.now() - began;
   --open_;
-  constexpr const char* kOutcomes[] = {"committed", "declined", "rolled back", "no answer"};
+  constexpr const char* kOutcomes[] = {"committed", "refused", "rolled back", "no answer"};
   std::ofstream(path_ + "/clients.log", std::ios::app)
       << asked->id << " at r" << asked->router << ": " << kOutcomes[static_cast<int>(asked->outcome)]
       << (asked->excused ? " (excused)" : "") << "\n";
@@ -554,7 +554,7 @@
       return "told as committed and not in the node's log: " + asked->id;
     if (asked->outcome == Outcome::committed && asked->value != "value of " + asked->id)
       return "a wrong value: " + asked->id;
-    if (asked->outcome != Outcome::declined) mayHaveRun[asked->id] = true;
+    if (asked->outcome != Outcome::refused) mayHaveRun[asked->id] = true;
   }
   for (const auto& [id, times] : runs)
     if (!mayHaveRun[id]) return "ran, and all were told that it did not: " + id;
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -34,7 +34,7 @@
   std::string discovery;   // of stand-in nodes that speak HTTP: routers are external processors for them
 };
 
-enum class Outcome { committed, declined, rolledBack, none };
+enum class Outcome { committed, refused, rolledBack, none };
 
 struct Asked {  // in a client's book
   std::string id, value;
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -570,7 +570,7 @@
 
 void bounds() {
   Sockets s({ms(10000), ms(250), 1, 300});
-  s.say("one connection may be open: the second txn gets none, and is declined when it has no more tries");
+  s.say("one connection may be open: the second txn gets none, and is refused when it has no more tries");
   s.open(1, read("aa"));
   s.open(2, write("bb"));
   s.up(1);
@@ -664,7 +664,7 @@
   s.pass(100);
   s.answers(2, row("fourth"));
   s.answers(2, row("fifth"));
-  s.say("told to end: what had come is served, what comes later from the same client is declined");
+  s.say("told to end: what had come is served, what comes later from the same client is refused");
   s.sent(1, read("ff") + read("gg"));
   s.shutDown();
   s.pass(500);
--- a/tests/guard.cpp
+++ b/tests/guard.cpp
@@ -73,8 +73,8 @@
   void committed(OwnerId owner, const Value& v) override {
     std::cout << "  front " << owner << ": committed '" << v[0] << v[1] << v[2] << "'\n";
   }
-  void declined(OwnerId owner, Span after, unsigned) override {
-    std::cout << "  front " << owner << ": declined, retry after " << after.inMicros() / 1000 << "\n";
+  void refused(OwnerId owner, Span after, unsigned) override {
+    std::cout << "  front " << owner << ": refused, retry after " << after.inMicros() / 1000 << "\n";
   }
   void rolledBack(OwnerId owner) override { std::cout << "  front " << owner << ": rolled back\n"; }
   bool needsValue() const override { return wantsValue; }
@@ -126,15 +126,15 @@
 
 void refused() {
   World world;
-  world.ledger().refuseDeclined(world.take(0, "b1"), ms(200));
-  world.ledger().refuseRolledBack(world.take(0, "b2"));
-  world.ledger().refuseCommitted(world.take(0, "b3"), {"known", "", ""});
-  world.ledger().refuseCommitted(world.take(0, "b4"), {});
+  world.ledger().answerRefused(world.take(0, "b1"), ms(200));
+  world.ledger().answerRolledBack(world.take(0, "b2"));
+  world.ledger().answerCommitted(world.take(0, "b3"), {"known", "", ""});
+  world.ledger().answerCommitted(world.take(0, "b4"), {});
   world.wantsValue = false;
-  world.ledger().refuseCommitted(world.take(0, "b5"), {});
+  world.ledger().answerCommitted(world.take(0, "b5"), {});
   std::cout << "a word that comes late\n";
   world.ledger().admit(6);
-  world.ledger().refuseRolledBack(6);
+  world.ledger().answerRolledBack(6);
   world.turn();
   std::cout << "open: " << world.ledger().open() << "\n";
 }
--- a/tests/levels.cpp
+++ b/tests/levels.cpp
@@ -303,7 +303,7 @@
 void seen() {
   struct Nobody final : core::Front, core::Carrier {
     void committed(core::OwnerId, const core::Value&) override {}
-    void declined(core::OwnerId, Span, unsigned level) override { ++refusals[level]; }
+    void refused(core::OwnerId, Span, unsigned level) override { ++refusals[level]; }
     void rolledBack(core::OwnerId) override {}
     void carry(core::Job job, const NodeId& node) override { jobs.emplace_back(job, node); }
     void cancel(core::Job, const NodeId&) override {}
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -104,7 +104,7 @@
   }
   std::cout << answered << " clients were answered, one after the other, and stayed\n";
   std::vector<Peer> busy;
-  int committed = 0, declined = 0;
+  int committed = 0, refused = 0;
   for (int i = 0; i < 60; ++i) {
     busy.push_back(Peer::to(router.port()));
     busy.back().send(pg::startup("worker", "catalog") + read("slow"));
@@ -113,11 +113,11 @@
     auto said = one.answer();
     if (said == "Z ") said = one.answer();
     committed += said == "T D(4 bytes) C Z ";
-    declined += said.starts_with("E(53300)");
+    refused += said.starts_with("E(53300)");
   }
-  std::cout << committed + declined
+  std::cout << committed + refused
             << " that came together were answered, some committed: " << (committed > 0)
-            << ", some declined: " << (declined > 0) << "\n";
+            << ", some refused: " << (refused > 0) << "\n";
 }
 
 void ending() {
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -109,8 +109,8 @@
     out_ << ";";
   }
   void cancel(TxnId txn, unsigned attempt) override { out_ << " cancel " << txn << "/" << attempt << ";"; }
-  void decline(TxnId txn, Span after) override {
-    out_ << " decline " << txn << ", retry after " << after.inMicros() / 1000 << ";";
+  void refuse(TxnId txn, Span after) override {
+    out_ << " refuse " << txn << ", retry after " << after.inMicros() / 1000 << ";";
   }
   void rollBack(TxnId txn) override { out_ << " roll back " << txn << ";"; }
   void probe(const NodeId& node) override {
