The rest of a list that has begun to come is waited for as before

Cause: read again. Where drains bind after 250 ms a call for the whole list was given up after 0.1 s without a byte, also in the middle of an answer that comes in pieces; discovery that answers is up, and asking anew brings nothing sooner. Change: the short time holds for the first byte only.

--- a/src/calls/calls.cpp
+++ b/src/calls/calls.cpp
@@ -29,7 +29,8 @@
 
 Span ListCalls::silence(bool watch, bool heard) const {
   if (mustBeAsked_ && !heard) return kFirstWord;
-  return watch || mustBeAsked_ ? kSilence : kAnswer * part_;
+  if (watch || mustBeAsked_) return kSilence;
+  return heard ? kAnswer : kAnswer * part_;  // one that has begun to answer is up
 }
 
 Span ListCalls::pause() {
