--- a/src/peers/service.cpp
+++ b/src/peers/service.cpp
@@ -47,6 +47,7 @@
 void Service::listed(ListKind kind, recovery::ListVersion version, const std::vector<ListEntry*>& entries) {
   std::set<NodeId> before;
   if (kind == ListKind::whole) before = nodes_;
+  std::size_t proven = 0;
   for (const ListEntry* entry : entries) {
     before.erase(entry->node);
     if (entry->health == Health::gone) {
@@ -54,9 +55,13 @@
       continue;
     }
     nodes_.insert(entry->node);
-    if (const auto proven = sightings_.listed(entry->node, entry->startedAt))
-      learnt_.emplace_back(entry->node, *proven);
+    if (const auto standing = sightings_.listed(entry->node, entry->startedAt)) {
+      learnt_.emplace_back(entry->node, *standing);
+      ++proven;
+    }
   }
+  // Two others told of them before any list named them.
+  if (proven > 0) log_("recovery.proven", "proven=" + std::to_string(proven) + " ahead_of=list");
   for (const auto& node : before) {
     nodes_.erase(node);
     sightings_.forget(node);
