What of a committed txn still waits for a connection is withdrawn with its answer

Cause: Ledger::commit (src/core/ledger.cpp) answered the client and left the txn's other attempt in its node's queue; Links::release writes what is first there as the connection comes up. Refused and rolled back txns were withdrawn, committed ones were not: that was left to the module's cancel, which comes a round later, for repeatable txns only, and where cancelling is allowed. Ruled out: the module sending by itself (one txn is out of its books at its end), a client's own repeat (the bench names one request). Change: commit withdraws; the attempt that committed is not carried any more by then.

--- a/src/carriers/pg/links.cpp
+++ b/src/carriers/pg/links.cpp
@@ -205,11 +205,12 @@
   const Job job = link.job;
   const NodeId node = link.node;
   const End how = endOf(answer.verdict);
+  // Not carried any more: what its commit withdraws are the txn's other attempts.
+  carried_.erase(job);
   if (how == End::committed && job.txn != 0)
     ledger_.commit(job.txn, {answer.description, answer.row, answer.complete});
   Standing report = standingOf(answer.report);
   if (job.txn == 0 && how == End::committed) report = standingOf(wire::readReport(answer.value));
-  carried_.erase(job);
   ledger_.ended(job, node, how, standingOf(answer), report);
   if (answer.fatal)
     endLink(id, ConnectionEnd::broken);
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -168,8 +168,8 @@
 }
 
 // Guards against attempts that begin for nobody: one that waits for a connection, or is written in part,
-// would go on as soon as it can, long after its client left. Hurts none: it has not run and no one waits for
-// it.
+// would go on as soon as it can, long after its txn has its answer or its client left. Hurts none: it has not
+// run and no one waits for it.
 void Ledger::withdrawAll(TxnId txn) {
   const auto at = live_.find(txn);
   if (at == live_.end()) return;
@@ -208,6 +208,7 @@
   if (const Live* live = owed(txn); live && levels_)
     levels_->answered(now_, live->group, live->type, waitedShare(*live));
   finish(txn, [&](Front& front, OwnerId owner) { front.committed(owner, value); });
+  withdrawAll(txn);
 }
 
 void Ledger::disconnected(const NodeId& node) {
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -1,9 +1,9 @@
-// Pairs of events that can cross, on real connections with the program itself: docs/crossings.md has the table.
-// Both orders are laid out while the program stands still, or one event waits for the other. Run as
+// Pairs of events that can cross, on real connections with the program itself: docs/crossings.md has the
+// table. Both orders are laid out while the program stands still, or one event waits for the other. Run as
 // `crossings CASE`: prints what each side saw.
 #include <spdlog/spdlog.h>
 
-#include "program.h"
+#include "lists.h"
 
 using namespace gulltrestle;
 using namespace gulltrestle::peers;
@@ -16,7 +16,8 @@
   const std::string comment =
       " /* " + nextId() + ",c=" + type + ",d=" + std::to_string(wait) + ",cluster=1 */";
   return type == "write" || type == "known"
-             ? query("INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x77') RETURNING body" + comment)
+             ? query("INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x77') RETURNING body" +
+                     comment)
              : query("SELECT body FROM objects WHERE oid = '" + key + "'" + comment);
 }
 
@@ -26,8 +27,8 @@
 
 // --- Clients that go
 
-// A client is reset while its statement waits in some way; the next one's statement is the first that the node
-// sees after that.
+// A client is reset while its statement waits in some way; the next one's statement is the first that the
+// node sees after that.
 void goneWhileConnecting() {
   for (const std::string type : {"write", "known", "read"}) {
     Node node({}, 0);
@@ -46,7 +47,8 @@
   }
 }
 
-// It goes, by an end or a reset, while the first of its statements is at the node; none of the rest is to get there.
+// It goes, by an end or a reset, while the first of its statements is at the node; none of the rest is to get
+// there.
 void goneBehind(std::size_t bytes) {
   for (const bool inOrder : {false, true}) {
     Node node({"slow"});
@@ -63,7 +65,8 @@
     node.go("slow");
     Peer stays = router.client();
     stays.send(statement("next", "read"));
-    std::cout << (inOrder ? "closed: " : "reset: ") << stays.answer() << "the node saw " << node.saw() << "\n";
+    std::cout << (inOrder ? "closed: " : "reset: ") << stays.answer() << "the node saw " << node.saw()
+              << "\n";
   }
 }
 
@@ -106,8 +109,9 @@
   until(Clock::now() + std::chrono::milliseconds(300));
   node.go("first");
   std::cout << client.answer() << client.answer() << client.answer() << "\n";
-  std::cout << "the node saw " << node.saw() << "; what waited 300 ms is told to take at most what is left: "
-            << (node.told("second") <= 59700) << "\n";
+  std::cout << "the node saw " << node.saw()
+            << "; what waited 300 ms is told to take at most what is left: " << (node.told("second") <= 59700)
+            << "\n";
 }
 
 // More than is read ahead, all of it with too little time for the wait: what is read only as the others are
@@ -209,8 +213,8 @@
   std::cout << "on one that waits to be accepted: " << waiting.answer() << waiting.answer() << "\n";
 }
 
-// With statements that are held as no node may be used, that wait for a connection, and that a node hangs over,
-// and with discovery down: each has its answer in its time, and the program ends after them.
+// With statements that are held as no node may be used, that wait for a connection, and that a node hangs
+// over, and with discovery down: each has its answer in its time, and the program ends after them.
 void endingHeld() {
   Node hangs({"hangs"}, 1);
   Side discovery(silentDiscovery);
@@ -267,6 +271,43 @@
 
 // --- Attempts
 
+// A read's hedge waits for a connection, which comes up once the other attempt's answer is there: in a turn
+// after it, where nothing may be cancelled, or in the same turn.
+void answeredWhileConnecting() {
+  for (const bool sameTurn : {false, true}) {
+    Node first({"k"}), second({}, 0);
+    const auto replica = [](const Node& node, const std::string& id) {
+      auto made = entry(node.side(), id, "up");
+      return made.replace(made.find("master"), 6, "replica");
+    };
+    const auto only = replica(first, "s-1");
+    Lists discovery(list(1, only));
+    Program router(
+        discovery.port(), list(1, only), 20000, 256, 0, "",
+        std::string(R"("probes":false,"secondCopies":true,"cancel":)") + (sameTurn ? "true" : "false"));
+    discovery.events.await("watch");
+    Peer client = router.client();
+    client.send(statement("usual", "any"));  // from its latency the router knows when a read is late
+    std::cout << client.answer();
+    discovery.tell(list(2, replica(second, "s-2"), false));
+    router.says("list version 2");
+    client.send(statement("k", "any"));
+    first.events.await("saw k");
+    second.events.await("connection");
+    if (sameTurn) router.halt();
+    first.go("k");
+    first.events.await("answered k");
+    if (!sameTurn) std::cout << client.answer();
+    second.events.happen("greet");
+    second.events.await("greeted");
+    if (sameTurn) router.go();
+    if (sameTurn) std::cout << client.answer();
+    router.settles();
+    std::cout << (sameTurn ? "in the same turn" : "in a later turn") << ": the first saw " << first.saw()
+              << ", the second " << second.saw() << "\n";
+  }
+}
+
 // The first attempt may have run, and the repeat waits for a connection until its window is over.
 void windowOver() {
   Node node({"breaks"}, 1);
@@ -283,8 +324,8 @@
   std::cout << client.answer() << "the node saw " << node.saw() << "\n";
 }
 
-// Answers that break off, or never end, after any number of their bytes: a read has the whole value from another
-// attempt, a write that may run once is rolled back.
+// Answers that break off, or never end, after any number of their bytes: a read has the whole value from
+// another attempt, a write that may run once is rolled back.
 void brokenAnswers() {
   const std::size_t size = row("v-cut-0").size();  // of the shortest of these answers
   for (const std::string how : {"cut-", "stall-"}) {
@@ -334,8 +375,8 @@
   std::cout << "read late: " << answered << " answers\n";
 }
 
-// No descriptor is to be had for a while: who is there is served, who comes is once there is one, and the log has
-// a line of it.
+// No descriptor is to be had for a while: who is there is served, who comes is once there is one, and the log
+// has a line of it.
 void noDescriptors() {
   Node node({"slow"});
   Side discovery(silentDiscovery);
@@ -372,8 +413,8 @@
   std::cout << "ended: " << router.said("ended") << "\n";
 }
 
-// More are being closed than there are places for, none of which closes its side, and their time has not come: the
-// first of them go, and each new client is still told why, and one is served.
+// More are being closed than there are places for, none of which closes its side, and their time has not
+// come: the first of them go, and each new client is still told why, and one is served.
 void closingCrowd() {
   Node node;
   Side discovery(silentDiscovery);
@@ -407,6 +448,7 @@
                                                 {"ending", ending},
                                                 {"ending-crossed", endingCrossed},
                                                 {"ending-held", endingHeld},
+                                                {"answered-connecting", answeredWhileConnecting},
                                                 {"window", windowOver},
                                                 {"broken-answers", brokenAnswers},
                                                 {"floods", floods},
--- a/tests/program.h
+++ b/tests/program.h
@@ -35,10 +35,11 @@
  public:
   // `connectMs`: what is not up by then does not come up.
   // `early`: a signal that comes while it reads its configuration, ahead of all else; 0: none does.
-  // `more`: settings beside the usual ones.
+  // `more`: settings beside the usual ones. `allowed`: which means it has.
   Program(unsigned short discovery, const std::string& known, int connectMs = 250, int descriptors = 256,
-          int early = 0, std::string more = "")
-      : connectMs_(connectMs), descriptors_(descriptors), more_(std::move(more)), file_("crossings-" + std::to_string(getpid()) + "-" + std::to_string(port_.number()) + ".json") {
+          int early = 0, std::string more = "", std::string allowed = R"("probes":true,"cancel":true)")
+      : connectMs_(connectMs), descriptors_(descriptors), more_(std::move(more)), allowed_(std::move(allowed)),
+        file_("crossings-" + std::to_string(getpid()) + "-" + std::to_string(port_.number()) + ".json") {
     if (early != 0) mkfifo(file_.c_str(), 0600);
     if (early == 0) configure(discovery, known);
     const std::string variable = "BALANCER_CONFIG=" + file_;
@@ -81,7 +82,7 @@
     std::ofstream(file_)
         << R"({"name":"n","listen":"127.0.0.1:)" << port_.number() << R"(","discovery":"127.0.0.1:)" << discovery
         << R"(","seed":"7","limits":{"memory_mb":64,"sockets":)" << descriptors_ << R"(},"known":)" << known
-        << R"(,"settings":{)" << more_ << R"("zone":"a","round":5000,"limits":{"probes":true,"cancel":true,"maxAttempts":3,)"
+        << R"(,"settings":{)" << more_ << R"("zone":"a","round":5000,"limits":{)" << allowed_ << R"(,"maxAttempts":3,)"
         << R"("connectTimeout":)" << connectMs_ << R"(000},"lanes":[)"
         << R"({"name":"read","effect":"idempotent","objective":30000000,"deadline":60000000},)"
         << R"({"name":"write","effect":"at_most_once","objective":30000000,"deadline":60000000},)"
@@ -154,7 +155,7 @@
  private:
   Port port_;
   int connectMs_, descriptors_;
-  std::string more_;
+  std::string more_, allowed_;
   std::string file_;
   pid_t child_ = 0;
   Descriptor log_;
@@ -189,7 +190,7 @@
   std::vector<std::string> happened_;
 };
 
-// A primary that tells the events `connection` and `saw KEY`, and answers a statement for KEY after `go KEY`
+// A primary that tells the events `connection`, `saw KEY` and `answered KEY`, and answers a statement for KEY after `go KEY`
 // where it is told to wait for that; connections beyond the first `greeted` are greeted after `greet`. Where it waits for `breaks` its answer to
 // that is a reset.
 class Node {
@@ -274,7 +275,12 @@
     const std::string all = row("v-" + key);
     // `cut-N` gets N bytes of its answer and an end, `stall-N` so many and no more, the first time each.
     const auto dash = key.find('-');
-    if (again || (!key.starts_with("cut-") && !key.starts_with("stall-"))) return peer.send(all), true;
+    if (again || (!key.starts_with("cut-") && !key.starts_with("stall-"))) {
+      peer.send(all);
+      peer.arrives();
+      events.happen("answered " + key);
+      return true;
+    }
     peer.send(all.substr(0, std::stoul(key.substr(dash + 1))));
     return key[0] == 's';
   }
