A repeat that a node takes in parts is broken off once its window is over

Checked: with the usual segment size loopback takes all of it at once, which is why no test had shown it. Cause: Links::write set the attempt's end to cutAt, the txn's own time, and Links::written let the rest go out; sendBy was looked at only where the statement had not been begun (Links::release). Change: what is not written whole ends at sendBy, as not sent; from `written` on at cutAt as before. The same guards a bounded read.

--- a/src/carriers/pg/links.cpp
+++ b/src/carriers/pg/links.cpp
@@ -102,9 +102,8 @@
     return;
   }
   const core::Message& message = ledger_.message(job.txn);
-  const Instant cutAt = ledger_.attempt(job)->cutAt;
+  const Instant sendBy = ledger_.attempt(job)->sendBy, cutAt = ledger_.attempt(job)->cutAt;
   carried_[job] = id;
-  setDue(id, link, cutAt);
   // The node is told how long this router will wait, in whole milliseconds.
   const auto left = std::max<std::int64_t>(1, (cutAt - ledger_.now()).inMicros() / 1000);
   const std::string wait = std::to_string(left);
@@ -114,6 +113,9 @@
                                          wait,
                                          text.substr(message.waitAt + message.waitSize),
                                          {"\0", 1}});
+  // Guards against a statement of which the node takes a part at a time: the rest would make it whole there
+  // when it may not be sent any more. Hurts none: it has not run, and ends as not sent.
+  setDue(id, link, link.written ? cutAt : std::min(sendBy, cutAt));
 }
 
 void Links::up(LinkId id) {
@@ -124,7 +126,11 @@
 }
 
 void Links::written(LinkId id) {
-  if (const auto at = links_.find(id); at != links_.end()) at->second.written = true;
+  const auto at = links_.find(id);
+  if (at == links_.end()) return;
+  Link& link = at->second;
+  link.written = true;
+  if (link.stage == Stage::busy && link.job.txn != 0) setDue(id, link, ledger_.attempt(link.job)->cutAt);
 }
 
 std::size_t Links::sent(LinkId id, std::string_view bytes) {
@@ -188,8 +194,8 @@
   place.spoilt = 0;
 }
 
-// Its answer is whole. Guards against more than that, the same again or noise, which must not be taken for the
-// next txn's answer, however late it comes: an empty query is asked, and once its answer has come nothing
+// Its answer is whole. Guards against more than that, the same again or noise, which must not be taken for
+// the next txn's answer, however late it comes: an empty query is asked, and once its answer has come nothing
 // older is on the way. Costs a message each way; may hurt at nodes that answer empty queries late.
 void Links::clear(LinkId id, Link& link, bool more) {
   link.stage = Stage::clearing;
@@ -326,9 +332,12 @@
     const LinkId id = due_.begin()->second;
     const Link& link = links_.at(id);
     const bool busy = link.stage == Stage::busy, begun = link.answering;
+    const auto* attempt = busy ? ledger_.attempt(link.job) : nullptr;
+    const bool tooLate = attempt && !link.written && ledger_.now() < attempt->cutAt;
     if (link.stage == Stage::clearing || (busy && begun)) logSpoilt(link.node, "an answer without an end");
     endLink(id, link.stage == Stage::idle                ? ConnectionEnd::retired
                 : link.stage == Stage::clearing || begun ? ConnectionEnd::malformed
+                : tooLate                                ? ConnectionEnd::cancelled
                 : busy                                   ? ConnectionEnd::unanswered
                                                          : ConnectionEnd::neverUp);
   }
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -12,12 +12,16 @@
 
 void say(const std::string& text) { std::cout << "-- " << text << "\n"; }
 
-std::string statement(const std::string& key, const std::string& type, int wait = 60000) {
+// `bytes`: of the value that it writes.
+std::string statement(const std::string& key, const std::string& type, int wait = 60000,
+                      std::size_t bytes = 1) {
   const std::string comment =
       " /* " + nextId() + ",c=" + type + ",d=" + std::to_string(wait) + ",cluster=1 */";
+  std::string hex;
+  while (hex.size() < 2 * bytes) hex += "77";
   return type == "write" || type == "known"
-             ? query("INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x77') RETURNING body" +
-                     comment)
+             ? query("INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x" + hex +
+                     "') RETURNING body" + comment)
              : query("SELECT body FROM objects WHERE oid = '" + key + "'" + comment);
 }
 
@@ -324,6 +328,24 @@
   std::cout << client.answer() << "the node saw " << node.saw() << "\n";
 }
 
+// The repeat is written in part, as the node takes no more of it, and the node reads on once its window is
+// over.
+void windowOverInPart() {
+  Node node({"breaks"}, 1 << 20, 1, 2048);
+  Side discovery(silentDiscovery);
+  Program router(discovery.port(), one(node), 20000);
+  Peer client = router.client();
+  client.send(statement("breaks", "known", 60000, 60 * 1024));
+  node.events.await("saw breaks");
+  const auto seenAt = Clock::now();
+  node.go("breaks");
+  node.events.await("greeted", 2);
+  router.settles();
+  until(seenAt + std::chrono::milliseconds(500));
+  node.events.happen("read");
+  std::cout << client.answer() << "the node saw " << node.saw() << "\n";
+}
+
 // Answers that break off, or never end, after any number of their bytes: a read has the whole value from
 // another attempt, a write that may run once is rolled back.
 void brokenAnswers() {
@@ -450,6 +472,7 @@
                                                 {"ending-held", endingHeld},
                                                 {"answered-connecting", answeredWhileConnecting},
                                                 {"window", windowOver},
+                                                {"window-part", windowOverInPart},
                                                 {"broken-answers", brokenAnswers},
                                                 {"floods", floods},
                                                 {"no-descriptors", noDescriptors},
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -194,8 +195,9 @@
 // Accepts connections and serves each on a thread of its own until it is destroyed.
 class Side {
  public:
-  explicit Side(std::function<void(Peer&)> serve)
-      : listener_(loop::listenOn(kHost, 0)), accepting_([this, serve](std::stop_token stop) {
+  // `room`: what of it the system takes in before it is read; 0: as much as usual.
+  explicit Side(std::function<void(Peer&)> serve, int room = 0)
+      : listener_(listening(room)), accepting_([this, serve](std::stop_token stop) {
           while (!stop.stop_requested()) {
             Descriptor taken;
             if (loop::accept(listener_.number(), taken) == loop::Io::some) {
@@ -210,6 +212,15 @@
   unsigned short port() const { return portOf(listener_); }
 
  private:
+  // Connections have the room that their listener had as they came.
+  static Descriptor listening(int room) {
+    Descriptor made = loop::listenOn(kHost, 0);
+    // Small segments, too: the sender's system takes in as much as some of them at once.
+    const int segment = 536;
+    if (room > 0) setsockopt(made.number(), SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
+    if (room > 0) setsockopt(made.number(), IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+    return made;
+  }
   Descriptor listener_;
   std::vector<std::jthread> serving_;
   std::jthread accepting_;
--- a/tests/program.h
+++ b/tests/program.h
@@ -195,8 +195,9 @@
 // that is a reset.
 class Node {
  public:
-  explicit Node(std::set<std::string> waits = {}, std::size_t greeted = 1 << 20)
-      : waits_(std::move(waits)), greeted_(greeted), side_([this](Peer& peer) { serve(peer); }) {}
+  // Connections beyond the first `read` are read after `read`; `room`: what they take in before that.
+  explicit Node(std::set<std::string> waits = {}, std::size_t greeted = 1 << 20, std::size_t read = 1 << 20, int room = 0)
+      : waits_(std::move(waits)), greeted_(greeted), read_(read), side_([this](Peer& peer) { serve(peer); }, room) {}
 
   Events events;
   unsigned short port() const { return side_.port(); }
@@ -238,6 +239,7 @@
     peer.send(pg::welcome());
     peer.arrives();
     events.happen("greeted");
+    if (number >= read_) events.await("read");
     while (answer(peer)) {}
     const std::lock_guard lock(mutex_);
     peers_[number] = nullptr;
@@ -286,7 +288,7 @@
   }
 
   std::set<std::string> waits_;
-  std::size_t greeted_;
+  std::size_t greeted_, read_;
   std::mutex mutex_;
   std::vector<Peer*> peers_;
   std::vector<std::string> keys_;
