Where no probes are allowed writes look for a primary that no list tells

Cause: Router place() sends writes and reads of the newest data to the member last known to be primary. After a release none is known, the search for one (decide(), probe() each 150 ms) does nothing where probes are not allowed, and bounded reads had no position: no message went to any node any more, so nothing could ever be learnt. Ruled out: full nodes (none), levels of reduced service (held ones ran out of their time first, log), discovery (its list was there 0.1 s after each change). Change: a write that waits then goes to one member, each once in 150 ms as far as routers share it, as the probes would: a replica turns it away untouched. While a primary is known that is not well, only with an attempt to spare.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -368,7 +368,8 @@
 
   Member* place(const Live& txn) {
     Member* primary = primaryOf(txn.txn.group);
-    if (typeOf(txn).level >= ReadLevel::fresh) return primary && usable(*primary, txn) ? primary : nullptr;
+    if (typeOf(txn).level >= ReadLevel::fresh)
+      return primary && usable(*primary, txn) ? primary : searched(txn, primary);
     if (Member* replica = draw(txn, primary, false)) return replica;
     // Held for a third of the latency target, so that the primary has time to answer; it keeps room for its
     // writes.
@@ -381,6 +382,28 @@
     return terms.nodesGuard ? draw(txn, primary, true) : nullptr;
   }
 
+  // Where no probes are allowed and no primary is known to be well, writes look for it: a replica turns them
+  // away untouched, and tells what it is. Each member once in 150 ms, as far as routers share it, the one
+  // that was asked longest ago first. Guards against a change of primary that no list tells, after which
+  // nothing at all would be sent; may hurt a write that has few attempts.
+  Member* searched(const Live& txn, const Member* primary) {
+    if (terms.probesAllowed || typeOf(txn).level != ReadLevel::write) return nullptr;
+    // While one is known that is not well, only by an attempt that is to spare.
+    const bool spare = txn.attempts + txn.txn.earlier.attempts + 1 < terms.mostAttempts;
+    if (primary && (well(*primary) || !spare)) return nullptr;
+    auto asked = groupOf(txn.txn.group).members;
+    std::erase_if(asked, [&](Member* m) {
+      return leaving(*m) || wasTried(*m, txn) || inFlight(*m) >= inFlightBound(*m, 1) ||
+             now - m->fullAt < paced(250) || now - m->probedAt < shared(150) || !coldRoom(*m, txn.txn.type);
+    });
+    if (asked.empty()) return nullptr;
+    std::shuffle(asked.begin(), asked.end(), chance);
+    Member* m = *std::min_element(asked.begin(), asked.end(),
+                                  [](auto* a, auto* b) { return a->probedAt < b->probedAt; });
+    m->probedAt = now;
+    return m;
+  }
+
   Instant holdEnd(const Live& txn) const { return txn.takenAt + typeOf(txn).latencyTarget * 0.35; }
 
   void submit(Live& txn, Member& m) {
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -354,6 +354,32 @@
   }
 }
 
+// Where no probes are allowed and no list tells the new primary, writes find it; reads don't look for it.
+void noProbes() {
+  Terms terms = usualTerms({kWrite, type(ReadLevel::fresh)});
+  terms.probesAllowed = false;
+  terms.coldTime = Span();
+  Bench b(terms);
+  start(b);
+  b.say("the primary leaves: a read of the newest data is held, writes ask one member each");
+  b.at(100, [&](Router& r) { r.listed(ListKind::changes, {b.entry("p", true, Health::draining)}); });
+  b.at(110, [&](Router& r) { r.taken(b.txn(1, 1)); });
+  b.run(115, 130);
+  b.at(135, [&](Router& r) { r.taken(b.txn(2)), r.taken(b.txn(3)), r.taken(b.txn(4)); });
+  b.run(140, 150);
+  b.say("the first is turned away by a replica, the other is committed by the new primary");
+  b.at(155, [&](Router& r) {
+    for (const TxnId id : {2, 3, 4})
+      if (b.nodeOf(id) == "a") end(b, r, id, End::notHere, Role::replica);
+  });
+  b.run(160, 170);
+  b.at(175, [&](Router& r) {
+    for (const TxnId id : {2, 3, 4})
+      if (b.nodeOf(id) == "b") end(b, r, id, End::committed, Role::primary);
+  });
+  b.run(180, 200);
+}
+
 // A replica that may have been down may have lost the end of its log.
 void tornLog() {
   Terms terms = usualTerms({kSession});
@@ -782,7 +808,7 @@
 const std::map<std::string, void (*)()> kCases{
     {"ordinary-path", ordinaryPath}, {"stale-read", staleRead}, {"once-only", onceOnly}, {"lost-answers", lostAnswers}, {"other-write", otherWrite},
     {"repeatable", repeatable}, {"referenced", referenced}, {"drains", drains}, {"cold-node", coldNode},
-    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"late-clock", lateClock}, {"keeps-asking", keepsAsking}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"dead-work", deadWork},
+    {"new-primary", newPrimary}, {"hung-node", hungNode}, {"slow-primary", slowPrimary}, {"few-connections", fewConnections}, {"late-clock", lateClock}, {"keeps-asking", keepsAsking}, {"forgetting", forgetting}, {"left-behind", leftBehind}, {"only-writes", onlyWrites}, {"quick-txns", quickTxns}, {"torn-log", tornLog}, {"no-probes", noProbes}, {"dead-work", deadWork},
     {"later-tries", laterTries}, {"late-news", lateNews}, {"long-reads", longReads}, {"next-try", nextTry},
     {"asked-list", askedList}, {"second-copy", hedge}, {"stall", stall},
     {"old-latencies", oldLatencies}, {"worthless", worthless}, {"told", told},
