--- /dev/null
+++ b/tests/child.h
@@ -0,0 +1,97 @@
+// The program as a child process with variables of its choice; its standard output and error are read as lines.
+#pragma once
+
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+#include "loop/descriptor.h"
+
+namespace gulltrestle::peers {
+
+class Child {
+ public:
+  // Milliseconds; nothing here takes so long, and who waits longer says so.
+  static constexpr int kLongestWait = 60'000;
+
+  explicit Child(std::vector<std::string> variables) {
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "pipe");
+    log_ = loop::Descriptor(ends[0]);
+    const loop::Descriptor theirs(ends[1]);
+    std::vector<char*> environment;
+    for (std::string& variable : variables) environment.push_back(variable.data());
+    environment.push_back(nullptr);
+    char* const words[] = {const_cast<char*>(GULLTRESTLE_PROGRAM), nullptr};
+    id_ = fork();
+    if (id_ != 0) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(theirs.number(), 1);
+    dup2(theirs.number(), 2);
+    execve(GULLTRESTLE_PROGRAM, words, environment.data());
+    _exit(127);
+  }
+  Child(const Child&) = delete;
+  Child& operator=(const Child&) = delete;
+  ~Child() {
+    if (id_ <= 0) return;
+    signal(SIGKILL);
+    wait();
+  }
+
+  void signal(int number) const { kill(id_, number); }
+  // Reads its lines up to one that has this text; false where they end before.
+  bool untilItSays(const std::string& text) {
+    while (readLine())
+      if (lines_.back().find(text) != std::string::npos) return true;
+    return false;
+  }
+  bool ended() const { return ended_; }
+  const std::vector<std::string>& lines() const { return lines_; }
+  std::string lastLine() const { return lines_.empty() ? "" : lines_.back(); }
+  // Its exit code, or 1000 and the number of the signal that ended it.
+  int wait() {
+    int status = 0;
+    waitpid(std::exchange(id_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
+  }
+
+ private:
+  bool readLine() {
+    for (;;) {
+      if (const auto end = unread_.find('\n'); end != std::string::npos) {
+        lines_.push_back(unread_.substr(0, end));
+        unread_.erase(0, end + 1);
+        return true;
+      }
+      pollfd more{log_.number(), POLLIN, 0};
+      if (poll(&more, 1, kLongestWait) <= 0) {
+        std::cout << "it says nothing more\n";
+        return false;
+      }
+      char bytes[4096];
+      const auto size = ::read(log_.number(), bytes, sizeof bytes);
+      ended_ = size <= 0;
+      if (ended_) return false;
+      unread_.append(bytes, static_cast<std::size_t>(size));
+    }
+  }
+
+  pid_t id_ = 0;
+  loop::Descriptor log_;
+  std::string unread_;
+  std::vector<std::string> lines_;
+  bool ended_ = false;
+};
+
+}  // namespace gulltrestle::peers
