The default table of reduced service never restricts a type that may not be repeated

Class: two settings that had always come together are still two. Change: a type is restricted by default only where it is a read and repeatable; what pays best and the median are those of such types.

--- a/src/levels/table.cpp
+++ b/src/levels/table.cpp
@@ -12,7 +12,25 @@
 // What a type pays for the time it may take: the latency target stands for the work, which no setting tells.
 double pay(const TxnType& type) { return type.value / std::max(type.latencyTarget.inSeconds(), 1e-3); }
 
-bool isRead(const TxnType& type) { return type.level < ReadLevel::write; }
+// Effect and read level are settings of their own: a read may be one that runs only once.
+bool mayBeReduced(const TxnType& type) {
+  return type.level < ReadLevel::write && type.effect == Effect::repeatable;
+}
+
+// What the types of a deployment are compared with.
+struct Compared {
+  Span shortest;          // latency target of all types
+  double half = 0, best;  // of what the types that may be reduced pay: the median, the most
+};
+
+Admit admitOf(const TxnType& type, Level level, const Compared& compared) {
+  if (!mayBeReduced(type)) return Admit::all;
+  const bool isLong = type.level == ReadLevel::any && type.latencyTarget >= compared.shortest * kLong;
+  const bool owes = type.level == ReadLevel::session || type.level == ReadLevel::bounded;
+  if (level >= 4) return pay(type) < compared.best ? Admit::spare : Admit::ready;
+  if (level >= 3 && pay(type) < compared.half) return Admit::spare;
+  return isLong || (owes && level >= 2) ? Admit::ready : Admit::all;
+}
 
 }  // namespace
 
@@ -35,7 +53,7 @@
   std::vector<double> pays;
   for (const auto& type : types) {
     shortest = std::min(shortest, type.latencyTarget);
-    if (isRead(type)) pays.push_back(pay(type));
+    if (mayBeReduced(type)) pays.push_back(pay(type));
   }
   std::sort(pays.begin(), pays.end());
   const double half = pays.empty() ? 0 : pays[pays.size() / 2], best = pays.empty() ? 0 : pays.back();
@@ -43,15 +61,7 @@
   for (Level level = 1; level <= kMostLevel; ++level) {
     Reduction& row = table[level - 1];
     row.sparing = true;
-    for (const auto& type : types) {
-      const bool isLong = type.level == ReadLevel::any && type.latencyTarget >= shortest * kLong;
-      const bool owes = type.level == ReadLevel::session || type.level == ReadLevel::bounded;
-      Admit admit = Admit::all;
-      if ((isRead(type) && isLong) || (owes && level >= 2)) admit = Admit::ready;
-      if (isRead(type) && level >= 3 && pay(type) < half) admit = Admit::spare;
-      if (isRead(type) && level >= 4) admit = pay(type) < best ? Admit::spare : Admit::ready;
-      row.admits.push_back(admit);
-    }
+    for (const auto& type : types) row.admits.push_back(admitOf(type, level, {shortest, half, best}));
   }
   return table;
 }
