A bad machine as a preloaded library; short reads and writes, a socket refused at start fail

A library that is preloaded into the program fails its calls by kinds, as the manual pages list them; a page shared with the test sets how often and counts what fired. Cause of the failures: the loop's streams are edge-triggered, and a short read or write is taken as proof that the system has nothing more; listen, epoll and signalfd are asked once at start.

--- /dev/null
+++ b/src/loop/stream.h
@@ -0,0 +1,75 @@
+// A socket or other descriptor that tasks of a loop wait on. What it can do is remembered until a call says that
+// it would block, or took less than it was given; from then on epoll is asked again, level-triggered: bytes that
+// a short read or write left behind are reported again, whatever made it short.
+#pragma once
+
+#include <coroutine>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <utility>
+
+#include "base/time.h"
+#include "loop/descriptor.h"
+#include "loop/sockets.h"
+
+namespace gulltrestle::loop {
+
+class Loop;
+
+class Stream {
+ public:
+  Stream(Loop& loop, Descriptor descriptor);
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+  ~Stream();
+
+  int descriptor() const { return descriptor_.number(); }
+  bool canRead() const { return canRead_; }
+  bool canWrite() const { return canWrite_; }
+  bool readEnds() const { return readEnds_; }  // the other side sends no more than what can be read
+  bool hungUp() const { return hungUp_; }      // reset, or ended in both directions
+
+  // One system call each, which never blocks.
+  IoResult read(std::span<char> buffer);
+  IoResult write(std::span<const std::string_view> parts);
+  Io accept(Descriptor& taken);
+  // For a descriptor that is read otherwise (signals, events): nothing was left.
+  void readBlocked();
+
+  // Resumes in a later turn, once something may have changed: it can be read or written, or wake() was
+  // called. One task waits at a time.
+  auto changed() {
+    struct Change {
+      Stream& stream;
+      bool await_ready() const { return false; }
+      void await_suspend(std::coroutine_handle<> handle) { stream.await(handle); }
+      void await_resume() const {}
+    };
+    return Change{*this};
+  }
+  void wake();
+  void wakeAt(Instant at);
+
+ private:
+  friend class Loop;
+  // What epoll is to report, as far as it is not known already.
+  std::uint32_t wanted() const;
+  // Takes over what epoll reported; returns what it need not report again until it is asked.
+  std::uint32_t reported(std::uint32_t events);
+  void await(std::coroutine_handle<> handle);
+  void writeBlocked();
+  void pauseReports();
+
+  Loop& loop_;
+  Descriptor descriptor_;
+  bool canRead_ = false, canWrite_ = false, readEnds_ = false, hungUp_ = false;
+  bool added_ = false;        // epoll knows it
+  bool paused_ = false;       // reports wait for a timer, as the system was short of memory
+  std::uint32_t armed_ = 0;   // what epoll reports
+  std::uint64_t id_ = 0;
+  bool woken_ = false;
+  std::coroutine_handle<> waiter_;
+};
+
+}  // namespace gulltrestle::loop
--- /dev/null
+++ b/tests/faults.cpp
@@ -0,0 +1,123 @@
+// The program on a bad machine (tests/faults/machine.h): each txn gets its final answer all the same. Run as
+// `faults CASE`. Every case says whether its faults came: one that never fired has tested nothing.
+#include "faults/machine.h"
+
+#include "child.h"
+#include "lists.h"
+#include "scratch.h"
+
+using namespace gulltrestle;
+using namespace gulltrestle::peers;
+using faults::Kind;
+
+namespace {
+
+constexpr int kTxns = 200;
+
+// The program with one node and a discovery, all on loopback.
+class Trial {
+ public:
+  explicit Trial(std::uint64_t seed)
+      : folder_(scratchFolder("faults")), machine(folder_ + "/machine", seed), discovery_(nodes()) {}
+  ~Trial() {
+    child_->signal(SIGTERM);
+    child_->untilItSays("no line has this");
+    const int code = child_->wait();
+    std::cout << "exit code " << code << (code == 0 ? "" : ", " + child_->lastLine()) << "\n";
+    unlink((folder_ + "/config.json").c_str());
+  }
+
+  bool start() {
+    std::ofstream(folder_ + "/config.json")
+        << R"({"name":"n","listen":"127.0.0.1:)" << port_.number() << R"(","discovery":"127.0.0.1:)"
+        << discovery_.port() << R"(","seed":"7","limits":{"memory_mb":64,"sockets":256},"known":)" << nodes()
+        << R"(,"settings":{"zone":"a","round":5000,"limits":{"probes":true,"cancel":true,"maxAttempts":3,)"
+        << R"("connectTimeout":1000000},"lanes":[)"
+        << R"({"name":"read","effect":"idempotent","objective":4000000,"deadline":9000000},)"
+        << R"({"name":"write","effect":"at_most_once","objective":4000000,"deadline":9000000}],)"
+        << R"("specifics":{"readLevel":["latest","update"],"lagAllowed":[0,0]}}})";
+    child_ = std::make_unique<Child>(std::vector<std::string>{
+        "BALANCER_CONFIG=" + folder_ + "/config.json", "LD_PRELOAD=" GULLTRESTLE_BAD_MACHINE_LIBRARY,
+        "ASAN_OPTIONS=verify_asan_link_order=0", machine.variable()});
+    return child_->untilItSays("listens on");
+  }
+
+  // Asks for so many txns, reads and writes in turn, on connections of ten each; how many were committed and
+  // how many got a final answer of another kind. Ends at the first that gets none.
+  void ask(int txns) {
+    int committed = 0, otherwise = 0, unanswered = 0;
+    std::unique_ptr<Peer> client;
+    for (int at = 0; at < txns && unanswered == 0; ++at) {
+      if (at % 10 == 0) client = nullptr;
+      if (!client) client = std::make_unique<Peer>(connected());
+      client->send(at % 2 == 0 ? read("k") : write(100));
+      const std::string answer = client->answer();
+      if (answer.find("D(") != std::string::npos)
+        ++committed;
+      else if (answer.find("E(") != std::string::npos)
+        ++otherwise;
+      else
+        ++unanswered;
+    }
+    std::cout << committed << " committed, " << otherwise << " answered otherwise, " << unanswered
+              << " without an answer\n";
+  }
+  void tellFired(Kind kind) {
+    std::cout << faults::kNames[static_cast<std::size_t>(kind)]
+              << (machine.fired(kind) > 0 ? " fired\n" : " never fired\n");
+  }
+
+ private:
+  std::string nodes() const { return list(1, entry(node_.side(), "s-1", "up")); }
+  Peer connected() const {
+    Peer made = Peer::to(port_.number());
+    made.send(pg::startup("worker", "catalog"));
+    made.answer();
+    return made;
+  }
+
+  std::string folder_;
+  Port port_;
+
+ public:
+  faults::Machine machine;
+
+ private:
+  Node node_;
+  Lists discovery_;
+  std::unique_ptr<Child> child_;
+};
+
+// All the time that txns are asked for.
+void whileServing(Kind kind, std::uint32_t perMille) {
+  Trial trial(7);
+  if (!trial.start()) return;
+  trial.machine.fail(kind, perMille);
+  trial.ask(kTxns);
+  trial.tellFired(kind);
+  trial.machine.heal();
+}
+
+// The first calls of the start fail.
+void atStart(Kind kind, std::uint32_t calls) {
+  Trial trial(7);
+  trial.machine.failFirst(kind, calls);
+  std::cout << (trial.start() ? "started\n" : "not started\n");
+  trial.tellFired(kind);
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  const std::string name = count > 1 ? words[1] : "";
+  if (name == "short-reads") return whileServing(Kind::shortRead, 100), 0;
+  if (name == "short-writes") return whileServing(Kind::shortWrite, 300), 0;
+  if (name == "interrupted") return whileServing(Kind::interrupted, 100), 0;
+  if (name == "memory") return whileServing(Kind::memory, 50), 0;
+  if (name == "epoll-ctl") return whileServing(Kind::epollCtl, 300), 0;
+  if (name == "accepting") return whileServing(Kind::accepting, 500), 0;
+  if (name == "start-socket") return atStart(Kind::socket, 2), 0;
+  if (name == "start-listen") return atStart(Kind::listening, 3), 0;
+  if (name == "start-epoll") return atStart(Kind::epollCtl, 2), 0;
+  return 2;
+}
