Streams ask epoll level-triggered; passing failures of a start are tried again

Change: one mechanism for clients, nodes, discovery, external processor, peers and stand-ins, Stream::read, write and accept (loop/stream.h): what a short call left is reported again, what nobody reads is muted. ENOMEM and ENOBUFS pause reports for 10 ms; epoll_ctl that fails is asked again; passing failures at start are tried on for 5 s (loop/persist.h); an accept that keeps failing no longer spins; a connection that this machine can't begin is no longer the node's fault.

--- a/benchmarks/fronts.cpp
+++ b/benchmarks/fronts.cpp
@@ -208,7 +208,7 @@
       if (unsent.empty()) unsent = session.output();
       if (unsent.empty()) return;
       const std::string_view all = unsent;
-      const auto done = loop::writeFrom(stream.descriptor(), {&all, 1});
+      const auto done = stream.write({&all, 1});
       if (done.how != loop::Io::some) return;
       unsent.erase(0, done.size);
     }
@@ -216,10 +216,10 @@
 };
 
 loop::Task runProxy(Proxy& proxy) {
-  while (!proxy.stream.canWrite) co_await proxy.stream.changed();
+  while (!proxy.stream.canWrite()) co_await proxy.stream.changed();
   for (;;) {
     static char bytes[256 * 1024];
-    const auto got = loop::readInto(proxy.stream.descriptor(), bytes);
+    const auto got = proxy.stream.read(bytes);
     if (got.how == loop::Io::some) proxy.session.received(proxy.load.loop.now(), {bytes, got.size});
     proxy.flush();
     if (got.how != loop::Io::some) co_await proxy.stream.changed();
@@ -236,7 +236,7 @@
   void read() {
     static char bytes[64 * 1024];
     for (;;) {
-      const auto got = loop::readInto(stream.descriptor(), bytes);
+      const auto got = stream.read(bytes);
       if (got.how == loop::Io::some) kept.append(bytes, got.size);
       if (got.how == loop::Io::ended || got.how == loop::Io::failed) over = true;
       if (got.how != loop::Io::some) return;
@@ -244,7 +244,7 @@
   }
   void write(const std::string& bytes) {
     const std::string_view all = bytes;
-    loop::writeFrom(stream.descriptor(), {&all, 1});
+    stream.write({&all, 1});
   }
 };
 
@@ -277,7 +277,7 @@
 loop::Task acceptNodes(loop::Loop& loop, loop::Stream& listener) {
   for (;;) {
     loop::Descriptor taken;
-    if (loop::accept(listener.descriptor(), taken) == loop::Io::some)
+    if (listener.accept(taken) == loop::Io::some)
       loop.spawn(runNode(loop, std::move(taken)));
     else
       co_await listener.changed();
@@ -288,7 +288,7 @@
   static std::uint64_t last = 0;
   const auto to = startup::readAddress("pg", address);
   Wire wire(loop, loop::startConnecting(to.host, to.port));
-  while (!wire.stream.canWrite) co_await wire.stream.changed();
+  while (!wire.stream.canWrite()) co_await wire.stream.changed();
   wire.write(pg::startup("worker", "catalog"));
   Instant at;
   const auto slot = [&] {
@@ -371,7 +371,7 @@
       [&](Instant now) {
         load.start();
         for (auto& proxy : proxies)
-          if (proxy->stream.canWrite) proxy->flush();
+          if (proxy->stream.canWrite()) proxy->flush();
         // By schedule it never sleeps: a wait is a whole millisecond at least, which would bunch what is due.
         return load.rate > 0 ? now : Instant();
       },
--- a/examples/toy_server.cpp
+++ b/examples/toy_server.cpp
@@ -81,11 +81,10 @@
 
 // Takes all that has come; false once the other side has ended or was reset.
 bool readAll(loop::Stream& from, std::string& kept) {
-  while (from.canRead) {
+  while (from.canRead()) {
     std::array<char, 4096> bytes;
-    const auto got = loop::readInto(from.descriptor(), bytes);
+    const auto got = from.read(bytes);
     if (got.how == Io::some) kept.append(bytes.data(), got.size);
-    if (got.how == Io::wouldBlock) from.canRead = false;
     if (got.how == Io::ended || got.how == Io::failed || kept.size() > kLongest) return false;
   }
   return true;
@@ -94,7 +93,7 @@
 bool write(loop::Stream& to, std::string& unsent) {
   while (!unsent.empty()) {
     const std::string_view all = unsent;
-    const auto done = loop::writeFrom(to.descriptor(), {&all, 1});
+    const auto done = to.write({&all, 1});
     if (done.how != Io::some) return done.how == Io::wouldBlock;
     unsent.erase(0, done.size);
   }
@@ -175,7 +174,7 @@
   loop::Stream listener(all, loop::listenOn(kHost, port));
   for (;;) {
     loop::Descriptor taken;
-    if (loop::accept(listener.descriptor(), taken) == Io::some)
+    if (listener.accept(taken) == Io::some)
       all.spawn(serve(std::move(taken)));
     else
       co_await listener.changed();
--- a/src/listener/listener.cpp
+++ b/src/listener/listener.cpp
@@ -106,9 +106,8 @@
     if (to.unsent.empty()) to.unsent = to.calls.output();
     if (to.unsent.empty()) break;
     const std::string_view all = to.unsent;
-    const auto done = loop::writeFrom(to.stream.descriptor(), {&all, 1});
+    const auto done = to.stream.write({&all, 1});
     if (done.how == Io::failed) to.broken = true;
-    if (done.how != Io::some) to.stream.canWrite = false;
     if (done.how != Io::some) break;
     to.unsent.erase(0, done.size);
   }
@@ -144,7 +143,7 @@
       continue;
     }
     loop::Descriptor descriptor;
-    const Io how = loop::accept(socket_->descriptor(), descriptor);
+    const Io how = socket_->accept(descriptor);
     if (how == Io::some) {
       // At the bound a new one is closed at once, and the oldest idle one goes, so that the next comes in.
       if (connections_.size() >= bounds_.mostConnections) {
@@ -188,9 +187,8 @@
       if (connection.stuckAt != Instant() && loop_.now() >= connection.stuckAt) break;
       // One read a turn: the others have theirs. What is not written yet holds up what is read: a client that
       // does not take its answers may ask no more.
-      if (connection.stream.canRead && connection.unsent.empty()) {
-        const auto got = loop::readInto(connection.stream.descriptor(), buffer_);
-        if (got.how == Io::wouldBlock) connection.stream.canRead = false;
+      if (connection.stream.canRead() && connection.unsent.empty()) {
+        const auto got = connection.stream.read(buffer_);
         if (got.how == Io::failed) connection.broken = true;
         if (got.how == Io::ended) ended = true;
         if (got.how == Io::some) {
@@ -198,13 +196,10 @@
           receiver_.seen(now);
           connection.calls.received(now, {buffer_.data(), got.size});
           if (connection.calls.open() > 0) connection.idleSince = now;
-          if (got.size == buffer_.size() || connection.stream.readEnds)
-            connection.stream.wake();
-          else
-            connection.stream.canRead = false;
+          if (connection.stream.canRead()) connection.stream.wake();
         }
       }
-      if (connection.stream.canWrite) write(connection);
+      if (connection.stream.canWrite()) write(connection);
       if (connection.broken || ended || (connection.unsent.empty() && connection.calls.done())) break;
       co_await connection.stream.changed();
     }
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <system_error>
 
+#include "loop/persist.h"
+
 namespace gulltrestle::loop {
 
 namespace {
@@ -25,11 +27,15 @@
 // As many events as a busy turn brings; more wait for the next turn.
 constexpr std::size_t kEventsATurn = 256;
 
+// Where epoll could not be asked, and where the system was short of memory: short against any deadline, and
+// long enough not to spin.
+constexpr Span kRetryPause = Span::millis(10);
+
 }  // namespace
 
-Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), offsetMicros_(unixMicros() - steadyMicros()) {
-  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll");
-}
+Loop::Loop()
+    : epoll_(persist("epoll", [] { return epoll_create1(EPOLL_CLOEXEC); })),
+      offsetMicros_(unixMicros() - steadyMicros()) {}
 
 Loop::~Loop() { endTasks(); }
 
@@ -58,19 +64,25 @@
 void Loop::turn(const Failed& failed) {
   const Instant time = now();
   while (!timers_.empty() && timers_.begin()->first <= time) {
-    const Timer due = timers_.begin()->second;
+    const Timer timer = timers_.begin()->second;
     timers_.erase(timers_.begin());
-    if (due.handle) {
-      resume(due.handle);
-    } else if (const auto at = streams_.find(due.stream); at != streams_.end()) {
-      at->second->wake();
-    }
+    due(timer);
   }
   now_.swap(ready_);
   for (const auto handle : now_) step(handle, failed);
   now_.clear();
 }
 
+void Loop::due(const Timer& timer) {
+  if (timer.handle) return resume(timer.handle);
+  const auto at = streams_.find(timer.stream);
+  if (at == streams_.end()) return;
+  Stream& stream = *at->second;
+  if (!timer.reportsGoOn) return stream.wake();
+  stream.paused_ = false;
+  settleLater(stream);
+}
+
 void Loop::step(std::coroutine_handle<> handle, const Failed& failed) {
   handle.resume();
   if (!handle.done()) return;
@@ -79,8 +91,10 @@
 }
 
 void Loop::wait(Instant until) {
+  settleAll();
   if (!timers_.empty() && (until == Instant() || timers_.begin()->first < until))
     until = timers_.begin()->first;
+  if (!unsettled_.empty()) until = until == Instant() ? now() + kRetryPause : std::min(until, now() + kRetryPause);
   int millis = -1;
   if (!ready_.empty()) {
     millis = 0;
@@ -99,40 +113,66 @@
     const auto& event = events[static_cast<std::size_t>(i)];
     const auto at = streams_.find(event.data.u64);
     if (at == streams_.end()) continue;
-    // An error or a hang-up shows in the next read or write, too.
-    if (event.events & (EPOLLHUP | EPOLLERR)) at->second->hungUp = true;
-    if (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) at->second->readEnds = true;
-    if (event.events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) at->second->canRead = true;
-    if (event.events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) at->second->canWrite = true;
-    at->second->wake();
+    Stream& stream = *at->second;
+    const std::uint32_t known = stream.reported(event.events);
+    // A hang-up is reported as long as epoll knows the descriptor.
+    if (known & (EPOLLHUP | EPOLLERR))
+      disarm(stream);
+    else if (known & stream.armed_)
+      arm(stream, stream.armed_ & ~known);
+    stream.wake();
   }
 }
 
-std::uint64_t Loop::add(Stream& stream) {
+// False where epoll can't be asked now. Without any events it still reports a hang-up.
+bool Loop::arm(Stream& stream, std::uint32_t events) {
   epoll_event event{};
-  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
-  event.data.u64 = ++lastId_;
-  if (epoll_ctl(epoll_.number(), EPOLL_CTL_ADD, stream.descriptor(), &event) != 0)
-    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
-  streams_.emplace(lastId_, &stream);
-  return lastId_;
+  event.events = events;
+  event.data.u64 = stream.id_;
+  const int what = stream.added_ ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+  if (epoll_ctl(epoll_.number(), what, stream.descriptor(), &event) != 0) return false;
+  stream.added_ = true;
+  stream.armed_ = events;
+  return true;
 }
 
-void Loop::remove(std::uint64_t id, int descriptor) {
-  streams_.erase(id);
-  epoll_ctl(epoll_.number(), EPOLL_CTL_DEL, descriptor, nullptr);
+void Loop::disarm(Stream& stream) {
+  if (!stream.added_ || epoll_ctl(epoll_.number(), EPOLL_CTL_DEL, stream.descriptor(), nullptr) != 0) return;
+  stream.added_ = false;
+  stream.armed_ = 0;
 }
 
-Stream::Stream(Loop& loop, Descriptor descriptor)
-    : loop_(loop), descriptor_(std::move(descriptor)), id_(loop.add(*this)) {}
+// Asks epoll for all that the stream wants to know. True where nothing is left to do.
+bool Loop::settle(Stream& stream) {
+  const std::uint32_t wanted = stream.wanted();
+  if (stream.paused_ || (wanted & ~stream.armed_) == 0) return true;
+  return arm(stream, wanted | stream.armed_);
+}
 
-Stream::~Stream() { loop_.remove(id_, descriptor_.number()); }
+void Loop::settleAll() {
+  std::erase_if(unsettled_, [this](std::uint64_t id) {
+    const auto at = streams_.find(id);
+    return at == streams_.end() || settle(*at->second);
+  });
+}
+
+void Loop::pauseReports(Stream& stream) {
+  disarm(stream);
+  timers_.emplace(now() + kRetryPause, Timer{{}, stream.id_, true});
+}
+
+void Loop::add(Stream& stream) {
+  stream.id_ = ++lastId_;
+  // The system may be out of memory, or of watches, for a moment: it is asked again before each wait.
+  if (!settle(stream) && errno != ENOMEM && errno != ENOSPC)
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  streams_.emplace(stream.id_, &stream);
+  if (!stream.added_) settleLater(stream);
+}
 
-void Stream::wake() {
-  if (waiter_)
-    loop_.resume(std::exchange(waiter_, {}));
-  else
-    woken_ = true;
+void Loop::remove(Stream& stream) {
+  streams_.erase(stream.id_);
+  disarm(stream);
 }
 
 }  // namespace gulltrestle::loop
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -11,14 +11,14 @@
 
 #include "base/time.h"
 #include "loop/descriptor.h"
+#include "loop/stream.h"
 #include "loop/task.h"
 
 namespace gulltrestle::loop {
 
-class Stream;
-
 class Loop {
  public:
+  // Throws std::system_error where the system has no epoll for it, also after a while.
   Loop();
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
@@ -43,7 +43,7 @@
       Loop& loop;
       Instant at;
       bool await_ready() const { return false; }
-      void await_suspend(std::coroutine_handle<> handle) { loop.timers_.emplace(at, Timer{handle, 0}); }
+      void await_suspend(std::coroutine_handle<> handle) { loop.timers_.emplace(at, Timer{handle}); }
       void await_resume() const {}
     };
     return Sleep{*this, at};
@@ -51,12 +51,22 @@
 
  private:
   friend class Stream;
-  struct Timer {  // resumes a task, or wakes a stream if it is still there
+  struct Timer {  // resumes a task; or wakes a stream, if it is still there; or has its reports go on
     std::coroutine_handle<> handle;
-    std::uint64_t stream;
+    std::uint64_t stream = 0;
+    bool reportsGoOn = false;
   };
-  std::uint64_t add(Stream& stream);
-  void remove(std::uint64_t id, int descriptor);
+  void add(Stream& stream);
+  void remove(Stream& stream);
+  void wakeAt(Stream& stream, Instant at) { timers_.emplace(at, Timer{{}, stream.id_}); }
+  // Ahead of the next wait epoll is asked for what the stream wants to know.
+  void settleLater(Stream& stream) { unsettled_.push_back(stream.id_); }
+  void pauseReports(Stream& stream);
+  bool settle(Stream& stream);
+  void settleAll();
+  bool arm(Stream& stream, std::uint32_t events);
+  void disarm(Stream& stream);
+  void due(const Timer& timer);
   void resume(std::coroutine_handle<> handle) { ready_.push_back(handle); }
   void wait(Instant until);
   void turn(const Failed& failed);
@@ -68,51 +78,10 @@
   std::uint64_t lastId_ = 0;
   // By number: what epoll tells of a stream that was closed since must find nothing.
   std::unordered_map<std::uint64_t, Stream*> streams_;
+  std::vector<std::uint64_t> unsettled_;  // streams of which epoll does not report all that is wanted
   std::vector<std::coroutine_handle<>> ready_, now_;  // for the next turn, and in this one
   std::multimap<Instant, Timer> timers_;
   std::unordered_map<void*, Task> tasks_;  // by the address of the frame
 };
 
-// A socket or other descriptor that tasks wait on. Edge-triggered: what it can do is remembered here until a
-// call says it would block.
-class Stream {
- public:
-  Stream(Loop& loop, Descriptor descriptor);
-  Stream(const Stream&) = delete;
-  Stream& operator=(const Stream&) = delete;
-  ~Stream();
-
-  int descriptor() const { return descriptor_.number(); }
-  bool canRead = false, canWrite = false;
-  bool readEnds = false;  // the other side sends no more than what can be read
-  bool hungUp = false;    // reset, or ended in both directions
-
-  // Resumes in a later turn, once something may have changed: it can be read or written, or wake() was
-  // called. One task waits at a time.
-  auto changed() {
-    struct Change {
-      Stream& stream;
-      bool await_ready() const { return false; }
-      void await_suspend(std::coroutine_handle<> handle) {
-        if (std::exchange(stream.woken_, false))
-          stream.loop_.resume(handle);
-        else
-          stream.waiter_ = handle;
-      }
-      void await_resume() const {}
-    };
-    return Change{*this};
-  }
-  void wake();
-  void wakeAt(Instant at) { loop_.timers_.emplace(at, Loop::Timer{{}, id_}); }
-
- private:
-  friend class Loop;
-  Loop& loop_;
-  Descriptor descriptor_;
-  std::uint64_t id_;
-  bool woken_ = false;
-  std::coroutine_handle<> waiter_;
-};
-
 }  // namespace gulltrestle::loop
--- a/src/loop/persist.cpp
+++ b/src/loop/persist.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <system_error>
 #include <thread>
+#include <utility>
 
 namespace gulltrestle::loop {
 
--- a/src/loop/sockets.cpp
+++ b/src/loop/sockets.cpp
@@ -12,12 +12,22 @@
 #include <csignal>
 #include <system_error>
 
+#include "loop/persist.h"
+
 namespace gulltrestle::loop {
 
 namespace {
 
 [[noreturn]] void fail(const char* what) { throw std::system_error(errno, std::generic_category(), what); }
 
+bool wouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
+
+// How a read or write that took nothing has ended.
+Io failureOf() {
+  if (wouldBlock()) return Io::wouldBlock;
+  return errno == ENOMEM || errno == ENOBUFS ? Io::noMemory : Io::failed;
+}
+
 sockaddr_in addressOf(const std::string& host, unsigned short port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -37,16 +47,26 @@
 // Many clients come at once when a router has just started; more are refused by the kernel itself.
 constexpr int kBacklog = 1024;
 
+// Connections that failed before they were taken, one after another, before whoever takes them pauses.
+constexpr int kMostFailedAccepts = 16;
+
+// What keeps this machine from beginning a connection for a moment, whoever is at its other end.
+bool isLocal(int error) {
+  return error == EAGAIN || error == EADDRNOTAVAIL || error == ENOBUFS || error == ENOMEM;
+}
+
 }  // namespace
 
 Descriptor listenOn(const std::string& host, unsigned short port) {
-  Descriptor made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!made) fail("socket");
+  const auto address = addressOf(host, port);
+  Descriptor made(
+      persist("socket", [] { return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }));
   const int on = 1;
   setsockopt(made.number(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  const auto address = addressOf(host, port);
-  if (::bind(made.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) fail("bind");
-  if (::listen(made.number(), kBacklog) != 0) fail("listen");
+  persist("bind", [&] {
+    return ::bind(made.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  });
+  persist("listen", [&] { return ::listen(made.number(), kBacklog); });
   return made;
 }
 
@@ -55,9 +75,13 @@
   Descriptor made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!made) return made;
   sendAtOnce(made.number());
-  // What fails at once shows like what fails later, when the connection is asked about.
-  (void)::connect(made.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
-  return made;
+  // One that was interrupted is on its way all the same, or is begun now. What else fails at once shows like
+  // what fails later, when the connection is asked about.
+  int failed = 0;
+  do {
+    failed = ::connect(made.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  } while (failed != 0 && errno == EINTR);
+  return failed != 0 && isLocal(errno) ? Descriptor() : std::move(made);
 }
 
 bool isConnected(int descriptor) {
@@ -75,7 +99,7 @@
     if (size > 0) return {Io::some, static_cast<std::size_t>(size)};
     if (size == 0) return {Io::ended};
     if (errno == EINTR) continue;
-    return {errno == EAGAIN || errno == EWOULDBLOCK ? Io::wouldBlock : Io::failed};
+    return {failureOf()};
   }
 }
 
@@ -93,31 +117,26 @@
     const auto size = ::sendmsg(descriptor, &message, MSG_NOSIGNAL);
     if (size >= 0) return {Io::some, static_cast<std::size_t>(size)};
     if (errno == EINTR) continue;
-    return {errno == EAGAIN || errno == EWOULDBLOCK ? Io::wouldBlock : Io::failed};
+    return {failureOf()};
   }
 }
 
 void endSending(int descriptor) { ::shutdown(descriptor, SHUT_WR); }
 
 Io accept(int descriptor, Descriptor& taken) {
-  for (;;) {
+  for (int failures = 0; failures < kMostFailedAccepts; ++failures) {
     taken = Descriptor(::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (taken) {
       sendAtOnce(taken.number());
       return Io::some;
     }
-    switch (errno) {
-      case EAGAIN:
-        return Io::wouldBlock;
-      case EMFILE:
-      case ENFILE:
-      case ENOBUFS:
-      case ENOMEM:
-        return Io::noDescriptor;
-      default:  // one that was reset while it waited, or an interruption: the next one
-        if (errno == EBADF || errno == EINVAL || errno == ENOTSOCK) return Io::failed;
-    }
+    if (wouldBlock()) return Io::wouldBlock;
+    const bool none = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+    if (none) return Io::noDescriptor;
+    if (errno == EBADF || errno == EINVAL || errno == ENOTSOCK) return Io::failed;
+    // Else one that was reset while it waited, or an interruption: the next one.
   }
+  return Io::failed;
 }
 
 namespace {
@@ -141,8 +160,7 @@
 Descriptor signals() {
   holdSignals();
   const sigset_t set = taken();
-  Descriptor made(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
-  if (!made) fail("signalfd");
+  Descriptor made(persist("signalfd", [&] { return ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC); }));
   std::signal(SIGPIPE, SIG_IGN);
   return made;
 }
--- a/src/loop/sockets.h
+++ b/src/loop/sockets.h
@@ -11,13 +11,15 @@
 
 namespace gulltrestle::loop {
 
-// Throws std::system_error where the address can't be had.
+// Throws std::system_error where the address can't be had, also after a while (loop/persist.h).
 Descriptor listenOn(const std::string& host, unsigned short port);
-// Not up yet when it returns; none if no descriptor is left. Throws where the address is none.
+// Not up yet when it returns; none where this machine has no descriptor, port or memory for it now. Throws
+// where the address is none.
 Descriptor startConnecting(const std::string& host, unsigned short port);
 bool isConnected(int descriptor);  // after it has become writable: it came up
 
-enum class Io { some, wouldBlock, ended, failed, noDescriptor };
+// noMemory: the system is short of it for a moment, and nothing was read or written.
+enum class Io { some, wouldBlock, ended, failed, noDescriptor, noMemory };
 struct IoResult {
   Io how;
   std::size_t size = 0;
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::uint32_t kReadable = EPOLLIN | EPOLLRDHUP;
+constexpr std::uint32_t kReadable = EPOLLIN | EPOLLRDHUP, kWritable = EPOLLOUT;
 constexpr std::uint32_t kBroken = EPOLLHUP | EPOLLERR;  // reported whether asked for or not
 
 }  // namespace
@@ -19,7 +19,7 @@
 
 Stream::~Stream() { loop_.remove(*this); }
 
-std::uint32_t Stream::wanted() const { return (canRead_ ? 0 : kReadable) | (canWrite_ ? 0 : EPOLLOUT); }
+std::uint32_t Stream::wanted() const { return (canRead_ ? 0 : kReadable) | (canWrite_ ? 0 : kWritable); }
 
 std::uint32_t Stream::reported(std::uint32_t events) {
   std::uint32_t known = 0;
@@ -30,8 +30,8 @@
   if (events & kBroken) hungUp_ = true;
   if (events & (EPOLLRDHUP | kBroken)) readEnds_ = true;
   if (events & (kReadable | kBroken)) canRead_ = true;
-  if (events & (EPOLLOUT | kBroken)) canWrite_ = true;
-  return known | (events & EPOLLOUT);
+  if (events & (kWritable | kBroken)) canWrite_ = true;
+  return known | (events & kWritable);
 }
 
 IoResult Stream::read(std::span<char> buffer) {
@@ -71,7 +71,7 @@
 
 void Stream::writeBlocked() {
   canWrite_ = false;
-  if ((armed_ & EPOLLOUT) == 0) loop_.settleLater(*this);
+  if ((armed_ & kWritable) == 0) loop_.settleLater(*this);
 }
 
 // Level-triggered reports of what can't be read for want of memory would come without a pause.
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -67,7 +67,7 @@
     unsent += session.output();
     while (!unsent.empty()) {
       const std::string_view all = unsent;
-      const auto done = loop::writeFrom(stream.descriptor(), {&all, 1});
+      const auto done = stream.write({&all, 1});
       if (done.how == Io::failed) over = true;
       if (done.how != Io::some) break;
       unsent.erase(0, done.size);
@@ -241,7 +241,7 @@
   if (own < 0) throw std::runtime_error("no descriptor for the store");
   loop::Stream stream(loop_, loop::Descriptor(own));
   for (;;) {
-    stream.canRead = false;
+    stream.readBlocked();
     ledger_.see(loop_.now());
     for (const auto& done : store_->done()) desk_->wrote(done.ticket, done.durable);
     const auto fault = store_->figures().fault;
@@ -268,8 +268,8 @@
         Talk talk(loop_, std::move(descriptor));
         const Instant by = loop_.now() + kDeaf;
         talk.stream.wakeAt(by);
-        while (!talk.stream.canWrite && loop_.now() < by) co_await talk.stream.changed();
-        talk.up = talk.stream.canWrite && loop::isConnected(talk.stream.descriptor());
+        while (!talk.stream.canWrite() && loop_.now() < by) co_await talk.stream.changed();
+        talk.up = talk.stream.canWrite() && loop::isConnected(talk.stream.descriptor());
         if (talk.up) {
           talk.call = talk.session.request({{":method", "POST"},
                                             {":scheme", "http"},
@@ -291,10 +291,9 @@
           talk.flush();
           while (!talk.over) {
             if (talk.deafAt != Instant() && loop_.now() >= talk.deafAt) break;
-            if (talk.stream.canRead) {
+            if (talk.stream.canRead()) {
               char bytes[16384];
-              const auto got = loop::readInto(talk.stream.descriptor(), bytes);
-              if (got.how == Io::wouldBlock) talk.stream.canRead = false;
+              const auto got = talk.stream.read(bytes);
               if (got.how == Io::ended || got.how == Io::failed) break;
               if (got.how == Io::some) {
                 const Instant now = loop_.now();
@@ -313,7 +312,7 @@
               }
             }
             talk.flush();
-            if (!talk.over && !talk.stream.canRead) co_await talk.stream.changed();
+            if (!talk.over && !talk.stream.canRead()) co_await talk.stream.changed();
           }
         }
       }
--- a/src/processor/processor.cpp
+++ b/src/processor/processor.cpp
@@ -130,7 +130,7 @@
     if (descriptor) {
       loop::Stream stream(loop_, std::move(descriptor));
       asking_[id] = &stream;
-      while (asking_.contains(id) && !stream.canWrite) co_await stream.changed();
+      while (asking_.contains(id) && !stream.canWrite()) co_await stream.changed();
       http::Response response;
       response.field = [&](std::string_view name, std::string_view value) {
         standing::readField(setup_.headers.node, name, value, said);
@@ -138,10 +138,10 @@
       const std::string request = http::get(setup_.probePath, address);
       const std::string_view part = request;
       bool on = asking_.contains(id) && loop::isConnected(stream.descriptor()) &&
-                loop::writeFrom(stream.descriptor(), {&part, 1}).size == part.size();
+                stream.write({&part, 1}).size == part.size();
       while (on && asking_.contains(id) && !response.done()) {
         char bytes[2048];
-        const auto got = loop::readInto(stream.descriptor(), bytes);
+        const auto got = stream.read(bytes);
         if (got.how == Io::some) {
           response.feed({bytes, got.size}, [](std::string_view) {});
           continue;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -235,7 +235,7 @@
   if (to.broken || to.gone) return;
   std::size_t sent = 0;
   if (to.unsent.empty()) {
-    const auto done = loop::writeFrom(to.stream.descriptor(), {parts.begin(), parts.size()});
+    const auto done = to.stream.write({parts.begin(), parts.size()});
     if (done.how == Io::failed) {
       to.broken = true;
       to.stream.wake();
@@ -248,9 +248,7 @@
     sent -= skipped;
     to.unsent += part.substr(skipped);
   }
-  if (to.unsent.empty()) return;
-  to.stream.canWrite = false;
-  account(to);
+  if (!to.unsent.empty()) account(to);
 }
 
 void Server::account(Connection& connection) {
@@ -260,11 +258,10 @@
 }
 
 void Server::flush(Connection& to) {
-  while (!to.broken && !to.unsent.empty() && to.stream.canWrite) {
+  while (!to.broken && !to.unsent.empty() && to.stream.canWrite()) {
     const std::string_view all = to.unsent;
-    const auto done = loop::writeFrom(to.stream.descriptor(), {&all, 1});
+    const auto done = to.stream.write({&all, 1});
     if (done.how == Io::failed) to.broken = true;
-    if (done.how == Io::wouldBlock) to.stream.canWrite = false;
     to.unsent.erase(0, done.size);
     if (to.unsent.empty()) to.unsent.shrink_to_fit();
   }
@@ -274,13 +271,10 @@
 // Reads once, and offers what there is.
 template <typename Take>
 void Server::read(Connection& from, Take take) {
-  const auto got = loop::readInto(from.stream.descriptor(), buffer_);
-  if (got.how == Io::wouldBlock) from.stream.canRead = false;
+  const auto got = from.stream.read(buffer_);
   if (got.how == Io::ended) from.ended = true;
   if (got.how == Io::failed) from.broken = true;
   if (got.how != Io::some) return;
-  // A short read has taken all there was; what comes next is told, and an end was if it was there.
-  if (got.size < buffer_.size() && !from.stream.readEnds) from.stream.canRead = false;
   std::string_view bytes(buffer_.data(), got.size);
   if (!from.kept.empty()) bytes = from.kept.append(bytes);
   const auto used = take(bytes);
@@ -309,7 +303,7 @@
       continue;
     }
     loop::Descriptor descriptor;
-    const Io how = loop::accept(listener_->descriptor(), descriptor);
+    const Io how = listener_->accept(descriptor);
     if (how == Io::some || how == Io::wouldBlock) failed = false;
     if (how == Io::some) {
       clients_.emplace(++lastClient_, nullptr);
@@ -346,11 +340,11 @@
     };
     // One that sends no more is still there as long as nothing reports a reset. One that was reset is gone,
     // also where what it sent before could still be read.
-    while (!client.broken && !client.stream.hungUp) {
+    while (!client.broken && !client.stream.hungUp()) {
       flush(client);
       if (client.broken || (client.closing && client.unsent.empty())) break;
       if (client.unsent.empty()) client.stuckAt = Instant();
-      if (client.stream.canRead && client.unreadSince == Instant()) client.unreadSince = loop_.now();
+      if (client.stream.canRead() && client.unreadSince == Instant()) client.unreadSince = loop_.now();
       if (!client.unsent.empty()) {
         // Guards against clients that ask and never read, which would keep a descriptor and an answer for
         // good.
@@ -367,15 +361,15 @@
         if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
         if (!client.offer) continue;
         client.stream.wake();  // the rest in another turn: the others have theirs
-      } else if (client.stream.canRead && !client.ended && mayKeep(id, client)) {
+      } else if (client.stream.canRead() && !client.ended && mayKeep(id, client)) {
         read(client, take);
         // Only once all is read: what one read leaves behind has been there as long as what it took.
-        if (!client.stream.canRead) client.unreadSince = Instant();
+        if (!client.stream.canRead()) client.unreadSince = Instant();
         if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
         // One read a turn: the others have theirs.
         if (client.broken) break;  // told in this turn, before anything more is sent for it
-        if (client.stream.canRead || client.offer) client.stream.wake();
-      } else if (client.stream.readEnds && !client.ended && gateway_.isWaiting(id)) {
+        if (client.stream.canRead() || client.offer) client.stream.wake();
+      } else if (client.stream.readEnds() && !client.ended && gateway_.isWaiting(id)) {
         // Its end is behind what is not read yet, as it waits and has sent much ahead.
         gateway_.clientSendsNoMore(loop_.now(), id);
       }
@@ -384,15 +378,15 @@
     // Guards against bytes that come as this end closes, or are not read yet: a close over them resets the
     // connection, and the answer that is on its way is lost with it. Nothing of them is sent on. May hurt
     // where the descriptor is wanted meanwhile.
-    if (client.closing && !client.broken && !client.stream.hungUp && how != ConnectionEnd::clientStuck) {
+    if (client.closing && !client.broken && !client.stream.hungUp() && how != ConnectionEnd::clientStuck) {
       loop::endSending(client.stream.descriptor());
       const Instant until = loop_.now() + start_.told.connectLimit * kClosingTimes;
       client.stream.wakeAt(until);
       closing_.push_back(id);
-      while (!client.ended && !client.broken && !client.stream.hungUp && !client.hurried &&
+      while (!client.ended && !client.broken && !client.stream.hungUp() && !client.hurried &&
              loop_.now() < until) {
-        if (client.stream.canRead) read(client, [](std::string_view bytes) { return bytes.size(); });
-        if (client.stream.canRead && !client.ended && !client.broken) client.stream.wake();
+        if (client.stream.canRead()) read(client, [](std::string_view bytes) { return bytes.size(); });
+        if (client.stream.canRead() && !client.ended && !client.broken) client.stream.wake();
         if (!client.ended && !client.broken) co_await client.stream.changed();
       }
     }
@@ -433,7 +427,7 @@
     } else {
       Connection link(loop_, std::move(descriptor));
       const Place<LinkId> place(*this, links_, id, link);
-      while (!link.gone && !link.stream.canWrite) co_await link.stream.changed();
+      while (!link.gone && !link.stream.canWrite()) co_await link.stream.changed();
       const bool up = !link.gone && loop::isConnected(link.stream.descriptor());
       if (up)
         gateway_.linkUp(loop_.now(), id);
@@ -445,10 +439,10 @@
           flush(link);
           if (link.unsent.empty() && !link.broken) gateway_.linkWritten(loop_.now(), id);
         }
-        if (link.stream.canRead && !link.broken) read(link, take);
+        if (link.stream.canRead() && !link.broken) read(link, take);
         // Its end is told in this turn, before anything more is decided: nothing is to be written on it.
         if (link.broken || link.ended) break;
-        if (link.stream.canRead) link.stream.wake();
+        if (link.stream.canRead()) link.stream.wake();
         co_await link.stream.changed();
       }
     }
@@ -467,6 +461,7 @@
       else
         readAnew();
     }
+    signals_->readBlocked();
     co_await signals_->changed();
   }
 }
@@ -544,19 +539,19 @@
           // Guards against a router that stood still and gives up what is there by then: an answer to a call is
           // looked at first. A watch is not, as what it reads late may have come before it fell silent.
           const Span patience = calls.silence(watch, heard);
-          const bool there = !watch && from.stream.canRead;
-          if (loop_.now() - heardAt > patience && !there && (asked || !from.stream.canWrite)) break;
-          if (!asked && !from.stream.canWrite && loop_.now() - begunAt > start_.told.connectLimit) {
+          const bool there = !watch && from.stream.canRead();
+          if (loop_.now() - heardAt > patience && !there && (asked || !from.stream.canWrite())) break;
+          if (!asked && !from.stream.canWrite() && loop_.now() - begunAt > start_.told.connectLimit) {
             why = "does not come up";
             break;
           }
-          if (from.stream.canWrite && !asked) {
+          if (from.stream.canWrite() && !asked) {
             asked = true;
             heardAt = loop_.now();
             send(from, {http::get(watch ? startup::watchPath(listVersion_) : startup::listPath(), host)});
           }
           flush(from);
-          if (asked && from.stream.canRead)
+          if (asked && from.stream.canRead())
             read(from, [&](std::string_view bytes) {
               heardAt = loop_.now();
               heard = true;
@@ -567,7 +562,7 @@
               if (response.status() == 200) calls.answered();
               return used;
             });
-          if (from.stream.canRead && !from.ended && !from.broken) from.stream.wake();
+          if (from.stream.canRead() && !from.ended && !from.broken) from.stream.wake();
           from.stream.wakeAt((asked ? heardAt + patience : begunAt + start_.told.connectLimit) +
                              Span::millis(1));
           if (!from.broken && !from.ended && !response.done()) co_await from.stream.changed();
--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -29,15 +29,14 @@
 
   void read() {
     char bytes[4096];
-    while (stream.canRead && !over) {
-      const auto got = loop::readInto(stream.descriptor(), bytes);
+    while (stream.canRead() && !over) {
+      const auto got = stream.read(bytes);
       if (got.how == loop::Io::some) kept.append(bytes, got.size);
-      if (got.how == loop::Io::wouldBlock) stream.canRead = false;
       if (got.how == loop::Io::ended || got.how == loop::Io::failed) over = true;
     }
   }
   void write(std::string_view bytes) {
-    const auto done = loop::writeFrom(stream.descriptor(), {&bytes, 1});
+    const auto done = stream.write({&bytes, 1});
     if (done.how != loop::Io::some) over = true;  // what stand-ins say is short: it fits or the peer is gone
   }
 };
@@ -46,7 +45,7 @@
 loop::Task acceptAll(loop::Stream& listener, std::function<void(loop::Descriptor)> serve) {
   for (;;) {
     loop::Descriptor taken;
-    if (loop::accept(listener.descriptor(), taken) == loop::Io::some)
+    if (listener.accept(taken) == loop::Io::some)
       serve(std::move(taken));
     else
       co_await listener.changed();
--- a/src/standins/proxy.cpp
+++ b/src/standins/proxy.cpp
@@ -70,7 +70,7 @@
     unsent += session.output();
     while (!unsent.empty()) {
       const std::string_view all = unsent;
-      const auto done = loop::writeFrom(stream.descriptor(), {&all, 1});
+      const auto done = stream.write({&all, 1});
       if (done.how == loop::Io::failed) over = true;
       if (done.how != loop::Io::some) break;
       unsent.erase(0, done.size);
@@ -113,22 +113,21 @@
 }
 
 loop::Task Proxy::runLink(std::shared_ptr<Link> link) {
-  while (!link->stream.canWrite) co_await link->stream.changed();
+  while (!link->stream.canWrite()) co_await link->stream.changed();
   link->up = loop::isConnected(link->stream.descriptor());
   if (!link->up) link->over = true;
   link->flush();
   while (!link->over) {
     char bytes[16384];
-    if (link->stream.canRead) {
-      const auto got = loop::readInto(link->stream.descriptor(), bytes);
+    if (link->stream.canRead()) {
+      const auto got = link->stream.read(bytes);
       if (got.how == loop::Io::some && !link->session.received(loop_.now(), {bytes, got.size}))
         link->over = true;
-      if (got.how == loop::Io::wouldBlock) link->stream.canRead = false;
       if (got.how == loop::Io::ended || got.how == loop::Io::failed) link->over = true;
     }
     link->flush();
     if (link->session.done() && link->calls.empty()) link->over = true;
-    if (!link->over && !link->stream.canRead) co_await link->stream.changed();
+    if (!link->over && !link->stream.canRead()) co_await link->stream.changed();
   }
   link->session.ended();
 }
@@ -225,20 +224,20 @@
       } else {
         const auto at = startup::readAddress("endpoint", endpoint);
         upstream = std::make_unique<Upstream>(loop_, loop::startConnecting(at.host, at.port));
-        while (!upstream->stream.canWrite) co_await upstream->stream.changed();
+        while (!upstream->stream.canWrite()) co_await upstream->stream.changed();
       }
       if (loop::isConnected(upstream->stream.descriptor()) &&
           loop_.now() - grantedAt < Span::millis(within)) {
         const std::string request =
             std::string(isWrite ? "POST" : "GET") + " / HTTP/1.1\r\nx-txn-id: " + answer.txn + "\r\n\r\n";
         const std::string_view all = request;
-        if (loop::writeFrom(upstream->stream.descriptor(), {&all, 1}).how == loop::Io::some) now = "whole";
+        if (upstream->stream.write({&all, 1}).how == loop::Io::some) now = "whole";
       }
       bool ended = now == "none";
       for (const Instant last = std::min(until, loop_.now() + patient.value_or(setup_.tryTimeout));
            !ended && head.find("\r\n\r\n") == std::string::npos && loop_.now() < last;) {
         char bytes[1024];
-        const auto got = loop::readInto(upstream->stream.descriptor(), bytes);
+        const auto got = upstream->stream.read(bytes);
         if (got.how == loop::Io::some) head.append(bytes, got.size);
         if (got.how == loop::Io::ended || got.how == loop::Io::failed) ended = true;
         if (got.how == loop::Io::wouldBlock) co_await loop_.sleepUntil(loop_.now() + kTick);
--- a/tests/fleet/pg_node.cpp
+++ b/tests/fleet/pg_node.cpp
@@ -69,7 +69,7 @@
   loop::Stream listener(loop_, std::move(descriptor));
   for (;;) {
     loop::Descriptor taken;
-    if (loop::accept(listener.descriptor(), taken) == loop::Io::some)
+    if (listener.accept(taken) == loop::Io::some)
       loop_.spawn(serve(std::move(taken)));
     else
       co_await listener.changed();
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -355,7 +355,7 @@
   loop::Stream listener(loop_, std::move(descriptor));
   for (;;) {
     loop::Descriptor taken;
-    if (loop::accept(listener.descriptor(), taken) == Io::some)
+    if (listener.accept(taken) == Io::some)
       loop_.spawn(serve(std::move(taken)));
     else
       co_await listener.changed();
@@ -375,7 +375,7 @@
   } listed(relay, here);
   std::string out, back;
   // Both ends are looked at whenever either has changed.
-  while (!there.canWrite && !there.hungUp) {
+  while (!there.canWrite() && !there.hungUp()) {
     if (relay.flow == Flow::cut) co_return;
     co_await loop_.sleepUntil(loop_.now() + Span::millis(2));
   }
@@ -504,7 +504,7 @@
     std::string kept;
     bool connected = false, welcomed = false, answered = false;
     while (!answered && loop_.now() < by) {
-      if (!connected && stream.canWrite) {
+      if (!connected && stream.canWrite()) {
         connected = loop::isConnected(stream.descriptor());
         if (!connected) {  // nobody took it
           asked->excused = true;
--- a/tests/fleet/streams.h
+++ b/tests/fleet/streams.h
@@ -13,11 +13,10 @@
 
 // False: the other side has ended.
 inline bool readAll(loop::Stream& from, std::string& kept, std::size_t most = kLongest) {
-  while (from.canRead && kept.size() < most) {
+  while (from.canRead() && kept.size() < most) {
     char bytes[16384];
-    const auto got = loop::readInto(from.descriptor(), bytes);
+    const auto got = from.read(bytes);
     if (got.how == loop::Io::some) kept.append(bytes, got.size);
-    if (got.how == loop::Io::wouldBlock) from.canRead = false;
     if (got.how == loop::Io::ended || got.how == loop::Io::failed) return false;
   }
   return true;
@@ -26,7 +25,7 @@
 inline bool write(loop::Stream& to, std::string& unsent) {
   while (!unsent.empty()) {
     const std::string_view all = unsent;
-    const auto done = loop::writeFrom(to.descriptor(), {&all, 1});
+    const auto done = to.write({&all, 1});
     if (done.how != loop::Io::some) return done.how == loop::Io::wouldBlock;
     unsent.erase(0, done.size);
   }
