Send, repeat, close and start are checked at one place each, at run time

Change: src/invariants, no I/O: asked by the ledger right before any carrier sends (client waits, time left, node stays, deadline passed on; earlier attempts and window), by the clients' front before it closes, by the server once it listens. In tests and sanitized builds a violation ends the process; in service it is counted, refused, in the status document and one log line in 10 s a check. The ledger keeps txn types whole in place of two derived rows; mayHaveRun() is one function for fates and repeats.

--- a/src/carriers/delegated/delegated.cpp
+++ b/src/carriers/delegated/delegated.cpp
@@ -12,7 +12,7 @@
     return ledger_.ended(job, id, End::notSent);
   const Instant now = ledger_.now(), cutAt = attempt->cutAt;
   const Span within = grants::sendWithin(now, attempt->sendBy, rule_, list_);
-  if (within == Span()) return ledger_.ended(job, id, End::notSent);
+  if (within == Span() || !ledger_.maySend(job, id, cutAt - now)) return ledger_.ended(job, id, End::notSent);
   const Out out{job, id, node->address, cutAt};
   out_.emplace(job.txn, out);
   due_.insert({cutAt, job.txn});
--- a/src/carriers/pg/links.cpp
+++ b/src/carriers/pg/links.cpp
@@ -92,6 +92,14 @@
 }
 
 void Links::write(LinkId id, Link& link, Job job) {
+  // The node is told how long this router will wait, in whole milliseconds.
+  const auto* attempt = ledger_.attempt(job);
+  const auto left =
+      attempt ? std::max<std::int64_t>(1, (attempt->cutAt - ledger_.now()).inMicros() / 1000) : 0;
+  if (job.txn != 0 && !ledger_.maySend(job, link.node, Span::millis(left))) {
+    ledger_.ended(job, link.node, End::notSent);
+    return release(id, link);
+  }
   link.stage = Stage::busy;
   link.job = job;
   link.written = link.answering = false;
@@ -102,10 +110,8 @@
     return;
   }
   const core::Message& message = ledger_.message(job.txn);
-  const Instant sendBy = ledger_.attempt(job)->sendBy, cutAt = ledger_.attempt(job)->cutAt;
+  const Instant sendBy = attempt->sendBy, cutAt = attempt->cutAt;
   carried_[job] = id;
-  // The node is told how long this router will wait, in whole milliseconds.
-  const auto left = std::max<std::int64_t>(1, (cutAt - ledger_.now()).inMicros() / 1000);
   const std::string wait = std::to_string(left);
   const std::string_view text = message.bytes;
   link.written = effects_.writeNode(id, {wire::queryHead(text.size() - message.waitSize + wait.size()),
--- a/src/core/connection_end.cpp
+++ b/src/core/connection_end.cpp
@@ -20,6 +20,23 @@
   }
 }
 
+bool mayHaveRun(End how) {
+  switch (how) {
+    case End::rejected:
+    case End::noConnection:
+    case End::notSent:
+    case End::notHere:
+      return false;
+    case End::committed:
+    case End::error:
+    case End::timeout:
+    case End::connectionLost:
+    case End::cancelled:
+      return true;
+  }
+  return true;
+}
+
 std::string_view nameOf(ConnectionEnd how) {
   switch (how) {
     case ConnectionEnd::notOpened:
--- a/src/core/connection_end.h
+++ b/src/core/connection_end.h
@@ -27,6 +27,9 @@
 // that the node may have run it.
 End outcomeOf(ConnectionEnd how, bool writtenWhole);
 
+// Whether a node may have run an attempt that ended so.
+bool mayHaveRun(End how);
+
 std::string_view nameOf(ConnectionEnd how);
 
 }  // namespace gulltrestle::core
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -11,12 +11,8 @@
       mostBytes_(mostBytes),
       mostOpen_(terms.mostOpen),
       askForList_(std::move(askForList)),
-      nodes_(!terms.onlyDrainingBinds) {
-  for (const auto& type : terms.types) {
-    latencyTargets_.push_back(type.latencyTarget);
-    onceOnly_.push_back(type.effect == Effect::onceOnly);
-  }
-}
+      nodes_(!terms.onlyDrainingBinds),
+      types_(terms.types) {}
 
 void Ledger::reduceBy(levels::Levels& levels, levels::Table table, Changed changed) {
   levels_ = &levels;
@@ -48,7 +44,7 @@
   live.group = txn.group;
   live.type = txn.type;
   live.takenAt = now_;
-  live.latencyTarget = std::max(latencyTargets_.at(txn.type), Span::micros(1));
+  live.latencyTarget = std::max(types_.at(txn.type).latencyTarget, Span::micros(1));
   heldBytes_ += live.message.bytes.size();
   if (!live.id().empty()) openIds_.insert(live.id());
   if (const auto after = door_ ? door_->rejects(txn.group, txn.type) : std::nullopt) {
@@ -57,8 +53,8 @@
     return txn.id;
   }
   live.admitted = door_ != nullptr;
-  live.guarded = guard_ && onceOnly_.at(txn.type);
-  live.earlierMayHaveRun = txn.earlier.mayHaveRunFor.has_value();
+  live.guarded = guard_ && types_.at(txn.type).effect == Effect::onceOnly;
+  if (txn.earlier.mayHaveRunFor) live.earlierSentAt = now_ - *txn.earlier.mayHaveRunFor;
   if (live.guarded) {
     live.waiting = txn;
     guard_->asked(txn.id, id.empty() ? live.id() : id, txn.patience);
@@ -104,26 +100,38 @@
 
 // Nothing that a proxy says of earlier tries elsewhere is taken for a proof that it never ran.
 Fate Ledger::fateOf(const Live& live) const {
-  bool mayHaveRun = live.earlierMayHaveRun;
+  bool mayHaveRun = live.earlierSentAt != Instant();
   for (const Attempt& attempt : live.attempts) {
-    switch (attempt.how) {
-      case End::committed:
-        return Fate::committed;
-      case End::rejected:
-      case End::noConnection:
-      case End::notSent:
-      case End::notHere:
-        break;
-      case End::error:
-      case End::timeout:
-      case End::connectionLost:
-      case End::cancelled:
-        mayHaveRun = true;
-    }
+    if (attempt.how == End::committed) return Fate::committed;
+    mayHaveRun = mayHaveRun || core::mayHaveRun(attempt.how);
   }
   return mayHaveRun ? Fate::unknown : Fate::neverRan;
 }
 
+// --- Invariants
+
+Instant Ledger::firstSentBefore(const Live& live, unsigned attempt) const {
+  Instant first = live.earlierSentAt;
+  for (std::size_t i = 0; i < live.attempts.size(); ++i) {
+    const Attempt& one = live.attempts[i];
+    if (i == attempt || (one.over && !mayHaveRun(one.how))) continue;
+    if (first == Instant() || one.sentAt < first) first = one.sentAt;
+  }
+  return first;
+}
+
+bool Ledger::maySend(Job job, const NodeId& node, Span told) {
+  const Attempt* attempt = this->attempt(job);
+  if (!attempt) return false;
+  const Live& live = live_.at(job.txn);
+  const TxnType& type = types_.at(live.type);
+  const invariants::Send send{now_, attempt->sendBy, attempt->cutAt, told, live.front != nullptr, nodes_.leaving(node)};
+  const invariants::Repeat repeat{now_, type.effect, type.referenceWindow, firstSentBefore(live, job.attempt)};
+  // What goes well is asked for each attempt: its subject is put together only where it is told.
+  const auto subject = [&] { return "txn " + std::string(live.id()) + " to node " + node; };
+  return invariants_.send(send, subject) && invariants_.repeat(repeat, subject);
+}
+
 // --- The door
 
 void Ledger::pass(Live& live, bool committed) {
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -21,6 +21,7 @@
 #include "core/door.h"
 #include "core/guard.h"
 #include "core/nodes.h"
+#include "invariants/invariants.h"
 #include "levels/table.h"
 #include "routing/router.h"
 
@@ -134,6 +135,9 @@
   const Attempt* attempt(Job job) const;
   // Nobody waits for its answer any more, or for that of any other of its txn.
   bool isOwed(TxnId txn) const;
+  // Asked right before an attempt goes to its node, which is told to take no longer than `told`. False: it may
+  // not go, and ends as not sent.
+  bool maySend(Job job, const NodeId& node, Span told);
   // The txn's final answer, ahead of ended().
   void commit(TxnId txn, const Value& value);
   // A second call for the same attempt is passed over.
@@ -165,6 +169,9 @@
 
   std::size_t open() const { return live_.size(); }
 
+  invariants::Invariants& invariants() { return invariants_; }
+  const invariants::Invariants& invariants() const { return invariants_; }
+
  private:
   struct Live {              // a txn that is owed its answer, or has attempts out
     Front* front = nullptr;  // null: it has its final answer
@@ -176,7 +183,8 @@
     std::size_t type = 0;
     Instant takenAt;
     Span latencyTarget;
-    bool guarded = false, earlierMayHaveRun = false;
+    bool guarded = false;
+    Instant earlierSentAt;       // when the first attempt elsewhere that may have run was sent; never: none was
     bool admitted = false;       // by the door, which is owed a word once it is over
     std::optional<Txn> waiting;  // for the guard's word: the module has not seen it
     std::string_view id() const {
@@ -205,6 +213,7 @@
   Live* owed(TxnId txn);
   bool stopWaiting(TxnId txn);
   Fate fateOf(const Live& live) const;
+  Instant firstSentBefore(const Live& live, unsigned attempt) const;
   template <typename Answer>
   void finish(TxnId txn, Answer answer);
   void pass(Live& live, bool committed);
@@ -215,8 +224,8 @@
   std::size_t mostBytes_, mostOpen_;
   std::function<void()> askForList_;
   Nodes nodes_;
-  std::vector<Span> latencyTargets_;  // a row a txn type
-  std::vector<bool> onceOnly_;        // likewise
+  std::vector<TxnType> types_;  // a row a txn type
+  invariants::Invariants invariants_;
   Guard* guard_ = nullptr;
   Door* door_ = nullptr;
   std::map<NodeId, Addressed> last_;  // of each node that lists name, where there is a guard
--- a/src/fronts/pg/clients.cpp
+++ b/src/fronts/pg/clients.cpp
@@ -195,13 +195,17 @@
   effects_.writeClient(id, {wire::error("ERROR", code, text, detail), wire::readyForQuery()});
 }
 
+// The error is the final answer to whatever the client is owed.
 void Clients::fatal(ClientId id, std::string_view code, std::string_view text) {
   effects_.writeClient(id, {wire::error("FATAL", code, text)});
-  drop(id);
+  effects_.closeClient(id);
+  ended(id);
 }
 
 // The connection is closed after what was written has gone.
 void Clients::drop(ClientId id) {
+  const auto subject = [id] { return "client " + std::to_string(id); };
+  if (!ledger_.invariants().close(ledger_.now(), isWaiting(id), subject)) return;
   effects_.closeClient(id);
   ended(id);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,10 @@
       links_(ledger_, {bounds.idleLimit, bounds.connectLimit, bounds.mostLinks}, effects),
       clients_(ledger_, links_, terms, typeNames, {bounds.connectLimit, bounds.mostAsking}, effects) {
   ledger_.add(links_);
+  ledger_.invariants().tell([&effects](const invariants::Violation& broken, std::uint64_t count) {
+    effects.log("event=invariant.broken check=" + std::string(nameOf(broken.check)) + " rule=\"" +
+                std::string(broken.rule) + "\" subject=\"" + broken.subject + "\" count=" + std::to_string(count));
+  });
 }
 
 // --- Events
--- a/src/reduced/reduced.cpp
+++ b/src/reduced/reduced.cpp
@@ -74,6 +74,14 @@
   all["level"] = highest;
   if (setup_.bounds.pinned) all["pinned"] = {{"level", *setup_.bounds.pinned}, {"by", setup_.pinnedBy}};
   if (!setup_.cappedBy.empty()) all["cap"] = {{"level", setup_.bounds.cap}, {"by", setup_.cappedBy}};
+  const auto& invariants = ledger_.invariants();
+  for (const auto check : {invariants::Check::send, invariants::Check::repeat, invariants::Check::close,
+                           invariants::Check::start})
+    all["violations"][std::string(nameOf(check))] = invariants.count(check);
+  if (invariants.all() > 0)
+    all["last_violation"] = {{"check", nameOf(invariants.last().check)},
+                             {"rule", invariants.last().rule},
+                             {"subject", invariants.last().subject}};
   all["groups"] = nlohmann::ordered_json::array();
   for (const auto& [id, group] : levels_.all()) {
     nlohmann::ordered_json one;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -143,6 +143,8 @@
 void Server::run() {
   spdlog::info("{} listens on {}:{}, {} nodes known", start_.name, start_.listen.host, start_.listen.port,
                start_.known.nodes.size());
+  ledger().see(loop_.now());
+  ledger().invariants().started(loop_.now(), loop_.now() - begunAt_, [this] { return start_.name; });
   listVersion_ = start_.known.version;
   gateway_.listed(loop_.now(), ListKind::disk, addressed(start_.known));
   const auto& at = start_.discovery;
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -70,6 +70,7 @@
 
   startup::Start start_;
   loop::Loop loop_;
+  Instant begunAt_ = loop_.now();
   std::unique_ptr<loop::Stream> signals_, listener_;
   std::size_t mostClients_;
   std::size_t mostBytes_, bytes_ = 0;  // that connections may keep, and do
