--- /dev/null
+++ b/tests/soak/routers.cpp
@@ -0,0 +1,84 @@
+#include "soak/routers.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+
+#include "drawn_settings.h"
+
+namespace gulltrestle::soak {
+
+RouterProcess::RouterProcess(std::string program, std::string folder, std::size_t number, std::uint64_t seed)
+    : program_(std::move(program)),
+      folder_(std::move(folder)),
+      number_(number),
+      machine_(std::make_unique<faults::Machine>(path("machine"), seed)) {}
+
+RouterProcess::~RouterProcess() {
+  if (!running) return;
+  signal(SIGKILL);
+  waitpid(child_, nullptr, 0);
+}
+
+std::string RouterProcess::path(const char* what) const {
+  return folder_ + "/router-" + std::to_string(number_) + "." + what;
+}
+
+void RouterProcess::configure(std::uint64_t settingsSeed, unsigned short discovery, const std::string& known) {
+  settings::Place place;
+  place.name = "n" + std::to_string(number_);
+  place.listen = "127.0.0.1:" + std::to_string(port());
+  place.discovery = "127.0.0.1:" + std::to_string(discovery);
+  place.known = known;
+  std::ofstream(path("json")) << settings::configuration(settingsSeed, place);
+}
+
+void RouterProcess::start(Instant now) {
+  std::string variables[] = {"BALANCER_CONFIG=" + path("json"),
+                             std::string("GULLTRESTLE_LEVELS=") + GULLTRESTLE_LEVELS_FILE,
+                             "LD_PRELOAD=" GULLTRESTLE_BAD_MACHINE_LIBRARY,
+                             "ASAN_OPTIONS=verify_asan_link_order=0", machine_->variable()};
+  char* environment[6] = {};
+  for (std::size_t i = 0; i < 5; ++i) environment[i] = variables[i].data();
+  char* const words[] = {program_.data(), nullptr};
+  const std::string log = path("log");
+  child_ = fork();
+  if (child_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int to = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(to, 1);
+    dup2(to, 2);
+    execve(program_.c_str(), words, environment);
+    _exit(127);
+  }
+  running = true;
+  toldToEnd = killed = false;
+  startedAt = now;
+  readyAt = Instant();
+  ++starts;
+}
+
+void RouterProcess::signal(int number) {
+  if (!running) return;
+  if (number == SIGKILL) killed = true;
+  ::kill(child_, number);
+}
+
+bool RouterProcess::reap() {
+  if (!running || waitpid(child_, &status, WNOHANG) != child_) return false;
+  running = false;
+  return true;
+}
+
+std::string RouterProcess::logTail() const {
+  std::ifstream log(path("log"));
+  std::string line, last;
+  while (std::getline(log, line)) last = line;
+  return last;
+}
+
+}  // namespace gulltrestle::soak
