--- a/src/carriers/pg/links.cpp
+++ b/src/carriers/pg/links.cpp
@@ -266,6 +266,10 @@
   const auto at = links_.find(id);
   if (at == links_.end()) return;
   const Link link = at->second;
+  ledger_.trace().say([&] {
+    return "event=link.closed link=" + std::to_string(id) + " node=" + link.node + " why=\"" +
+           std::string(nameOf(how)) + "\"";
+  });
   due_.erase({link.due, id});
   links_.erase(at);
   effects_.closeNode(id);
--- a/src/core/connection_end.cpp
+++ b/src/core/connection_end.cpp
@@ -69,4 +69,28 @@
   return "unknown";
 }
 
+std::string_view nameOf(End how) {
+  switch (how) {
+    case End::committed:
+      return "committed";
+    case End::error:
+      return "error";
+    case End::rejected:
+      return "rejected";
+    case End::timeout:
+      return "timeout";
+    case End::noConnection:
+      return "no_connection";
+    case End::connectionLost:
+      return "connection_lost";
+    case End::cancelled:
+      return "cancelled";
+    case End::notSent:
+      return "not_sent";
+    case End::notHere:
+      return "not_here";
+  }
+  return "unknown";
+}
+
 }  // namespace gulltrestle::core
--- a/src/core/connection_end.h
+++ b/src/core/connection_end.h
@@ -31,5 +31,6 @@
 bool mayHaveRun(End how);
 
 std::string_view nameOf(ConnectionEnd how);
+std::string_view nameOf(End how);
 
 }  // namespace gulltrestle::core
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -47,6 +47,11 @@
   live.latencyTarget = std::max(types_.at(txn.type).latencyTarget, Span::micros(1));
   heldBytes_ += live.message.bytes.size();
   if (!live.id().empty()) openIds_.insert(live.id());
+  trace_.say([&] {
+    return "event=txn.came id=" + std::string(live.id()) + " txn=" + std::to_string(txn.id) +
+           " type=" + std::to_string(txn.type) + " group=" + std::to_string(txn.group) +
+           " patience_ms=" + std::to_string(txn.patience.inMicros() / 1000);
+  });
   if (const auto after = door_ ? door_->rejects(txn.group, txn.type) : std::nullopt) {
     // Not from within its front's call.
     rejected_.emplace_back(txn.id, *after);
@@ -85,17 +90,22 @@
 void Ledger::answerCommitted(TxnId txn, const Value& value) {
   const bool empty = std::all_of(value.begin(), value.end(), [](auto part) { return part.empty(); });
   if (!stopWaiting(txn)) return;
+  traceAnswer(txn, "committed before, as the guard knows");
   finish(txn, [&](Front& f, OwnerId owner) {
     empty&& f.needsValue() ? f.rolledBack(owner) : f.committed(owner, value);
   });
 }
 
 void Ledger::answerRefused(TxnId txn, Span retryAfter) {
-  if (stopWaiting(txn)) finish(txn, [&](Front& f, OwnerId owner) { f.refused(owner, retryAfter, 0); });
+  if (!stopWaiting(txn)) return;
+  traceAnswer(txn, "refused by the guard");
+  finish(txn, [&](Front& f, OwnerId owner) { f.refused(owner, retryAfter, 0); });
 }
 
 void Ledger::answerRolledBack(TxnId txn) {
-  if (stopWaiting(txn)) finish(txn, [&](Front& f, OwnerId owner) { f.rolledBack(owner); });
+  if (!stopWaiting(txn)) return;
+  traceAnswer(txn, "rolled back by the guard");
+  finish(txn, [&](Front& f, OwnerId owner) { f.rolledBack(owner); });
 }
 
 // Nothing that a proxy says of earlier tries elsewhere is taken for a proof that it never ran.
@@ -132,6 +142,19 @@
   return invariants_.send(send, subject) && invariants_.repeat(repeat, subject);
 }
 
+// --- The trace
+
+void Ledger::traceAnswer(TxnId txn, std::string_view answer, unsigned level) {
+  const Live* live = trace_.isOn() ? owed(txn) : nullptr;
+  if (!live) return;
+  trace_.say([&] {
+    return "event=txn.answered id=" + std::string(live->id()) + " how=\"" + std::string(answer) + "\"" +
+           " after_ms=" + std::to_string((now_ - live->takenAt).inMicros() / 1000) +
+           " attempts=" + std::to_string(live->attempts.size()) +
+           (level > 0 ? " level=" + std::to_string(level) : "");
+  });
+}
+
 // --- The door
 
 void Ledger::pass(Live& live, bool committed) {
@@ -148,6 +171,7 @@
 void Ledger::leave(TxnId txn) {
   Live* live = owed(txn);
   if (!live) return;
+  traceAnswer(txn, "none, its client left");
   pass(*live, false);
   live->front = nullptr;
   if (!std::exchange(live->waiting, std::nullopt)) arrived([txn](Router& router) { router.clientLeft(txn); });
@@ -215,6 +239,7 @@
   if (Live* live = owed(txn)) pass(*live, true);
   if (const Live* live = owed(txn); live && levels_)
     levels_->answered(now_, live->group, live->type, waitedShare(*live));
+  traceAnswer(txn, "committed");
   finish(txn, [&](Front& front, OwnerId owner) { front.committed(owner, value); });
   withdrawAll(txn);
 }
@@ -233,6 +258,11 @@
   Attempt& attempt = at->second.attempts[job.attempt];
   if (std::exchange(attempt.over, true)) return;
   attempt.how = how;
+  trace_.say([&] {
+    return "event=attempt.ended id=" + std::string(at->second.id()) + " number=" + std::to_string(job.attempt) +
+           " node=" + node + " how=" + std::string(nameOf(how)) +
+           " after_ms=" + std::to_string((now_ - attempt.sentAt).inMicros() / 1000);
+  });
   const Span latency = now_ - attempt.sentAt;
   const bool txnOver = !at->second.front;
   arrived([=](Router& router) {
@@ -340,8 +370,10 @@
   // Long after the turn that was asked for: this process was held up, and measures its own delay.
   constexpr Span kHeldUp = Span::millis(50);
   if (levels_ && wakeAt_ != Instant() && now_ - wakeAt_ > kHeldUp) levels_->stoodStill(now_);
-  for (const auto& [txn, after] : std::exchange(rejected_, {}))
+  for (const auto& [txn, after] : std::exchange(rejected_, {})) {
+    traceAnswer(txn, "refused by the ramp of a start");
     finish(txn, [after = after](Front& front, OwnerId owner) { front.refused(owner, after, 0); });
+  }
   if (levels_ && (levels_->nextDue() == Instant() || now_ >= levels_->nextDue())) reduce();
   if (!arrivals_.empty() || (wakeAt_ != Instant() && wakeAt_ <= now_)) {
     if (wakeAt_ <= now_) wakeAt_ = Instant();
@@ -362,6 +394,10 @@
   if (!live) return;
   const Job job{txn, static_cast<unsigned>(live->attempts.size())};
   live->attempts.push_back({node, now_, sendBy, cutAt, false});
+  trace_.say([&] {
+    return "event=attempt.begun id=" + std::string(live->id()) + " number=" + std::to_string(job.attempt) +
+           " node=" + node + " left_ms=" + std::to_string((cutAt - now_).inMicros() / 1000);
+  });
   // Guards against a decision by a list that has not reached the module: nothing at all may go there. Hurts a
   // txn that no other node can take: it is decided anew, and may be refused.
   if (out_.contains(node)) return ended(job, node, End::notSent);
@@ -380,6 +416,7 @@
     levels_->gaveUp(now_, live->group, live->type, waitedShare(*live));
     if (live->attempts.empty() && live->takenAt == now_) level = levels_->of(live->group).level;
   }
+  traceAnswer(txn, "refused", level);
   finish(txn, [&](Front& front, OwnerId owner) { front.refused(owner, retryAfter, level); });
   withdrawAll(txn);
 }
@@ -387,6 +424,7 @@
 void Ledger::rollBack(TxnId txn) {
   if (const Live* live = owed(txn); live && levels_)
     levels_->gaveUp(now_, live->group, live->type, waitedShare(*live));
+  traceAnswer(txn, "rolled back");
   finish(txn, [&](Front& front, OwnerId owner) { front.rolledBack(owner); });
   withdrawAll(txn);
 }
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -21,6 +21,7 @@
 #include "core/door.h"
 #include "core/guard.h"
 #include "core/nodes.h"
+#include "core/trace.h"
 #include "invariants/invariants.h"
 #include "levels/table.h"
 #include "routing/router.h"
@@ -169,6 +170,9 @@
 
   std::size_t open() const { return live_.size(); }
 
+  // What becomes of each txn; fronts and carriers add what they know.
+  Trace& trace() { return trace_; }
+  const Trace& trace() const { return trace_; }
   invariants::Invariants& invariants() { return invariants_; }
   const invariants::Invariants& invariants() const { return invariants_; }
 
@@ -217,6 +221,7 @@
   template <typename Answer>
   void finish(TxnId txn, Answer answer);
   void pass(Live& live, bool committed);
+  void traceAnswer(TxnId txn, std::string_view answer, unsigned level = 0);
   void withdrawAll(TxnId txn);
   void forget(TxnId txn);
 
@@ -226,6 +231,7 @@
   Nodes nodes_;
   std::vector<TxnType> types_;  // a row a txn type
   invariants::Invariants invariants_;
+  Trace trace_;
   Guard* guard_ = nullptr;
   Door* door_ = nullptr;
   std::map<NodeId, Addressed> last_;  // of each node that lists name, where there is a guard
--- /dev/null
+++ b/src/core/trace.h
@@ -0,0 +1,27 @@
+// What becomes of each txn and connection, line by line, for whoever looks for a cause. Off by default: a line is put
+// together only where somebody takes it.
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace gulltrestle::core {
+
+class Trace {
+ public:
+  using Take = std::function<void(const std::string& line)>;
+  // Null: nobody takes them any more.
+  void to(Take take) { take_ = std::move(take); }
+  bool isOn() const { return static_cast<bool>(take_); }
+
+  // `line`: returns the text of one line, "event=... key=value ...".
+  template <typename Line>
+  void say(Line line) const {
+    if (take_) take_(line());
+  }
+
+ private:
+  Take take_;
+};
+
+}  // namespace gulltrestle::core
--- a/src/fronts/pg/clients.cpp
+++ b/src/fronts/pg/clients.cpp
@@ -9,6 +9,7 @@
 
 namespace gulltrestle::fronts::pg {
 
+using core::ConnectionEnd;
 namespace wire = gulltrestle::pg;
 
 namespace {
@@ -93,7 +94,7 @@
   if (opening->code == wire::kSslRequest || opening->code == wire::kGssRequest) {
     effects_.writeClient(id, {"N"});
   } else if (opening->code == wire::kCancelRequest) {
-    drop(id);
+    drop(id, ConnectionEnd::clientDone);
   } else if (opening->code >> 16 != wire::kMajorVersion) {
     fatal(id, wire::kNotSupported, "only version 3 of the protocol is spoken here");
   } else {
@@ -118,7 +119,7 @@
       takeStatement(id, client, wire::takeText(body), client.arrivals.of(before + waiting - bytes.size()));
       break;
     case wire::Request::goodbye:
-      drop(id);
+      drop(id, ConnectionEnd::clientDone);
       break;
     case wire::Request::sync:
       client.stage = Stage::ready;
@@ -198,14 +199,22 @@
 // The error is the final answer to whatever the client is owed.
 void Clients::fatal(ClientId id, std::string_view code, std::string_view text) {
   effects_.writeClient(id, {wire::error("FATAL", code, text)});
+  traceClose(id, text);
   effects_.closeClient(id);
   ended(id);
 }
 
+void Clients::traceClose(ClientId id, std::string_view why) const {
+  ledger_.trace().say([&] {
+    return "event=client.closed client=" + std::to_string(id) + " why=\"" + std::string(why) + "\"";
+  });
+}
+
 // The connection is closed after what was written has gone.
-void Clients::drop(ClientId id) {
+void Clients::drop(ClientId id, core::ConnectionEnd why) {
   const auto subject = [id] { return "client " + std::to_string(id); };
   if (!ledger_.invariants().close(ledger_.now(), isWaiting(id), subject)) return;
+  traceClose(id, nameOf(why));
   effects_.closeClient(id);
   ended(id);
 }
@@ -217,7 +226,7 @@
   const auto at = clients_.find(id);
   if (at == clients_.end()) return;
   Client& client = at->second;
-  if (client.txn == 0 && !client.waitsForList) return drop(id);
+  if (client.txn == 0 && !client.waitsForList) return drop(id, ConnectionEnd::clientDone);
   if (!std::exchange(client.sendsNoMore, true)) effects_.writeClient(id, {wire::notice("still at work")});
 }
 
@@ -244,7 +253,7 @@
       idle.emplace_back(client.idleSince, id);
   most = std::min(most, idle.size());
   std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(most), idle.end());
-  for (std::size_t i = 0; i < most; ++i) drop(idle[i].second);
+  for (std::size_t i = 0; i < most; ++i) drop(idle[i].second, ConnectionEnd::retired);
   return most > 0;
 }
 
@@ -317,7 +326,7 @@
   std::vector<ClientId> idle;
   for (const auto& [id, client] : clients_)
     if (client.txn == 0 && !client.toRead && !isFresh(client, bounds_.connectLimit)) idle.push_back(id);
-  for (const ClientId id : idle) drop(id);
+  for (const ClientId id : idle) drop(id, ConnectionEnd::shuttingDown);
 }
 
 }  // namespace gulltrestle::fronts::pg
--- a/src/fronts/pg/clients.h
+++ b/src/fronts/pg/clients.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/connection_end.h"
 #include "core/ledger.h"
 #include "fronts/pg/arrivals.h"
 #include "pg/messages.h"
@@ -91,7 +92,9 @@
   void fatal(ClientId id, std::string_view code, std::string_view text);
   void answered(ClientId id);
   void nextOf(ClientId id);
-  void drop(ClientId id);
+  // What it is owed has been answered; `why`: for the trace.
+  void drop(ClientId id, core::ConnectionEnd why);
+  void traceClose(ClientId id, std::string_view why) const;
   void makeRoomToAsk();
   void awaitMessage(ClientId id, Client& client, Instant due);
   bool isFresh(const Client& client, Span limit) const;
--- /dev/null
+++ b/src/logging/setup.h
@@ -0,0 +1,17 @@
+// The configuration file of what is logged beyond changes and failures.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace gulltrestle::logging {
+
+struct Setup {
+  bool txns = false;  // each txn from its arrival to its answer, and why connections are closed
+};
+
+// Throws startup::BadKey, which names the key.
+Setup readSetup(std::string_view text);
+Setup readSetupFile(const std::string& path);
+
+}  // namespace gulltrestle::logging
--- a/src/startup/section.cpp
+++ b/src/startup/section.cpp
@@ -43,6 +43,11 @@
   return found->text;
 }
 
+bool Section::flag(const std::string& key, bool otherwise) {
+  const Value* found = find(key, Value::Kind::boolean, "true or false");
+  return found ? found->text == "true" : otherwise;
+}
+
 std::size_t Section::whole(const std::string& key, std::size_t otherwise, std::size_t least,
                            std::size_t most) {
   const Value* found = find(key, Value::Kind::number, "a number");
--- a/src/startup/section.h
+++ b/src/startup/section.h
@@ -20,6 +20,7 @@
 
   // Each throws BadKey where what is there can't be taken, and gives `otherwise` where nothing is.
   std::string text(const std::string& key, const std::string& otherwise);
+  bool flag(const std::string& key, bool otherwise);
   std::size_t whole(const std::string& key, std::size_t otherwise, std::size_t least, std::size_t most);
   double number(const std::string& key, double otherwise, double least, double most);
   Span millis(const std::string& key, Span otherwise, std::int64_t least, std::int64_t most);
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -74,6 +74,10 @@
   bool showProbes = false, showReads = false;
   bool clears = true;  // nodes answer the empty queries that ask whether more than an answer comes
 
+  void follow() {
+    gateway_.ledger().trace().to([this](const std::string& told) { line() << told << "\n"; });
+  }
+
   // Events.
   void accepted(ClientId client, const std::string& bytes) {
     gateway_.clientOpened(now_, client);
@@ -745,10 +749,27 @@
   }
 }
 
+// Each txn can be followed from its arrival to its answer, and each close has its reason, once that is switched on.
+void followed() {
+  Sockets sockets;
+  sockets.follow();
+  sockets.open(1, read("a"));
+  sockets.up(sockets.last());
+  sockets.answers(sockets.last(), row("v"));
+  sockets.open(2, write("b"));
+  sockets.up(sockets.last());
+  sockets.ended(sockets.last(), ConnectionEnd::broken);
+  sockets.open(3, read("c", "bounded"));
+  sockets.left(3);
+  sockets.shutDown();
+  sockets.pass(1000);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
   const std::map<std::string, void (*)()> cases{{"ordinary", ordinary},
+                                                {"followed", followed},
                                                 {"openings", openings},
                                                 {"bad-statements", badStatements},
                                                 {"never-ran", neverRan},
