--- a/src/calls/calls.cpp
+++ b/src/calls/calls.cpp
@@ -8,8 +8,8 @@
 
 // Discovery sends an empty line every 2 s while nothing changes: after two that did not come it is silent.
 constexpr Span kSilence = Span::millis(5000);
-// Where one service is asked its first word may take that long, too, and some more. A call that is swallowed and the
-// longest pause are over within the 6 s after which what it has counts as told.
+// Where one service is asked its first word may take that long, too, and some more. A call that is swallowed
+// and the longest pause are over within the 6 s after which what it has counts as told.
 constexpr Span kFirstWord = Span::millis(2500);
 // A call for the whole list is answered at once: what has it stands on this machine. While that is down calls
 // are never answered, also not once it is back, which is when its drains begin to count: with the pause below
--- a/src/calls/calls.h
+++ b/src/calls/calls.h
@@ -1,9 +1,9 @@
-// Decisions: how discovery is called for the list. What comes first, how long an answer is waited for, and how long
-// until the next call after one that failed. No I/O, no clock.
+// Decisions: how discovery is called for the list. What comes first, how long an answer is waited for, and
+// how long until the next call after one that failed. No I/O, no clock.
 //
-// Where the list is pushed, what answers stands on this machine: calls cost nothing, and a drain counts as told as
-// soon as it is there. Where it is asked for one service answers all routers: those that are refused and call again
-// together keep it refused for good, as a refused call is work, too.
+// Where the list is pushed, what answers stands on this machine: calls cost nothing, and a drain counts as
+// told as soon as it is there. Where it is asked for one service answers all routers: those that are refused
+// and call again together keep it refused for good, as a refused call is work, too.
 #pragma once
 
 #include <cstdint>
@@ -18,8 +18,8 @@
   // `drainGrace`: how long after it was told of a drain a router may still send there.
   ListCalls(bool mustBeAsked, Span drainGrace, std::uint64_t seed);
 
-  // Whether a watch from the list on that is known comes first, or comes anew after one that failed and had told
-  // nothing wrong; else the whole list does. Changes cost the service less.
+  // Whether a watch from the list on that is known comes first, or comes anew after one that failed and had
+  // told nothing wrong; else the whole list does. Changes cost the service less.
   bool watchesAtOnce() const { return mustBeAsked_; }
   // How long nothing may be heard of a call, in which something has been heard already or not.
   Span silence(bool watch, bool heard) const;
--- a/src/claims/keeper.h
+++ b/src/claims/keeper.h
@@ -111,11 +111,11 @@
   // --- What is to be made durable, in this order, since it was last asked.
 
   struct Change {
-    // node, primary, member, work: no matter of the keeper's, kept on the same disk: which nodes leave, who was
-    // primary, which start of a router speaks, what it holds of the plan of work.
+    // node, primary, member, work: no matter of the keeper's, kept on the same disk: which nodes leave, who
+    // was primary, which start of a router speaks, what it holds of the plan of work.
     enum class What { put, drop, start, voting, node, primary, member, lists, work } what = What::put;
-    std::string id = {};  // drop; start: the keeper's name, empty for this one's own; work: all of it; others:
-                          // its own
+    std::string id = {};  // drop; start: the keeper's name, empty for this one's own; work: all of it;
+                          // others: its own
     Entry entry = {};     // put
     Start start = {};     // start; voting: newSince is its number; node: the list's version is its number, 0:
                           // it is forgotten; primary: the list's version; member: it
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -135,8 +135,10 @@
   if (!attempt) return false;
   const Live& live = live_.at(job.txn);
   const TxnType& type = types_.at(live.type);
-  const invariants::Send send{now_, attempt->sendBy, attempt->cutAt, told, live.front != nullptr, nodes_.leaving(node)};
-  const invariants::Repeat repeat{now_, type.effect, type.referenceWindow, firstSentBefore(live, job.attempt)};
+  const invariants::Send send{now_, attempt->sendBy,       attempt->cutAt,
+                              told, live.front != nullptr, nodes_.leaving(node)};
+  const invariants::Repeat repeat{now_, type.effect, type.referenceWindow,
+                                  firstSentBefore(live, job.attempt)};
   // What goes well is asked for each attempt: its subject is put together only where it is told.
   const auto subject = [&] { return "txn " + std::string(live.id()) + " to node " + node; };
   return invariants_.send(send, subject) && invariants_.repeat(repeat, subject);
@@ -259,8 +261,8 @@
   if (std::exchange(attempt.over, true)) return;
   attempt.how = how;
   trace_.say([&] {
-    return "event=attempt.ended id=" + std::string(at->second.id()) + " number=" + std::to_string(job.attempt) +
-           " node=" + node + " how=" + std::string(nameOf(how)) +
+    return "event=attempt.ended id=" + std::string(at->second.id()) +
+           " number=" + std::to_string(job.attempt) + " node=" + node + " how=" + std::string(nameOf(how)) +
            " after_ms=" + std::to_string((now_ - attempt.sentAt).inMicros() / 1000);
   });
   const Span latency = now_ - attempt.sentAt;
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -136,8 +136,8 @@
   const Attempt* attempt(Job job) const;
   // Nobody waits for its answer any more, or for that of any other of its txn.
   bool isOwed(TxnId txn) const;
-  // Asked right before an attempt goes to its node, which is told to take no longer than `told`. False: it may
-  // not go, and ends as not sent.
+  // Asked right before an attempt goes to its node, which is told to take no longer than `told`. False: it
+  // may not go, and ends as not sent.
   bool maySend(Job job, const NodeId& node, Span told);
   // The txn's final answer, ahead of ended().
   void commit(TxnId txn, const Value& value);
@@ -188,8 +188,8 @@
     Instant takenAt;
     Span latencyTarget;
     bool guarded = false;
-    Instant earlierSentAt;       // when the first attempt elsewhere that may have run was sent; never: none was
-    bool admitted = false;       // by the door, which is owed a word once it is over
+    Instant earlierSentAt;  // when the first attempt elsewhere that may have run was sent; never: none was
+    bool admitted = false;  // by the door, which is owed a word once it is over
     std::optional<Txn> waiting;  // for the guard's word: the module has not seen it
     std::string_view id() const {
       return std::string_view(message.bytes).substr(message.idAt, message.idSize);
--- a/src/core/trace.h
+++ b/src/core/trace.h
@@ -1,5 +1,5 @@
-// What becomes of each txn and connection, line by line, for whoever looks for a cause. Off by default: a line is put
-// together only where somebody takes it.
+// What becomes of each txn and connection, line by line, for whoever looks for a cause. Off by default: a
+// line is put together only where somebody takes it.
 #pragma once
 
 #include <functional>
--- a/src/fronts/pg/clients.cpp
+++ b/src/fronts/pg/clients.cpp
@@ -55,7 +55,8 @@
 
 std::size_t Clients::sent(ClientId id, std::string_view bytes, Instant unreadSince) {
   const auto size = bytes.size();
-  // What was left unread may have come at any time since: a little early, so that no more time is told than is.
+  // What was left unread may have come at any time since: a little early, so that no more time is told than
+  // is.
   const Instant cameAt = unreadSince == Instant() ? ledger_.now() : std::min(unreadSince, ledger_.now());
   if (const auto at = clients_.find(id); at != clients_.end()) at->second.arrivals.waiting(size, cameAt);
   try {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,7 +23,8 @@
   ledger_.add(links_);
   ledger_.invariants().tell([&effects](const invariants::Violation& broken, std::uint64_t count) {
     effects.log("event=invariant.broken check=" + std::string(nameOf(broken.check)) + " rule=\"" +
-                std::string(broken.rule) + "\" subject=\"" + broken.subject + "\" count=" + std::to_string(count));
+                std::string(broken.rule) + "\" subject=\"" + broken.subject +
+                "\" count=" + std::to_string(count));
   });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,7 +85,7 @@
   fronts::pg::Clients clients_;
   std::vector<Part*> parts_;
   Instant stopAt_;
-  std::string discovery_;                    // its address
+  std::string discovery_;                                      // its address
   bool stopping_ = false, stopDue_ = false, stopped_ = false;  // stopped: takes nothing new
 };
 
--- a/src/invariants/invariants.h
+++ b/src/invariants/invariants.h
@@ -41,8 +41,9 @@
 struct Repeat {
   Instant now;
   Effect effect = Effect::repeatable;
-  Span window;          // of a referenced type: how long a repeat is known
-  Instant firstSentAt;  // when the first attempt that may have run, or is still out, was sent; never: none was
+  Span window;  // of a referenced type: how long a repeat is known
+  Instant
+      firstSentAt;  // when the first attempt that may have run, or is still out, was sent; never: none was
 };
 
 // What broke a rule.
--- a/src/levels/table.h
+++ b/src/levels/table.h
@@ -23,7 +23,8 @@
 // 2 the same for session and bounded reads, which are neither held nor sent to the primary then; 3 lets reads
 // that pay less than the better half for their time in only where a node has half of its room free; 4 all
 // reads but those that pay most, and these where one has room. None refuses what a node could do at once, and
-// none restricts a type that is not repeatable, whatever its read level: check() takes the table of any types.
+// none restricts a type that is not repeatable, whatever its read level: check() takes the table of any
+// types.
 Table tableOf(const std::vector<TxnType>& types);
 
 // Throws BadTable where a higher level would let in what a lower one refuses, or where one refuses a write
--- a/src/logging/logging.h
+++ b/src/logging/logging.h
@@ -1,5 +1,5 @@
-// Switches the trace of txns and connections on and off in a running process, as its configuration says at the start
-// and at each SIGHUP.
+// Switches the trace of txns and connections on and off in a running process, as its configuration says at
+// the start and at each SIGHUP.
 #pragma once
 
 #include <functional>
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -94,7 +94,8 @@
   settleAll();
   if (!timers_.empty() && (until == Instant() || timers_.begin()->first < until))
     until = timers_.begin()->first;
-  if (!unsettled_.empty()) until = until == Instant() ? now() + kRetryPause : std::min(until, now() + kRetryPause);
+  if (!unsettled_.empty())
+    until = until == Instant() ? now() + kRetryPause : std::min(until, now() + kRetryPause);
   int millis = -1;
   if (!ready_.empty()) {
     millis = 0;
@@ -105,8 +106,8 @@
   }
   std::array<epoll_event, kEventsATurn> events;
   int count = epoll_wait(epoll_.number(), events.data(), static_cast<int>(events.size()), millis);
-  // Guards against a process that was stopped and goes on: its wait is broken off, and what has come meanwhile
-  // is to be seen before anything is decided by the clock. Costs a call, and only then.
+  // Guards against a process that was stopped and goes on: its wait is broken off, and what has come
+  // meanwhile is to be seen before anything is decided by the clock. Costs a call, and only then.
   if (count < 0 && errno == EINTR)
     count = epoll_wait(epoll_.number(), events.data(), static_cast<int>(events.size()), 0);
   for (int i = 0; i < count; ++i) {
--- a/src/loop/persist.cpp
+++ b/src/loop/persist.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <chrono>
 #include <csignal>
+#include <cstring>
 #include <iostream>
 #include <system_error>
 #include <thread>
@@ -14,7 +15,8 @@
 
 using Clock = std::chrono::steady_clock;
 
-// A router has 10 s until it has to be ready; what does not pass in half of that is told to whoever starts it.
+// A router has 10 s until it has to be ready; what does not pass in half of that is told to whoever starts
+// it.
 constexpr auto kLongest = std::chrono::seconds(5);
 constexpr auto kPause = std::chrono::milliseconds(20);
 
@@ -50,9 +52,11 @@
   for (bool told = false;;) {
     const int result = call();
     if (result >= 0) return result;
-    const std::system_error fault(errno, std::generic_category(), what);
-    if (!isPassing(fault.code().value()) || toldToEnd() || Clock::now() >= until) throw fault;
-    if (!std::exchange(told, true)) std::cerr << "gulltrestle: " << fault.what() << ", trying on" << std::endl;
+    const int error = errno;
+    if (!isPassing(error) || toldToEnd() || Clock::now() >= until)
+      throw std::system_error(error, std::generic_category(), what);
+    if (!std::exchange(told, true))
+      std::cerr << "gulltrestle: " << what << ": " << std::strerror(error) << ", trying on" << std::endl;
     std::this_thread::sleep_for(kPause);
   }
 }
--- a/src/loop/persist.h
+++ b/src/loop/persist.h
@@ -1,5 +1,5 @@
-// System calls of a start that may fail for a moment: too few descriptors or too little memory, an address that
-// is still taken or not up yet.
+// System calls of a start that may fail for a moment: too few descriptors or too little memory, an address
+// that is still taken or not up yet.
 #pragma once
 
 #include <functional>
@@ -9,9 +9,9 @@
 // Whether a call that failed so may go well a little later, as far as the manual pages tell.
 bool isPassing(int error);
 
-// Calls until the result is no longer negative, and returns it. Between calls it pauses; what keeps it waiting
-// goes to standard error, one line. Throws std::system_error, which names `what`: at once where the error is
-// none that passes or the process is told to end, else after five seconds.
+// Calls until the result is no longer negative, and returns it. Between calls it pauses; what keeps it
+// waiting goes to standard error, one line. Throws std::system_error, which names `what`: at once where the
+// error is none that passes or the process is told to end, else after five seconds.
 int persist(const char* what, const std::function<int()>& call);
 
 }  // namespace gulltrestle::loop
--- a/src/loop/sockets.cpp
+++ b/src/loop/sockets.cpp
@@ -63,9 +63,8 @@
       persist("socket", [] { return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }));
   const int on = 1;
   setsockopt(made.number(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  persist("bind", [&] {
-    return ::bind(made.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
-  });
+  persist("bind",
+          [&] { return ::bind(made.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address); });
   persist("listen", [&] { return ::listen(made.number(), kBacklog); });
   return made;
 }
--- a/src/loop/sockets.h
+++ b/src/loop/sockets.h
@@ -31,8 +31,8 @@
 
 // What a signal asks of a process: to end, or to read its configuration anew.
 enum class Signal { end, readAnew };
-// From now on these signals wait, for signals() to take them: one that comes while a process starts must not end
-// it.
+// From now on these signals wait, for signals() to take them: one that comes while a process starts must not
+// end it.
 void holdSignals();
 // Becomes readable when one of these signals comes, also where the process was started with them ignored.
 Descriptor signals();
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -36,8 +36,8 @@
 
 IoResult Stream::read(std::span<char> buffer) {
   const IoResult got = readInto(descriptor(), buffer);
-  // Less than there was room for was mostly all, and is reported again where it was not; an end that epoll has
-  // reported already is still to be read.
+  // Less than there was room for was mostly all, and is reported again where it was not; an end that epoll
+  // has reported already is still to be read.
   const bool allTaken = got.how == Io::some && got.size < buffer.size() && !readEnds_;
   if (got.how == Io::wouldBlock || allTaken) readBlocked();
   if (got.how != Io::noMemory) return got;
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -1,6 +1,6 @@
-// A socket or other descriptor that tasks of a loop wait on. What it can do is remembered until a call says that
-// it would block, or took less than it was given; from then on epoll is asked again, level-triggered: bytes that
-// a short read or write left behind are reported again, whatever made it short.
+// A socket or other descriptor that tasks of a loop wait on. What it can do is remembered until a call says
+// that it would block, or took less than it was given; from then on epoll is asked again, level-triggered:
+// bytes that a short read or write left behind are reported again, whatever made it short.
 #pragma once
 
 #include <coroutine>
@@ -64,9 +64,9 @@
   Loop& loop_;
   Descriptor descriptor_;
   bool canRead_ = false, canWrite_ = false, readEnds_ = false, hungUp_ = false;
-  bool added_ = false;        // epoll knows it
-  bool paused_ = false;       // reports wait for a timer, as the system was short of memory
-  std::uint32_t armed_ = 0;   // what epoll reports
+  bool added_ = false;       // epoll knows it
+  bool paused_ = false;      // reports wait for a timer, as the system was short of memory
+  std::uint32_t armed_ = 0;  // what epoll reports
   std::uint64_t id_ = 0;
   bool woken_ = false;
   std::coroutine_handle<> waiter_;
--- a/src/members/view.h
+++ b/src/members/view.h
@@ -30,7 +30,7 @@
     State state = State::unknown;
     // The start that lives; else the number that more than half of the keepers know it has reached.
     std::uint64_t incarnation = 0;
-    Progress progress;              // the least of each that one who hears it was told
+    Progress progress;  // the least of each that one who hears it was told
     std::vector<KeeperNumber> silent;
     std::size_t left = 0;  // of those, that have it off the list
   };
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -411,8 +411,7 @@
   const Trouble& trouble = sheet_.trouble;
   const Instant since = trouble.insist ? wish.firstAt : asked.at;
   if (now_ - since > type.deadline) ++result_.broken.late;
-  if (refused && type.effect == Effect::onceOnly && router.runs.contains(asked.txn))
-    ++result_.broken.refused;
+  if (refused && type.effect == Effect::onceOnly && router.runs.contains(asked.txn)) ++result_.broken.refused;
   router.runs.erase(asked.txn);
   router.owners.erase(asked.txn);
   secondOf(now_).refused += refused;
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -81,7 +81,7 @@
   std::uint64_t late = 0;        // final answers past the client's time
   std::uint64_t unanswered = 0;  // txns without one, of routers that went on
   std::uint64_t twice = 0;       // once-only txns that ran more than once
-  std::uint64_t refused = 0;    // once-only txns that ran and were refused
+  std::uint64_t refused = 0;     // once-only txns that ran and were refused
   std::uint64_t stale = 0;       // reads answered from data older than allowed
   std::uint64_t drained = 0;     // attempts to a node a second after it was told to drain
   std::uint64_t sum() const { return late + unanswered + twice + refused + stale + drained; }
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -97,9 +97,10 @@
     spdlog::info("event=store.opened folder={} start={} whole={} ids={}", setup_.folder,
                  store_->kept().own.back().number, store_->kept().whole, store_->kept().entries.size());
     if (!store_->kept().whole)
-      spdlog::warn("event=store.not_whole folder={} votes_after_ms={} hint=\"a new installation's folder is made by: "
-                   "gulltrestle store create FOLDER {}\"",
-                   setup_.folder, setup_.keeper.retention.inMicros() / 1000, name);
+      spdlog::warn(
+          "event=store.not_whole folder={} votes_after_ms={} hint=\"a new installation's folder is made by: "
+          "gulltrestle store create FOLDER {}\"",
+          setup_.folder, setup_.keeper.retention.inMicros() / 1000, name);
     kept = store_->takeKept();
   }
   Span longest;
--- a/src/recovery/sightings.cpp
+++ b/src/recovery/sightings.cpp
@@ -36,7 +36,7 @@
   const auto at = nodes_.find(id);
   if (at == nodes_.end() || !at->second.isListed || (said.role == Role::unknown && !said.position)) return;
   auto& own = at->second.own;
-  if (!own) own.emplace();
+  if (!own) own = Seen{};
   own->at = now;
   if (said.role != Role::unknown) own->role = said.role;
   if (said.position) own->position = said.position;
--- a/src/recovery/stages.h
+++ b/src/recovery/stages.h
@@ -5,7 +5,8 @@
 //                                                of the group                           from before
 //   any reads   reads of any age                 positions of half of its replicas,     2 s
 //                                                or its primary's word
-//   owed reads  and bounded and session reads    its primary, by its own word or by     5 s; without end while
+//   owed reads  and bounded and session reads    its primary, by its own word or by     5 s; without end
+//   while
 //                                                two others, and not contested          that is contested
 //   writes      and fresh reads, repeatable and  more than half of the keepers          10 s
 //               referenced writes
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -652,17 +652,16 @@
   bool writes(const Txn& txn) {
     const auto& all = groupOf(txn.group).members;
     return txn.session && std::any_of(all.begin(), all.end(), [&](const Member* m) {
-      return std::any_of(m->outs.begin(), m->outs.end(), [&](const Out& out) {
-        return out.session == txn.session && terms.types[out.type].level == ReadLevel::write;
-      });
-    });
+             return std::any_of(m->outs.begin(), m->outs.end(), [&](const Out& out) {
+               return out.session == txn.session && terms.types[out.type].level == ReadLevel::write;
+             });
+           });
   }
 
   Instant targetOf(const Txn& txn) {
     const auto found = txn.session ? commits.find(*txn.session) : commits.end();
     const Instant own = found != commits.end() ? found->second : Instant();
-    if (!terms.sessionAgeCarried || !txn.writeAge)
-      return writes(txn) ? now : std::max(own, commitFloor);
+    if (!terms.sessionAgeCarried || !txn.writeAge) return writes(txn) ? now : std::max(own, commitFloor);
     if (*txn.writeAge == Span()) return Instant();
     // The position our own write returned, if that was the session's last one; else what the age says. A
     // write that another router took may have come within a round after our own: the age alone can tell.
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -538,8 +538,8 @@
       };
       try {
         while (!from.broken && !from.ended && !response.done() && at == discovery_) {
-          // Guards against a router that stood still and gives up what is there by then: an answer to a call is
-          // looked at first. A watch is not, as what it reads late may have come before it fell silent.
+          // Guards against a router that stood still and gives up what is there by then: an answer to a call
+          // is looked at first. A watch is not, as what it reads late may have come before it fell silent.
           const Span patience = calls.silence(watch, heard);
           const bool there = !watch && from.stream.canRead();
           if (loop_.now() - heardAt > patience && !there && (asked || !from.stream.canWrite())) break;
--- a/src/store/database.cpp
+++ b/src/store/database.cpp
@@ -132,8 +132,8 @@
     }
     isNew_ = !Statement(*this, "SELECT 1 FROM sqlite_schema").step();
     if (isNew_) return;
-    if (const auto format = meta("format"); format != kFormat && format != "1" && format != "2" &&
-        format != "3")
+    if (const auto format = meta("format");
+        format != kFormat && format != "1" && format != "2" && format != "3")
       throw format.empty() ? std::runtime_error("")
                            : Failed("it has format " + format + ", this program " + kFormat);
     keeper_ = meta("keeper");
--- a/tests/calls.cpp
+++ b/tests/calls.cpp
@@ -1,4 +1,7 @@
-// When discovery is called. Run as `calls CASE`: prints the times chosen, and what a fleet of such callers brings about.
+// When discovery is called. Run as `calls CASE`: prints the times chosen, and what a fleet of such callers
+// brings about.
+#include "calls/calls.h"
+
 #include <deque>
 #include <functional>
 #include <iostream>
@@ -7,8 +10,6 @@
 #include <string>
 #include <vector>
 
-#include "calls/calls.h"
-
 using namespace gulltrestle;
 using calls::ListCalls;
 
@@ -21,16 +22,17 @@
     for (const int grace : {2000, 1000, 500, 250, 0}) {
       ListCalls one(asked, Span::millis(grace), 7);
       std::cout << (asked ? "asked for" : "pushed") << ", grace " << grace << ": an answer is waited for "
-                << inMillis(one.silence(false, false)) << ", its rest " << inMillis(one.silence(false, true)) << ", a watch's first word " << inMillis(one.silence(true, false))
-                << ", its next " << inMillis(one.silence(true, true)) << "; pauses";
+                << inMillis(one.silence(false, false)) << ", its rest " << inMillis(one.silence(false, true))
+                << ", a watch's first word " << inMillis(one.silence(true, false)) << ", its next "
+                << inMillis(one.silence(true, true)) << "; pauses";
       for (int i = 0; i < 6; ++i) std::cout << " " << inMillis(one.pause());
       one.answered();
       std::cout << ", after an answer " << inMillis(one.pause()) << "\n";
     }
 }
 
-// One service for all, which refuses every call while more than a tenth of the routers have called within the last
-// quarter of a second, be they refused or not. All start in one moment and stay once they are answered.
+// One service for all, which refuses every call while more than a tenth of the routers have called within the
+// last quarter of a second, be they refused or not. All start in one moment and stay once they are answered.
 void herd() {
   for (const bool asked : {false, true})
     for (const int routers : {30, 340}) {
@@ -55,8 +57,8 @@
           last = now;
       }
       std::cout << (asked ? "asked for" : "pushed") << ", " << routers << " routers: " << due.size()
-                << " without a list after a minute, the last answered after " << inMillis(last) << " ms, " << called
-                << " calls\n";
+                << " without a list after a minute, the last answered after " << inMillis(last) << " ms, "
+                << called << " calls\n";
     }
 }
 
--- a/tests/child.h
+++ b/tests/child.h
@@ -1,4 +1,5 @@
-// The program as a child process with variables of its choice; its standard output and error are read as lines.
+// The program as a child process with variables of its choice; its standard output and error are read as
+// lines.
 #pragma once
 
 #include <fcntl.h>
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -60,7 +60,9 @@
   Bench b(usualTerms({kSession, kWrite}));
   start(b);
   b.quietProbes = true;
-  b.say("our write was committed at 20, the session's last one at 23; a has all up to 21, b more once it is 45");
+  b.say(
+      "our write was committed at 20, the session's last one at 23; a has all up to 21, b more once it is "
+      "45");
   b.at(10, [&](Router& r) {
     auto write = b.txn(1, 1);
     write.session = 9;
@@ -80,7 +82,8 @@
 void lostAnswers() {
   auto terms = usualTerms({kSession, kWrite});
   terms.sessionAgeCarried = false;
-  for (const std::string what : {"its client has left", "it is out", "its connection is lost", "it was never sent"}) {
+  for (const std::string what :
+       {"its client has left", "it is out", "its connection is lost", "it was never sent"}) {
     Bench b(terms);
     start(b);
     b.quietProbes = true;
@@ -98,8 +101,11 @@
     if (left || unsent) b.at(30, [&](Router& r) { r.clientLeft(1); });
     if (what != "it is out")
       b.at(35, [&](Router& r) {
-        r.ended(1, 0, "p", left ? End::committed : unsent ? End::notSent : End::connectionLost, left, ms(20),
-                {Role::primary, left ? std::optional(b.instant(33)) : std::nullopt}, {});
+        r.ended(1, 0, "p",
+                left     ? End::committed
+                : unsent ? End::notSent
+                         : End::connectionLost,
+                left, ms(20), {Role::primary, left ? std::optional(b.instant(33)) : std::nullopt}, {});
       });
     b.at(40, [&](Router& r) {
       auto read = b.txn(2);
@@ -382,7 +388,8 @@
     terms.mostAttempts = most;
     Bench known(terms);
     start(known);
-    known.say("a primary is known and not well: with " + std::to_string(most) + " attempts a write looks elsewhere or waits");
+    known.say("a primary is known and not well: with " + std::to_string(most) +
+              " attempts a write looks elsewhere or waits");
     for (TxnId id = 1; id <= 3; ++id) {
       const auto at = static_cast<std::int64_t>(id) * 10;
       known.at(at, [&](Router& r) { r.taken(known.txn(id)); });
@@ -595,8 +602,7 @@
   Bench b(terms);
   start(b);
   b.quietProbes = true;
-  b.say(
-      "a few answers took half of the latency target, at both: part of what comes next is refused at once");
+  b.say("a few answers took half of the latency target, at both: part of what comes next is refused at once");
   for (TxnId id = 1; id <= 6; ++id) {
     const auto from = static_cast<std::int64_t>(id) * 220;
     b.at(from, [&](Router& r) { r.taken(b.txn(id)); });
--- a/tests/drawn_settings.h
+++ b/tests/drawn_settings.h
@@ -35,9 +35,7 @@
 namespace detail {
 
 // Microseconds: from 50 ms to 3 s, mostly of a usual length.
-inline std::uint64_t deadline(Draw& draw) {
-  return draw.one(4) ? 50'000 : draw.whole(50, 3'001) * 1'000;
-}
+inline std::uint64_t deadline(Draw& draw) { return draw.one(4) ? 50'000 : draw.whole(50, 3'001) * 1'000; }
 
 inline std::string lane(Draw& draw, std::size_t row) {
   const std::uint64_t deadline = detail::deadline(draw);
@@ -48,8 +46,9 @@
   return "{\"name\":\"type-" + std::to_string(row) + "\",\"effect\":\"" + effect + "\",\"group\":\"" +
          draw.any<2>({"all", "cell"}) + "\",\"window\":" + std::to_string(window) +
          ",\"objective\":" + std::to_string(objective) + ",\"deadline\":" + std::to_string(deadline) +
-         ",\"worth\":" + draw.any<4>({"0", "0.1", "1", "7.5"}) + ",\"lateShare\":" +
-         draw.any<3>({"0", "0.3", "1"}) + ",\"aimStretch\":" + draw.any<2>({"0", "2.5"}) + "}";
+         ",\"worth\":" + draw.any<4>({"0", "0.1", "1", "7.5"}) +
+         ",\"lateShare\":" + draw.any<3>({"0", "0.3", "1"}) + ",\"aimStretch\":" + draw.any<2>({"0", "2.5"}) +
+         "}";
 }
 
 inline std::string limits(Draw& draw) {
@@ -75,9 +74,10 @@
   for (std::size_t row = 0; row < types; ++row) {
     const std::string comma = row == 0 ? "" : ",";
     lanes += comma + detail::lane(draw, row);
-    const std::string level = levels == 0   ? "update"
-                              : levels == 1 ? draw.any<4>({"loose", "recent", "own_writes", "latest"})
-                                            : draw.any<5>({"loose", "recent", "own_writes", "latest", "update"});
+    const std::string level = levels == 0 ? "update"
+                              : levels == 1
+                                  ? draw.any<4>({"loose", "recent", "own_writes", "latest"})
+                                  : draw.any<5>({"loose", "recent", "own_writes", "latest", "update"});
     readLevels += comma + "\"" + level + "\"";
     bounds += comma + std::to_string(draw.one(4) ? 0 : draw.whole(1, 10'000'000));
   }
@@ -86,10 +86,11 @@
          place.discovery + "\",\"seed\":\"" + std::to_string(draw.whole(0, 1u << 30)) +
          "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + draw.any<3>({"32", "64", "192"}) +
          ",\"sockets\":" + draw.any<3>({"96", "256", "1024"}) + "},\"known\":" + place.known +
-         ",\"settings\":{\"zone\":\"" + draw.any<2>({"", "a"}) + "\",\"round\":" +
-         draw.any<3>({"1000", "5000", "20000"}) + ",\"balancers\":" + routers + ",\"discovery\":\"" +
-         draw.any<2>({"pushed", "on_request"}) + "\",\"limits\":" + detail::limits(draw) + ",\"lanes\":[" +
-         lanes + "],\"rules\":{\"coldFrom\":" + draw.any<3>({"0", "0.2", "1"}) +
+         ",\"settings\":{\"zone\":\"" + draw.any<2>({"", "a"}) +
+         "\",\"round\":" + draw.any<3>({"1000", "5000", "20000"}) + ",\"balancers\":" + routers +
+         ",\"discovery\":\"" + draw.any<2>({"pushed", "on_request"}) +
+         "\",\"limits\":" + detail::limits(draw) + ",\"lanes\":[" + lanes +
+         "],\"rules\":{\"coldFrom\":" + draw.any<3>({"0", "0.2", "1"}) +
          ",\"cold\":" + std::to_string(draw.whole(0, 20'000'000)) + ",\"softRemoval\":" + draw.flag() +
          ",\"drainGrace\":" + std::to_string(draw.whole(150'000, 3'000'000)) +
          ",\"askWithin\":" + std::to_string(draw.whole(0, 5'000'000)) + "},\"specifics\":{\"readLevel\":[" +
--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -133,9 +133,9 @@
   void tellCounts() {
     const auto& c = streams_.counts();
     std::cout << "asked " << c.asked << " granted " << c.granted << " committed " << c.committed
-              << " refused " << c.refused << " rolled back " << c.rolledBack << " unreported "
-              << c.unreported << " misused " << c.misused << "; grants out " << streams_.grantsOut()
-              << ", open txns " << ledger_.open() << ", remembered " << streams_.remembered() << "\n";
+              << " refused " << c.refused << " rolled back " << c.rolledBack << " unreported " << c.unreported
+              << " misused " << c.misused << "; grants out " << streams_.grantsOut() << ", open txns "
+              << ledger_.open() << ", remembered " << streams_.remembered() << "\n";
   }
   const std::string& token(std::uint64_t stream) { return tokens_[stream]; }
   std::string lastNode;
--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -1,8 +1,7 @@
 // The program on a bad machine (tests/faults/machine.h): each txn gets its final answer all the same. Run as
 // `faults CASE`. Every case says whether its faults came: one that never fired has tested nothing.
-#include "faults/machine.h"
-
 #include "child.h"
+#include "faults/machine.h"
 #include "lists.h"
 #include "scratch.h"
 
--- a/tests/faults/machine.cpp
+++ b/tests/faults/machine.cpp
@@ -1,6 +1,6 @@
-// The library of the bad machine, preloaded into the program: its system calls fail now and then, each in a way that
-// the manual pages of Linux document. Which kinds fail, and how often, stands in a page that a test shares with
-// it (machine.h). Descriptors of regular files alone have the troubles of disks.
+// The library of the bad machine, preloaded into the program: its system calls fail now and then, each in a
+// way that the manual pages of Linux document. Which kinds fail, and how often, stands in a page that a test
+// shares with it (machine.h). Descriptors of regular files alone have the troubles of disks.
 #include "machine.h"
 
 #include <dlfcn.h>
@@ -20,7 +20,7 @@
 
 using namespace gulltrestle::faults;
 
-constexpr std::uint64_t kMostBytes = 3;             // that a short call takes
+constexpr std::uint64_t kMostBytes = 3;  // that a short call takes
 constexpr std::uint64_t kMostHeldUpMillis = 150;
 
 Page* page() {
--- a/tests/faults/machine.h
+++ b/tests/faults/machine.h
@@ -1,6 +1,7 @@
 // A bad machine: what tests and soaks share with the library that they preload into the program
-// (tests/faults/machine.cpp). The page lies in a file that both map: who drives a test sets how often a kind of
-// fault comes, also while the program runs, and reads how often it came, also after the program was killed.
+// (tests/faults/machine.cpp). The page lies in a file that both map: who drives a test sets how often a kind
+// of fault comes, also while the program runs, and reads how often it came, also after the program was
+// killed.
 #pragma once
 
 #include <fcntl.h>
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -80,7 +80,7 @@
       const Asked& asked = rig_.asked(row);
       ++sum_.asked;
       ++(asked.outcome == Outcome::committed    ? sum_.committed
-         : asked.outcome == Outcome::refused   ? sum_.refused
+         : asked.outcome == Outcome::refused    ? sum_.refused
          : asked.outcome == Outcome::rolledBack ? sum_.rolledBack
                                                 : sum_.none);
     }
@@ -348,9 +348,9 @@
 }
 
 void say(const Sum& sum) {
-  std::cerr << "asked " << sum.asked << ", ran " << sum.ran << ", committed " << sum.committed
-            << ", refused " << sum.refused << ", rolled back " << sum.rolledBack << ", none " << sum.none
-            << ", power losses " << sum.losses << "\n";
+  std::cerr << "asked " << sum.asked << ", ran " << sum.ran << ", committed " << sum.committed << ", refused "
+            << sum.refused << ", rolled back " << sum.rolledBack << ", none " << sum.none << ", power losses "
+            << sum.losses << "\n";
 }
 
 // Every trouble, with as many seeds as are asked for.
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -29,7 +29,7 @@
   Syncs node = Syncs::never;
   bool clocksDiffer = false;         // each start's clock of the day is off by up to ten minutes
   std::size_t slowClock = SIZE_MAX;  // a built-in fault: this router's running clock, once it is told
-  bool announces = true;   // what is out to discovery
+  bool announces = true;             // what is out to discovery
   bool hidesLoss = false;  // a built-in fault: a node that is lost is still listed, and tells that it serves
   std::string discovery;   // of stand-in nodes that speak HTTP: routers are external processors for them
 };
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -373,7 +373,8 @@
   s.answers(1, kAllClear.substr(0, 3));
   s.answers(1, kAllClear);
   s.answers(1, row("second"));
-  s.say("an answer twice in the same read, and one that comes later: the value is kept, the connection is not");
+  s.say(
+      "an answer twice in the same read, and one that comes later: the value is kept, the connection is not");
   s.sent(1, read("cc"));
   s.answers(1, kAllClear);
   s.answers(1, row("third") + row("third"));
@@ -626,8 +627,10 @@
 void inPart() {
   for (const bool inTime : {false, true}) {
     Sockets s;
-    s.say(inTime ? "the same, written whole in time: it is answered after that" :
-                   "a bounded read is written in part as its replica falls out of the bound: it never ran there");
+    s.say(
+        inTime
+            ? "the same, written whole in time: it is answered after that"
+            : "a bounded read is written in part as its replica falls out of the bound: it never ran there");
     s.open(1, read("aa", "bounded"));
     s.up(1);
     s.writesWhole = false;
@@ -749,7 +752,8 @@
   }
 }
 
-// Each txn can be followed from its arrival to its answer, and each close has its reason, once that is switched on.
+// Each txn can be followed from its arrival to its answer, and each close has its reason, once that is
+// switched on.
 void followed() {
   Sockets sockets;
   sockets.follow();
@@ -784,7 +788,8 @@
                                                 {"half-closed", halfClosed},
                                                 {"drains", drains},
                                                 {"bounds", bounds},
-                                                {"held-for-connection", heldForConnection}, {"in-part", inPart},
+                                                {"held-for-connection", heldForConnection},
+                                                {"in-part", inPart},
                                                 {"ending", ending},
                                                 {"configurations", configurations},
                                                 {"pipelined", pipelined},
--- a/tests/invariants.cpp
+++ b/tests/invariants.cpp
@@ -1,5 +1,6 @@
 // The run-time checks as a process in service has them: a violation is counted, told once a pause, and what
-// would break the rule may not be done. Run as `invariants CASE`. In all other tests a violation ends the process.
+// would break the rule may not be done. Run as `invariants CASE`. In all other tests a violation ends the
+// process.
 #include "invariants/invariants.h"
 
 #include <iostream>
@@ -17,14 +18,16 @@
  public:
   Checked() {
     checks_.tell([](const Violation& broken, std::uint64_t count) {
-      std::cout << "  told: " << nameOf(broken.check) << ": " << broken.rule << ": " << broken.subject << ", " << count
-                << "\n";
+      std::cout << "  told: " << nameOf(broken.check) << ": " << broken.rule << ": " << broken.subject << ", "
+                << count << "\n";
     });
   }
   void send(const std::string& what, const Send& send) { say(what, checks_.send(send, subject)); }
   void repeat(const std::string& what, const Repeat& repeat) { say(what, checks_.repeat(repeat, subject)); }
   Invariants& checks() { return checks_; }
-  void say(const std::string& what, bool may) { std::cout << what << ": " << (may ? "may" : "may not") << "\n"; }
+  void say(const std::string& what, bool may) {
+    std::cout << what << ": " << (may ? "may" : "may not") << "\n";
+  }
 
  private:
   Invariants checks_;
--- a/tests/lists.h
+++ b/tests/lists.h
@@ -12,8 +12,8 @@
  public:
   using Answer = std::function<void(Peer&)>;
 
-  // Tells the events `list` and `watch` as each is asked for. Without an answer laid out, a call for the list gets
-  // `whole`, a watch stays open and tells what tell() says.
+  // Tells the events `list` and `watch` as each is asked for. Without an answer laid out, a call for the list
+  // gets `whole`, a watch stays open and tells what tell() says.
   explicit Lists(std::string whole) : whole_(std::move(whole)), side_([this](Peer& peer) { serve(peer); }) {}
 
   Events events;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -1,5 +1,5 @@
-// Stand-ins of the tests on loopback sockets: one end of a connection, a side that serves each connection on a
-// thread of its own, discovery's lists, and the router between them.
+// Stand-ins of the tests on loopback sockets: one end of a connection, a side that serves each connection on
+// a thread of its own, discovery's lists, and the router between them.
 #pragma once
 
 #include <arpa/inet.h>
@@ -79,11 +79,12 @@
       if (done.how == loop::Io::wouldBlock) wait(POLLOUT);
     }
   }
-  // What it does has reached the other side's system when these return: what is laid out on another connection
-  // after it comes after it, also where the system's own threads lag behind.
+  // What it does has reached the other side's system when these return: what is laid out on another
+  // connection after it comes after it, also where the system's own threads lag behind.
   void arrives() const {
     int left = 1;
-    for (int tries = 0; tries < 10000 && ioctl(descriptor_.number(), SIOCOUTQ, &left) == 0 && left > 0; ++tries)
+    for (int tries = 0; tries < 10000 && ioctl(descriptor_.number(), SIOCOUTQ, &left) == 0 && left > 0;
+         ++tries)
       pause(1);
   }
   void sendsNoMore() {
@@ -171,7 +172,8 @@
       return static_cast<unsigned>(ntohs(at.sin_port));
     };
     const unsigned own = port(getsockname), other = port(getpeername);
-    if (own != 0 && other != 0) std::snprintf(text, sizeof text, "0100007F:%04X 0100007F:%04X 01", other, own);
+    if (own != 0 && other != 0)
+      std::snprintf(text, sizeof text, "0100007F:%04X 0100007F:%04X 01", other, own);
     return text;
   }
   // The other side's end is open (01) no more.
@@ -234,7 +236,6 @@
          pg::readyForQuery();
 }
 
-
 inline std::string entry(const Side& at, const std::string& id, const std::string& state) {
   return R"({"id":")" + id + R"(","addr":"127.0.0.1:)" + std::to_string(at.port()) +
          R"(","zone":"a","cell":1,"state":")" + state + R"(","part":"master","started_ms":0})";
--- a/tests/program.h
+++ b/tests/program.h
@@ -1,6 +1,6 @@
-// The program itself as a child process of a test, which can be halted while events are laid out for it and then
-// set going: all of them are there in one turn, in the order in which they were laid out. And a node whose
-// greetings and answers wait for the test.
+// The program itself as a child process of a test, which can be halted while events are laid out for it and
+// then set going: all of them are there in one turn, in the order in which they were laid out. And a node
+// whose greetings and answers wait for the test.
 #pragma once
 
 #include <fcntl.h>
@@ -10,8 +10,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <condition_variable>
 #include <algorithm>
+#include <condition_variable>
 #include <fstream>
 #include <map>
 #include <mutex>
@@ -38,7 +38,10 @@
   // `more`: settings beside the usual ones. `allowed`: which means it has.
   Program(unsigned short discovery, const std::string& known, int connectMs = 250, int descriptors = 256,
           int early = 0, std::string more = "", std::string allowed = R"("probes":true,"cancel":true)")
-      : connectMs_(connectMs), descriptors_(descriptors), more_(std::move(more)), allowed_(std::move(allowed)),
+      : connectMs_(connectMs),
+        descriptors_(descriptors),
+        more_(std::move(more)),
+        allowed_(std::move(allowed)),
         file_("crossings-" + std::to_string(getpid()) + "-" + std::to_string(port_.number()) + ".json") {
     if (early != 0) mkfifo(file_.c_str(), 0600);
     if (early == 0) configure(discovery, known);
@@ -60,7 +63,8 @@
     ::close(ends[1]);
     log_ = Descriptor(ends[0]);
     if (early != 0) {
-      // Opened once the program opens it, which then waits for the text. Who reads it anew finds a plain file.
+      // Opened once the program opens it, which then waits for the text. Who reads it anew finds a plain
+      // file.
       const Descriptor pipe(::open(file_.c_str(), O_WRONLY | O_CLOEXEC));
       signal(early);
       const std::string name = std::exchange(file_, file_ + ".plain");
@@ -80,9 +84,10 @@
 
   void configure(unsigned short discovery, const std::string& known) {
     std::ofstream(file_)
-        << R"({"name":"n","listen":"127.0.0.1:)" << port_.number() << R"(","discovery":"127.0.0.1:)" << discovery
-        << R"(","seed":"7","limits":{"memory_mb":64,"sockets":)" << descriptors_ << R"(},"known":)" << known
-        << R"(,"settings":{)" << more_ << R"("zone":"a","round":5000,"limits":{)" << allowed_ << R"(,"maxAttempts":3,)"
+        << R"({"name":"n","listen":"127.0.0.1:)" << port_.number() << R"(","discovery":"127.0.0.1:)"
+        << discovery << R"(","seed":"7","limits":{"memory_mb":64,"sockets":)" << descriptors_
+        << R"(},"known":)" << known << R"(,"settings":{)" << more_ << R"("zone":"a","round":5000,"limits":{)"
+        << allowed_ << R"(,"maxAttempts":3,)"
         << R"("connectTimeout":)" << connectMs_ << R"(000},"lanes":[)"
         << R"({"name":"read","effect":"idempotent","objective":30000000,"deadline":60000000},)"
         << R"({"name":"write","effect":"at_most_once","objective":30000000,"deadline":60000000},)"
@@ -190,14 +195,18 @@
   std::vector<std::string> happened_;
 };
 
-// A primary that tells the events `connection`, `saw KEY` and `answered KEY`, and answers a statement for KEY after `go KEY`
-// where it is told to wait for that; connections beyond the first `greeted` are greeted after `greet`. Where it waits for `breaks` its answer to
-// that is a reset.
+// A primary that tells the events `connection`, `saw KEY` and `answered KEY`, and answers a statement for KEY
+// after `go KEY` where it is told to wait for that; connections beyond the first `greeted` are greeted after
+// `greet`. Where it waits for `breaks` its answer to that is a reset.
 class Node {
  public:
   // Connections beyond the first `read` are read after `read`; `room`: what they take in before that.
-  explicit Node(std::set<std::string> waits = {}, std::size_t greeted = 1 << 20, std::size_t read = 1 << 20, int room = 0)
-      : waits_(std::move(waits)), greeted_(greeted), read_(read), side_([this](Peer& peer) { serve(peer); }, room) {}
+  explicit Node(std::set<std::string> waits = {}, std::size_t greeted = 1 << 20, std::size_t read = 1 << 20,
+                int room = 0)
+      : waits_(std::move(waits)),
+        greeted_(greeted),
+        read_(read),
+        side_([this](Peer& peer) { serve(peer); }, room) {}
 
   Events events;
   unsigned short port() const { return side_.port(); }
--- a/tests/settings.cpp
+++ b/tests/settings.cpp
@@ -1,4 +1,5 @@
-// Settings drawn at random: each that the deployment page allows has to start a router. Run as `settings CASE`.
+// Settings drawn at random: each that the deployment page allows has to start a router. Run as `settings
+// CASE`.
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -57,15 +58,16 @@
   router.clientOpened(now, 1);
   router.clientSent(now, 1, pg::startup("worker", "catalog"));
   for (std::size_t row = 0; row < terms.types.size(); ++row) {
-    const std::string comment = " /* id=" + std::to_string(row) + ",c=" + start.told.typeNames[row] +
-                                ",t=t,d=100,cluster=1 */";
+    const std::string comment =
+        " /* id=" + std::to_string(row) + ",c=" + start.told.typeNames[row] + ",t=t,d=100,cluster=1 */";
     const bool writes = terms.types[row].level == ReadLevel::write;
     router.clientOpened(now, 2 + row);
-    router.clientSent(now, 2 + row,
-                      pg::startup("worker", "catalog") +
-                          query((writes ? "INSERT INTO objects (oid, body) VALUES ('k', '\\x77') RETURNING body"
-                                        : "SELECT body FROM objects WHERE oid = 'k'") +
-                                comment));
+    router.clientSent(
+        now, 2 + row,
+        pg::startup("worker", "catalog") +
+            query((writes ? "INSERT INTO objects (oid, body) VALUES ('k', '\\x77') RETURNING body"
+                          : "SELECT body FROM objects WHERE oid = 'k'") +
+                  comment));
   }
   for (int turn = 0; turn < 8; ++turn) {
     router.endTurn(now);
--- a/tests/setups.cpp
+++ b/tests/setups.cpp
@@ -283,8 +283,7 @@
   std::cout << "the node that the list names says that it is the primary\n";
   world.desk().service().told("p", {Role::primary, Instant() + ms(30), {}});
   world.desk().endTurn();
-  const auto kept =
-      std::filesystem::path(scratch()) / ("gulltrestle-status-" + std::to_string(getpid()));
+  const auto kept = std::filesystem::path(scratch()) / ("gulltrestle-status-" + std::to_string(getpid()));
   const auto status = [&] {
     std::ofstream(kept) << world.status();
     std::ostringstream out, complaints;
--- a/tests/soak/books.cpp
+++ b/tests/soak/books.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-// The protocol's slack on every time limit, and what a router may be held up for between its clock and a write.
+// The protocol's slack on every time limit, and what a router may be held up for between its clock and a
+// write.
 constexpr Span kSlack = Span::millis(50), kHeldUp = Span::millis(150);
 // An answer after its time only earns nothing, up to this.
 constexpr Span kLateAnswer = Span::millis(500);
@@ -38,8 +39,9 @@
   ++answers_;
   request.answeredAt = now;
   if (now > request.deadline + kLateAnswer + kHeldUp + kSlack + slack(now))
-    broken(now, "late", id + " answered " + std::to_string((now - request.deadline).inMicros() / 1000) +
-                            " ms after its time");
+    broken(now, "late",
+           id + " answered " + std::to_string((now - request.deadline).inMicros() / 1000) +
+               " ms after its time");
 }
 
 void Books::clientGone(Instant now, const std::string& id) { of(id).goneAt = now; }
@@ -48,7 +50,8 @@
   Request& request = of(id);
   if (request.answeredAt != Instant() || request.goneAt != Instant()) return;
   request.excused = true;
-  // A request that crosses the end of a resting connection is sent anew by its client; one that went on was read.
+  // A request that crosses the end of a resting connection is sent anew by its client; one that went on was
+  // read.
   if (killed || request.firstSeenAt == Instant())
     ++crossed;
   else
@@ -62,15 +65,17 @@
   const TxnType& type = types_.at(request.type);
   const std::string where = seen.id + " at " + seen.node;
   if (request.goneAt != Instant() && now > request.goneAt + kAfterClose + kHeldUp + slack(now))
-    broken(now, "lost", where + " came " + std::to_string((now - request.goneAt).inMicros() / 1000) +
-                            " ms after its client closed");
+    broken(now, "lost",
+           where + " came " + std::to_string((now - request.goneAt).inMicros() / 1000) +
+               " ms after its client closed");
   if (now + seen.told > request.deadline + kDeadlineSlack + kHeldUp + slack(now))
-    broken(now, "deadline", where + " was told " + std::to_string(seen.told.inMicros() / 1000) + " ms with " +
-                                std::to_string((request.deadline - now).inMicros() / 1000) + " left");
-  if (seen.drainedSince != Instant() &&
-      now > seen.drainedSince + drainGrace_ + kSlack + kHeldUp + slack(now))
-    broken(now, "drain", where + " came " +
-                             std::to_string((now - seen.drainedSince).inMicros() / 1000) + " ms after it drained");
+    broken(now, "deadline",
+           where + " was told " + std::to_string(seen.told.inMicros() / 1000) + " ms with " +
+               std::to_string((request.deadline - now).inMicros() / 1000) + " left");
+  if (seen.drainedSince != Instant() && now > seen.drainedSince + drainGrace_ + kSlack + kHeldUp + slack(now))
+    broken(now, "drain",
+           where + " came " + std::to_string((now - seen.drainedSince).inMicros() / 1000) +
+               " ms after it drained");
   if (request.firstSeenAt == Instant()) request.firstSeenAt = now;
   if (!seen.runs) return;
   ++request.runs;
--- a/tests/soak/books.h
+++ b/tests/soak/books.h
@@ -19,10 +19,10 @@
 
 struct Request {
   std::size_t router = 0, type = 0;
-  Instant sentAt;      // its last byte, as the client wrote it
-  Instant deadline;    // when its client stops waiting
-  Instant goneAt;      // its client closed the connection; never: it has not
-  Instant answeredAt;  // never: it has not been
+  Instant sentAt;        // its last byte, as the client wrote it
+  Instant deadline;      // when its client stops waiting
+  Instant goneAt;        // its client closed the connection; never: it has not
+  Instant answeredAt;    // never: it has not been
   bool excused = false;  // its router was killed, or its connection reset by a fault
   Instant firstSeenAt;   // by any node
   int runs = 0;          // with an effect
@@ -32,7 +32,7 @@
 struct Seen {
   std::string id, node;
   std::size_t router = 0;
-  Span told;       // how long the node may take
+  Span told;  // how long the node may take
   bool runs = false;
   Instant drainedSince;  // as this router was told; never: the node does not drain
 };
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -163,7 +163,8 @@
             restsUntil = Instant();
           }
           // In pieces, or all that goes.
-          std::string part = connection.unsent.substr(0, connection.slow ? kSlowPiece : connection.unsent.size());
+          std::string part =
+              connection.unsent.substr(0, connection.slow ? kSlowPiece : connection.unsent.size());
           const auto before = part.size();
           if (!writeAll(connection.stream, part)) break;
           connection.unsent.erase(0, before - part.size());
@@ -184,7 +185,8 @@
             connection.asked.clear();
             break;
           }
-          if (!connection.asked.empty() && connection.asked.front().isSent && !connection.asked.front().id.empty()) {
+          if (!connection.asked.empty() && connection.asked.front().isSent &&
+              !connection.asked.front().id.empty()) {
             const Request& first = world_.books().of(connection.asked.front().id);
             if (now > first.deadline + kGivesUpAfter) break;  // close() finds it
           }
@@ -202,7 +204,8 @@
         if (!overdue) ended(connection);
       }
     }
-    co_await world_.loop().sleepUntil(world_.loop().now() + Span::millis(5 + static_cast<int>(world_.below(40))));
+    co_await world_.loop().sleepUntil(world_.loop().now() +
+                                      Span::millis(5 + static_cast<int>(world_.below(40))));
   }
   --running_;
 }
@@ -237,8 +240,8 @@
     co_await world_.loop().sleepUntil(world_.loop().now() + Span::millis(100));
   }
   if (!served)
-    world_.books().broken(world_.loop().now(), "stuck", "router " + std::to_string(number_) +
-                                                            " serves nothing after the faults' end");
+    world_.books().broken(world_.loop().now(), "stuck",
+                          "router " + std::to_string(number_) + " serves nothing after the faults' end");
   --expecting;
 }
 
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -1,5 +1,5 @@
-// Clients of one router in a soak: they ask, rest, leave in the middle, send ahead, write slowly, and note in the
-// books what they asked for and got.
+// Clients of one router in a soak: they ask, rest, leave in the middle, send ahead, write slowly, and note in
+// the books what they asked for and got.
 #pragma once
 
 #include <optional>
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,7 +1,7 @@
-// A randomized fault soak: 10 to 40 real routers with settings drawn at random, on bad machines, between clients,
-// nodes and discovery that fail as well. The verdicts come from the clients' books and the nodes' logs. After the
-// faults' end all routers have to serve again. One seed draws settings and faults; what processes make of them
-// differs from run to run.
+// A randomized fault soak: 10 to 40 real routers with settings drawn at random, on bad machines, between
+// clients, nodes and discovery that fail as well. The verdicts come from the clients' books and the nodes'
+// logs. After the faults' end all routers have to serve again. One seed draws settings and faults; what
+// processes make of them differs from run to run.
 //
 //   soak --seed 1 --seconds 20 --routers 12 --report soak.json
 #include <CLI/CLI.hpp>
@@ -48,7 +48,8 @@
         world_(loop_, books_, told_.terms, options.routers, options.seed * 3 + 1) {
     for (const auto& type : told_.terms.types) longest_ = std::max(longest_, type.deadline);
     for (std::size_t i = 0; i < options.routers; ++i) {
-      routers_.push_back(std::make_unique<RouterProcess>(options.program, folder_, i, options.seed * 1000 + i));
+      routers_.push_back(
+          std::make_unique<RouterProcess>(options.program, folder_, i, options.seed * 1000 + i));
       routers_[i]->configure(options.seed, world_.agents()[i]->port(), world_.list(i));
       clients_.push_back(std::make_unique<Clients>(world_, *routers_[i], i));
     }
@@ -68,11 +69,11 @@
           books_.turnEnded(now);
           return Instant();
         },
-              [this](std::exception_ptr failure) {
-                try {
-                  std::rethrow_exception(failure);
-                } catch (const std::exception& bad) { books_.broken(loop_.now(), "soak", bad.what()); }
-              });
+        [this](std::exception_ptr failure) {
+          try {
+            std::rethrow_exception(failure);
+          } catch (const std::exception& bad) { books_.broken(loop_.now(), "soak", bad.what()); }
+        });
     books_.close(loop_.now());
     return tell();
   }
@@ -89,13 +90,14 @@
   void look(Instant now, std::size_t at) {
     RouterProcess& router = *routers_[at];
     const std::string name = "router " + std::to_string(at);
-    if (router.running && router.readyAt == Instant() && !router.toldToEnd && now - router.startedAt > kReadyWithin &&
-        lateStarts_.insert(std::pair(at, router.starts)).second)
+    if (router.running && router.readyAt == Instant() && !router.toldToEnd &&
+        now - router.startedAt > kReadyWithin && lateStarts_.insert(std::pair(at, router.starts)).second)
       books_.broken(now, "ready", name + " is not ready after 10 s");
     if (!router.reap() || router.killed) return;
     if (!router.toldToEnd || router.status != 0)
-      books_.broken(now, "ended", name + " ended by itself, status " + std::to_string(router.status) + ": " +
-                                      router.logTail());
+      books_.broken(
+          now, "ended",
+          name + " ended by itself, status " + std::to_string(router.status) + ": " + router.logTail());
     if (!router.toldToEnd) router.start(now);
   }
   loop::Task play() {
--- a/tests/soak/nodes.cpp
+++ b/tests/soak/nodes.cpp
@@ -165,7 +165,8 @@
   if (pg::isBlank(text)) return pg::emptyQueryResponse() + pg::readyForQuery();
   if (text == "SELECT 1") return row("1") + told;
   if (text.starts_with("SHOW"))
-    return row("x0=" + std::to_string((position - Instant()).inSeconds()) + ",x1=" + (primary ? "1" : "0")) + told;
+    return row("x0=" + std::to_string((position - Instant()).inSeconds()) + ",x1=" + (primary ? "1" : "0")) +
+           told;
   pg::Statement statement;
   try {
     statement = pg::readStatement(text);
@@ -176,8 +177,9 @@
   const std::string id(statement.id);
   const std::size_t row_ = std::stoul(std::string(statement.typeName).substr(5));  // "type-N"
   const TxnType& type = world_.type(row_);
-  Seen seen{id, id_, router, Span::millis(static_cast<std::int64_t>(statement.waitMs)), false,
-            world_.agents()[router]->drainedSince(id_)};
+  Seen seen{id,     id_,
+            router, Span::millis(static_cast<std::int64_t>(statement.waitMs)),
+            false,  world_.agents()[router]->drainedSince(id_)};
   if (state == NodeState::draining) {
     world_.books().seen(now, seen);
     return pg::error("ERROR", "53300", "draining") + told;
@@ -197,12 +199,13 @@
 }
 
 // Whether what it would answer from is older than the read's type allows.
-bool Node::isTooOld(Instant now, Instant position, const TxnType& type, const pg::Statement& statement) const {
+bool Node::isTooOld(Instant now, Instant position, const TxnType& type,
+                    const pg::Statement& statement) const {
   const Instant after = Instant() + Span::millis(static_cast<std::int64_t>(statement.afterMs.value_or(0)));
   switch (type.level) {
     case ReadLevel::session:
-      // Positions are rounded down to milliseconds. Without carried ages a router knows its own start's writes
-      // alone.
+      // Positions are rounded down to milliseconds. Without carried ages a router knows its own start's
+      // writes alone.
       return world_.agesCarried() && after > position + Span::millis(1);
     case ReadLevel::bounded:
       return position < now - type.bound - kBoundSlack;
--- a/tests/soak/nodes.h
+++ b/tests/soak/nodes.h
@@ -1,5 +1,5 @@
-// Stand-in nodes and discovery of a soak, in one process with the clients. Each router reaches each node and its own
-// discovery at addresses of its own, so that whoever comes is known.
+// Stand-in nodes and discovery of a soak, in one process with the clients. Each router reaches each node and
+// its own discovery at addresses of its own, so that whoever comes is known.
 #pragma once
 
 #include <map>
@@ -24,7 +24,8 @@
   Node(World& world, std::string id, bool isPrimary, std::size_t routers);
   Node(const Node&) = delete;
 
-  // Faults. `hang`: takes nothing and answers nothing until then; `crash`: all its connections end, new ones too.
+  // Faults. `hang`: takes nothing and answers nothing until then; `crash`: all its connections end, new ones
+  // too.
   void hang(Instant until) { hangsUntil_ = until; }
   void crash(Instant until);
   void fail(Instant until) { errsUntil_ = until; }  // half of what runs answers an error
--- a/tests/soak/routers.cpp
+++ b/tests/soak/routers.cpp
@@ -28,7 +28,8 @@
   return folder_ + "/router-" + std::to_string(number_) + "." + what;
 }
 
-void RouterProcess::configure(std::uint64_t settingsSeed, unsigned short discovery, const std::string& known) {
+void RouterProcess::configure(std::uint64_t settingsSeed, unsigned short discovery,
+                              const std::string& known) {
   settings::Place place;
   place.name = "n" + std::to_string(number_);
   place.listen = "127.0.0.1:" + std::to_string(port());
--- a/tests/soak/routers.h
+++ b/tests/soak/routers.h
@@ -34,8 +34,8 @@
   bool killed = false;     // SIGKILL was sent
   int status = 0;          // of the last end, as waitpid tells it
   Instant startedAt, toldAt;
-  Instant readyAt;         // never: it is not
-  Instant brokenBy;        // connections that end until then may have been reset by the machine
+  Instant readyAt;   // never: it is not
+  Instant brokenBy;  // connections that end until then may have been reset by the machine
   unsigned starts = 0;
 
  private:
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-Schedule::Schedule(World& world, std::vector<std::unique_ptr<RouterProcess>>& routers, std::uint64_t seed, Span longest)
+Schedule::Schedule(World& world, std::vector<std::unique_ptr<RouterProcess>>& routers, std::uint64_t seed,
+                   Span longest)
     : world_(world),
       routers_(routers),
       chance_(seed),
@@ -95,7 +96,8 @@
   const auto kind = static_cast<faults::Kind>(chance_() % faults::kKinds);
   const bool resets = kind == faults::Kind::lost;
   const bool slows = kind == faults::Kind::heldUp || kind == faults::Kind::memory;
-  router.machine().fail(kind, static_cast<std::uint32_t>(resets || slows ? 2 + chance_() % 10 : 20 + chance_() % 300));
+  router.machine().fail(
+      kind, static_cast<std::uint32_t>(resets || slows ? 2 + chance_() % 10 : 20 + chance_() % 300));
   const Instant until = world_.loop().now() + between(300, 2500);
   // A reset that the machine made shows a little later.
   if (resets) router.brokenBy = std::max(router.brokenBy, until + Span::millis(500));
@@ -120,7 +122,8 @@
   router.signal(SIGTERM);
   const unsigned start = router.starts;
   const Instant until = world_.loop().now() + killAfter_;
-  while (router.running && router.starts == start && world_.loop().now() < until) co_await sleep(Span::millis(5));
+  while (router.running && router.starts == start && world_.loop().now() < until)
+    co_await sleep(Span::millis(5));
   if (router.running && router.starts == start) {
     world_.books().broken(world_.loop().now(), "end", "router has not ended by the time it is killed");
     router.signal(SIGKILL);
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -1,5 +1,5 @@
-// The faults of a soak: drawn from a seed, overlapping, each with a beginning and an end. Every seed leaves out some
-// kinds, so that rare combinations come up.
+// The faults of a soak: drawn from a seed, overlapping, each with a beginning and an end. Every seed leaves
+// out some kinds, so that rare combinations come up.
 #pragma once
 
 #include <array>
@@ -12,12 +12,12 @@
 namespace gulltrestle::soak {
 
 enum class Fault {
-  machine,      // system calls of one router
-  wallClock,    // of one router: steps by up to an hour
-  terminate,    // SIGTERM, SIGKILL at the earliest, another start
-  kill,         // SIGKILL, another start
-  reload,       // SIGHUP, several in a row
-  stop,         // SIGSTOP for up to 0.15 s
+  machine,    // system calls of one router
+  wallClock,  // of one router: steps by up to an hour
+  terminate,  // SIGTERM, SIGKILL at the earliest, another start
+  kill,       // SIGKILL, another start
+  reload,     // SIGHUP, several in a row
+  stop,       // SIGSTOP for up to 0.15 s
   nodeHangs,
   nodeCrashes,  // comes back cold
   nodeDrains,   // and comes back
@@ -34,7 +34,8 @@
 class Schedule {
  public:
   // `longest`: deadline of a txn, at most 3 s: SIGKILL comes that and 0.7 s after SIGTERM.
-  Schedule(World& world, std::vector<std::unique_ptr<RouterProcess>>& routers, std::uint64_t seed, Span longest);
+  Schedule(World& world, std::vector<std::unique_ptr<RouterProcess>>& routers, std::uint64_t seed,
+           Span longest);
 
   loop::Task play(Instant until);
   bool over() const { return over_ && open_ == 0; }
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -115,8 +115,7 @@
     committed += said == "T D(4 bytes) C Z ";
     refused += said.starts_with("E(53300)");
   }
-  std::cout << committed + refused
-            << " that came together were answered, some committed: " << (committed > 0)
+  std::cout << committed + refused << " that came together were answered, some committed: " << (committed > 0)
             << ", some refused: " << (refused > 0) << "\n";
 }
 
--- a/tests/verdicts.cpp
+++ b/tests/verdicts.cpp
@@ -1,5 +1,5 @@
-// The soak's books (tests/soak/books.h): each kind of verdict is found where its rule is broken, and nowhere else. Run as
-// `verdicts CASE`.
+// The soak's books (tests/soak/books.h): each kind of verdict is found where its rule is broken, and nowhere
+// else. Run as `verdicts CASE`.
 #include <iostream>
 
 #include "soak/books.h"
@@ -23,7 +23,8 @@
 // Books with one request of a type, of 1 s, asked for at 0.
 class Kept {
  public:
-  explicit Kept(std::string title, std::size_t type = 0) : title_(std::move(title)), books_(types(), Span::millis(500)) {
+  explicit Kept(std::string title, std::size_t type = 0)
+      : title_(std::move(title)), books_(types(), Span::millis(500)) {
     books_.turnEnded(at(0));
     Request request;
     request.type = type;
@@ -35,7 +36,8 @@
     at_(5'000).close(at(5'000));
     std::cout << title_ << ":";
     if (books_.verdicts().empty()) std::cout << " in order";
-    for (const auto& verdict : books_.verdicts()) std::cout << " " << verdict.rule << " (" << verdict.what << ")";
+    for (const auto& verdict : books_.verdicts())
+      std::cout << " " << verdict.rule << " (" << verdict.what << ")";
     std::cout << "\n";
   }
   Books& at_(std::int64_t millis) {
--- a/tests/watches.cpp
+++ b/tests/watches.cpp
@@ -1,5 +1,5 @@
-// Lists and drains that cross other events, on real connections with the program itself: docs/crossings.md has
-// the table. Run as `watches CASE`: prints what each side saw.
+// Lists and drains that cross other events, on real connections with the program itself: docs/crossings.md
+// has the table. Run as `watches CASE`: prints what each side saw.
 #include <spdlog/spdlog.h>
 
 #include "lists.h"
@@ -10,8 +10,8 @@
 namespace {
 
 std::string write(const std::string& key) {
-  return query("INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x77') RETURNING body /* " + nextId() +
-               ",c=write,d=60000,cluster=1 */");
+  return query("INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x77') RETURNING body /* " +
+               nextId() + ",c=write,d=60000,cluster=1 */");
 }
 
 // Two nodes, of which one is the primary; the first may be on its way out.
@@ -23,8 +23,8 @@
 std::string both(int version, const Node& first, const Node& second, const std::string& stateOfFirst,
                  bool whole = true) {
   const bool leaves = stateOfFirst != "up";
-  return list(version,
-              named(first, "s-1", stateOfFirst, !leaves) + "," + named(second, "s-2", "up", leaves), whole);
+  return list(version, named(first, "s-1", stateOfFirst, !leaves) + "," + named(second, "s-2", "up", leaves),
+              whole);
 }
 
 // The same over many lines.
@@ -40,8 +40,8 @@
 void tellBoth(Program& router, Node& first, Node& second, const std::string& what) {
   Peer client = router.client();
   client.send(write("k"));
-  std::cout << what << ": " << client.answer() << "first saw " << first.saw() << ", second saw " << second.saw()
-            << "\n";
+  std::cout << what << ": " << client.answer() << "first saw " << first.saw() << ", second saw "
+            << second.saw() << "\n";
 }
 
 void pieces() {
@@ -133,8 +133,8 @@
   tellBoth(router, first, second, "a whole list without the primary");
 }
 
-// The answer to a call for the list is there when a router that stood still goes on, longer after the call than it
-// would have waited. A call that it had given up before it was halted is passed over.
+// The answer to a call for the list is there when a router that stood still goes on, longer after the call
+// than it would have waited. A call that it had given up before it was halted is passed over.
 void stoodStill() {
   Node first, second;
   Lists discovery(both(9, first, second, "up"));
@@ -159,8 +159,8 @@
   tellBoth(*router, first, second, "by the first answer that was there");
 }
 
-// Where the list has to be asked for: a watch from what is known comes first, and again after refusals; only what
-// can't be used costs a call for the whole list.
+// Where the list has to be asked for: a watch from what is known comes first, and again after refusals; only
+// what can't be used costs a call for the whole list.
 void askedFor() {
   Node first, second;
   Lists discovery(both(9, first, second, "up"));
@@ -242,8 +242,8 @@
     client.send(write("k"));
     if (!drainFirst) discovery.tell(both(2, first, second, "draining", false) + "\n");
     router.go();
-    std::cout << (drainFirst ? "the drain first: " : "the statement first: ") << client.answer() << "first saw "
-              << first.saw() << ", second saw " << second.saw() << "\n";
+    std::cout << (drainFirst ? "the drain first: " : "the statement first: ") << client.answer()
+              << "first saw " << first.saw() << ", second saw " << second.saw() << "\n";
   }
 }
 
@@ -254,8 +254,8 @@
   Program router(discovery.port(), both(1, first, second, "up"));
   discovery.events.await("watch");
   Peer client = router.client();
-  client.send(query("SELECT body FROM objects WHERE oid = 'breaks' /* " + nextId() +
-                    ",c=read,d=60000,cluster=1 */"));
+  client.send(
+      query("SELECT body FROM objects WHERE oid = 'breaks' /* " + nextId() + ",c=read,d=60000,cluster=1 */"));
   first.events.await("saw breaks");
   router.halt();
   discovery.tell(both(2, first, second, "draining", false) + "\n");
@@ -265,13 +265,14 @@
   std::cout << client.answer() << "first saw " << first.saw() << ", second saw " << second.saw() << "\n";
 }
 
-// A statement is held as there is no primary; one is named, and drained in the same turn. Then in the other order:
-// the last word counts.
+// A statement is held as there is no primary; one is named, and drained in the same turn. Then in the other
+// order: the last word counts.
 void drainAtRelease() {
   for (const bool drainLast : {true, false}) {
     Node first, second;
     const auto says = [&](int version, const std::string& state, bool whole = false) {
-      return list(version, named(first, "s-1", "draining", false) + "," + named(second, "s-2", state, true), whole);
+      return list(version, named(first, "s-1", "draining", false) + "," + named(second, "s-2", state, true),
+                  whole);
     };
     const auto none = list(1, named(first, "s-1", "draining", false));
     Lists discovery(none);
@@ -321,8 +322,8 @@
   tellBoth(router, first, second, "one more");
 }
 
-// What the configuration knows is gone, and discovery is silent: ready all the same, and each statement has its
-// answer in its time.
+// What the configuration knows is gone, and discovery is silent: ready all the same, and each statement has
+// its answer in its time.
 void startsAlone() {
   unsigned short nowhere = 0;
   {
@@ -330,16 +331,17 @@
     nowhere = gone.port();
   }
   Side discovery(silentDiscovery);
-  Program router(discovery.port(),
-                 R"({"version":1,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:)" +
-                     std::to_string(nowhere) + R"(","zone":"a","cell":1,"state":"up","part":"master"}]})");
+  Program router(discovery.port(), R"({"version":1,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:)" +
+                                       std::to_string(nowhere) +
+                                       R"(","zone":"a","cell":1,"state":"up","part":"master"}]})");
   Peer client = router.client();
   client.send(query("") + query("SELECT body FROM objects WHERE oid = 'k' /* " + nextId() +
                                 ",c=read,d=500,cluster=1 */"));
   std::cout << client.answer() << client.answer() << "\n";
 }
 
-// Thirty start in one moment, by a list that is old: each takes clients, serves by the new one and ends in order.
+// Thirty start in one moment, by a list that is old: each takes clients, serves by the new one and ends in
+// order.
 void startTogether() {
   Node first, second;
   Lists discovery(both(5, first, second, "draining"));
