--- a/src/startup/startup.cpp
+++ b/src/startup/startup.cpp
@@ -17,8 +17,8 @@
 
 // Below this there is no room for a router: its own descriptors and a few connections.
 constexpr std::size_t kFewestDescriptors = 64;
-// Nor below this, in MiB, for its code, its buffers and a few long values.
-constexpr double kLeastMemory = 32;
+// Nor below this, in MiB, for its code, its buffers and a few long values: it takes one to six in service.
+constexpr double kLeastMemory = 8;
 
 // The settings as terms::Source words them.
 class Flat final : public terms::Source {
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -47,11 +47,13 @@
   const auto group = settings.find(prefix + "group").value_or("all");
   type.dropsRepeatsAnywhere = group == "all";
   type.referenceWindow = span(settings, prefix + "window", 0);
-  // Named before anything is served: a repeat that is nowhere known to be dropped, or for no time, is none.
+  // Named before anything is served: a repeat that is nowhere known to be dropped is none. A window of no
+  // time is one that no repeat can be sent in.
   if (type.effect == Effect::referenced) {
     if (group != "all" && group != "cell")
       throw BadField(prefix + "group", "'" + std::string(group) + "' is not known");
-    if (type.referenceWindow == Span()) throw BadField(prefix + "window", "is missing for a referenced type");
+    if (!settings.find(prefix + "window"))
+      throw BadField(prefix + "window", "is missing for a referenced type");
   }
   if (type.latencyTarget == Span()) throw BadField(prefix + "objective", "is 0");
   return type;
--- a/tests/drawn_settings.h
+++ b/tests/drawn_settings.h
@@ -41,8 +41,8 @@
   const std::uint64_t deadline = detail::deadline(draw);
   const std::uint64_t objective = draw.one(8) ? 1 : draw.whole(1, deadline + 1);
   const std::string effect = draw.any<3>({"idempotent", "deduplicated", "at_most_once"});
-  // Shorter than a round trip, shorter than the deadline, or longer than it.
-  const std::uint64_t window = draw.one(4) ? draw.whole(1, 500) : draw.whole(1, 5'000) * 1'000;
+  // None, shorter than a round trip, shorter than the deadline, or longer than it.
+  const std::uint64_t window = draw.one(4) ? draw.whole(0, 500) : draw.whole(0, 5'000) * 1'000;
   return "{\"name\":\"type-" + std::to_string(row) + "\",\"effect\":\"" + effect + "\",\"group\":\"" +
          draw.any<2>({"all", "cell"}) + "\",\"window\":" + std::to_string(window) +
          ",\"objective\":" + std::to_string(objective) + ",\"deadline\":" + std::to_string(deadline) +
@@ -84,7 +84,7 @@
   const std::string routers = draw.any<5>({"1", "3", "29", "300", "900"});
   return "{\"name\":\"" + place.name + "\",\"listen\":\"" + place.listen + "\",\"discovery\":\"" +
          place.discovery + "\",\"seed\":\"" + std::to_string(draw.whole(0, 1u << 30)) +
-         "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + draw.any<3>({"32", "64", "192"}) +
+         "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + draw.any<3>({"8", "32", "192"}) +
          ",\"sockets\":" + draw.any<3>({"96", "256", "1024"}) + "},\"known\":" + place.known +
          ",\"settings\":{\"zone\":\"" + draw.any<2>({"", "a"}) +
          "\",\"round\":" + draw.any<3>({"1000", "5000", "20000"}) + ",\"balancers\":" + routers +
