--- a/tests/child.h
+++ b/tests/child.h
@@ -51,6 +51,12 @@
   }
 
   void signal(int number) const { kill(id_, number); }
+  // All its threads stand still when this returns.
+  void halt() const {
+    signal(SIGSTOP);
+    int status = 0;
+    waitpid(id_, &status, WUNTRACED);
+  }
   // Reads its lines up to one that has this text; false where they end before.
   bool untilItSays(const std::string& text) {
     while (readLine())
--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr int kTxns = 200;
+// What write() tells as its client's time; what a node may be told beyond it.
+constexpr int kWriteMs = 9000, kSlackMs = 150;
+constexpr auto kLate = std::chrono::milliseconds(1500);
 
 // The program with one node and a discovery, all on loopback.
 class Trial {
@@ -61,6 +64,24 @@
     std::cout << committed << " committed, " << otherwise << " answered otherwise, " << unanswered
               << " without an answer\n";
   }
+  // A write whose statement has been there for a while when the program gets to read it: what its node is
+  // told is what its client has left. `later`: ends what kept the program from reading.
+  void askLate(std::chrono::milliseconds late, const std::function<void()>& later) {
+    Peer client = Peer::to(port_.number());
+    const auto sentAt = Clock::now();
+    client.send(pg::startup("worker", "catalog") + write(10, "late"));
+    until(sentAt + late);
+    later();
+    client.answer();  // of the greeting
+    client.answer();
+    const int left = kWriteMs - static_cast<int>(late.count()) + kSlackMs;
+    const int told = node_.told("late");
+    std::cout << (told == 0      ? "nothing was sent\n"
+                  : told <= left ? "told at most what is left\n"
+                                 : "told " + std::to_string(told - left) + " ms too much\n");
+  }
+  void halt() { child_->halt(); }
+  void go() { child_->signal(SIGCONT); }
   void tellFired(Kind kind) {
     std::cout << faults::kNames[static_cast<std::size_t>(kind)]
               << (machine.fired(kind) > 0 ? " fired\n" : " never fired\n");
@@ -105,6 +126,24 @@
   trial.tellFired(kind);
 }
 
+// Finds: a statement that waited in the queue of connections counted as if it had just come.
+void acceptedLate() {
+  Trial trial(7);
+  if (!trial.start()) return;
+  trial.machine.fail(Kind::accepting, 1000);
+  trial.askLate(kLate, [&] { trial.machine.heal(); });
+  trial.tellFired(Kind::accepting);
+}
+
+// Finds: a statement that came while the process stood still counted as if it had just come.
+void stoppedLate() {
+  Trial trial(7);
+  if (!trial.start()) return;
+  trial.ask(2);
+  trial.halt();
+  trial.askLate(kLate, [&] { trial.go(); });
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -115,6 +154,8 @@
   if (name == "memory") return whileServing(Kind::memory, 50), 0;
   if (name == "epoll-ctl") return whileServing(Kind::epollCtl, 300), 0;
   if (name == "accepting") return whileServing(Kind::accepting, 500), 0;
+  if (name == "accepted-late") return acceptedLate(), 0;
+  if (name == "stopped-late") return stoppedLate(), 0;
   if (name == "start-socket") return atStart(Kind::socket, 2), 0;
   if (name == "start-listen") return atStart(Kind::listening, 3), 0;
   if (name == "start-epoll") return atStart(Kind::epollCtl, 2), 0;
