A statement that was there before it could be read counts from when it may have come

Where accept had failed, or the process was stopped, nodes were told up to as much too much, and txns of clients that had gone were begun. Change: the loop tells since when what it reports may have been there (the wait before, where there was no wait, a late one, or a SIGCONT); who is accepted after failures counts from the first of them. Only beyond 50 ms, so that the ordinary path is as it was.

--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -6,7 +6,9 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <csignal>
 #include <system_error>
+#include <utility>
 
 #include "loop/persist.h"
 
@@ -31,11 +33,22 @@
 // long enough not to spin.
 constexpr Span kRetryPause = Span::millis(10);
 
+// A wait that took less than this did not wait.
+constexpr Span kNoWait = Span::millis(1);
+// One that took so much longer than was asked for was held up.
+constexpr Span kLateWait = Span::millis(50);
+
+// The process was stopped and goes on: a wait that something ended meanwhile does not tell.
+volatile std::sig_atomic_t resumed = 0;
+
 }  // namespace
 
 Loop::Loop()
     : epoll_(persist("epoll", [] { return epoll_create1(EPOLL_CLOEXEC); })),
-      offsetMicros_(unixMicros() - steadyMicros()) {}
+      offsetMicros_(unixMicros() - steadyMicros()) {
+  arrivedSince_ = waitedAt_ = now();
+  std::signal(SIGCONT, [](int) { resumed = 1; });
+}
 
 Loop::~Loop() { endTasks(); }
 
@@ -105,11 +118,22 @@
     millis = static_cast<int>(std::clamp<std::int64_t>((left + 999) / 1000, 0, 60000));
   }
   std::array<epoll_event, kEventsATurn> events;
+  const Instant asked = now();
   int count = epoll_wait(epoll_.number(), events.data(), static_cast<int>(events.size()), millis);
   // Guards against a process that was stopped and goes on: its wait is broken off, and what has come
   // meanwhile is to be seen before anything is decided by the clock. Costs a call, and only then.
-  if (count < 0 && errno == EINTR)
-    count = epoll_wait(epoll_.number(), events.data(), static_cast<int>(events.size()), 0);
+  const bool wasInterrupted = count < 0 && errno == EINTR;
+  if (wasInterrupted) count = epoll_wait(epoll_.number(), events.data(), static_cast<int>(events.size()), 0);
+  const Instant back = now();
+  // What is told without a wait was there before, and what is told to a process that was stopped may have
+  // been; how long, only the wait before can say.
+  const bool wasStopped = wasInterrupted || resumed != 0;
+  resumed = 0;
+  const bool isLate = millis >= 0 && back - asked > Span::millis(millis) + kLateWait;
+  const bool wasThere = wasStopped || isLate || back - asked < kNoWait;
+  arrivedSince_ = wasThere ? waitedAt_ : back;
+  // A stop may also have come between what was told and the look at the clock.
+  waitedAt_ = wasStopped || isLate ? asked : back;
   for (int i = 0; i < count; ++i) {
     const auto& event = events[static_cast<std::size_t>(i)];
     const auto at = streams_.find(event.data.u64);
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -27,6 +27,10 @@
   // Unix time, taken from the system's clock once and run by the steady clock since: it never jumps.
   Instant now() const;
 
+  // What is read in this turn came no earlier than this: now, but where the process stood still or was busy
+  // and found it there.
+  Instant arrivedSince() const { return arrivedSince_; }
+
   // Takes the task over and starts it in the next turn.
   void spawn(Task task);
   // Called at the end of each turn; returns when the next one is needed at the latest, never if none is.
@@ -75,6 +79,7 @@
   Descriptor epoll_;
   std::int64_t offsetMicros_;  // from the steady clock to Unix time
   bool stopped_ = false;
+  Instant arrivedSince_, waitedAt_;  // waitedAt_: when the last wait was over
   std::uint64_t lastId_ = 0;
   // By number: what epoll tells of a stream that was closed since must find nothing.
   std::unordered_map<std::uint64_t, Stream*> streams_;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -75,6 +75,9 @@
   }
 }
 
+// Turns are some milliseconds apart; a process that sees nothing for longer was held up.
+constexpr Span kStoodStill = Span::millis(50);
+
 // After a turn that failed: long enough not to spin, and short against any deadline.
 constexpr Span kPauseAfterFault = Span::millis(10);
 
@@ -288,12 +291,21 @@
   account(from);
 }
 
+// What is there now came no earlier than this. Guards against statements that came while this process stood
+// still: their clients have less time left than they say, and may have gone. May hurt those that came just
+// now.
+Instant Server::arrivedSince() const {
+  const Instant now = loop_.now(), since = loop_.arrivedSince();
+  return now - since > kStoodStill ? since : now;
+}
+
 // Guards against running out of descriptors: at the bound the client that was idle longest makes room, and
 // where none is idle the new one is refused. May hurt clients that come back often, which connect anew each
 // time.
 loop::Task Server::acceptClients() {
-  int taken = 0;        // in this turn
-  bool failed = false;  // the last one could not be taken, which was logged
+  int taken = 0;         // in this turn
+  bool failed = false;   // the last one could not be taken, which was logged
+  Instant failingSince;  // who is taken now may have been waiting since then; never: none was kept waiting
   // What the kernel has accepted when this ends is taken, too.
   for (bool accepting = true; accepting;) {
     const bool full = clients_.size() >= mostClients_ + std::min(closing_.size(), kMostClosing);
@@ -307,14 +319,17 @@
     loop::Descriptor descriptor;
     const Io how = listener_->accept(descriptor);
     if (how == Io::some || how == Io::wouldBlock) failed = false;
+    if (how == Io::wouldBlock) failingSince = Instant();
     if (how == Io::some) {
       clients_.emplace(++lastClient_, nullptr);
-      loop_.spawn(serveClient(lastClient_, std::move(descriptor), !full));
+      const Instant since = failingSince == Instant() ? arrivedSince() : failingSince;
+      loop_.spawn(serveClient(lastClient_, std::move(descriptor), !full, since));
     } else if (how == Io::wouldBlock) {
       accepting = accepting_;
       taken = 0;
       if (accepting) co_await listener_->changed();
     } else {
+      if (failingSince == Instant()) failingSince = arrivedSince();
       // A pause, lest it spins: what is in the way goes as clients and nodes come and go.
       if (!std::exchange(failed, true))
         spdlog::warn("no new client can be taken: {}",
@@ -326,7 +341,7 @@
   listener_.reset();
 }
 
-loop::Task Server::serveClient(ClientId id, loop::Descriptor descriptor, bool welcome) {
+loop::Task Server::serveClient(ClientId id, loop::Descriptor descriptor, bool welcome, Instant knockedSince) {
   ConnectionEnd how = ConnectionEnd::broken;
   try {
     Connection client(loop_, std::move(descriptor));
@@ -337,6 +352,8 @@
       send(client, {pg::error("FATAL", pg::kRefused, "refused: too many clients")});
       client.closing = true;
     }
+    // Where the first report says that something can be read, it may have come with the connection.
+    client.unreadSince = knockedSince;
     const auto take = [&](std::string_view bytes) {
       return gateway_.clientSent(loop_.now(), id, bytes, client.unreadSince);
     };
@@ -346,7 +363,7 @@
       flush(client);
       if (client.broken || (client.closing && client.unsent.empty())) break;
       if (client.unsent.empty()) client.stuckAt = Instant();
-      if (client.stream.canRead() && client.unreadSince == Instant()) client.unreadSince = loop_.now();
+      if (client.stream.canRead() && client.unreadSince == Instant()) client.unreadSince = arrivedSince();
       if (!client.unsent.empty()) {
         // Guards against clients that ask and never read, which would keep a descriptor and an answer for
         // good.
@@ -376,6 +393,7 @@
         gateway_.clientSendsNoMore(loop_.now(), id);
       }
       co_await client.stream.changed();
+      if (!client.stream.canRead()) client.unreadSince = Instant();
     }
     // Guards against bytes that come as this end closes, or are not read yet: a close over them resets the
     // connection, and the answer that is on its way is lost with it. Nothing of them is sent on. May hurt
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -52,7 +52,10 @@
   void log(std::string line) override;
 
   loop::Task acceptClients();
-  loop::Task serveClient(gateway::ClientId id, loop::Descriptor descriptor, bool welcome);
+  // `knockedSince`: it may have been waiting, with a statement, since then.
+  loop::Task serveClient(gateway::ClientId id, loop::Descriptor descriptor, bool welcome,
+                         Instant knockedSince);
+  Instant arrivedSince() const;
   loop::Task serveLink(gateway::LinkId id, std::string address);
   loop::Task followList();
   loop::Task watchSignals();
