--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -80,6 +80,19 @@
                   : told <= left ? "told at most what is left\n"
                                  : "told " + std::to_string(told - left) + " ms too much\n");
   }
+  // A statement whose client closes its connection before the program gets to read it.
+  void askAndClose(std::chrono::milliseconds late, const std::function<void()>& later) {
+    {
+      Peer client = Peer::to(port_.number());
+      client.send(pg::startup("worker", "catalog") + write(10, "gone"));
+      client.arrives();
+    }
+    until(Clock::now() + late);
+    later();
+    ask(2);
+    std::cout << "nodes saw "
+              << (node_.told("gone") == 0 ? "nothing" : "a statement of a client that had gone") << "\n";
+  }
   void halt() { child_->halt(); }
   void go() { child_->signal(SIGCONT); }
   void tellFired(Kind kind) {
@@ -144,6 +157,23 @@
   trial.askLate(kLate, [&] { trial.go(); });
 }
 
+// Finds: a statement sent on long after its client closed.
+void stoppedGone() {
+  Trial trial(7);
+  if (!trial.start()) return;
+  trial.ask(2);
+  trial.halt();
+  trial.askAndClose(kLate, [&] { trial.go(); });
+}
+void acceptedGone() {
+  Trial trial(7);
+  if (!trial.start()) return;
+  trial.ask(2);
+  trial.machine.fail(Kind::accepting, 1000);
+  trial.askAndClose(kLate, [&] { trial.machine.heal(); });
+  trial.tellFired(Kind::accepting);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -155,6 +185,8 @@
   if (name == "epoll-ctl") return whileServing(Kind::epollCtl, 300), 0;
   if (name == "accepting") return whileServing(Kind::accepting, 500), 0;
   if (name == "accepted-late") return acceptedLate(), 0;
+  if (name == "accepted-gone") return acceptedGone(), 0;
+  if (name == "stopped-gone") return stoppedGone(), 0;
   if (name == "stopped-late") return stoppedLate(), 0;
   if (name == "start-socket") return atStart(Kind::socket, 2), 0;
   if (name == "start-listen") return atStart(Kind::listening, 3), 0;
