A statement that waited beside its client's end is taken only where a notice brings no reset

Cause: the end of a connection that is reported together with an old statement was looked at only after the statement was sent on. Change: Server::mayBeGone: where it has been there for over 50 ms beside an end, a notice goes first and 25 ms are waited; a client that closed answers with a reset.

--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -78,6 +78,9 @@
 // Turns are some milliseconds apart; a process that sees nothing for longer was held up.
 constexpr Span kStoodStill = Span::millis(50);
 
+// A client that is gone answers a notice with a reset, in a turn of the network.
+constexpr Span kGoneShows = Span::millis(25);
+
 // After a turn that failed: long enough not to spin, and short against any deadline.
 constexpr Span kPauseAfterFault = Span::millis(10);
 
@@ -103,6 +106,7 @@
   bool ended = false;    // the other side sends no more
   bool broken = false;
   std::size_t counted = 0;  // of what it keeps, in the sum over all
+  Instant askedAt;          // when a client that may be gone was sent a notice; never: it was not
   Instant stuckAt;          // when it is closed unless it takes what is unsent; never: nothing is
 };
 
@@ -380,6 +384,12 @@
         if (client.ended && !client.offer) gateway_.clientSendsNoMore(loop_.now(), id);
         if (!client.offer) continue;
         client.stream.wake();  // the rest in another turn: the others have theirs
+      } else if (mayBeGone(client)) {
+        if (client.askedAt == Instant()) {
+          client.askedAt = loop_.now();
+          client.stream.wakeAt(client.askedAt + kGoneShows);
+          send(client, {pg::notice("still there?")});
+        }
       } else if (client.stream.canRead() && !client.ended && mayKeep(id, client)) {
         read(client, take);
         // Only once all is read: what one read leaves behind has been there as long as what it took.
@@ -416,6 +426,16 @@
   gateway_.clientEnded(loop_.now(), id, how);
 }
 
+// Whether its end came with a statement that has been there for a while. Guards against attempts for clients
+// that closed long ago: a notice, which clients skip, brings a reset if it is gone. Costs one that only ended
+// its sending that wait.
+bool Server::mayBeGone(const Connection& client) const {
+  const Instant now = loop_.now();
+  if (!client.stream.canRead() || !client.stream.readEnds() || client.ended) return false;
+  if (client.unreadSince == Instant() || now - client.unreadSince <= kStoodStill) return false;
+  return client.askedAt == Instant() || now < client.askedAt + kGoneShows;
+}
+
 // Whether there are so many that are being closed that the first goes within a turn.
 bool Server::hurried() {
   if (closing_.size() <= kMostClosing) return false;
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -66,6 +66,7 @@
   void read(Connection& connection, Take take);
   void account(Connection& connection);
   bool mayKeep(gateway::ClientId id, Connection& client);
+  bool mayBeGone(const Connection& client) const;
   bool hurried();
   void readAnew();
   void takeList(json::Value value, bool isChange);
