--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -242,8 +242,12 @@
 }
 
 loop::Task Peers::watchDisk() {
-  const int own = ::dup(store_->descriptor());
-  if (own < 0) throw std::runtime_error("no descriptor for the store");
+  // Without it nothing that the disk says would be heard: it is tried for as long as there is no descriptor.
+  int own = ::dup(store_->descriptor());
+  while (own < 0) {
+    co_await loop_.sleepUntil(loop_.now() + kAgainFirst);
+    own = ::dup(store_->descriptor());
+  }
   loop::Stream stream(loop_, loop::Descriptor(own));
   for (;;) {
     stream.readBlocked();
--- a/src/processor/processor.cpp
+++ b/src/processor/processor.cpp
@@ -135,10 +135,15 @@
       response.field = [&](std::string_view name, std::string_view value) {
         standing::readField(setup_.headers.node, name, value, said);
       };
-      const std::string request = http::get(setup_.probePath, address);
-      const std::string_view part = request;
-      bool on = asking_.contains(id) && loop::isConnected(stream.descriptor()) &&
-                stream.write({&part, 1}).size == part.size();
+      bool on = asking_.contains(id) && loop::isConnected(stream.descriptor());
+      std::string unsent = http::get(setup_.probePath, address);
+      while (on && asking_.contains(id) && !unsent.empty()) {
+        const std::string_view all = unsent;
+        const auto done = stream.write({&all, 1});
+        unsent.erase(0, done.size);
+        on = done.how == Io::some || done.how == Io::wouldBlock;
+        if (on && !unsent.empty()) co_await stream.changed();
+      }
       while (on && asking_.contains(id) && !response.done()) {
         char bytes[2048];
         const auto got = stream.read(bytes);
