--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -25,6 +25,11 @@
   loop::Task one();
   std::string statement(std::size_t type, std::string& id);
   void ask(Connection& connection, std::size_t type, bool slowly);
+  void greet(Connection& connection);
+  bool askMore(Connection& connection, Instant now);
+  bool writeSome(Connection& connection, Instant now);
+  bool leavesNow(Connection& connection, Instant now);
+  bool isOverdue(const Connection& connection, Instant now);
   bool taken(Connection& connection);
   void ended(Connection& connection);
   std::size_t types() const;
