A greeting told ahead of an earlier list is forced; tests start the program in one way

The bad machine can now hold the wait after a startup message, which lays both events out. Program, Child and the soak's routers start the program by one function; Program's own pipe and log are gone.

--- a/tests/child.h
+++ b/tests/child.h
@@ -20,27 +20,38 @@
 
 namespace gulltrestle::peers {
 
+// Starts the program in a process of its own, which ends with this one. Its standard output goes to `output`,
+// its standard error too where `errorsToo`.
+inline pid_t startProgram(const std::string& program, std::vector<std::string> variables, int output,
+                          bool errorsToo) {
+  std::string name = program;
+  std::vector<char*> environment;
+  for (std::string& variable : variables) environment.push_back(variable.data());
+  environment.push_back(nullptr);
+  char* const words[] = {name.data(), nullptr};
+  const pid_t id = fork();
+  if (id != 0) return id;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  sigset_t none;
+  sigemptyset(&none);
+  sigprocmask(SIG_SETMASK, &none, nullptr);
+  dup2(output, 1);
+  if (errorsToo) dup2(output, 2);
+  execve(words[0], words, environment.data());
+  _exit(127);
+}
+
 class Child {
  public:
   // Milliseconds; nothing here takes so long, and who waits longer says so.
   static constexpr int kLongestWait = 60'000;
 
-  explicit Child(std::vector<std::string> variables) {
+  explicit Child(std::vector<std::string> variables, bool errorsToo = true) {
     int ends[2];
     if (pipe2(ends, O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "pipe");
     log_ = loop::Descriptor(ends[0]);
     const loop::Descriptor theirs(ends[1]);
-    std::vector<char*> environment;
-    for (std::string& variable : variables) environment.push_back(variable.data());
-    environment.push_back(nullptr);
-    char* const words[] = {const_cast<char*>(GULLTRESTLE_PROGRAM), nullptr};
-    id_ = fork();
-    if (id_ != 0) return;
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    dup2(theirs.number(), 1);
-    dup2(theirs.number(), 2);
-    execve(GULLTRESTLE_PROGRAM, words, environment.data());
-    _exit(127);
+    id_ = startProgram(GULLTRESTLE_PROGRAM, std::move(variables), theirs.number(), errorsToo);
   }
   Child(const Child&) = delete;
   Child& operator=(const Child&) = delete;
@@ -50,6 +61,7 @@
     wait();
   }
 
+  pid_t id() const { return id_; }
   void signal(int number) const { kill(id_, number); }
   // All its threads stand still when this returns.
   void halt() const {
--- a/tests/faults/machine.cpp
+++ b/tests/faults/machine.cpp
@@ -80,6 +80,21 @@
   ::shutdown(descriptor, SHUT_RDWR);
 }
 
+// A startup message begins with its length, all others with their type.
+bool isStartup(const msghdr* message) {
+  return message->msg_iovlen > 0 && message->msg_iov[0].iov_len > 0 &&
+         *static_cast<const char*>(message->msg_iov[0].iov_base) == 0;
+}
+
+// Set by the send of a startup message: the next wait is held.
+std::atomic<bool> holdsNextWait{false};
+
+void holdWait() {
+  if (!holdsNextWait.exchange(false)) return;
+  const timespec pause{0, 200'000};
+  for (page()->held = 1; page()->held != 0;) nanosleep(&pause, nullptr);
+}
+
 bool isWall(clockid_t clock) { return clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE; }
 
 }  // namespace
@@ -106,6 +121,7 @@
     reset(descriptor);
     return failWith({ECONNRESET, ETIMEDOUT, EPIPE, EHOSTUNREACH});
   }
+  if (page() && isStartup(message) && takesOne(page()->holdAfterStartup)) holdsNextWait = true;
   if (message->msg_iovlen == 0 || !fires(Kind::shortWrite)) return real(descriptor, message, flags);
   iovec part = message->msg_iov[0];
   part.iov_len = std::min<std::size_t>(part.iov_len, 1 + chance() % kMostBytes);
@@ -157,6 +173,7 @@
 
 int epoll_wait(int epoll, epoll_event* events, int most, int millis) {
   static const auto real = next<int (*)(int, epoll_event*, int, int)>("epoll_wait");
+  holdWait();
   if (fires(Kind::interrupted)) return failWith({EINTR});
   const int count = real(epoll, events, most, millis);
   if (fires(Kind::heldUp)) {
--- a/tests/faults/machine.h
+++ b/tests/faults/machine.h
@@ -43,6 +43,9 @@
   std::array<std::atomic<std::uint32_t>, kKinds> failFirst;  // so many calls from now on fail
   std::array<std::atomic<std::uint64_t>, kKinds> fired;
   std::atomic<std::uint64_t> seed;
+  std::atomic<std::uint32_t>
+      holdAfterStartup;             // the next startup message that is sent holds the wait after it
+  std::atomic<std::uint32_t> held;  // that wait has not begun yet
   std::atomic<std::int64_t> wallOffsetSeconds;  // of the wall clock, which steps as it is changed
   std::atomic<std::uint64_t> wallReads;         // with an offset in force
 };
@@ -83,12 +86,21 @@
     for (auto& one : page_->perMille) one = 0;
     for (auto& one : page_->failFirst) one = 0;
   }
+  // The program stands still ahead of the first wait after it next begins a connection to a node.
+  void holdAfterStartup() { page_->holdAfterStartup = 1; }
+  // False: it has not come to that.
+  bool awaitHeld() const {
+    for (int tries = 0; tries < kMostTries && page_->held == 0; ++tries) usleep(1000);
+    return page_->held != 0;
+  }
+  void release() { page_->held = 0; }
   std::uint64_t fired(Kind kind) const { return page_->fired[index(kind)]; }
   std::uint64_t wallReads() const { return page_->wallReads; }
   // For the program's environment.
   std::string variable() const { return std::string(kVariable) + "=" + path_; }
 
  private:
+  static constexpr int kMostTries = 30'000;  // of a millisecond
   static std::size_t index(Kind kind) { return static_cast<std::size_t>(kind); }
   std::string path_;
   Page* page_;
--- a/tests/program.h
+++ b/tests/program.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <set>
 
+#include "child.h"
 #include "peers.h"
 
 namespace gulltrestle::peers {
@@ -35,9 +36,11 @@
  public:
   // `connectMs`: what is not up by then does not come up.
   // `early`: a signal that comes while it reads its configuration, ahead of all else; 0: none does.
-  // `more`: settings beside the usual ones. `allowed`: which means it has.
+  // `more`: settings beside the usual ones. `allowed`: which means it has. `environment`: variables
+  // beside that of its configuration.
   Program(unsigned short discovery, const std::string& known, int connectMs = 250, int descriptors = 256,
-          int early = 0, std::string more = "", std::string allowed = R"("probes":true,"cancel":true)")
+          int early = 0, std::string more = "", std::string allowed = R"("probes":true,"cancel":true)",
+          std::vector<std::string> environment = {})
       : connectMs_(connectMs),
         descriptors_(descriptors),
         more_(std::move(more)),
@@ -45,23 +48,8 @@
         file_("crossings-" + std::to_string(getpid()) + "-" + std::to_string(port_.number()) + ".json") {
     if (early != 0) mkfifo(file_.c_str(), 0600);
     if (early == 0) configure(discovery, known);
-    const std::string variable = "BALANCER_CONFIG=" + file_;
-    char* const words[] = {const_cast<char*>(GULLTRESTLE_PROGRAM), nullptr};
-    char* const variables[] = {const_cast<char*>(variable.c_str()), nullptr};
-    int ends[2];
-    if (pipe2(ends, O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "pipe");
-    child_ = fork();
-    if (child_ == 0) {
-      prctl(PR_SET_PDEATHSIG, SIGKILL);
-      sigset_t none;
-      sigemptyset(&none);
-      sigprocmask(SIG_SETMASK, &none, nullptr);
-      dup2(ends[1], 1);
-      execve(GULLTRESTLE_PROGRAM, words, variables);
-      _exit(127);
-    }
-    ::close(ends[1]);
-    log_ = Descriptor(ends[0]);
+    environment.push_back("BALANCER_CONFIG=" + file_);
+    child_ = std::make_unique<Child>(std::move(environment), false);
     if (early != 0) {
       // Opened once the program opens it, which then waits for the text. Who reads it anew finds a plain
       // file.
@@ -78,7 +66,7 @@
     says("listens on");
   }
   ~Program() {
-    if (child_ > 0) std::cout << "exit code " << end() << "\n";
+    if (child_) std::cout << "exit code " << end() << "\n";
     unlink(file_.c_str());
   }
 
@@ -107,15 +95,11 @@
   // How many descriptors it may have from now on; those it has stay.
   void allow(rlim_t descriptors) {
     const rlimit most{descriptors, 4096};
-    prlimit(child_, RLIMIT_NOFILE, &most, nullptr);
+    prlimit(child_->id(), RLIMIT_NOFILE, &most, nullptr);
   }
-  void signal(int number) { kill(child_, number); }
+  void signal(int number) { child_->signal(number); }
   // All threads of it stand still when this returns.
-  void halt() {
-    signal(SIGSTOP);
-    int status = 0;
-    waitpid(child_, &status, WUNTRACED);
-  }
+  void halt() { child_->halt(); }
   void go() { signal(SIGCONT); }
   // It has handled all that came before: an empty query is answered, twice, as what it writes may bring news.
   void settles() {
@@ -123,38 +107,20 @@
     for (int i = 0; i < 2; ++i) asks.send(query("")), asks.answer();
   }
   // Waits for a line of its log.
-  bool says(const std::string& text) {
-    for (;;) {
-      if (const auto end = said_.find('\n'); end != std::string::npos) {
-        lines_.push_back(said_.substr(0, end));
-        said_.erase(0, end + 1);
-        const bool found = lines_.back().find(text) != std::string::npos;
-        if (found) return true;
-        continue;
-      }
-      char bytes[4096];
-      pollfd more{log_.number(), POLLIN, 0};
-      if (poll(&more, 1, 1000 * static_cast<int>(kLongest.count())) <= 0) {
-        std::cout << "it has not said '" << text << "'\n";
-        return false;
-      }
-      const auto size = ::read(log_.number(), bytes, sizeof bytes);
-      if (size <= 0) return false;
-      said_.append(bytes, static_cast<std::size_t>(size));
-    }
-  }
+  bool says(const std::string& text) { return child_->untilItSays(text); }
   // How many lines of its log, up to its end, had this.
   std::ptrdiff_t said(const std::string& text) {
     signal(SIGTERM);
     says("no line has this");
-    return std::count_if(lines_.begin(), lines_.end(),
+    const auto& lines = child_->lines();
+    return std::count_if(lines.begin(), lines.end(),
                          [&](const std::string& line) { return line.find(text) != std::string::npos; });
   }
   int end() {
     signal(SIGTERM);
-    int status = 0;
-    waitpid(std::exchange(child_, 0), &status, 0);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
+    const int code = child_->wait();
+    child_.reset();
+    return code;
   }
 
  private:
@@ -162,10 +128,7 @@
   int connectMs_, descriptors_;
   std::string more_, allowed_;
   std::string file_;
-  pid_t child_ = 0;
-  Descriptor log_;
-  std::string said_;
-  std::vector<std::string> lines_;
+  std::unique_ptr<Child> child_;
 };
 
 // What several threads wait for.
--- a/tests/soak/routers.cpp
+++ b/tests/soak/routers.cpp
@@ -1,13 +1,13 @@
 #include "soak/routers.h"
 
 #include <fcntl.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <fstream>
 
+#include "child.h"
 #include "drawn_settings.h"
 
 namespace gulltrestle::soak {
@@ -41,22 +41,12 @@
 }
 
 void RouterProcess::start(Instant now) {
-  std::string variables[] = {"BALANCER_CONFIG=" + path("json"), "GULLTRESTLE_LEVELS=" + path("levels"),
-                             "LD_PRELOAD=" GULLTRESTLE_BAD_MACHINE_LIBRARY,
-                             "ASAN_OPTIONS=verify_asan_link_order=0", machine_->variable()};
-  char* environment[6] = {};
-  for (std::size_t i = 0; i < 5; ++i) environment[i] = variables[i].data();
-  char* const words[] = {program_.data(), nullptr};
-  const std::string log = path("log");
-  child_ = fork();
-  if (child_ == 0) {
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int to = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    dup2(to, 1);
-    dup2(to, 2);
-    execve(program_.c_str(), words, environment);
-    _exit(127);
-  }
+  const loop::Descriptor log(::open(path("log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
+  child_ = peers::startProgram(program_,
+                               {"BALANCER_CONFIG=" + path("json"), "GULLTRESTLE_LEVELS=" + path("levels"),
+                                "LD_PRELOAD=" GULLTRESTLE_BAD_MACHINE_LIBRARY,
+                                "ASAN_OPTIONS=verify_asan_link_order=0", machine_->variable()},
+                               log.number(), true);
   running = true;
   toldToEnd = killed = false;
   startedAt = now;
--- a/tests/watches.cpp
+++ b/tests/watches.cpp
@@ -2,7 +2,9 @@
 // has the table. Run as `watches CASE`: prints what each side saw.
 #include <spdlog/spdlog.h>
 
+#include "faults/machine.h"
 #include "lists.h"
+#include "scratch.h"
 
 using namespace gulltrestle;
 using namespace gulltrestle::peers;
@@ -227,6 +229,30 @@
   }
 }
 
+// The same where the connection was reported in the wait before: what epoll reports by level stays first in
+// its list, and the node's greeting is told ahead of the list that came before it.
+void drainAheadOfGreeting() {
+  const std::string folder = scratchFolder("watches");
+  faults::Machine machine(folder + "/machine", 1);
+  Node first({}, 0), second;
+  Lists discovery(both(1, first, second, "up"));
+  Program router(discovery.port(), both(1, first, second, "up"), 20000, 256, 0, "",
+                 R"("probes":true,"cancel":true)",
+                 {"LD_PRELOAD=" GULLTRESTLE_BAD_MACHINE_LIBRARY, "ASAN_OPTIONS=verify_asan_link_order=0",
+                  machine.variable()});
+  discovery.events.await("watch");
+  Peer client = router.client();
+  machine.holdAfterStartup();
+  client.send(write("k"));
+  if (!machine.awaitHeld()) std::cout << "it was not held\n";
+  first.events.await("connection");
+  discovery.tell(both(2, first, second, "draining", false) + "\n");
+  first.events.happen("greet");
+  first.events.await("greeted");
+  machine.release();
+  std::cout << client.answer() << "first saw " << first.saw() << ", second saw " << second.saw() << "\n";
+}
+
 // Told in the turn in which a statement comes, or a statement that was held is let go.
 void drainInTheTurn() {
   for (const bool drainFirst : {true, false}) {
@@ -382,6 +408,7 @@
                                                 {"asked-for", askedFor},
                                                 {"moved-late", movedLate},
                                                 {"drain-connecting", drainWhileConnecting},
+                                                {"drain-greeting", drainAheadOfGreeting},
                                                 {"drain-turn", drainInTheTurn},
                                                 {"drain-retry", drainAtRetry},
                                                 {"drain-release", drainAtRelease},
