Discovery's connection comes first in each turn

Cause: epoll's order is no order of arrival where it reports by level: a connection that was reported in the wait before stays first. Change: a stream may come first in each turn (Stream::comesFirst); discovery's does, so that a drain is known before anything of the same turn is sent.

--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -72,6 +72,7 @@
   void disarm(Stream& stream);
   void due(const Timer& timer);
   void resume(std::coroutine_handle<> handle) { ready_.push_back(handle); }
+  void resumeFirst(std::coroutine_handle<> handle) { ready_.insert(ready_.begin(), handle); }
   void wait(Instant until);
   void turn(const Failed& failed);
   void step(std::coroutine_handle<> handle, const Failed& failed);
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -88,10 +88,12 @@
 }
 
 void Stream::wake() {
-  if (waiter_)
-    loop_.resume(std::exchange(waiter_, {}));
-  else
+  if (!waiter_)
     woken_ = true;
+  else if (comesFirst_)
+    loop_.resumeFirst(std::exchange(waiter_, {}));
+  else
+    loop_.resume(std::exchange(waiter_, {}));
 }
 
 void Stream::wakeAt(Instant at) { loop_.wakeAt(*this, at); }
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -34,6 +34,9 @@
   IoResult read(std::span<char> buffer);
   IoResult write(std::span<const std::string_view> parts);
   Io accept(Descriptor& taken);
+  // In each turn whoever waits here is resumed ahead of all others: what it learns binds them. Epoll's own
+  // order is no order of arrival, as what it reported last stays first in its list.
+  void comesFirst() { comesFirst_ = true; }
   // For a descriptor that is read otherwise (signals, events): nothing was left.
   void readBlocked();
 
@@ -68,7 +71,7 @@
   bool paused_ = false;      // reports wait for a timer, as the system was short of memory
   std::uint32_t armed_ = 0;  // what epoll reports
   std::uint64_t id_ = 0;
-  bool woken_ = false;
+  bool woken_ = false, comesFirst_ = false;
   std::coroutine_handle<> waiter_;
 };
 
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -545,6 +545,8 @@
     if (loop::Descriptor descriptor = loop::startConnecting(at.host, at.port)) {
       Connection from(loop_, std::move(descriptor));
       toDiscovery_ = &from.stream;
+      // A drain is known before anything of the same turn is sent.
+      from.stream.comesFirst();
       http::Response response;
       json::Parser parser;
       std::size_t begun = 0;  // bytes of what the parser has begun
