--- a/review/run_world.sh
+++ b/review/run_world.sh
@@ -1,4 +1,4 @@
-# Sourced by run.sh of cases 1 and 2: runs a stand-in that commands routers (see stand_ins/installation.h).
+# Sourced by run.sh of the cases: runs a stand-in that commands routers (see stand_ins/installation.h).
 # run_world STAND_IN
 run_world() {
   local here root program work verdict=2 router file action argument
