--- a/review/stand-ins-2/standins.py
+++ b/review/stand-ins-2/standins.py
@@ -219,9 +219,9 @@
 class Discovery:
     """The agent of one router: answers at once with what it has, and writes each change to the open watches."""
 
-    def __init__(self, entries, record, indent=None):
+    def __init__(self, entries, record):
         """`entries`: a function that returns the present entries of the list."""
-        self.entries, self.record, self.indent = entries, record, indent
+        self.entries, self.record = entries, record
         self.version, self.watches, self.told = 1, [], []
 
     async def start(self):
@@ -229,8 +229,7 @@
         self.address = "%s:%d" % (HOST, self.server.sockets[0].getsockname()[1])
 
     def document(self, entries, full):
-        return (json.dumps({"version": self.version, "full": full, "servers": entries}, indent=self.indent) +
-                "\n").encode()
+        return (json.dumps({"version": self.version, "full": full, "servers": entries}) + "\n").encode()
 
     def publish(self, changed):
         """The entries have changed: writes them to all watches."""
