Tests draw one random value a statement, so that arm64 and x86-64 draw alike

On arm64 members.fleets and members.injected-bugs failed each time: injectFault() drew the process and the voter among the arguments of one call, whose order C++ leaves open (g++ evaluates them right to left on x86-64 and left to right on arm64). The voter is now drawn first, then the process.

The same form stood in three further places and is gone there too: the settings drawn from a seed (drawn_settings.h: operands of a string's +), the soak's clients (class and pace of a statement), and the stall of the claims' simulated fleet (built-in operators; there both compilers happened to agree). No golden file changed.

Not run on x86-64.

--- a/tests/claims/simulated_faults.cpp
+++ b/tests/claims/simulated_faults.cpp
@@ -51,7 +51,9 @@
 // Delays all messages in one direction of one connection.
 void SimulatedFleet::stall(std::size_t router, Duration pause) {
   ++statistics_.stalls;
-  Instant& arrival = routers_[router].lastArrival[pick(routers_.size()) * 2 + pick(2)];
+  const std::size_t peer = pick(routers_.size());
+  const std::size_t direction = pick(2);
+  Instant& arrival = routers_[router].lastArrival[peer * 2 + direction];
   arrival = std::max(arrival, now_ + pause);
 }
 
--- a/tests/drawn_settings.h
+++ b/tests/drawn_settings.h
@@ -15,7 +15,8 @@
   std::string known = "null";  // the initial endpoint list, as JSON
 };
 
-// A source of random values that is the same on every platform.
+// A source of random values that is the same on every platform. Each value must be drawn in a statement of
+// its own: the order of two calls in one expression depends on the compiler.
 class RandomSource {
  public:
   explicit RandomSource(std::uint64_t seed) : engine_(seed) {}
@@ -47,12 +48,14 @@
   const std::string effect = random.pick<3>({"idempotent", "deduplicated", "at_most_once"});
   // Zero, shorter than a round trip, shorter than the deadline, or longer than the deadline.
   const std::uint64_t window = random.oneIn(4) ? random.integer(0, 500) : random.integer(0, 5'000) * 1'000;
-  return "{\"name\":\"type-" + std::to_string(row) + "\",\"effect\":\"" + effect + "\",\"group\":\"" +
-         random.pick<2>({"all", "cell"}) + "\",\"window\":" + std::to_string(window) +
-         ",\"objective\":" + std::to_string(objective) + ",\"deadline\":" + std::to_string(deadline) +
-         ",\"worth\":" + random.pick<4>({"0", "0.1", "1", "7.5"}) +
-         ",\"lateShare\":" + random.pick<3>({"0", "0.3", "1"}) +
-         ",\"aimStretch\":" + random.pick<2>({"0", "2.5"}) + "}";
+  const std::string stretch = random.pick<2>({"0", "2.5"});
+  const std::string lateShare = random.pick<3>({"0", "0.3", "1"});
+  const std::string worth = random.pick<4>({"0", "0.1", "1", "7.5"});
+  const std::string group = random.pick<2>({"all", "cell"});
+  return "{\"name\":\"type-" + std::to_string(row) + "\",\"effect\":\"" + effect + "\",\"group\":\"" + group +
+         "\",\"window\":" + std::to_string(window) + ",\"objective\":" + std::to_string(objective) +
+         ",\"deadline\":" + std::to_string(deadline) + ",\"worth\":" + worth + ",\"lateShare\":" + lateShare +
+         ",\"aimStretch\":" + stretch + "}";
 }
 
 inline std::string limits(RandomSource& random) {
@@ -60,11 +63,14 @@
   std::string out = "{";
   for (const char* name : {"probes", "cancel", "secondCopies", "retryAfter"})
     out += "\"" + std::string(name) + "\":" + random.flag() + ",";
-  out += "\"maxAttempts\":" + std::to_string(random.integer(1, 7)) +
-         ",\"maxRetryAfter\":" + std::to_string(random.integer(0, 2'000'000)) +
-         ",\"connIdle\":" + std::to_string(random.integer(200'000, 60'000'000)) +
-         ",\"connectTimeout\":" + std::to_string(random.integer(20'000, 1'000'000)) + "}";
-  return out;
+  const std::uint64_t connectTimeout = random.integer(20'000, 1'000'000);
+  const std::uint64_t idleTimeout = random.integer(200'000, 60'000'000);
+  const std::uint64_t maxRetryAfter = random.integer(0, 2'000'000);
+  const std::uint64_t maxAttempts = random.integer(1, 7);
+  return out + "\"maxAttempts\":" + std::to_string(maxAttempts) +
+         ",\"maxRetryAfter\":" + std::to_string(maxRetryAfter) +
+         ",\"connIdle\":" + std::to_string(idleTimeout) +
+         ",\"connectTimeout\":" + std::to_string(connectTimeout) + "}";
 }
 
 }  // namespace detail
@@ -87,21 +93,30 @@
     bounds += comma + std::to_string(random.oneIn(4) ? 0 : random.integer(1, 10'000'000));
   }
   const std::string routers = random.pick<5>({"1", "3", "29", "300", "900"});
+  const std::string guards = random.pick<3>({"off", "reject", "hold"});
+  const std::string sessionMarks = random.pick<2>({"client", "router"});
+  const std::uint64_t pollInterval = random.integer(0, 5'000'000);
+  const std::uint64_t drainGrace = random.integer(150'000, 3'000'000);
+  const std::string softRemoval = random.flag();
+  const std::uint64_t slowStartWindow = random.integer(0, 20'000'000);
+  const std::string slowStartFraction = random.pick<3>({"0", "0.2", "1"});
+  const std::string limits = detail::limits(random);
+  const std::string discovery = random.pick<2>({"pushed", "on_request"});
+  const std::string round = random.pick<3>({"1000", "5000", "20000"});
+  const std::string zone = random.pick<2>({"", "a"});
+  const std::string sockets = random.pick<3>({"96", "256", "1024"});
+  const std::string memoryMegabytes = random.pick<3>({"8", "32", "192"});
+  const std::uint64_t routerSeed = random.integer(0, 1u << 30);
   return "{\"name\":\"" + addresses.name + "\",\"listen\":\"" + addresses.listen + "\",\"discovery\":\"" +
-         addresses.discovery + "\",\"seed\":\"" + std::to_string(random.integer(0, 1u << 30)) +
-         "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + random.pick<3>({"8", "32", "192"}) +
-         ",\"sockets\":" + random.pick<3>({"96", "256", "1024"}) + "},\"known\":" + addresses.known +
-         ",\"settings\":{\"zone\":\"" + random.pick<2>({"", "a"}) +
-         "\",\"round\":" + random.pick<3>({"1000", "5000", "20000"}) + ",\"balancers\":" + routers +
-         ",\"discovery\":\"" + random.pick<2>({"pushed", "on_request"}) +
-         "\",\"limits\":" + detail::limits(random) + ",\"lanes\":[" + lanes +
-         "],\"rules\":{\"coldFrom\":" + random.pick<3>({"0", "0.2", "1"}) +
-         ",\"cold\":" + std::to_string(random.integer(0, 20'000'000)) + ",\"softRemoval\":" + random.flag() +
-         ",\"drainGrace\":" + std::to_string(random.integer(150'000, 3'000'000)) +
-         ",\"askWithin\":" + std::to_string(random.integer(0, 5'000'000)) +
+         addresses.discovery + "\",\"seed\":\"" + std::to_string(routerSeed) +
+         "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMegabytes + ",\"sockets\":" + sockets +
+         "},\"known\":" + addresses.known + ",\"settings\":{\"zone\":\"" + zone + "\",\"round\":" + round +
+         ",\"balancers\":" + routers + ",\"discovery\":\"" + discovery + "\",\"limits\":" + limits +
+         ",\"lanes\":[" + lanes + "],\"rules\":{\"coldFrom\":" + slowStartFraction +
+         ",\"cold\":" + std::to_string(slowStartWindow) + ",\"softRemoval\":" + softRemoval +
+         ",\"drainGrace\":" + std::to_string(drainGrace) + ",\"askWithin\":" + std::to_string(pollInterval) +
          "},\"specifics\":{\"readLevel\":[" + readLevels + "],\"lagAllowed\":[" + bounds +
-         "],\"sessionMarks\":\"" + random.pick<2>({"client", "router"}) + "\",\"guards\":\"" +
-         random.pick<3>({"off", "reject", "hold"}) + "\"}}}";
+         "],\"sessionMarks\":\"" + sessionMarks + "\",\"guards\":\"" + guards + "\"}}}";
 }
 
 }  // namespace gulltrestle::settings
--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -400,8 +400,12 @@
         return schedule(ms(static_cast<std::int64_t>(pick(4000))),
                         [this, processIndex] { processes_[processIndex].isSuspended = false; });
       }
-      case 4:
-        if (!processes_.empty()) connect(pick(processes_.size()), pick(voters_.size()));
+      case 4: {  // a process connects to a voter again
+        if (processes_.empty()) return;
+        const std::size_t voterIndex = pick(voters_.size());
+        const std::size_t processIndex = pick(processes_.size());
+        connect(processIndex, voterIndex);
+      }
     }
   }
 
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -164,9 +164,11 @@
   const auto pipelined =
       harness_.randomBelow(kPipelinesOneIn) == 0 ? 1 + harness_.randomBelow(kMaxPipelined) : 1;
   for (auto remaining = std::min(pipelined, connection.remainingStatements); remaining > 0;
-       --remaining, --connection.remainingStatements)
-    queueStatement(connection, harness_.randomBelow(classCount()),
-                   harness_.randomBelow(kWritesSlowlyOneIn) == 0);
+       --remaining, --connection.remainingStatements) {
+    const bool writesSlowly = harness_.randomBelow(kWritesSlowlyOneIn) == 0;
+    const std::size_t classIndex = harness_.randomBelow(classCount());
+    queueStatement(connection, classIndex, writesSlowly);
+  }
   return true;
 }
 
