Trace: when an attempt is written, how long it had waited, and the role that its answer reported

With the trace on, a transaction's lines told when a node was chosen and when the attempt ended, but not when it was written.

New line `event=attempt.written id number node waited_ms`, at the one check that every attempt passes right before it is written (TransactionTable::maySend), and `role=` in `event=attempt.ended`.

--- a/src/transactions/transaction_table.cpp
+++ b/src/transactions/transaction_table.cpp
@@ -135,7 +135,9 @@
                                 .firstSentAt = open.firstAmbiguousSentAt(attemptId.attempt)};
   // Called for violations only: this check runs for every attempt, and the text is rarely needed.
   const auto subject = [&] { return "txn " + std::string(open.id()) + " to node " + node; };
-  return invariants_.maySend(send, subject) && invariants_.mayRetry(retry, subject);
+  if (!invariants_.maySend(send, subject) || !invariants_.mayRetry(retry, subject)) return false;
+  traceAttemptWritten(trace_, open, now_, attemptId.attempt);
+  return true;
 }
 
 void TransactionTable::onAttemptEnded(AttemptId attemptId, const NodeId& node, AttemptOutcome outcome,
@@ -150,7 +152,7 @@
   AttemptRecord& attempt = open->attempts[attemptId.attempt];
   if (std::exchange(attempt.hasEnded, true)) return;
   attempt.outcome = outcome;
-  traceAttemptEnded(trace_, *open, now_, attemptId.attempt);
+  traceAttemptEnded(trace_, *open, now_, attemptId.attempt, answerReport.role);
   const Duration latency = now_ - attempt.sentAt;
   const bool isAnswered = !open->handler;
   enqueue([=](Router& router) {
--- a/src/transactions/transaction_trace.cpp
+++ b/src/transactions/transaction_trace.cpp
@@ -11,6 +11,12 @@
 
 std::string formatMillis(Duration duration) { return std::to_string(duration.inMicros() / 1000); }
 
+// Returns an empty text for an unknown role.
+std::string formatRole(Role role) {
+  if (role == Role::unknown) return "";
+  return role == Role::primary ? " role=primary" : " role=replica";
+}
+
 }  // namespace
 
 void traceTransactionOpened(const Trace& trace, const OpenTransaction& open, const Transaction& transaction) {
@@ -40,12 +46,21 @@
   });
 }
 
-void traceAttemptEnded(const Trace& trace, const OpenTransaction& open, Instant now, unsigned number) {
+void traceAttemptWritten(const Trace& trace, const OpenTransaction& open, Instant now, unsigned number) {
+  trace.write([&] {
+    const AttemptRecord& attempt = open.attempts[number];
+    return "event=attempt.written id=" + std::string(open.id()) + " number=" + std::to_string(number) +
+           " node=" + attempt.node + " waited_ms=" + formatMillis(now - attempt.sentAt);
+  });
+}
+
+void traceAttemptEnded(const Trace& trace, const OpenTransaction& open, Instant now, unsigned number,
+                       Role reportedRole) {
   trace.write([&] {
     const AttemptRecord& attempt = open.attempts[number];
     return "event=attempt.ended id=" + std::string(open.id()) + " number=" + std::to_string(number) +
            " node=" + attempt.node + " outcome=" + std::string(nameOf(attempt.outcome)) +
-           " elapsed_ms=" + formatMillis(now - attempt.sentAt);
+           " elapsed_ms=" + formatMillis(now - attempt.sentAt) + formatRole(reportedRole);
   });
 }
 
--- a/src/transactions/transaction_trace.h
+++ b/src/transactions/transaction_trace.h
@@ -20,7 +20,11 @@
 // The latest attempt of `open` has started.
 void traceAttemptStarted(const Trace& trace, const OpenTransaction& open, Instant now);
 
-// Attempt `number` of `open` has ended.
-void traceAttemptEnded(const Trace& trace, const OpenTransaction& open, Instant now, unsigned number);
+// Attempt `number` of `open` is about to be written to its node, or handed to the requester that sends it.
+void traceAttemptWritten(const Trace& trace, const OpenTransaction& open, Instant now, unsigned number);
+
+// Attempt `number` of `open` has ended. `reportedRole`: the node's role according to its answer.
+void traceAttemptEnded(const Trace& trace, const OpenTransaction& open, Instant now, unsigned number,
+                       Role reportedRole);
 
 }  // namespace gulltrestle::transactions
