Attempts that wait are not sent to a node that lost the role or position it was selected for

Cause: a node is selected because it is known as primary or by its known position; an attempt that waits for a connection (or is written in part) was checked again at the write for client, deadline, drain and window, but not for what the node had been selected for. The trace shows it: b0 selected at 0 ms, the answer that reports role=replica at 51 ms, b0 written at 223 ms.

Change: src/routing/selection_validity records with each attempt what its selection relies on. When a role or position is lost, the router withdraws what relied on it in the same round, partly written statements included, and the transaction is routed anew; TransactionTable::maySend asks the same module right before each write. Same cause, mended with it: writes and session reads at a former primary, another node that is known or listed as primary, replicas whose position became unknown, a connection freed by the answer that reports the loss.

--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -101,7 +101,8 @@
   if (!policies_.health.isHealthy(node)) node.lastTrialAt = state_.now;
   policies_.slowStart.recordSent(node, request.type);
   node.inFlightAttempts.push_back({request.id, transaction.attempts++, request.type, state_.now,
-                                   state_.requiredPosition(transaction), request.session});
+                                   state_.requiredPosition(transaction), request.session,
+                                   policies_.validity.basisOf(transaction, node)});
   ++transaction.attemptsInFlight;
   transaction.lastSentAt = state_.now;
   transaction.attemptedNodes.push_back(&node);
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -17,6 +17,7 @@
 #include "routing/replica_selection.h"
 #include "routing/retry_policy.h"
 #include "routing/routing_state.h"
+#include "routing/selection_validity.h"
 #include "routing/slow_start.h"
 
 namespace gulltrestle::routing {
@@ -27,6 +28,7 @@
   SlowStart& slowStart;
   HealthTracker& health;
   const ReadConsistency& consistency;
+  const SelectionValidity& validity;
   RetryPolicy& retries;
   ReplicaSelector& selector;
   LoadShedding& shedding;
--- a/src/routing/endpoint_list.cpp
+++ b/src/routing/endpoint_list.cpp
@@ -22,6 +22,7 @@
   node.endpoint.startedAt = startedAt;
   node.wasListedDraining = entry.health == Health::draining || (node.wasListedDraining && !hasRestarted);
   latencies_.addKind(entry.kind);
+  state_.changedGroups.insert(entry.group);
   std::vector<NodeState*>& nodes = state_.groups[entry.group].nodes;
   if (isNew)
     nodes.insert(std::find_if(nodes.begin(), nodes.end(),
--- a/src/routing/latency_statistics.cpp
+++ b/src/routing/latency_statistics.cpp
@@ -55,8 +55,7 @@
 
 void LatencyStatistics::recordPressure(const NodeState& node, double latencyTargetFraction) {
   GroupState& group = state_.groupOf(node.endpoint.group);
-  Samples& fractions = node.lastKnownPrimaryAt > node.lastKnownReplicaAt ? group.primaryLatencyPressure
-                                                                         : group.replicaLatencyPressure;
+  Samples& fractions = node.isKnownPrimary() ? group.primaryLatencyPressure : group.replicaLatencyPressure;
   pushBounded(fractions, {state_.now, latencyTargetFraction}, kMaxPressuresPerGroup);
 }
 
--- a/src/routing/read_consistency.cpp
+++ b/src/routing/read_consistency.cpp
@@ -54,8 +54,11 @@
 
 void ReadConsistency::recordReplication(NodeState& node, const LoadReport& report, Instant reportedAt,
                                         Duration maxRoundingUp) {
+  const bool wasPrimary = node.isKnownPrimary() || node.isListedPrimary();
   if (report.role == Role::primary) node.lastKnownPrimaryAt = std::max(node.lastKnownPrimaryAt, reportedAt);
   if (report.role == Role::replica) node.lastKnownReplicaAt = std::max(node.lastKnownReplicaAt, reportedAt);
+  const bool isPrimary = node.isKnownPrimary() || node.isListedPrimary();
+  if (isPrimary != wasPrimary) state_.changedGroups.insert(node.endpoint.group);
   if (!report.position || *report.position - maxRoundingUp < node.appliedPosition) return;
   if (*report.position > state_.now + kMaxClockError) return;
   node.appliedPosition = *report.position - maxRoundingUp;
--- a/src/routing/replica_selection.cpp
+++ b/src/routing/replica_selection.cpp
@@ -43,13 +43,12 @@
 
 NodeState* ReplicaSelector::primaryOf(GroupId group) const {
   NodeState* known = nullptr;
-  NodeState* listed = nullptr;  // endpoint lists are late, and count only for nodes never known as replicas
+  NodeState* listed = nullptr;
   for (NodeState* node : state_.groupOf(group).nodes) {
     if (state_.isDraining(*node)) continue;
-    if (node->lastKnownPrimaryAt > node->lastKnownReplicaAt &&
-        (!known || node->lastKnownPrimaryAt > known->lastKnownPrimaryAt))
+    if (node->isKnownPrimary() && (!known || node->lastKnownPrimaryAt > known->lastKnownPrimaryAt))
       known = node;
-    if (node->endpoint.primary && node->lastKnownReplicaAt == Instant()) listed = node;
+    if (node->isListedPrimary()) listed = node;
   }
   return known ? known : listed;
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -24,6 +24,7 @@
 #include "routing/replica_selection.h"
 #include "routing/retry_policy.h"
 #include "routing/routing_state.h"
+#include "routing/selection_validity.h"
 #include "routing/slow_start.h"
 
 namespace gulltrestle {
@@ -43,6 +44,7 @@
 using routing::ReplicaSelector;
 using routing::RetryPolicy;
 using routing::RoutingState;
+using routing::SelectionValidity;
 using routing::SlowStart;
 
 namespace {
@@ -69,11 +71,13 @@
         health(shared, latencies),
         errors(shared),
         consistency(shared),
+        validity(shared),
         retries(shared, latencies),
         selector(shared, {latencies, concurrency, slowStart, health, consistency}),
         shedding(shared, {latencies, concurrency, health, retries, selector}),
         endpoints(shared, latencies),
-        dispatcher(shared, {latencies, slowStart, health, consistency, retries, selector, shedding}) {}
+        dispatcher(shared,
+                   {latencies, slowStart, health, consistency, validity, retries, selector, shedding}) {}
 
   RoutingState shared;
   LatencyStatistics latencies;
@@ -82,6 +86,7 @@
   HealthTracker health;
   ErrorAttribution errors;
   ReadConsistency consistency;
+  SelectionValidity validity;
   RetryPolicy retries;
   ReplicaSelector selector;
   LoadShedding shedding;
@@ -192,6 +197,7 @@
 void Router::runRound(Instant now, EventSource& events, DecisionSink& sink) {
   state_->startRound(now, sink);
   events.deliver(*this);
+  state_->validity.withdrawInvalid();
   if (state_->shared.config.endpointListIsPolled && now >= state_->nextListPollAt) {
     state_->nextListPollAt = now + kListPollDisabled;
     sink.subscribeToEndpointList();
@@ -267,7 +273,19 @@
 // position if only the connection failed.
 void Router::onNodeDisconnected(const NodeId& node) {
   const auto found = state_->shared.nodes.find(node);
-  if (found != state_->shared.nodes.end()) found->second.appliedPosition = Instant();
+  if (found == state_->shared.nodes.end()) return;
+  found->second.appliedPosition = Instant();
+  state_->shared.changedGroups.insert(found->second.endpoint.group);
+}
+
+bool Router::isSelectionValid(TxnId transaction, unsigned attempt, const NodeId& node) const {
+  const auto found = state_->shared.nodes.find(node);
+  if (found == state_->shared.nodes.end()) return false;
+  const std::vector<InFlightAttempt>& attempts = found->second.inFlightAttempts;
+  return std::any_of(attempts.begin(), attempts.end(), [&](const InFlightAttempt& other) {
+    return other.transaction == transaction && other.number == attempt &&
+           state_->validity.isValid(found->second, other);
+  });
 }
 
 }  // namespace gulltrestle
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -171,6 +171,9 @@
   // Sends an attempt. It must be written to the node by `sendBy` or not at all, and ends at `abandonAt` with
   // a timeout. The attempts of a transaction are numbered from 0 in the order of these calls.
   virtual void sendAttempt(TxnId txn, const NodeId& node, Instant sendBy, Instant abandonAt) = 0;
+  // The node no longer qualifies for an attempt: if the attempt has not been written completely, it must not
+  // be written any more, and ends as notSent. Otherwise it continues.
+  virtual void withdraw(TxnId txn, unsigned attempt) = 0;
   // Cancels an attempt whose result is no longer needed. Its end must still be reported.
   virtual void cancel(TxnId txn, unsigned attempt) = 0;
   // Final answer: the client may retry after `retryAfter`; zero: no time is given.
@@ -197,6 +200,10 @@
   // Runs one round: processes the events, then makes the decisions. `now` must not decrease between rounds.
   void runRound(Instant now, EventSource& events, DecisionSink& sink);
 
+  // Whether the node still qualifies for an attempt that was sent to it, as of the last round. Must be called
+  // right before an attempt is written that had to wait, and may be called within a round.
+  bool isSelectionValid(TxnId txn, unsigned attempt, const NodeId& node) const;
+
   // The functions below are events. They must be called only by an EventSource during runRound().
   void onEndpointList(EndpointUpdateKind kind, const std::vector<EndpointEntry>& entries);
   void onEndpointListFailed();
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/samples.h"
@@ -29,6 +30,9 @@
 // about the present. An empty series is outdated.
 bool isOutdated(const Samples& samples, Instant now);
 
+// What the selection of a node for an attempt relies on (selection_validity.h).
+enum class SelectionBasis { none, primary, appliedPosition };
+
 // An attempt that was sent and has not ended.
 struct InFlightAttempt {
   TxnId transaction;
@@ -37,6 +41,7 @@
   Instant sentAt;
   Instant requiredPosition;  // position that the answering node must have applied; never: any
   std::optional<SessionId> session;
+  SelectionBasis basis = SelectionBasis::none;
 };
 
 // An attempt that has ended.
@@ -84,6 +89,11 @@
   std::deque<bool> lastOutcomes;   // true: answered
   unsigned consecutiveErrors = 0;  // since its last answer
   std::vector<InFlightAttempt> inFlightAttempts;  // in the order of sending
+
+  // Whether it was primary according to its latest report.
+  bool isKnownPrimary() const { return lastKnownPrimaryAt > lastKnownReplicaAt; }
+  // Whether it is listed as primary and has not been known as a replica: endpoint lists are late.
+  bool isListedPrimary() const { return endpoint.primary && lastKnownReplicaAt == Instant(); }
 };
 
 // The nodes that store the same data, and the state that they share.
@@ -134,6 +144,8 @@
   std::map<NodeId, NodeState> nodes;
   std::map<GroupId, GroupState> groups;
   std::map<TxnId, PendingTransaction> pending;
+  // Groups with a node whose role changed, or whose position became unknown, in this round.
+  std::set<GroupId> changedGroups;
 
   // Clients may name any group, but only the endpoint list creates groups: all unlisted groups share an empty
   // one.
--- a/src/tools/simulator_adapter/adapter.cpp
+++ b/src/tools/simulator_adapter/adapter.cpp
@@ -159,6 +159,7 @@
   void sendAttempt(TxnId txn, const NodeId& node, Instant, Instant abandonAt) override {
     writeLine("ASSIGN", " rid=", txn, " node=", node, " cutAt=", abandonAt.inMicros());
   }
+  void withdraw(TxnId, unsigned) override {}  // the simulator has written the attempt at once
   void cancel(TxnId txn, unsigned attempt) override {
     writeLine("ABANDON", " rid=", txn, " sendNo=", attempt);
   }
--- a/src/transactions/transaction_table.cpp
+++ b/src/transactions/transaction_table.cpp
@@ -121,6 +121,7 @@
 bool TransactionTable::maySend(AttemptId attemptId, const NodeId& node, Duration timeoutSent) {
   const AttemptRecord* attempt = this->attempt(attemptId);
   if (!attempt) return false;
+  if (!router_.isSelectionValid(attemptId.txn, attemptId.attempt, node)) return false;
   const OpenTransaction& open = openTransactions_.at(attemptId.txn);
   const TransactionClass& transactionClass = transactionClasses_.at(open.transactionClass);
   const invariants::Send send{.now = now_,
--- a/src/transactions/transaction_table.h
+++ b/src/transactions/transaction_table.h
@@ -101,7 +101,8 @@
   // Returns whether the transaction still awaits its final answer.
   bool isAnswerPending(TxnId txn) const;
   // Must be called right before an attempt is sent to its node with `timeoutSent` as its time limit. If it
-  // returns false, the attempt must not be sent and must end as notSent.
+  // returns false, the attempt must not be sent and must end as notSent: the node no longer qualifies for it,
+  // or a rule of invariants.h would be violated.
   [[nodiscard]] bool maySend(AttemptId attemptId, const NodeId& node, Duration timeoutSent);
   // Gives the transaction its final answer. Must be called before onAttemptEnded().
   void commit(TxnId txn, const ResultValue& value);
@@ -151,6 +152,7 @@
   // EventSource and DecisionSink, called by the router during a round.
   void deliver(Router& router) override;
   void sendAttempt(TxnId txn, const NodeId& node, Instant sendBy, Instant abandonAt) override;
+  void withdraw(TxnId txn, unsigned attempt) override;
   void cancel(TxnId txn, unsigned attempt) override;
   void reject(TxnId txn, Duration retryAfter) override;
   void rollBack(TxnId txn) override;
--- a/src/transactions/upstream_transport.h
+++ b/src/transactions/upstream_transport.h
@@ -40,8 +40,9 @@
   virtual void startAttempt(AttemptId attemptId, const NodeId& node) = 0;
   // The answer is no longer awaited. The attempt has not ended yet and must end soon.
   virtual void cancelAttempt(AttemptId attemptId, const NodeId& node) = 0;
-  // The transaction has its final answer, or its client has left. An attempt that the node has not received
-  // completely must not reach it any more and ends at once; any other attempt continues to its end.
+  // The transaction has its final answer, its client has left, or the node no longer qualifies. An attempt
+  // that the node has not received completely must not reach it any more and ends at once; any other attempt
+  // continues to its end.
   virtual void withdrawAttempt(AttemptId, const NodeId&) {}
   // The endpoint registry has applied an endpoint list. `moved`: the nodes whose address has changed. Other
   // nodes may have started to drain.
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -287,8 +287,7 @@
   for (const bool sameTurn : {false, true}) {
     FakeNode first({"k"}), second({}, 0);
     const auto replica = [](const FakeNode& node, const std::string& id) {
-      auto entry = endpointEntryJson(node.server(), id, "up");
-      return entry.replace(entry.find("master"), 6, "replica");
+      return endpointEntryJson(node.server(), id, "up", "replica");
     };
     const auto firstList = replica(first, "s-1");
     FakeDiscovery discovery(endpointListJson(1, firstList));
@@ -318,6 +317,30 @@
   }
 }
 
+// Guards against data from before a hand-over (review case 7): a linearizable read waits for a connection to
+// the primary, which reports in another answer that it is a replica before that connection is established.
+void roleLostWhileConnecting() {
+  FakeNode previous({"closes"}, 1), current;
+  FakeServer discovery(silentDiscovery);
+  Program router(discovery.port(),
+                 endpointListJson(1, endpointEntryJson(previous.server(), "s-1", "up") + "," +
+                                         endpointEntryJson(current.server(), "s-2", "up", "replica")),
+                 20000);
+  Peer first = router.client(), second = router.client();
+  first.send(statement("closes", "read"));
+  previous.events.waitFor("received closes");
+  second.send(statement("second", "read"));
+  previous.events.waitFor("connection", 2);
+  previous.becomeReplica();
+  previous.releaseAnswer("closes");
+  std::cout << first.answer() << "\n";
+  router.waitUntilIdle();
+  previous.events.signal("greet");
+  std::cout << second.answer() << "\n";
+  std::cout << "the previous primary received " << previous.receivedKeys() << ", the current one "
+            << current.receivedKeys() << "\n";
+}
+
 // The first attempt may have been executed, and its retry waits for a connection until the deduplication
 // window has expired.
 void deduplicationWindowExpired() {
@@ -481,6 +504,7 @@
       {"shutdown-with-statement", shutdownWithStatement},
       {"shutdown-with-queued-statements", shutdownWithQueuedStatements},
       {"answer-while-hedge-connects", answerWhileHedgeConnects},
+      {"role-lost-while-connecting", roleLostWhileConnecting},
       {"deduplication-window", deduplicationWindowExpired},
       {"deduplication-window-partial-write", deduplicationWindowExpiredInWrite},
       {"broken-answers", brokenAnswers},
--- a/tests/gateway/bench.cpp
+++ b/tests/gateway/bench.cpp
@@ -11,14 +11,24 @@
 }
 
 RoutingConfig routingConfig(bool onlyDrainingExcludes) {
-  RoutingConfig config = trace::defaultConfig(
-      {trace::transactionClass(ReadLevel::any), trace::transactionClass(ReadLevel::bounded),
-       trace::transactionClass(ReadLevel::session),
-       trace::transactionClass(ReadLevel::write, Effect::atMostOnce)});
+  RoutingConfig config = trace::defaultConfig({trace::transactionClass(ReadLevel::any),
+                                               trace::transactionClass(ReadLevel::bounded),
+                                               trace::transactionClass(ReadLevel::session),
+                                               trace::transactionClass(ReadLevel::write, Effect::atMostOnce),
+                                               trace::transactionClass(ReadLevel::linearizable)});
   config.onlyDrainingExcludes = onlyDrainingExcludes;
   return config;
 }
 
+ResolvedEndpoint endpointOf(const std::string& node, bool isPrimary, Health health) {
+  EndpointEntry entry;
+  entry.node = node == "B" ? "b" : node;
+  entry.group = 1;
+  entry.primary = isPrimary;
+  entry.health = health;
+  return {entry, addressOf(node)};
+}
+
 // Summarizes written bytes: message types, fields of errors, texts of queries, start of row values.
 std::string summaryOf(std::string_view bytes) {
   std::string summary;
@@ -84,8 +94,8 @@
 // --- Events
 
 GatewayBench::GatewayBench(GatewaySetup setup)
-    : gateway_(routingConfig(setup.onlyDrainingExcludes), {"any", "bounded", "session", "charge"}, 7,
-               setup.bounds, *this) {
+    : gateway_(routingConfig(setup.onlyDrainingExcludes), {"any", "bounded", "session", "charge", "latest"},
+               7, setup.bounds, *this) {
   if (setup.hasEndpointList) updateEndpoints(EndpointUpdateKind::restored, {"p", "a"});
 }
 
@@ -148,18 +158,17 @@
 void GatewayBench::updateEndpoints(EndpointUpdateKind kind, const std::vector<std::string>& nodes,
                                    Health health) {
   std::vector<ResolvedEndpoint> list;
-  for (const auto& node : nodes) {
-    EndpointEntry entry;
-    entry.node = node == "B" ? "b" : node;
-    entry.group = 1;
-    entry.primary = node == "p";
-    entry.health = health;
-    list.push_back({entry, addressOf(node)});
-  }
+  for (const auto& node : nodes) list.push_back(endpointOf(node, node == "p", health));
   gateway_.onEndpointList(now_, kind, list);
   runUntilIdle();
 }
 
+void GatewayBench::updatePrimary(const std::string& node) {
+  gateway_.onEndpointList(now_, EndpointUpdateKind::delta,
+                          {endpointOf("p", node == "p", Health::live), endpointOf(node, true, Health::live)});
+  runUntilIdle();
+}
+
 void GatewayBench::shutDown() {
   gateway_.shutDown(now_);
   runUntilIdle();
--- a/tests/gateway/bench.h
+++ b/tests/gateway/bench.h
@@ -88,6 +88,8 @@
 
   void updateEndpoints(EndpointUpdateKind kind, const std::vector<std::string>& nodes,
                        Health health = Health::live);
+  // An endpoint update that names this node as primary in place of p.
+  void updatePrimary(const std::string& node);
   void shutDown();
   void loadConfig(const std::string& discovery, const std::vector<std::string>& keysNeedingRestart = {});
   void rejectConfig(const std::string& fault);
--- a/tests/gateway/cases.h
+++ b/tests/gateway/cases.h
@@ -20,6 +20,12 @@
 void readOutdatedBeforeConnected();
 void partiallyWrittenStatements();
 
+// node_changes.cpp
+void roleLostBeforeConnected();
+void primaryReplacedBeforeConnected();
+void positionLostBeforeConnected();
+void roleLostWhilePartlyWritten();
+
 // node_connections.cpp
 void idleNodeConnections();
 void bytesAfterAnswers();
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -243,20 +243,22 @@
   std::jthread accepting_;
 };
 
-// A complete PostgreSQL answer of one row with one column.
-inline std::string row(std::string_view value) {
+// A complete PostgreSQL answer of one row with one column. `parameterStatuses` are inserted before its
+// ReadyForQuery message.
+inline std::string row(std::string_view value, std::string_view parameterStatuses = {}) {
   std::string body("\0\1", 2);
   for (int shift = 24; shift >= 0; shift -= 8) body += static_cast<char>(value.size() >> shift & 0xFF);
   return postgres::message('T', std::string("\0\1t\0", 4) + std::string(18, '\0')) +
          postgres::message('D', body + std::string(value)) +
-         postgres::message('C', std::string("SELECT 1") + '\0') + postgres::readyForQuery();
+         postgres::message('C', std::string("SELECT 1") + '\0') + std::string(parameterStatuses) +
+         postgres::readyForQuery();
 }
 
 // One entry of an endpoint list, in discovery's JSON.
 inline std::string endpointEntryJson(const FakeServer& server, const std::string& id,
-                                     const std::string& state) {
+                                     const std::string& state, const std::string& role = "master") {
   return R"({"id":")" + id + R"(","addr":"127.0.0.1:)" + std::to_string(server.port()) +
-         R"(","zone":"a","cell":1,"state":")" + state + R"(","part":"master","started_ms":0})";
+         R"(","zone":"a","cell":1,"state":")" + state + R"(","part":")" + role + R"(","started_ms":0})";
 }
 // An endpoint list, or an endpoint update if `full` is false.
 inline std::string endpointListJson(int version, const std::string& entries, bool full = true) {
--- a/tests/program.h
+++ b/tests/program.h
@@ -169,7 +169,8 @@
 // A fake primary. It signals `connection`, `greeted`, `idle` (an empty query was answered), `received KEY`
 // and `answered KEY`. It answers a statement for a KEY in `waits` only after releaseAnswer(KEY), and greets
 // connections beyond the first `greeted` only after the event `greet`. If `waits` contains the key `breaks`,
-// the node resets the connection in place of an answer to it and signals `broke`.
+// the node resets the connection in place of an answer to it and signals `broke`; it closes the connection
+// after the answer to the key `closes`.
 class FakeNode {
  public:
   // Connections beyond the first `read` are read only after the event `read`; `receiveBufferBytes` limits
@@ -184,6 +185,8 @@
   Events events;
   unsigned short port() const { return server_.port(); }
   const FakeServer& server() const { return server_; }
+  // From now on, it reports that it is a replica.
+  void becomeReplica() { isReplica_ = true; }
   void releaseAnswer(const std::string& key) { events.signal("release " + key); }
   // The keys of all received statements in order, or "nothing".
   std::string receivedKeys() {
@@ -237,7 +240,8 @@
     }
     if (body.starts_with("SHOW")) {
       const auto now = std::chrono::system_clock::now().time_since_epoch();
-      peer.send(row("x0=" + std::to_string(std::chrono::duration<double>(now).count()) + ",x1=1"));
+      peer.send(row("x0=" + std::to_string(std::chrono::duration<double>(now).count()) +
+                    (isReplica_ ? ",x1=0" : ",x1=1")));
       return true;
     }
     const auto quote = body.find('\'');
@@ -257,15 +261,17 @@
       events.signal("broke");
       return false;
     }
-    const std::string all = row("v-" + key);
+    const std::string all =
+        row("v-" + key, isReplica_ ? postgres::message('S', std::string("part\0replica\0", 13)) : "");
     // The first time each, `cut-N` gets N bytes of its answer and the end of the stream, and `stall-N` gets N
     // bytes and nothing further.
     const auto dash = key.find('-');
     if (isRepeated || (!key.starts_with("cut-") && !key.starts_with("stall-"))) {
       peer.send(all);
       peer.waitUntilDelivered();
+      if (key == "closes") peer.close();
       events.signal("answered " + key);
-      return true;
+      return key != "closes";
     }
     peer.send(all.substr(0, std::stoul(key.substr(dash + 1))));
     return key[0] == 's';
@@ -273,6 +279,7 @@
 
   std::set<std::string> waits_;
   std::size_t greeted_, read_;
+  std::atomic<bool> isReplica_ = false;
   std::mutex mutex_;
   std::vector<Peer*> peers_;
   std::vector<std::string> keys_;
--- a/tests/trace.h
+++ b/tests/trace.h
@@ -116,6 +116,9 @@
     if (sendBy < cutAt) out_ << ", sent by " << (sendBy - instant(0)).inMicros() / 1000;
     out_ << ";";
   }
+  void withdraw(TxnId txn, unsigned attempt) override {
+    out_ << " withdraw " << txn << "/" << attempt << ";";
+  }
   void cancel(TxnId txn, unsigned attempt) override { out_ << " cancel " << txn << "/" << attempt << ";"; }
   void reject(TxnId txn, Duration after) override {
     out_ << " reject " << txn << ", retry after " << after.inMicros() / 1000 << ";";
