What waits for a connection is written after the round, so that a turn's events count in any order

Cause: the round at the end of a turn takes in reported roles, but what waited was written as soon as its connection was up, before that round; and of two events in a turn the one that is read first depends on epoll.

Change: a connection that becomes free while attempts wait is `ready` until the turn ends; ConnectionPool::sendWaiting assigns it after the round, which has by then withdrawn what the turn's events made invalid.

The gateway test harness runs a turn after the answers to empty queries, as the server does.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -141,7 +141,7 @@
 }
 
 // The order matters: due connections and clients end first, then the components run their turns, so that the
-// router's decisions take all of that into account.
+// router's decisions take all of that into account. What had to wait for a connection is written last.
 Instant Gateway::endTurn(Instant now) {
   transactions_.advanceTo(now);
   connectionPool_.endTurn();
@@ -151,9 +151,10 @@
   // handled first.
   const bool stopsNow = std::exchange(isStopDue_, isShuttingDown_ && transactions_.now() >= stopAt_);
   if (stopsNow) stop();
-  const Instant transactionsDue = transactions_.endTurn();
+  transactions_.endTurn();
+  connectionPool_.sendWaiting();
   for (Component* component : components_) component->flush();
-  return nextDue(transactionsDue);
+  return nextDue();
 }
 
 void Gateway::stop() {
@@ -166,8 +167,8 @@
   clientSessions_.closeIdleAtShutDown();
 }
 
-Instant Gateway::nextDue(Instant transactionsDue) const {
-  Instant next = transactionsDue;
+Instant Gateway::nextDue() const {
+  Instant next = transactions_.nextDue();
   const auto include = [&](Instant due) {
     if (due != Instant() && (next == Instant() || due < next)) next = due;
   };
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -93,7 +93,7 @@
 
  private:
   void stop();
-  Instant nextDue(Instant transactionsDue) const;
+  Instant nextDue() const;
   Instant nextShutDownStep() const;
 
   GatewayLimits limits_;
--- a/src/transactions/transaction_rounds.cpp
+++ b/src/transactions/transaction_rounds.cpp
@@ -60,6 +60,10 @@
     if (wakeUpAt_ <= now_) wakeUpAt_ = Instant();
     router_.runRound(now_, *this, *this);
   }
+  return nextDue();
+}
+
+Instant TransactionTable::nextDue() const {
   if (!events_.empty()) return now_;
   const Instant degradationDue = degradation_.nextDue();
   if (wakeUpAt_ == Instant()) return degradationDue;
--- a/src/transactions/transaction_table.h
+++ b/src/transactions/transaction_table.h
@@ -134,9 +134,10 @@
 
   // --- Turns
 
-  // Runs a round of the router if there are new events or its wake-up is due. Returns when the next turn is
-  // needed; Instant() if none is needed before the next event.
+  // Runs a round of the router if there are new events or its wake-up is due. Returns nextDue().
   Instant endTurn();
+  // Returns when the next turn is needed; Instant() if none is needed before the next event.
+  Instant nextDue() const;
 
   // Returns whether any group is at a degradation level above 0.
   bool isDegraded() const { return degradation_.isDegraded(); }
--- a/src/upstream/postgres/connection_pool.cpp
+++ b/src/upstream/postgres/connection_pool.cpp
@@ -30,14 +30,16 @@
   }
   const NodeConnectionId id = state.idle.back();
   state.idle.pop_back();
-  assignAttempt(id, connections_.at(id), attemptId);
+  NodeConnection& connection = connections_.at(id);
+  if (!assignAttempt(id, connection, attemptId)) makeIdle(id, connection);
 }
 
-// Opens a connection for each waiting attempt that no connection being opened or resynchronized will serve.
+// Opens a connection for each waiting attempt that no other connection will serve soon: one that is being
+// opened or resynchronized, or is ready.
 // An attempt that can't get a connection ends as not sent, so that the router decides again. Prevents running
 // out of descriptors. Trade-off: attempts are not sent while all connections are busy.
 void ConnectionPool::openConnections(const NodeId& node, NodeState& state) {
-  while (state.opening + state.resyncing < state.waiting.size()) {
+  while (state.opening + state.resyncing + state.ready < state.waiting.size()) {
     if (connections_.size() >= limits_.maxConnections) {
       if (closeLongestIdle()) continue;
       const AttemptId attemptId = state.waiting.back();
@@ -80,7 +82,8 @@
 
 // --- Writing
 
-void ConnectionPool::assignAttempt(NodeConnectionId id, NodeConnection& connection, AttemptId attemptId) {
+// Writes the attempt or health check. Returns false if it must not be sent: it has then ended.
+bool ConnectionPool::assignAttempt(NodeConnectionId id, NodeConnection& connection, AttemptId attemptId) {
   const bool isHealthCheck = attemptId.isHealthCheck();
   // The node's timeout is the time that this router waits for the answer, in whole milliseconds.
   const auto* attempt = transactions_.attempt(attemptId);
@@ -88,13 +91,16 @@
   const std::int64_t timeoutMillis = attempt ? std::max<std::int64_t>(1, remaining.inMicros() / 1000) : 0;
   if (!isHealthCheck && !transactions_.maySend(attemptId, connection.node, Duration::millis(timeoutMillis))) {
     transactions_.onAttemptEnded(attemptId, connection.node, AttemptOutcome::notSent);
-    return release(id, connection);
+    return false;
   }
   connection.stage = Stage::busy;
   connection.attemptId = attemptId;
   connection.isFullyWritten = connection.isAnswerPartial = false;
-  if (isHealthCheck) return writeHealthCheck(id, connection);
-  writeAttempt(id, connection, timeoutMillis);
+  if (isHealthCheck)
+    writeHealthCheck(id, connection);
+  else
+    writeAttempt(id, connection, timeoutMillis);
+  return true;
 }
 
 void ConnectionPool::writeHealthCheck(NodeConnectionId id, NodeConnection& connection) {
@@ -133,20 +139,45 @@
     setDeadline(id, connection, transactions_.attempt(connection.attemptId)->abandonAt);
 }
 
-// The connection has no attempt: assigns the next waiting one, or makes the connection idle.
+// The connection has no attempt any more. An attempt that waits for it gets it at the end of the turn.
 void ConnectionPool::release(NodeConnectionId id, NodeConnection& connection) {
   NodeState& state = nodeStates_.at(connection.node);
-  connection.stage = Stage::idle;
+  if (state.waiting.size() <= state.ready) return makeIdle(id, connection);
+  connection.stage = Stage::ready;
+  ++state.ready;
+  ready_.push_back(id);
+  // The turn ends before this.
+  setDeadline(id, connection, transactions_.now() + limits_.connectTimeout);
+}
+
+void ConnectionPool::sendWaiting() {
+  for (const NodeConnectionId id : std::exchange(ready_, {})) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) continue;
+    --nodeStates_.at(found->second.node).ready;
+    assignWaiting(id, found->second);
+  }
+}
+
+// Assigns the attempt that has waited longest and may still be sent, or makes the connection idle.
+void ConnectionPool::assignWaiting(NodeConnectionId id, NodeConnection& connection) {
+  NodeState& state = nodeStates_.at(connection.node);
   while (!state.waiting.empty()) {
     const AttemptId attemptId = state.waiting.front();
     state.waiting.pop_front();
     const auto* attempt = transactions_.attempt(attemptId);
-    const bool isHealthCheck = attemptId.isHealthCheck();
-    if (isHealthCheck || (attempt && attempt->sendBy > transactions_.now()))
-      return assignAttempt(id, connection, attemptId);
-    transactions_.onAttemptEnded(attemptId, connection.node, AttemptOutcome::notSent);
+    const bool isInTime = attemptId.isHealthCheck() || (attempt && attempt->sendBy > transactions_.now());
+    if (!isInTime)
+      transactions_.onAttemptEnded(attemptId, connection.node, AttemptOutcome::notSent);
+    else if (assignAttempt(id, connection, attemptId))
+      return;
   }
-  state.idle.push_back(id);
+  makeIdle(id, connection);
+}
+
+void ConnectionPool::makeIdle(NodeConnectionId id, NodeConnection& connection) {
+  connection.stage = Stage::idle;
+  nodeStates_.at(connection.node).idle.push_back(id);
   setDeadline(id, connection, transactions_.now() + limits_.idleTimeout * kIdleFraction);
   if (endpoints_.isDraining(connection.node)) close(id, ConnectionCloseReason::nodeDrained);
 }
@@ -186,6 +217,10 @@
     case Stage::idle:
       std::erase(state.idle, id);
       break;
+    case Stage::ready:
+      --state.ready;
+      openConnections(closed.node, state);
+      break;
     case Stage::busy:
       connectionsByAttempt_.erase(closed.attemptId);
       transactions_.onAttemptEnded(closed.attemptId, closed.node, outcomeOf(reason, closed.isFullyWritten));
@@ -206,14 +241,20 @@
   if (reason != ConnectionCloseReason::nodeDrained && std::exchange(state.isReachable, false))
     effects_.log("node " + closed.node + " is unreachable: " + std::string(nameOf(reason)));
   --state.opening;
-  if (state.opening + state.resyncing >= state.waiting.size()) return;
+  if (state.opening + state.resyncing + state.ready >= state.waiting.size()) return;
   const AttemptId attemptId = state.waiting.front();
   state.waiting.pop_front();
   transactions_.onAttemptEnded(attemptId, closed.node, outcomeOfUnwritten(reason));
 }
 
-void ConnectionPool::closeIdle(NodeState& state) {
+// Closes the connections to the node that carry no attempt.
+void ConnectionPool::closeUnused(const NodeId& node, NodeState& state) {
   while (!state.idle.empty()) close(NodeConnectionId(state.idle.back()), ConnectionCloseReason::nodeDrained);
+  for (const NodeConnectionId id : std::vector(ready_)) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end() && found->second.node == node)
+      close(id, ConnectionCloseReason::nodeDrained);
+  }
 }
 
 void ConnectionPool::endWaiting(const NodeId& node, NodeState& state) {
@@ -223,11 +264,12 @@
 
 void ConnectionPool::onEndpointList(const std::vector<NodeId>& moved) {
   for (const NodeId& node : moved)
-    if (const auto found = nodeStates_.find(node); found != nodeStates_.end()) closeIdle(found->second);
+    if (const auto found = nodeStates_.find(node); found != nodeStates_.end())
+      closeUnused(node, found->second);
   for (auto& [node, state] : nodeStates_) {
     if (!endpoints_.isDraining(node)) continue;
     endWaiting(node, state);
-    closeIdle(state);
+    closeUnused(node, state);
   }
 }
 
@@ -280,6 +322,7 @@
     case Stage::starting:
       return ConnectionCloseReason::connectTimeout;
     case Stage::idle:
+    case Stage::ready:
       return ConnectionCloseReason::retired;
     case Stage::resyncing:
       return ConnectionCloseReason::malformed;
--- a/src/upstream/postgres/connection_pool.h
+++ b/src/upstream/postgres/connection_pool.h
@@ -4,12 +4,16 @@
 //
 //   stage       meaning                                        next stage
 //   connecting  the connection is being established            starting: it is established
-//   starting    the node's startup answer is awaited           idle or busy: the node is ready
+//   starting    the node's startup answer is awaited           idle or ready: the node is ready
 //   idle        the connection has no attempt                  busy: an attempt was assigned
+//   ready       the same, and attempts wait for a connection   busy or idle: the turn ends
 //   busy        an attempt or health check is in flight        resyncing: its answer is complete
-//   resyncing   more bytes than the answer may still arrive    idle or busy: an empty query was answered
+//   resyncing   more bytes than the answer may still arrive    idle or ready: an empty query was answered
 //
 // A connection may be closed in every stage.
+//
+// Attempts that wait are written at the end of a turn, after the router's round: by then all events of the
+// turn are known, in whichever order they arrived, and the router has withdrawn what they make invalid.
 #pragma once
 
 #include <compare>
@@ -76,12 +80,15 @@
 
   // Closes the connections whose deadline has expired.
   void endTurn();
+  // Assigns waiting attempts to the connections that became free in this turn. Must be called after the
+  // router's round.
+  void sendWaiting();
   // Returns when endTurn() has to be called next; never: no timer is pending.
   Instant nextDue() const { return deadlines_.empty() ? Instant() : deadlines_.begin()->at; }
 
  private:
   using AttemptId = transactions::AttemptId;
-  enum class Stage { connecting, starting, idle, busy, resyncing };
+  enum class Stage { connecting, starting, idle, ready, busy, resyncing };
   struct NodeConnection {
     NodeId node;
     Stage stage = Stage::connecting;
@@ -95,6 +102,7 @@
     std::deque<AttemptId> waiting;       // attempts that wait for a connection
     std::size_t opening = 0;             // connections in stage connecting or starting
     std::size_t resyncing = 0;           // connections in stage resyncing
+    std::size_t ready = 0;               // connections in stage ready
     bool isReachable = true;             // the latest connection was established
     Instant malformedLoggedAt;           // when malformed bytes of the node were last logged
     std::size_t malformedCount = 0;      // number of occurrences since then
@@ -113,7 +121,7 @@
   // Opening, writing
   void openConnections(const NodeId& node, NodeState& state);
   bool closeLongestIdle();
-  void assignAttempt(NodeConnectionId id, NodeConnection& connection, AttemptId attemptId);
+  bool assignAttempt(NodeConnectionId id, NodeConnection& connection, AttemptId attemptId);
   void writeHealthCheck(NodeConnectionId id, NodeConnection& connection);
   void writeAttempt(NodeConnectionId id, NodeConnection& connection, std::int64_t timeoutMillis);
   void setDeadline(NodeConnectionId id, NodeConnection& connection, Instant deadline);
@@ -127,6 +135,8 @@
                         const gulltrestle::postgres::Answer& answer, bool hasMoreBytes);
   void startResync(NodeConnectionId id, NodeConnection& connection, bool hasMoreBytes);
   void release(NodeConnectionId id, NodeConnection& connection);
+  void assignWaiting(NodeConnectionId id, NodeConnection& connection);
+  void makeIdle(NodeConnectionId id, NodeConnection& connection);
   void logMalformed(const NodeId& node, std::string_view fault);
 
   // Closing
@@ -134,7 +144,7 @@
   void close(NodeConnectionId id, transactions::ConnectionCloseReason reason);
   void onOpeningFailed(const NodeConnection& closed, NodeState& state,
                        transactions::ConnectionCloseReason reason);
-  void closeIdle(NodeState& state);
+  void closeUnused(const NodeId& node, NodeState& state);
   void endWaiting(const NodeId& node, NodeState& state);
   transactions::ConnectionCloseReason overdueReason(const NodeConnection& connection) const;
 
@@ -144,6 +154,7 @@
   Effects& effects_;
   std::map<NodeConnectionId, NodeConnection> connections_;
   std::map<NodeId, NodeState> nodeStates_;
+  std::vector<NodeConnectionId> ready_;  // connections that entered stage ready in this turn, in that order
   std::map<AttemptId, NodeConnectionId, AttemptOrder>
       connectionsByAttempt_;      // connection of each attempt in flight
   std::set<Deadline> deadlines_;  // deadlines of connections_
--- a/src/upstream/postgres/node_answers.cpp
+++ b/src/upstream/postgres/node_answers.cpp
@@ -72,6 +72,7 @@
       return consumeResyncAnswer(id, connection, bytes);
     case Stage::connecting:
     case Stage::idle:
+    case Stage::ready:
       break;
   }
   if (bytes.empty()) return false;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -96,7 +96,6 @@
     router.resume();
     router.waitUntilIdle();
     staying.send(statement("next", "read"));
-    // If the greeting is first, the statement is sent before the reset is seen.
     std::cout << (resetFirst ? "reset first: " : "greeting first: ") << staying.answer()
               << "the node received " << node.receivedKeys() << "\n";
   }
@@ -318,27 +317,36 @@
 }
 
 // Guards against data from before a hand-over (review case 7): a linearizable read waits for a connection to
-// the primary, which reports in another answer that it is a replica before that connection is established.
+// the primary, which reports in another answer that it is a replica before that connection is established: in
+// an earlier turn, or in the same one, because the program was suspended meanwhile.
 void roleLostWhileConnecting() {
-  FakeNode previous({"closes"}, 1), current;
-  FakeServer discovery(silentDiscovery);
-  Program router(discovery.port(),
-                 endpointListJson(1, endpointEntryJson(previous.server(), "s-1", "up") + "," +
-                                         endpointEntryJson(current.server(), "s-2", "up", "replica")),
-                 20000);
-  Peer first = router.client(), second = router.client();
-  first.send(statement("closes", "read"));
-  previous.events.waitFor("received closes");
-  second.send(statement("second", "read"));
-  previous.events.waitFor("connection", 2);
-  previous.becomeReplica();
-  previous.releaseAnswer("closes");
-  std::cout << first.answer() << "\n";
-  router.waitUntilIdle();
-  previous.events.signal("greet");
-  std::cout << second.answer() << "\n";
-  std::cout << "the previous primary received " << previous.receivedKeys() << ", the current one "
-            << current.receivedKeys() << "\n";
+  for (const bool sameTurn : {false, true}) {
+    FakeNode previous({"closes"}, 1), current;
+    FakeServer discovery(silentDiscovery);
+    Program router(discovery.port(),
+                   endpointListJson(1, endpointEntryJson(previous.server(), "s-1", "up") + "," +
+                                           endpointEntryJson(current.server(), "s-2", "up", "replica")),
+                   20000);
+    Peer first = router.client(), second = router.client();
+    first.send(statement("closes", "read"));
+    previous.events.waitFor("received closes");
+    second.send(statement("second", "read"));
+    previous.events.waitFor("connection", 2);
+    router.waitUntilIdle();
+    if (sameTurn) router.suspend();
+    previous.becomeReplica();
+    previous.releaseAnswer("closes");
+    previous.events.waitFor("answered closes");
+    if (!sameTurn) std::cout << first.answer() << "\n";
+    if (!sameTurn) router.waitUntilIdle();
+    previous.events.signal("greet");
+    previous.events.waitFor("greeted", 2);
+    if (sameTurn) router.resume();
+    if (sameTurn) std::cout << first.answer() << "\n";
+    std::cout << second.answer() << "\n";
+    std::cout << (sameTurn ? "in the same turn" : "in an earlier turn") << ": the previous primary received "
+              << previous.receivedKeys() << ", the current one " << current.receivedKeys() << "\n";
+  }
 }
 
 // The first attempt may have been executed, and its retry waits for a connection until the deduplication
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -24,6 +24,8 @@
       {"role-lost-before-connected", roleLostBeforeConnected},
       {"primary-replaced-before-connected", primaryReplacedBeforeConnected},
       {"position-lost-before-connected", positionLostBeforeConnected},
+      {"role-lost-in-turn-of-connection", roleLostInTurnOfConnection},
+      {"answer-in-turn-of-hedge-connection", answerInTurnOfHedgeConnection},
       {"role-lost-while-partly-written", roleLostWhilePartlyWritten},
       {"idle-node-connections", idleNodeConnections},
       {"bytes-after-answers", bytesAfterAnswers},
--- a/tests/gateway/bench.cpp
+++ b/tests/gateway/bench.cpp
@@ -185,6 +185,13 @@
   runUntilIdle();
 }
 
+void GatewayBench::inOneTurn(const std::function<void()>& calls) {
+  collectsEvents_ = true;
+  calls();
+  collectsEvents_ = false;
+  runUntilIdle();
+}
+
 void GatewayBench::advance(std::int64_t millis) {
   const Instant until = now_ + ms(millis);
   while (next_ != Instant() && next_ <= until) {
@@ -208,9 +215,14 @@
 }
 
 void GatewayBench::runUntilIdle() {
+  if (collectsEvents_) return;
   turn();
-  for (const NodeConnectionId connection : std::exchange(emptyQueries_, {}))
-    if (answersEmptyQueries) gateway_.nodeReceived(now_, connection, emptyQueryAnswer());
+  const auto emptyQueries = std::exchange(emptyQueries_, {});
+  if (answersEmptyQueries && !emptyQueries.empty()) {
+    for (const NodeConnectionId connection : emptyQueries)
+      gateway_.nodeReceived(now_, connection, emptyQueryAnswer());
+    turn();
+  }
   for (const ClientId client : std::exchange(clientsToRead_, {})) offerClientBytes(client);
   while (next_ != Instant() && next_ <= now_) turn();
 }
--- a/tests/gateway/bench.h
+++ b/tests/gateway/bench.h
@@ -3,6 +3,7 @@
 // Client 1 is printed as c1, the connection to a node with the id 1 as l1.
 #pragma once
 
+#include <functional>
 #include <iostream>
 #include <map>
 #include <string>
@@ -93,6 +94,8 @@
   void shutDown();
   void loadConfig(const std::string& discovery, const std::vector<std::string>& keysNeedingRestart = {});
   void rejectConfig(const std::string& fault);
+  // Delivers the events of these calls in one turn.
+  void inOneTurn(const std::function<void()>& calls);
   // Advances the clock, and runs each turn that becomes due.
   void advance(std::int64_t millis);
 
@@ -129,6 +132,7 @@
 
   static constexpr Instant kStart = Instant::atMicros(1'700'000'000'000'000);
   Instant now_ = kStart, next_;
+  bool collectsEvents_ = false;  // until the calls of inOneTurn() have been made
   NodeConnectionId lastConnection_ = 0;
   std::map<std::string, NodeConnectionId> lastConnectionTo_;  // by address
   std::map<ClientId, std::string> unconsumed_;                // bytes sent by each client
--- a/tests/gateway/cases.h
+++ b/tests/gateway/cases.h
@@ -24,6 +24,8 @@
 void roleLostBeforeConnected();
 void primaryReplacedBeforeConnected();
 void positionLostBeforeConnected();
+void roleLostInTurnOfConnection();
+void answerInTurnOfHedgeConnection();
 void roleLostWhilePartlyWritten();
 
 // node_connections.cpp
--- a/tests/gateway/node_changes.cpp
+++ b/tests/gateway/node_changes.cpp
@@ -97,6 +97,45 @@
   }
 }
 
+// Guards against data from before the hand-over at a router that stood still: it found the report of the
+// loss and the connection in one turn, and wrote the read before it took the report into account.
+void roleLostInTurnOfConnection() {
+  for (const bool isAnswerFirst : {true, false}) {
+    GatewayBench bench;
+    bench.answersEmptyQueries = false;
+    bench.describe(isAnswerFirst ? "in one turn: p reports that it is a replica, then the connection is up"
+                                 : "the same, the connection first");
+    queueAtPrimary(bench, readQuery("second", "latest"));
+    bench.advance(40);
+    bench.inOneTurn([&] {
+      if (!isAnswerFirst) bench.connectNode(2);
+      bench.answer(1, answerOf("v", "replica"));
+      if (isAnswerFirst) bench.connectNode(2);
+    });
+  }
+}
+
+// Guards against a hedge that is written although the first attempt's answer has arrived, in the same turn as
+// the connection for the hedge.
+void answerInTurnOfHedgeConnection() {
+  for (const bool isAnswerFirst : {true, false}) {
+    GatewayBench bench;
+    bench.openClient(1, readQuery("usual"));
+    bench.connectNode(1);
+    bench.answer(1, rowAnswer("quick"));
+    bench.describe(isAnswerFirst ? "in one turn: the answer to the read, then the connection for its hedge"
+                                 : "the same, the connection first");
+    bench.sendFromClient(1, readQuery("second"));
+    bench.updateEndpoints(EndpointUpdateKind::delta, {"b"});
+    bench.advance(250);
+    bench.inOneTurn([&] {
+      if (!isAnswerFirst) bench.connectNode(bench.connectionTo("b"));
+      bench.answer(1, rowAnswer("body"));
+      if (isAnswerFirst) bench.connectNode(bench.connectionTo("b"));
+    });
+  }
+}
+
 // Bytes of a statement that the node has not received completely can be withheld, as it was not executed.
 void roleLostWhilePartlyWritten() {
   GatewayBench bench;
