External processor: a lease for a read that needs the primary is valid for 50 ms at the most

A lease can't be withdrawn, and was valid for up to half of the drain grace period (500 ms): a proxy that waited for a connection sent a linearizable read to a node that had reported in the meantime that it is a replica.

Change: a lease for a read at the primary, linearizable or in place of a replica, is limited to half of the 100 ms after which a reported role counts as known; the other half is for transit, as with drains. Writes keep theirs, as they have no effect at a replica. Price: a proxy that waits longer for a connection requests another lease for such a read.

Test: ext_proc.role-changes-limit-leases, seen to fail before (500 ms, twice). Not shown with a real proxy's late write: the bound is computed, not observed.

--- a/src/endpoint_leases/lease_duration.cpp
+++ b/src/endpoint_leases/lease_duration.cpp
@@ -6,13 +6,16 @@
 
 namespace {
 
-// The fraction of the grace period that a lease may use. The other half covers the delays between granting
-// the lease and the node: the answer's transit to the proxy, the proxy's queue, and the transit of the first
-// byte to the node. Prevents new attempts at a draining node after its grace period if the announcement of a
-// drain and a lease cross in transit. Trade-off: proxies that wait longer for a connection must retry, with
-// nothing written.
+// The fraction that a lease may use of a drain's grace period, and of the time until a reported role counts
+// as known. The other half covers the delays between granting the lease and the node: the answer's transit to
+// the proxy, the proxy's queue, and the transit of the first byte to the node. Prevents new attempts at a
+// draining node after its grace period if the announcement of a drain and a lease cross in transit.
+// Trade-off: proxies that wait longer for a connection must retry, with nothing written.
 constexpr double kGraceFraction = 0.5;
 
+// A role that a node reports counts as known this long after the report was written.
+constexpr Duration kRoleReportDelay = Duration::millis(100);
+
 // A shorter lease is not granted because it would expire in transit.
 constexpr Duration kMinLease = Duration::millis(5);
 
@@ -36,9 +39,14 @@
 // from then on, and a lease must be used before that period can end. Trade-off: during a long outage of
 // discovery, if the rule counts lists that were never received, no lease is granted eventually and requests
 // are rejected.
-Duration leaseDuration(Instant now, Instant sendBy, const DrainRule& rule, const EndpointListAge& list) {
+Duration leaseDuration(Instant now, Instant sendBy, RoleRequirement role, const DrainRule& rule,
+                       const EndpointListAge& list) {
   const Duration graceForLease = rule.grace * kGraceFraction;
   Duration duration = std::min(graceForLease, sendBy - now);
+  // Prevents reads of old data at a former primary. Trade-off: proxies that wait longer for a connection must
+  // request another lease for such a read.
+  if (role == RoleRequirement::primaryForRead)
+    duration = std::min(duration, kRoleReportDelay * kGraceFraction);
   const bool isListOverdue =
       list.lastActivityAt != Instant() && now - list.lastActivityAt > list.keepaliveInterval;
   if (rule.notificationBound > Duration() && isListOverdue)
--- a/src/endpoint_leases/lease_duration.h
+++ b/src/endpoint_leases/lease_duration.h
@@ -3,7 +3,8 @@
 //
 // A lease can't be revoked: the decision made when it is granted applies for as long as it is valid. The
 // lease is therefore short enough that, if a drain is announced right after it was granted, nothing is sent
-// past the drain's grace period.
+// past the drain's grace period, and if the node reports then that it is not primary, no read that needs the
+// primary is sent once that report counts as known.
 #pragma once
 
 #include "base/time.h"
@@ -26,9 +27,13 @@
   Duration keepaliveInterval = Duration::millis(2000);  // interval at which a watch sends data
 };
 
+// Whether a lease is for a read that the node may answer only while it is primary.
+enum class RoleRequirement { none, primaryForRead };
+
 // Returns how long from `now` a lease is valid; zero if it would be useless and must not be granted.
 // `sendBy`: the time by which the router requires the attempt to be sent.
-Duration leaseDuration(Instant now, Instant sendBy, const DrainRule& rule, const EndpointListAge& list);
+Duration leaseDuration(Instant now, Instant sendBy, RoleRequirement role, const DrainRule& rule,
+                       const EndpointListAge& list);
 
 // How long a proxy waits for an answer to its message.
 struct MessageTimeout {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -147,13 +147,10 @@
 
 std::optional<InFlightAttempt> Router::State::takeInFlight(NodeState& node, TxnId transaction,
                                                            unsigned attempt) {
-  std::vector<InFlightAttempt>& attempts = node.inFlightAttempts;
-  const auto found = std::find_if(attempts.begin(), attempts.end(), [&](const InFlightAttempt& other) {
-    return other.transaction == transaction && other.number == attempt;
-  });
-  if (found == attempts.end()) return std::nullopt;
+  const InFlightAttempt* found = node.findInFlight(transaction, attempt);
+  if (!found) return std::nullopt;
   const InFlightAttempt taken = *found;
-  attempts.erase(found);
+  node.inFlightAttempts.erase(node.inFlightAttempts.begin() + (found - node.inFlightAttempts.data()));
   return taken;
 }
 
@@ -281,11 +278,15 @@
 bool Router::isSelectionValid(TxnId transaction, unsigned attempt, const NodeId& node) const {
   const auto found = state_->shared.nodes.find(node);
   if (found == state_->shared.nodes.end()) return false;
-  const std::vector<InFlightAttempt>& attempts = found->second.inFlightAttempts;
-  return std::any_of(attempts.begin(), attempts.end(), [&](const InFlightAttempt& other) {
-    return other.transaction == transaction && other.number == attempt &&
-           state_->validity.isValid(found->second, other);
-  });
+  const InFlightAttempt* sent = found->second.findInFlight(transaction, attempt);
+  return sent && state_->validity.isValid(found->second, *sent);
+}
+
+bool Router::requiresPrimary(TxnId transaction, unsigned attempt, const NodeId& node) const {
+  const auto found = state_->shared.nodes.find(node);
+  if (found == state_->shared.nodes.end()) return false;
+  const InFlightAttempt* sent = found->second.findInFlight(transaction, attempt);
+  return sent && sent->basis == routing::SelectionBasis::primary;
 }
 
 }  // namespace gulltrestle
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -25,6 +25,14 @@
   return samples.empty() || now - samples.back().at > kSampleLifetime;
 }
 
+const InFlightAttempt* NodeState::findInFlight(TxnId transaction, unsigned number) const {
+  const auto found =
+      std::find_if(inFlightAttempts.begin(), inFlightAttempts.end(), [&](const InFlightAttempt& attempt) {
+        return attempt.transaction == transaction && attempt.number == number;
+      });
+  return found == inFlightAttempts.end() ? nullptr : &*found;
+}
+
 bool PendingTransaction::wasAttemptedAt(const NodeState& node) const {
   return std::find(attemptedNodes.begin(), attemptedNodes.end(), &node) != attemptedNodes.end();
 }
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -90,6 +90,8 @@
   unsigned consecutiveErrors = 0;  // since its last answer
   std::vector<InFlightAttempt> inFlightAttempts;  // in the order of sending
 
+  // Null if the attempt is not in flight at this node.
+  const InFlightAttempt* findInFlight(TxnId transaction, unsigned number) const;
   // Whether it was primary according to its latest report.
   bool isKnownPrimary() const { return lastKnownPrimaryAt > lastKnownReplicaAt; }
   // Whether it is listed as primary and has not been known as a replica: endpoint lists are late.
--- a/src/transactions/transaction_table.cpp
+++ b/src/transactions/transaction_table.cpp
@@ -118,6 +118,12 @@
                      [&](const auto& entry) { return entry.second.hasAttemptInFlightAt(nodes); });
 }
 
+bool TransactionTable::isReadAtPrimary(AttemptId attemptId, const NodeId& node) const {
+  const OpenTransaction* open = find(attemptId.txn);
+  return open && transactionClasses_.at(open->transactionClass).level != ReadLevel::write &&
+         router_.requiresPrimary(attemptId.txn, attemptId.attempt, node);
+}
+
 bool TransactionTable::maySend(AttemptId attemptId, const NodeId& node, Duration timeoutSent) {
   const AttemptRecord* attempt = this->attempt(attemptId);
   if (!attempt) return false;
--- a/src/transactions/transaction_table.h
+++ b/src/transactions/transaction_table.h
@@ -100,6 +100,8 @@
   const AttemptRecord* attempt(AttemptId attemptId) const;
   // Returns whether the transaction still awaits its final answer.
   bool isAnswerPending(TxnId txn) const;
+  // Whether the attempt is a read that the node may answer only while it is primary.
+  bool isReadAtPrimary(AttemptId attemptId, const NodeId& node) const;
   // Must be called right before an attempt is sent to its node with `timeoutSent` as its time limit. If it
   // returns false, the attempt must not be sent and must end as notSent: the node no longer qualifies for it,
   // or a rule of invariants.h would be violated.
--- a/src/upstream/delegated/delegated_transport.cpp
+++ b/src/upstream/delegated/delegated_transport.cpp
@@ -11,7 +11,10 @@
   if (!attempt || !endpoint || transactions_.endpoints().isDraining(node) || leases_.contains(attemptId.txn))
     return transactions_.onAttemptEnded(attemptId, node, AttemptOutcome::notSent);
   const Instant now = transactions_.now(), reportBy = attempt->abandonAt;
-  const Duration duration = endpoint_leases::leaseDuration(now, attempt->sendBy, drainRule_, listAge_);
+  const auto role = transactions_.isReadAtPrimary(attemptId, node)
+                        ? endpoint_leases::RoleRequirement::primaryForRead
+                        : endpoint_leases::RoleRequirement::none;
+  const Duration duration = endpoint_leases::leaseDuration(now, attempt->sendBy, role, drainRule_, listAge_);
   if (duration == Duration() || !transactions_.maySend(attemptId, node, reportBy - now))
     return transactions_.onAttemptEnded(attemptId, node, AttemptOutcome::notSent);
   // Stored before the call, because the handler may report the lease from within it.
--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -15,6 +15,7 @@
                                                 {"rejects-malformed-messages", rejectsMalformedMessages},
                                                 {"unreported-outcomes", unreportedOutcomes},
                                                 {"drains-limit-leases", drainsLimitLeases},
+                                                {"role-changes-limit-leases", roleChangesLimitLeases},
                                                 {"stream-and-memory-limits", streamAndMemoryLimits},
                                                 {"config-file", configFile},
                                                 {"same-decisions-as-postgres", sameDecisionsAsPostgres}};
--- a/tests/ext_proc/bench.cpp
+++ b/tests/ext_proc/bench.cpp
@@ -8,11 +8,12 @@
   return trace::defaultConfig({trace::transactionClass(ReadLevel::any),
                                trace::transactionClass(ReadLevel::bounded),
                                trace::transactionClass(ReadLevel::session),
-                               trace::transactionClass(ReadLevel::write, Effect::atMostOnce)});
+                               trace::transactionClass(ReadLevel::write, Effect::atMostOnce),
+                               trace::transactionClass(ReadLevel::linearizable)});
 }
 
 const std::vector<std::string>& classNames() {
-  static const std::vector<std::string> kNames{"any", "bounded", "session", "charge"};
+  static const std::vector<std::string> kNames{"any", "bounded", "session", "charge", "latest"};
   return kNames;
 }
 
--- a/tests/ext_proc/bench.h
+++ b/tests/ext_proc/bench.h
@@ -20,8 +20,8 @@
 namespace wire = gulltrestle::ext_proc;
 using wire::Phase;
 
-// Configuration with the transaction classes any, bounded and session, which are reads, and charge, a write
-// that executes at most once.
+// Configuration with the transaction classes any, bounded, session and latest, which are reads, and charge, a
+// write that executes at most once.
 RoutingConfig routingConfig();
 const std::vector<std::string>& classNames();
 std::string addressOf(const std::string& node);
--- a/tests/ext_proc/cases.h
+++ b/tests/ext_proc/cases.h
@@ -14,6 +14,7 @@
 void rejectsMalformedMessages();
 void unreportedOutcomes();
 void drainsLimitLeases();
+void roleChangesLimitLeases();
 void streamAndMemoryLimits();
 void configFile();
 
--- a/tests/ext_proc/limits.cpp
+++ b/tests/ext_proc/limits.cpp
@@ -123,6 +123,27 @@
   harness.request(5, "r5", "any");
 }
 
+// Guards against data from before a hand-over: a lease for a read that needs the primary could be used half a
+// second after the node had reported that it is a replica.
+void roleChangesLimitLeases() {
+  ExtProcHarness harness;
+  harness.describe(
+      "reads that need the primary are leased it for less than a reported role takes to be known");
+  harness.request(1, "r1", "latest");
+  harness.request(2, "r2", "latest", {{"x-txn-patience-ms", "30"}});
+  harness.describe("a write has no effect at a replica, and a read of any age no such need");
+  harness.request(3, "r3", "charge");
+  harness.request(4, "r4", "any");
+  harness.describe("p reports that it is a replica: the next read waits for another primary");
+  harness.report(1, "committed", harness.loadReport("replica", 500));
+  harness.request(5, "r5", "latest");
+  harness.advance(30);
+  ExtProcHarness session;
+  session.describe("a session read that no replica can answer in time is leased the primary");
+  session.request(1, "r1", "session", {{"x-txn-write-age-ms", "1"}});
+  session.advance(145);
+}
+
 void streamAndMemoryLimits() {
   ExtProcSetup setup;
   setup.maxStreams = 4;
