Transaction table: withdraw() and cancel() look their attempt up by one function

The two differed in the call of the transport alone, and each had the lookup and the check that the attempt has not ended. Now attemptInFlight(). No change of behaviour.

--- a/src/transactions/transaction_rounds.cpp
+++ b/src/transactions/transaction_rounds.cpp
@@ -108,19 +108,23 @@
   open->transport->startAttempt(attemptId, node);
 }
 
-// The node's name is copied because the attempt may end, and its record be dropped, during the call.
+// Returns null if the attempt has ended.
+const AttemptRecord* TransactionTable::attemptInFlight(AttemptId attemptId) const {
+  const AttemptRecord* attempt = this->attempt(attemptId);
+  return attempt && !attempt->hasEnded ? attempt : nullptr;
+}
+
+// The next two copy the node's name because the attempt may end, and its record be dropped, during the call.
 void TransactionTable::withdraw(TxnId txn, unsigned number) {
   const AttemptId attemptId{txn, number};
-  const AttemptRecord* attempt = this->attempt(attemptId);
-  if (!attempt || attempt->hasEnded) return;
-  openTransactions_.at(txn).transport->withdrawAttempt(attemptId, NodeId(attempt->node));
+  if (const AttemptRecord* attempt = attemptInFlight(attemptId))
+    openTransactions_.at(txn).transport->withdrawAttempt(attemptId, NodeId(attempt->node));
 }
 
 void TransactionTable::cancel(TxnId txn, unsigned number) {
   const AttemptId attemptId{txn, number};
-  const AttemptRecord* attempt = this->attempt(attemptId);
-  if (!attempt || attempt->hasEnded) return;
-  openTransactions_.at(txn).transport->cancelAttempt(attemptId, NodeId(attempt->node));
+  if (const AttemptRecord* attempt = attemptInFlight(attemptId))
+    openTransactions_.at(txn).transport->cancelAttempt(attemptId, NodeId(attempt->node));
 }
 
 void TransactionTable::reject(TxnId txn, Duration retryAfter) {
--- a/src/transactions/transaction_table.h
+++ b/src/transactions/transaction_table.h
@@ -184,6 +184,7 @@
   void notifyAdmissionController(OpenTransaction& open, bool isCommitted);
   void traceAnswer(TxnId txn, std::string_view answer, unsigned level = 0);
   void withdrawAttempts(TxnId txn);
+  const AttemptRecord* attemptInFlight(AttemptId attemptId) const;
   void forgetIfFinished(TxnId txn);
 
   // Gives the final answer by `answer(DownstreamHandler&, OwnerId)`, unless it was given already.
