Tests: the cases of decisions are parted by subject

The text of each case is as it was, moved by script; the 38 cases and their golden files are the same.

--- /dev/null
+++ b/tests/decisions/cases.h
@@ -0,0 +1,54 @@
+// The cases of the routing decisions. Each prints its trace.
+#pragma once
+
+namespace gulltrestle::decisions_test {
+
+// read_consistency.cpp
+void ordinaryPath();
+void staleRead();
+void sessionWriteAtOtherRouter();
+void unansweredSessionWrites();
+void repeatedSessionReads();
+void primaryClockBehind();
+void replicaLogLoss();
+void outdatedPositions();
+void laggingReplica();
+void sessionReadRetry();
+
+// retries.cpp
+void atMostOnceWrite();
+void idempotentRead();
+void deduplicatedWrite();
+void unansweredWrites();
+void lateCancelledReads();
+void inferredClientRetries();
+void hedge();
+void errorAttribution();
+void hungNode();
+
+// primary.cpp
+void newPrimary();
+void slowPrimary();
+void writeOnlyRecovery();
+void noHealthChecks();
+void clientConnectionLimit();
+void overloadedPrimary();
+
+// endpoint_lists.cpp
+void draining();
+void slowStartNode();
+void slowStartGroup();
+void stateExpiry();
+void unexpectedUpdates();
+void polledEndpointList();
+
+// load.cpp
+void shortLatencyTarget();
+void longReads();
+void reportedLoad();
+void overloadedGroup();
+void machineKinds();
+void routerStall();
+void outdatedLatencies();
+
+}  // namespace gulltrestle::decisions_test
