A turn reads an answer of a node as a whole, not its first 64 KiB

Role and position stand at the end of an answer.

Cause: a turn read a connection once, into a buffer of 64 KiB; the rest of a larger answer was read in the next turn, and what waited for a connection was written in between, on the role that had been known before.

Change: a turn reads a node's connection until nothing is left, four times at most. An answer takes two; the bound is for nodes that flood. Ordinary answers still take one read, as a read that doesn't fill the buffer ends it.

--- a/src/runtime/server/node_connections.cpp
+++ b/src/runtime/server/node_connections.cpp
@@ -10,6 +10,15 @@
 using gateway::ConnectionCloseReason;
 using gateway::NodeConnectionId;
 
+namespace {
+
+// Reads of a connection in one turn. Several times what the largest answer takes, so that a turn sees all of
+// an answer that has arrived: its end reports the node's role and position. Bounds what a flooding node
+// costs.
+constexpr int kMaxReadsPerTurn = 4;
+
+}  // namespace
+
 void NodeConnections::connect(NodeConnectionId id, const std::string& address) {
   connections_[id] = nullptr;
   loop_.spawn(serve(id, address));
@@ -70,7 +79,11 @@
     connection.flush();
     if (!connection.hasUnsent() && !connection.isBroken) gateway_.nodeWritten(loop_.now(), id);
   }
-  if (connection.stream.canRead() && !connection.isBroken)
+  const auto mayRead = [&] {
+    return connection.stream.canRead() && !connection.isBroken && !connection.hasEnded &&
+           !connection.isAborted;
+  };
+  for (int reads = 0; reads < kMaxReadsPerTurn && mayRead(); ++reads)
     connection.read([&](std::string_view bytes) { return gateway_.nodeReceived(loop_.now(), id, bytes); });
 }
 
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -379,6 +379,14 @@
   loseRoleWhileConnecting({.isSuspended = true, .isReportLast = true, .otherClients = 300});
 }
 
+// Guards against a turn that reads only a part of an answer that has arrived completely, and not the report
+// at its end. The value has the largest size allowed.
+void roleLostInLargeAnswer() {
+  constexpr std::size_t kMaxValueBytes = 64 * 1024;
+  loseRoleWhileConnecting(
+      {.isSuspended = true, .paddingBytes = kMaxValueBytes - std::string("v-closes").size()});
+}
+
 // The first attempt may have been executed, and its retry waits for a connection until the deduplication
 // window has expired.
 void deduplicationWindowExpired() {
@@ -544,6 +552,7 @@
       {"answer-while-hedge-connects", answerWhileHedgeConnects},
       {"role-lost-while-connecting", roleLostWhileConnecting},
       {"role-lost-behind-many-events", roleLostBehindManyEvents},
+      {"role-lost-in-large-answer", roleLostInLargeAnswer},
       {"deduplication-window", deduplicationWindowExpired},
       {"deduplication-window-partial-write", deduplicationWindowExpiredInWrite},
       {"broken-answers", brokenAnswers},
