--- a/tests/day.cpp
+++ b/tests/day.cpp
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -350,7 +351,21 @@
   fleet.run(floodTask);
 }
 
-// Runs several seconds of load with random faults of all kinds, from a fixed seed.
+// The faults and outcomes that randomFaultsTask() tests.
+constexpr const char* kExpectedEvents[] = {"client left before a decision", "lease expired before sending",
+                                           "reset before report",           "reported twice",
+                                           "stream lost before a decision", "final outcome refused",
+                                           "final outcome rolled-back"};
+
+bool hasOccurred(TestFleet& fleet, const std::string& event) { return fleet.proxy.eventCounts[event] > 0; }
+
+bool haveAllOccurred(TestFleet& fleet) {
+  return std::all_of(std::begin(kExpectedEvents), std::end(kExpectedEvents),
+                     [&](const char* event) { return hasOccurred(fleet, event); });
+}
+
+// Runs 7 s of load with random faults of all kinds, from a fixed seed; longer until each expected event has
+// occurred, as some are rare.
 event_loop::Task randomFaultsTask(TestFleet& fleet) {
   std::knuth_b random(16);
   const auto oneIn = [&random](unsigned count) { return random() % count == 0; };
@@ -370,7 +385,11 @@
   std::uint64_t requestsAfterDrain = 0, requestsBeforeLimit = 0;
   const Instant begin = fleet.loop.now();
   int step = 0, id = 0;
-  for (int second = 0; fleet.loop.now() < begin + ms(7000); ++step) {
+  const auto isDone = [&] {
+    const Duration elapsed = fleet.loop.now() - begin;
+    return elapsed >= ms(60'000) || (elapsed >= ms(7000) && haveAllOccurred(fleet));
+  };
+  for (int second = 0; !isDone(); ++step) {
     for (int count = static_cast<int>(random() % 4); count > 0; --count) {
       const std::string name = "t" + std::to_string(++id);
       const auto kind = random() % 10;
@@ -417,15 +436,12 @@
       fleet.firstReplica.writesAsReplicaCount + fleet.secondReplica.writesAsReplicaCount == 0);
   TestFleet::printCheck("the program ran until it was killed", keptRunning);
   TestFleet::printCheck("graceful shutdown after SIGTERM", exitedCleanly);
-  // The faults and actions that this case tests have occurred.
   TestFleet::printCheck("own-writes reads went to replicas that were health-checked",
                         fleet.ownWritesReadsAtReplicas * 2 > fleet.ownWritesReads.size() &&
                             fleet.firstReplica.healthCheckCount + fleet.secondReplica.healthCheckCount > 0);
   TestFleet::printCheck("most were committed", fleet.committedIds.size() * 2 > fleet.requestCount);
-  for (const std::string name : {"client left before a decision", "lease expired before sending",
-                                 "reset before report", "reported twice", "stream lost before a decision",
-                                 "final outcome refused", "final outcome rolled-back"})
-    TestFleet::printCheck("seen: " + name, fleet.proxy.eventCounts[name] > 0);
+  for (const char* event : kExpectedEvents)
+    TestFleet::printCheck("seen: " + std::string(event), hasOccurred(fleet, event));
   fleet.loop.stop();
 }
 
