Tests: fleet.work tells how the router of a released machine ended

The verdict did not say whether the router still ran or which exit code it had, so that causes (a shutdown of over 10 s, a sanitizer's report, a signal) looked the same. It says so now; the check is the same.

--- a/tests/fleet/work.cpp
+++ b/tests/fleet/work.cpp
@@ -330,7 +330,10 @@
   event_loop::Task reportDone(std::string name) {
     Machine& machine = machines_.at(name);
     if (name == "mb" && faultKind_ == FaultKind::routerOnMachine) {
-      if (fleet_.exitCode(3) != 0) fail("the router on a released machine has not shut down gracefully");
+      const int code = fleet_.exitCode(3);
+      if (code != 0)
+        fail("the router on a released machine has not shut down gracefully: " +
+             (code == -1 ? "it still runs" : "exit code " + std::to_string(code)));
       fleet_.start(3);
     }
     // Transactions may reach the nodes again as soon as a voter may have read the request.
