Reads don't use a node as the primary that has rejected a write as a replica

A node that lost its role says so there by rejecting a write ("25006: a write, and this is no primary"); linearizable reads, and reads that no replica could answer in time, were sent to it in the same round and later.

Cause: the outcome of a write was recorded for latencies and health, never as what it shows about the role.

Change: the rejection is recorded with the node (NodeState::rejectsWrites) until it commits a write or reports that it is the primary. For reads it then is no primary: what waits there is withdrawn, others wait while the group is checked, and the node counts among the replicas. Writes are sent as before, as a replica rejects them unexecuted. Where answers carry roles nothing changes, as the answer itself makes the node a known replica.

Test: decisions.write-rejected-without-role; before, reads 1 and 3 went to p at 305 ms and after.

--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -118,7 +118,7 @@
   scheduleRoundBy(std::max(policies_.consistency.replicaWaitEnd(transaction), state_.now + round));
   const ReadLevel level = state_.classOf(transaction).level;
   GroupState& group = state_.groupOf(transaction.request.group);
-  const NodeState* primary = policies_.selector.primaryOf(transaction.request.group);
+  const NodeState* primary = policies_.selector.primaryFor(transaction);
   if (level == ReadLevel::session || level == ReadLevel::bounded)
     policies_.health.checkPositions(group, primary);
   if (primary && policies_.health.isHealthy(*primary)) return;
--- a/src/routing/read_consistency.cpp
+++ b/src/routing/read_consistency.cpp
@@ -42,6 +42,7 @@
 void ReadConsistency::recordOutcome(NodeState& node, const EndedAttempt& attempt, const LoadReport& answer) {
   const bool isOfWrite = isWrite(attempt.sent);
   if (attempt.outcome == AttemptOutcome::wrongNode && !isOfWrite) node.lastRejectedAsStaleAt = state_.now;
+  if (isOfWrite) recordWriteOutcome(node, attempt);
   // A node that rejects stale reads and answers this one has applied the position that the read required.
   if (attempt.isCommitted() && state_.config.nodesRejectStaleReads)
     node.appliedPosition = std::max(node.appliedPosition, attempt.sent.requiredPosition);
@@ -52,6 +53,14 @@
                         attempt.isCommitted() ? answer.position.value_or(state_.now) : state_.now);
 }
 
+// Only the primary commits writes, and only other nodes reject them as the wrong node.
+void ReadConsistency::recordWriteOutcome(NodeState& node, const EndedAttempt& attempt) {
+  if (attempt.isCommitted()) node.rejectedWriteAt = Instant();
+  if (attempt.outcome != AttemptOutcome::wrongNode) return;
+  node.rejectedWriteAt = state_.now;
+  state_.changedGroups.insert(node.endpoint.group);
+}
+
 void ReadConsistency::recordReplication(NodeState& node, const LoadReport& report, Instant reportedAt,
                                         Duration maxRoundingUp) {
   const bool wasPrimary = node.isKnownPrimary() || node.isListedPrimary();
--- a/src/routing/read_consistency.h
+++ b/src/routing/read_consistency.h
@@ -49,6 +49,9 @@
   void recordReplication(NodeState& node, const LoadReport& report, Instant reportedAt,
                          Duration maxRoundingUp);
 
+  // Records what the outcome of a write shows about the role of the node.
+  void recordWriteOutcome(NodeState& node, const EndedAttempt& attempt);
+
   // Records that a write of the session was, or may have been, committed at `committedAt`. The commit is kept
   // for a minute and for a bounded number of sessions; after that it counts as a commit of every session.
   void recordSessionCommit(SessionId session, Instant committedAt);
--- a/src/routing/replica_selection.cpp
+++ b/src/routing/replica_selection.cpp
@@ -53,6 +53,12 @@
   return known ? known : listed;
 }
 
+NodeState* ReplicaSelector::primaryFor(const PendingTransaction& transaction) const {
+  NodeState* primary = primaryOf(transaction.request.group);
+  const bool isRead = state_.classOf(transaction).level != ReadLevel::write;
+  return primary && isRead && primary->rejectsWrites() ? nullptr : primary;
+}
+
 bool ReplicaSelector::hasCapacity(NodeState& node, const PendingTransaction& transaction,
                                   double stretch) const {
   const Duration bound = state_.shortestStalenessBound;
@@ -135,7 +141,7 @@
 }
 
 NodeState* ReplicaSelector::select(const PendingTransaction& transaction) {
-  NodeState* primary = primaryOf(transaction.request.group);
+  NodeState* primary = primaryFor(transaction);
   if (state_.classOf(transaction).level >= ReadLevel::linearizable)
     return primary && isUsable(*primary, transaction) ? primary : searchPrimary(transaction, primary);
   if (NodeState* replica = drawReplica(transaction, primary, DataKnowledge::known)) return replica;
--- a/src/routing/replica_selection.h
+++ b/src/routing/replica_selection.h
@@ -32,6 +32,11 @@
   // nodes. Null if no node qualifies.
   NodeState* primaryOf(GroupId group) const;
 
+  // The same for this transaction. For a read, null also if that node has rejected a write as a replica
+  // since: its data may be old. Writes are still sent there, as a replica rejects them without executing
+  // them.
+  NodeState* primaryFor(const PendingTransaction& transaction) const;
+
   // Whether the transaction may be sent to the node now, regardless of the data it has applied. `stretch` is
   // the factor by which the transaction may stay at the node for longer than usual; a value below 1 reserves
   // capacity for other transactions. May draw a random fraction.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -282,11 +282,11 @@
   return sent && state_->validity.isValid(found->second, *sent);
 }
 
-bool Router::requiresPrimary(TxnId transaction, unsigned attempt, const NodeId& node) const {
+bool Router::isReadAtPrimary(TxnId transaction, unsigned attempt, const NodeId& node) const {
   const auto found = state_->shared.nodes.find(node);
   if (found == state_->shared.nodes.end()) return false;
   const InFlightAttempt* sent = found->second.findInFlight(transaction, attempt);
-  return sent && sent->basis == routing::SelectionBasis::primary;
+  return sent && sent->basis == routing::SelectionBasis::primaryForRead;
 }
 
 }  // namespace gulltrestle
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -204,8 +204,8 @@
   // right before an attempt is written that had to wait, and may be called within a round.
   bool isSelectionValid(TxnId txn, unsigned attempt, const NodeId& node) const;
 
-  // Whether an attempt was sent to the node because it is primary. Called as above.
-  bool requiresPrimary(TxnId txn, unsigned attempt, const NodeId& node) const;
+  // Whether an attempt is a read that was sent to the node because it is primary. Called as above.
+  bool isReadAtPrimary(TxnId txn, unsigned attempt, const NodeId& node) const;
 
   // The functions below are events. They must be called only by an EventSource during runRound().
   void onEndpointList(EndpointUpdateKind kind, const std::vector<EndpointEntry>& entries);
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -31,7 +31,7 @@
 bool isOutdated(const Samples& samples, Instant now);
 
 // What the selection of a node for an attempt relies on (selection_validity.h).
-enum class SelectionBasis { none, primary, appliedPosition };
+enum class SelectionBasis { none, primary, primaryForRead, appliedPosition };
 
 // An attempt that was sent and has not ended.
 struct InFlightAttempt {
@@ -73,6 +73,7 @@
   Instant appliedPosition;  // all commits up to this time are known to be applied
   Duration replicationLag;  // lag of that position when it was reported
   Instant lastKnownPrimaryAt, lastKnownReplicaAt;
+  Instant rejectedWriteAt;  // last rejection of a write as the wrong node; never: none since its last commit
 
   Instant lastResponseAt;
   Instant lastCheckedAt;   // last health check, or write that searches for the primary
@@ -96,6 +97,9 @@
   bool isKnownPrimary() const { return lastKnownPrimaryAt > lastKnownReplicaAt; }
   // Whether it is listed as primary and has not been known as a replica: endpoint lists are late.
   bool isListedPrimary() const { return endpoint.primary && lastKnownReplicaAt == Instant(); }
+  // Whether it has rejected a write because it is a replica, and has not been primary since. Answers may
+  // carry no roles.
+  bool rejectsWrites() const { return rejectedWriteAt != Instant() && rejectedWriteAt >= lastKnownPrimaryAt; }
 };
 
 // The nodes that store the same data, and the state that they share.
--- a/src/routing/selection_validity.cpp
+++ b/src/routing/selection_validity.cpp
@@ -12,7 +12,8 @@
   const bool isPositioned = level == ReadLevel::bounded || level == ReadLevel::session;
   if (isPositioned && node.appliedPosition >= state_.requiredPosition(transaction))
     return state_.config.nodesRejectStaleReads ? SelectionBasis::none : SelectionBasis::appliedPosition;
-  return isCurrentPrimary(node) ? SelectionBasis::primary : SelectionBasis::none;
+  if (!isCurrentPrimary(node)) return SelectionBasis::none;
+  return level == ReadLevel::write ? SelectionBasis::primary : SelectionBasis::primaryForRead;
 }
 
 bool SelectionValidity::isValid(const NodeState& node, const InFlightAttempt& attempt) const {
@@ -21,6 +22,8 @@
       return true;
     case SelectionBasis::primary:
       return isCurrentPrimary(node);
+    case SelectionBasis::primaryForRead:
+      return isCurrentPrimary(node) && !node.rejectsWrites();
     case SelectionBasis::appliedPosition:
       return node.appliedPosition >= attempt.requiredPosition;
   }
--- a/src/routing/selection_validity.h
+++ b/src/routing/selection_validity.h
@@ -4,8 +4,10 @@
 //   basis           | selected on this basis                         | invalid once
 //   none            | reads of level any, searches for the primary,  | never
 //                   | reads whose position the node itself checks    |
-//   primary         | writes, linearizable reads, reads that no      | the node is known as a replica, or
-//                   | replica could answer in time                   | another one is known as primary since
+//   primary         | writes                                         | the node is known as a replica, or
+//                   |                                                | another one is known as primary since
+//   primaryForRead  | linearizable reads, reads that no replica      | the same, or the node has rejected a
+//                   | could answer in time                           | write as a replica
 //   appliedPosition | bounded and session reads                      | the node's position is unknown again
 #pragma once
 
--- a/src/transactions/transaction_table.cpp
+++ b/src/transactions/transaction_table.cpp
@@ -119,9 +119,7 @@
 }
 
 bool TransactionTable::isReadAtPrimary(AttemptId attemptId, const NodeId& node) const {
-  const OpenTransaction* open = find(attemptId.txn);
-  return open && transactionClasses_.at(open->transactionClass).level != ReadLevel::write &&
-         router_.requiresPrimary(attemptId.txn, attemptId.attempt, node);
+  return router_.isReadAtPrimary(attemptId.txn, attemptId.attempt, node);
 }
 
 bool TransactionTable::maySend(AttemptId attemptId, const NodeId& node, Duration timeoutSent) {
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -18,6 +18,7 @@
                                                 {"draining", draining},
                                                 {"slow-start-node", slowStartNode},
                                                 {"new-primary", newPrimary},
+                                                {"write-rejected-without-role", writeRejectedWithoutRole},
                                                 {"hung-node", hungNode},
                                                 {"slow-primary", slowPrimary},
                                                 {"client-connection-limit", clientConnectionLimit},
--- a/tests/decisions/cases.h
+++ b/tests/decisions/cases.h
@@ -28,6 +28,7 @@
 
 // primary.cpp
 void newPrimary();
+void writeRejectedWithoutRole();
 void slowPrimary();
 void writeOnlyRecovery();
 void noHealthChecks();
--- a/tests/decisions/primary.cpp
+++ b/tests/decisions/primary.cpp
@@ -25,6 +25,46 @@
   });
 }
 
+// Guards against reads at a node that has shown by the rejection of a write that it is a replica, where
+// answers carry no roles.
+void writeRejectedWithoutRole() {
+  RouterHarness harness(defaultConfig({kWrite, transactionClass(ReadLevel::linearizable), kSession}));
+  startGroup(harness);
+  harness.describe(
+      "p rejects a write, without a role: the read that was sent there is withdrawn, others are queued, and "
+      "the group is checked");
+  harness.at(300, [&](Router& r) {
+    r.onTransaction(harness.txn(1, 1));
+    r.onTransaction(harness.txn(2));
+  });
+  harness.at(305, [&](Router& r) {
+    endAttempt(harness, r, 2, AttemptOutcome::wrongNode, Role::unknown);
+    r.onTransaction(harness.txn(3, 1));
+  });
+  harness.at(310, [&](Router& r) {
+    r.onAttemptEnded(1, 0, "p", AttemptOutcome::notSent, false, ms(10), {}, {});
+    r.onTransaction(harness.sessionRead(4, 2, 10));
+  });
+  harness.run(315, 500);
+  harness.describe("b reports that it is the primary");
+  harness.at(505, [&](Router& r) {
+    r.onHealthCheckEnded("b", AttemptOutcome::committed, harness.loadReport(Role::primary, 500));
+  });
+  harness.at(510, [&](Router& r) {
+    for (const TxnId read : {1, 3})
+      r.onAttemptEnded(read, read == 1 ? 1 : 0, harness.nodeOf(read), AttemptOutcome::committed, true, ms(5),
+                       {}, {});
+  });
+  harness.describe("p commits a write: it is the primary again for reads, too");
+  RouterHarness again(defaultConfig({kWrite, transactionClass(ReadLevel::linearizable)}));
+  startGroup(again);
+  again.hidesHealthChecks = true;
+  again.at(300, [&](Router& r) { r.onTransaction(again.txn(1)); });
+  again.at(305, [&](Router& r) { endAttempt(again, r, 1, AttemptOutcome::wrongNode, Role::unknown); });
+  again.at(310, [&](Router& r) { r.onTransaction(again.txn(2, 1)); });
+  again.at(315, [&](Router& r) { endAttempt(again, r, 1, AttemptOutcome::committed, Role::unknown, 1); });
+}
+
 void slowPrimary() {
   auto config = defaultConfig({kWrite});
   config.maxOpenTransactions = 100;
