A commit of a write that was sent before a rejection doesn't make the node primary again

What callers could see, by the form of: in a hand-over a slow answer to a write from before it arrives after another write was rejected (25006, without a role); reads went to the former primary again.

Cause: any commit took the rejection back, whichever was sent first; answers on two connections arrive in any order.

Change: only a write that was sent after the rejection was known takes it back, if it commits.

Test: decisions.write-rejected-without-role has that order now; before, read 3 went to p at 315 ms, by the answer to a write sent at 300 ms, now at 320 ms, by one sent at 305.

--- a/src/routing/read_consistency.cpp
+++ b/src/routing/read_consistency.cpp
@@ -53,9 +53,10 @@
                         attempt.isCommitted() ? answer.position.value_or(state_.now) : state_.now);
 }
 
-// Only the primary commits writes, and only other nodes reject them as the wrong node.
+// Only the primary commits writes, and only other nodes reject them as the wrong node. Answers may arrive in
+// another order than they were given: a write that was sent before the rejection shows nothing.
 void ReadConsistency::recordWriteOutcome(NodeState& node, const EndedAttempt& attempt) {
-  if (attempt.isCommitted()) node.rejectedWriteAt = Instant();
+  if (attempt.isCommitted() && attempt.sent.sentAt >= node.rejectedWriteAt) node.rejectedWriteAt = Instant();
   if (attempt.outcome != AttemptOutcome::wrongNode) return;
   node.rejectedWriteAt = state_.now;
   state_.changedGroups.insert(node.endpoint.group);
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -73,7 +73,9 @@
   Instant appliedPosition;  // all commits up to this time are known to be applied
   Duration replicationLag;  // lag of that position when it was reported
   Instant lastKnownPrimaryAt, lastKnownReplicaAt;
-  Instant rejectedWriteAt;  // last rejection of a write as the wrong node; never: none since its last commit
+  // Last rejection of a write as the wrong node; never: none, or it has committed a write that was sent
+  // later.
+  Instant rejectedWriteAt;
 
   Instant lastResponseAt;
   Instant lastCheckedAt;   // last health check, or write that searches for the primary
--- a/tests/decisions/primary.cpp
+++ b/tests/decisions/primary.cpp
@@ -55,14 +55,21 @@
       r.onAttemptEnded(read, read == 1 ? 1 : 0, harness.nodeOf(read), AttemptOutcome::committed, true, ms(5),
                        {}, {});
   });
-  harness.describe("p commits a write: it is the primary again for reads, too");
+  harness.describe(
+      "p commits a write that was sent before the rejection: no primary for reads yet; then one that was "
+      "sent "
+      "later: it is");
   RouterHarness again(defaultConfig({kWrite, transactionClass(ReadLevel::linearizable)}));
   startGroup(again);
   again.hidesHealthChecks = true;
-  again.at(300, [&](Router& r) { r.onTransaction(again.txn(1)); });
+  again.at(300, [&](Router& r) {
+    r.onTransaction(again.txn(1));
+    r.onTransaction(again.txn(2));
+  });
   again.at(305, [&](Router& r) { endAttempt(again, r, 1, AttemptOutcome::wrongNode, Role::unknown); });
-  again.at(310, [&](Router& r) { r.onTransaction(again.txn(2, 1)); });
-  again.at(315, [&](Router& r) { endAttempt(again, r, 1, AttemptOutcome::committed, Role::unknown, 1); });
+  again.at(310, [&](Router& r) { r.onTransaction(again.txn(3, 1)); });
+  again.at(315, [&](Router& r) { endAttempt(again, r, 2, AttemptOutcome::committed, Role::unknown); });
+  again.at(320, [&](Router& r) { endAttempt(again, r, 1, AttemptOutcome::committed, Role::unknown, 1); });
 }
 
 void slowPrimary() {
