--- a/src/transactions/transaction_trace.cpp
+++ b/src/transactions/transaction_trace.cpp
@@ -23,7 +23,8 @@
   trace.write([&] {
     return "event=txn.received id=" + std::string(open.id()) + " txn=" + std::to_string(transaction.id) +
            " type=" + std::to_string(transaction.type) + " group=" + std::to_string(transaction.group) +
-           " remaining_ms=" + formatMillis(transaction.remainingTime);
+           " remaining_ms=" + formatMillis(transaction.remainingTime) +
+           (transaction.writeAge ? " write_age_ms=" + formatMillis(*transaction.writeAge) : "");
   });
 }
 
