Session reads: a position that the client names is compared as it is, not by our clock

Cause: the front made an age of the position in 'after', by the router's clock and not under 1 us; the routing made a position of it again. A position ahead of the router's clock became the present, which a replica behind that write had reached by its own dates. Evidence: the trace's write_age_ms is 150 before the step and 0 at each read after.

The transaction carries the position as named; an age is used only where a front gets an age. A named position may now lie ahead of all nodes: it isn't recorded as applied by a node that answers, beyond the present.

--- a/src/downstream/postgres/client_messages.cpp
+++ b/src/downstream/postgres/client_messages.cpp
@@ -204,11 +204,11 @@
   if (level >= ReadLevel::write || level == ReadLevel::session)
     transaction.session = transactions::sessionOf(statement.key);
   if (level == ReadLevel::session) {
-    transaction.writeAge = Duration();  // the session has no write that the read must see
-    if (statement.afterMs.value_or(0) > 0) {
-      const Instant writtenAt = Instant() + Duration::millis(static_cast<std::int64_t>(*statement.afterMs));
-      transaction.writeAge = std::max(now - writtenAt, Duration::micros(1));
-    }
+    if (statement.afterMs.value_or(0) > 0)
+      transaction.lastWritePosition =
+          Instant() + Duration::millis(static_cast<std::int64_t>(*statement.afterMs));
+    else
+      transaction.writeAge = Duration();  // the session has no write that the read must see
   }
   // The client's timeout starts when it sends the statement, also if the statement waited here behind others.
   transaction.remainingTime =
--- a/src/routing/read_consistency.cpp
+++ b/src/routing/read_consistency.cpp
@@ -45,7 +45,8 @@
   if (isOfWrite) recordWriteOutcome(node, attempt);
   // A node that rejects stale reads and answers this one has applied the position that the read required.
   if (attempt.isCommitted() && state_.config.nodesRejectStaleReads)
-    node.appliedPosition = std::max(node.appliedPosition, attempt.sent.requiredPosition);
+    node.appliedPosition =
+        std::max(node.appliedPosition, std::min(attempt.sent.requiredPosition, state_.now));
   // Also records the commit if the client has disconnected, as the session may send further reads. An attempt
   // without an answer may have been committed.
   if (attempt.sent.session && isOfWrite && (attempt.isCommitted() || attempt.isLost()))
@@ -107,13 +108,14 @@
 Instant ReadConsistency::requiredBySession(const Transaction& read) const {
   const auto found = read.session ? lastCommits_.find(*read.session) : lastCommits_.end();
   const Instant recorded = found != lastCommits_.end() ? found->second : Instant();
-  if (!state_.config.sessionAgeProvided || !read.writeAge)
+  if (!state_.config.sessionAgeProvided || (!read.lastWritePosition && !read.writeAge))
     return hasWriteInFlight(read) ? state_.now : std::max(recorded, commitFloor_);
-  if (*read.writeAge == Duration()) return Instant();
+  if (!read.lastWritePosition && *read.writeAge == Duration()) return Instant();
   // Uses the position returned by the write recorded here if that was the last write of the session,
-  // otherwise the age of the last write. A write through another router may follow within a round: only the
-  // age reveals it.
-  const Instant latest = state_.now - *read.writeAge;
+  // otherwise the one that the client names, or the age of the last write. A write through another router may
+  // follow within a round: only these reveal it. A named position is compared with those of nodes as it is,
+  // whatever the router's own clock shows.
+  const Instant latest = read.lastWritePosition ? *read.lastWritePosition : state_.now - *read.writeAge;
   const Instant latestUpperBound = latest + kCommitPrecision;
   return recorded >= latest ? std::min(recorded, latestUpperBound) : latestUpperBound;
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -93,8 +93,11 @@
   std::size_t type = 0;  // row in RoutingConfig::transactionClasses
   GroupId group = 0;
   std::optional<SessionId> session;
-  std::optional<Duration> writeAge;  // time since the last commit of a write of the session; zero: no write
-  Duration remainingTime;            // until the client times out this request
+  // Session reads: the position of the session's last write, as a node has named it.
+  std::optional<Instant> lastWritePosition;
+  // If no position is named: time since the last commit of a write of the session; zero: no write.
+  std::optional<Duration> writeAge;
+  Duration remainingTime;                       // until the client times out this request
   std::optional<Duration> expectedServiceTime;  // rough estimate of the service time
   PriorAttempts priorAttempts;
   unsigned maxLocalAttempts = 0;         // limit of the front end on attempts; 0: as configured
--- a/src/transactions/transaction_trace.cpp
+++ b/src/transactions/transaction_trace.cpp
@@ -17,14 +17,20 @@
   return role == Role::primary ? " role=primary" : " role=replica";
 }
 
+// Returns an empty text if the transaction is no session read.
+std::string formatLastWrite(const Transaction& transaction) {
+  if (transaction.lastWritePosition)
+    return " last_write_ms=" + formatMillis(*transaction.lastWritePosition - Instant());
+  return transaction.writeAge ? " write_age_ms=" + formatMillis(*transaction.writeAge) : "";
+}
+
 }  // namespace
 
 void traceTransactionOpened(const Trace& trace, const OpenTransaction& open, const Transaction& transaction) {
   trace.write([&] {
     return "event=txn.received id=" + std::string(open.id()) + " txn=" + std::to_string(transaction.id) +
            " type=" + std::to_string(transaction.type) + " group=" + std::to_string(transaction.group) +
-           " remaining_ms=" + formatMillis(transaction.remainingTime) +
-           (transaction.writeAge ? " write_age_ms=" + formatMillis(*transaction.writeAge) : "");
+           " remaining_ms=" + formatMillis(transaction.remainingTime) + formatLastWrite(transaction);
   });
 }
 
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -27,6 +27,7 @@
       {"role-lost-in-turn-of-connection", roleLostInTurnOfConnection},
       {"answer-in-turn-of-hedge-connection", answerInTurnOfHedgeConnection},
       {"role-lost-while-partly-written", roleLostWhilePartlyWritten},
+      {"session-read-after-clock-step", sessionReadAfterClockStep},
       {"idle-node-connections", idleNodeConnections},
       {"bytes-after-answers", bytesAfterAnswers},
       {"malformed-answers", malformedAnswers},
--- a/tests/gateway/bench.cpp
+++ b/tests/gateway/bench.cpp
@@ -91,6 +91,13 @@
 
 std::string emptyQueryAnswer() { return postgres::emptyQueryResponse() + postgres::readyForQuery(); }
 
+std::string healthReport(std::int64_t positionMillis, bool isPrimary) {
+  std::string millis = std::to_string(positionMillis % 1000);
+  millis.insert(0, 3 - millis.size(), '0');
+  return rowAnswer("x0=" + std::to_string(positionMillis / 1000) + "." + millis +
+                   ",x1=" + (isPrimary ? "1" : "0"));
+}
+
 // --- Events
 
 GatewayBench::GatewayBench(GatewaySetup setup)
--- a/tests/gateway/bench.h
+++ b/tests/gateway/bench.h
@@ -33,6 +33,8 @@
 std::string rowAnswer(std::string_view value, std::string_view parameterStatuses = {});
 // A complete answer to an empty query.
 std::string emptyQueryAnswer();
+// A complete answer to a health check, by a node that has applied all commits up to the position.
+std::string healthReport(std::int64_t positionMillis, bool isPrimary);
 
 // Limits for cases that do not test a limit.
 constexpr GatewayLimits kDefaultLimits{.idleTimeout = Duration::millis(10000),
--- a/tests/gateway/cases.h
+++ b/tests/gateway/cases.h
@@ -28,6 +28,9 @@
 void answerInTurnOfHedgeConnection();
 void roleLostWhilePartlyWritten();
 
+// positions.cpp
+void sessionReadAfterClockStep();
+
 // node_connections.cpp
 void idleNodeConnections();
 void bytesAfterAnswers();
--- a/tests/gateway/node_changes.cpp
+++ b/tests/gateway/node_changes.cpp
@@ -11,13 +11,6 @@
   return rowAnswer(value, parameterStatus("part", role));
 }
 
-std::string healthReport(const GatewayBench& bench, std::int64_t ageMillis, bool isPrimary) {
-  const std::int64_t position = bench.unixMillis() - ageMillis;
-  std::string millis = std::to_string(position % 1000);
-  millis.insert(0, 3 - millis.size(), '0');
-  return rowAnswer("x0=" + std::to_string(position / 1000) + "." + millis + ",x1=" + (isPrimary ? "1" : "0"));
-}
-
 // A read at the primary p on the only connection to it, and `waiting` queued for a second one.
 void queueAtPrimary(GatewayBench& bench, const std::string& waiting) {
   bench.openClient(1, readQuery("first", "latest"));
@@ -43,7 +36,7 @@
     bench.answersEmptyQueries = true;
     bench.describe("a reports that it is primary: the read is sent there");
     bench.connectNode(bench.connectionTo("a"));
-    bench.answer(bench.connectionTo("a"), healthReport(bench, 0, true));
+    bench.answer(bench.connectionTo("a"), healthReport(bench.unixMillis(), true));
   }
   GatewayBench write;
   write.describe("a write that waits for the connection is not sent to the replica either");
@@ -88,7 +81,7 @@
                                  : "a session read waits for a connection to a replica with its position");
     bench.openClient(1, readQuery("first", "session", ",after=" + std::to_string(bench.unixMillis() - 100)));
     bench.connectNode(1);
-    bench.answer(1, healthReport(bench, 50, false));
+    bench.answer(1, healthReport(bench.unixMillis() - 50, false));
     bench.openClient(2, readQuery("second", "session", ",after=" + std::to_string(bench.unixMillis() - 100)));
     bench.advance(20);
     if (losesPosition) bench.closeConnection(1, ConnectionCloseReason::broken);
