Reads are judged by the clock that dates positions, not by the router's own reading of it

PositionClock has it for each group. A position that a node has reached was shown by its clock, which bounds the difference from below; larger steps need a second report of a primary. Two commits dated before they were sent show a step back: what was reported before is forgotten. Waiting attempts are withdrawn by what is known now.

decisions.bounded-read-after-clock-step, .clock-step-while-bounded-read-waits, .session-age-after-clock-step and .clock-step-of-an-hour fail on the code before, all four.

--- a/src/routing/concurrency_limit.cpp
+++ b/src/routing/concurrency_limit.cpp
@@ -30,7 +30,8 @@
   if (!report.position || !report.inFlight) return;
   // The smallest lag among the last load reports approximates the age of a report, as at least one node keeps
   // up with replication.
-  pushBounded(reportAges_, (state_.now - *report.position).inSeconds(), kMaxReportAges);
+  const Duration age = state_.presentPosition(node.endpoint.group) - *report.position;
+  pushBounded(reportAges_, age.inSeconds(), kMaxReportAges);
   node.reportedInFlight = *report.inFlight;
   node.loadReportedAt =
       state_.now - Duration::seconds(*std::min_element(reportAges_.begin(), reportAges_.end()));
--- a/src/routing/health_tracking.cpp
+++ b/src/routing/health_tracking.cpp
@@ -103,8 +103,9 @@
            state_.now - node->lastCheckedAt < state_.sharedPause(kSameNodeCheckPause);
   });
   state_.random.shuffle(candidates);
+  const Instant present = group.positionClock.readingAt(state_.now);
   const auto comparablePosition = [&](const NodeState* node) {
-    return std::max(node->appliedPosition, state_.now - kComparablePosition);
+    return std::max(node->appliedPosition, present - kComparablePosition);
   };
   std::stable_sort(candidates.begin(), candidates.end(), [&](const NodeState* left, const NodeState* right) {
     return comparablePosition(left) > comparablePosition(right);
--- a/src/routing/read_consistency.cpp
+++ b/src/routing/read_consistency.cpp
@@ -9,10 +9,6 @@
 // Bounds the memory used for sessions, regardless of how many write within a minute.
 constexpr std::size_t kMaxSessionCommits = 20000;
 
-// All positions are times of one clock, so that a position further ahead of it than this is treated as a
-// fault.
-constexpr Duration kMaxClockError = Duration::seconds(1);
-
 // Fraction of the latency target that a read waits for a replica: about a third, so that the primary has time
 // to answer.
 constexpr double kReplicaWaitFraction = 0.35;
@@ -30,28 +26,43 @@
 // down.
 void ReadConsistency::recordAnswer(NodeState& node, const EndedAttempt& attempt, const LoadReport& answer) {
   const bool isCommit = attempt.isCommitted() && isWrite(attempt.sent);
-  recordReplication(node, answer, state_.now, isCommit ? kCommitPrecision : Duration());
+  if (isCommit && answer.position) recordCommitPosition(node, attempt, *answer.position);
+  recordReplication(node, answer, state_.now, isCommit ? PositionKind::commit : PositionKind::applied);
+}
+
+// A repeat of a deduplicated write may be answered with the position of the first one, which was committed
+// before the repeat was sent.
+void ReadConsistency::recordCommitPosition(const NodeState& node, const EndedAttempt& attempt,
+                                           Instant position) {
+  const TransactionClass& type = state_.config.transactionClasses[attempt.sent.transactionClass];
+  if (type.effect == Effect::deduplicated) return;
+  GroupState& group = state_.groupOf(node.endpoint.group);
+  if (!group.positionClock.recordCommit(position, attempt.sent.sentAt)) return;
+  for (NodeState* member : group.nodes) member->appliedPosition = Instant();
+  state_.changedGroups.insert(node.endpoint.group);
 }
 
 // The position in a load report also dates the role in it: the position of a primary is the time of the
 // report, the positions of replicas are older.
 void ReadConsistency::recordReport(NodeState& node, const LoadReport& report) {
-  recordReplication(node, report, std::min(*report.position, state_.now), Duration());
+  const PositionClock& clock = state_.groupOf(node.endpoint.group).positionClock;
+  recordReplication(node, report, std::min(clock.timeOf(*report.position), state_.now),
+                    PositionKind::applied);
 }
 
 void ReadConsistency::recordOutcome(NodeState& node, const EndedAttempt& attempt, const LoadReport& answer) {
   const bool isOfWrite = isWrite(attempt.sent);
   if (attempt.outcome == AttemptOutcome::wrongNode && !isOfWrite) node.lastRejectedAsStaleAt = state_.now;
   if (isOfWrite) recordWriteOutcome(node, attempt);
+  const Instant present = state_.presentPosition(node.endpoint.group);
   // A node that rejects stale reads and answers this one has applied the position that the read required.
   if (attempt.isCommitted() && state_.config.nodesRejectStaleReads)
-    node.appliedPosition =
-        std::max(node.appliedPosition, std::min(attempt.sent.requiredPosition, state_.now));
+    node.appliedPosition = std::max(node.appliedPosition, std::min(attempt.sent.requiredPosition, present));
   // Also records the commit if the client has disconnected, as the session may send further reads. An attempt
   // without an answer may have been committed.
   if (attempt.sent.session && isOfWrite && (attempt.isCommitted() || attempt.isLost()))
     recordSessionCommit(*attempt.sent.session,
-                        attempt.isCommitted() ? answer.position.value_or(state_.now) : state_.now);
+                        attempt.isCommitted() ? answer.position.value_or(present) : present);
 }
 
 // Only the primary commits writes, and only other nodes reject them as the wrong node. Answers may arrive in
@@ -64,16 +75,24 @@
 }
 
 void ReadConsistency::recordReplication(NodeState& node, const LoadReport& report, Instant reportedAt,
-                                        Duration maxRoundingUp) {
+                                        PositionKind kind) {
   const bool wasPrimary = node.isKnownPrimary() || node.isListedPrimary();
   if (report.role == Role::primary) node.lastKnownPrimaryAt = std::max(node.lastKnownPrimaryAt, reportedAt);
   if (report.role == Role::replica) node.lastKnownReplicaAt = std::max(node.lastKnownReplicaAt, reportedAt);
   const bool isPrimary = node.isKnownPrimary() || node.isListedPrimary();
   if (isPrimary != wasPrimary) state_.changedGroups.insert(node.endpoint.group);
-  if (!report.position || *report.position - maxRoundingUp < node.appliedPosition) return;
-  if (*report.position > state_.now + kMaxClockError) return;
-  node.appliedPosition = *report.position - maxRoundingUp;
-  node.replicationLag = report.role == Role::primary ? Duration() : state_.now - node.appliedPosition;
+  if (!report.position) return;
+  const bool isCommit = kind == PositionKind::commit;
+  const Instant position = isCommit ? *report.position - kCommitPrecision : *report.position;
+  PositionClock& clock = state_.groupOf(node.endpoint.group).positionClock;
+  const Instant presentBefore = clock.readingAt(state_.now);
+  const bool isPresent = isCommit || report.role == Role::primary;
+  if (!clock.recordPosition(position, state_.now, isPresent)) return;
+  const Instant present = clock.readingAt(state_.now);
+  if (present != presentBefore) state_.changedGroups.insert(node.endpoint.group);
+  if (position < node.appliedPosition) return;
+  node.appliedPosition = position;
+  node.replicationLag = report.role == Role::primary ? Duration() : present - node.appliedPosition;
 }
 
 void ReadConsistency::recordSessionCommit(SessionId session, Instant committedAt) {
@@ -109,13 +128,14 @@
   const auto found = read.session ? lastCommits_.find(*read.session) : lastCommits_.end();
   const Instant recorded = found != lastCommits_.end() ? found->second : Instant();
   if (!state_.config.sessionAgeProvided || (!read.lastWritePosition && !read.writeAge))
-    return hasWriteInFlight(read) ? state_.now : std::max(recorded, commitFloor_);
+    return hasWriteInFlight(read) ? state_.presentPosition(read.group) : std::max(recorded, commitFloor_);
   if (!read.lastWritePosition && *read.writeAge == Duration()) return Instant();
   // Uses the position returned by the write recorded here if that was the last write of the session,
   // otherwise the one that the client names, or the age of the last write. A write through another router may
   // follow within a round: only these reveal it. A named position is compared with those of nodes as it is,
   // whatever the router's own clock shows.
-  const Instant latest = read.lastWritePosition ? *read.lastWritePosition : state_.now - *read.writeAge;
+  const Instant latest =
+      read.lastWritePosition ? *read.lastWritePosition : state_.presentPosition(read.group) - *read.writeAge;
   const Instant latestUpperBound = latest + kCommitPrecision;
   return recorded >= latest ? std::min(recorded, latestUpperBound) : latestUpperBound;
 }
--- a/src/routing/read_consistency.h
+++ b/src/routing/read_consistency.h
@@ -43,11 +43,16 @@
     Instant committedAt;
   };
 
-  // Records the role and position that a node reported at `reportedAt`. `maxRoundingUp` is the amount by
-  // which the position may have been rounded up. Ignores positions that are older than the known one or ahead
-  // of the clock.
-  void recordReplication(NodeState& node, const LoadReport& report, Instant reportedAt,
-                         Duration maxRoundingUp);
+  // What a reported position is: one up to which all commits are applied, rounded down, or the time of a
+  // commit, rounded up.
+  enum class PositionKind { applied, commit };
+
+  // Records the role and position that a node reported at `reportedAt`. Ignores positions that are older than
+  // the known one or too far ahead of the group's clock.
+  void recordReplication(NodeState& node, const LoadReport& report, Instant reportedAt, PositionKind kind);
+
+  // Records what the commit of a write shows about the clock that dates positions.
+  void recordCommitPosition(const NodeState& node, const EndedAttempt& attempt, Instant position);
 
   // Records what the outcome of a write shows about the role of the node.
   void recordWriteOutcome(NodeState& node, const EndedAttempt& attempt);
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -116,7 +116,8 @@
   // A bounded read may wait for a connection only while the data of its replica is within the staleness
   // bound.
   if (type.level == ReadLevel::bounded && node.appliedPosition >= state_.requiredPosition(transaction))
-    latest = std::min(latest, node.appliedPosition + type.maxStaleness);
+    latest = std::min(latest, state_.groupOf(transaction.request.group)
+                                  .positionClock.timeOf(node.appliedPosition + type.maxStaleness));
   // A retry may wait only within the deduplication window of the first attempt.
   if (type.effect == Effect::deduplicated && transaction.mayHaveRunAt != Instant())
     latest = std::min(latest, resendBy(transaction));
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -76,11 +76,16 @@
   return scaledPause(pause) * std::max(1.0, config.routerCount / static_cast<double>(kManyRouters));
 }
 
+Instant RoutingState::presentPosition(GroupId group) const {
+  return groupOf(group).positionClock.readingAt(now);
+}
+
 Instant RoutingState::requiredPosition(const PendingTransaction& transaction) const {
   const TransactionClass& type = classOf(transaction);
   // One round is reserved for the transit to the node.
-  return type.level == ReadLevel::bounded ? now - type.maxStaleness + config.roundInterval
-                                          : transaction.requiredPosition;
+  return type.level == ReadLevel::bounded
+             ? presentPosition(transaction.request.group) - type.maxStaleness + config.roundInterval
+             : transaction.requiredPosition;
 }
 
 }  // namespace gulltrestle::routing
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -14,6 +14,7 @@
 
 #include "base/samples.h"
 #include "base/time.h"
+#include "routing/position_clock.h"
 #include "routing/random_source.h"
 #include "routing/router.h"
 
@@ -107,6 +108,7 @@
 // The nodes that store the same data, and the state that they share.
 struct GroupState {
   std::vector<NodeState*> nodes;          // in the order of ids
+  PositionClock positionClock;            // by which its nodes date their positions
   Instant lastPositionCheckAt;            // last position check of its replicas for queued reads
   DegradationRules degradation;           // in force
   DegradationRules relaxedDegradation;    // of the next less strict level
@@ -175,6 +177,9 @@
   // a dozen routers, so that nodes don't receive more requests.
   Duration sharedPause(Duration pause) const;
 
+  // The present by the clock that dates the positions of the group.
+  Instant presentPosition(GroupId group) const;
+
   // The position that a node must have applied at this time to answer the transaction. The position that a
   // bounded read requires advances while the read is in transit.
   Instant requiredPosition(const PendingTransaction& transaction) const;
--- a/src/routing/selection_validity.cpp
+++ b/src/routing/selection_validity.cpp
@@ -25,11 +25,19 @@
     case SelectionBasis::primaryForRead:
       return isCurrentPrimary(node) && !node.rejectsWrites();
     case SelectionBasis::appliedPosition:
-      return node.appliedPosition >= attempt.requiredPosition;
+      return node.appliedPosition >= requiredPosition(attempt, node);
   }
   return true;
 }
 
+// The position that a bounded read required when it was sent, by what is known now of the clock of positions.
+Instant SelectionValidity::requiredPosition(const InFlightAttempt& attempt, const NodeState& node) const {
+  const TransactionClass& type = state_.config.transactionClasses[attempt.transactionClass];
+  if (type.level != ReadLevel::bounded) return attempt.requiredPosition;
+  const PositionClock& clock = state_.groupOf(node.endpoint.group).positionClock;
+  return clock.readingAt(attempt.sentAt - type.maxStaleness + state_.config.roundInterval);
+}
+
 // A report outweighs the endpoint list, and of several nodes that reported that they are primary, the latest
 // one counts. Draining nodes are not selected as primary and don't replace one.
 bool SelectionValidity::isCurrentPrimary(const NodeState& node) const {
--- a/src/routing/selection_validity.h
+++ b/src/routing/selection_validity.h
@@ -8,7 +8,9 @@
 //                   |                                                | another one is known as primary since
 //   primaryForRead  | linearizable reads, reads that no replica      | the same, or the node has rejected a
 //                   | could answer in time                           | write as a replica
-//   appliedPosition | bounded and session reads                      | the node's position is unknown again
+//   appliedPosition | bounded and session reads                      | the node's position is unknown again,
+//                   |                                                | or too old by what is known of its
+//                   clock
 #pragma once
 
 #include "routing/routing_state.h"
@@ -31,6 +33,7 @@
   void withdrawInvalid();
 
  private:
+  Instant requiredPosition(const InFlightAttempt& attempt, const NodeState& node) const;
   bool isCurrentPrimary(const NodeState& node) const;
 
   RoutingState& state_;
--- a/tests/decisions/cases.h
+++ b/tests/decisions/cases.h
@@ -3,6 +3,12 @@
 
 namespace gulltrestle::decisions_test {
 
+// position_clock.cpp
+void boundedReadAfterClockStep();
+void clockStepWhileBoundedReadWaits();
+void sessionAgeAfterClockStep();
+void clockStepOfAnHour();
+
 // read_consistency.cpp
 void ordinaryPath();
 void staleRead();
