gRPC servers: incomplete messages of all connections share a part of the memory limit

Cause: limits held for each connection and stream, nothing bounded their sum by limits.memory_mb: 64 MB for the external processor with default limits, over 300 MB at a voter of 300 routers.

A MemoryBudget, an eighth of the memory for each server and a quarter of that for a connection, holds the incomplete header blocks and messages; a call beyond it is finished as RESOURCE_EXHAUSTED.

--- a/src/cluster/cluster_config.h
+++ b/src/cluster/cluster_config.h
@@ -31,6 +31,8 @@
   // Maximum number of connections to this voter. The default is twice the number of routers, since an old
   // connection may linger beside its successor.
   std::size_t maxConnections = 0;
+  // Not in the file: bytes of incomplete messages that all connections together may buffer.
+  std::size_t maxIncompleteBytes = 8 * 1024 * 1024;
 
   // --- Recovery
   // Transactions per second that all routers together admit per node after a start.
--- a/src/cluster/cluster_server.cpp
+++ b/src/cluster/cluster_server.cpp
@@ -47,6 +47,7 @@
   bounds.calls.connection.maxStreams = kMaxStreamsPerConnection;
   bounds.calls.maxMessageBytes = kMaxMessageBytes;
   bounds.maxConnections = config.maxConnections;
+  bounds.maxIncompleteBytes = config.maxIncompleteBytes;
   return bounds;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -101,8 +101,7 @@
     degradation_ = files.read(kLevelsVariable, [this] { return readDegradation(); });
     logging_ = files.read(kLoggingVariable, readLogging);
 #ifdef GULLTRESTLE_EXT_PROC
-    extProc_ = files.read(kExtProcVariable,
-                          [] { return ext_proc_server::readExtProcConfigFile(pathFrom(kExtProcVariable)); });
+    extProc_ = files.read(kExtProcVariable, [this] { return readExtProc(); });
 #endif
 #ifdef GULLTRESTLE_FLEET
     cluster_ = files.read(kFleetVariable, [this] { return readCluster(); });
@@ -120,6 +119,14 @@
                                                           router_.deployment.routing.transactionClasses,
                                                           router_.deployment.classNames);
   }
+#ifdef GULLTRESTLE_EXT_PROC
+  ext_proc_server::ExtProcConfig readExtProc() const {
+    ext_proc_server::ExtProcConfig config =
+        ext_proc_server::readExtProcConfigFile(pathFrom(kExtProcVariable));
+    config.maxIncompleteBytes = server::maxIncompleteMessageBytes(router_);
+    return config;
+  }
+#endif
   static logging::LoggingConfig readLogging() {
     return logging::readLoggingConfigFile(pathFrom(kLoggingVariable));
   }
@@ -146,8 +153,10 @@
 #ifdef GULLTRESTLE_FLEET
   const auto& cluster() const { return cluster_; }
   cluster::ClusterConfig readCluster() const {
-    return cluster::readClusterConfigFile(pathFrom(kFleetVariable), router_.name,
-                                          longestAtMostOnceDeadline(router_.deployment.routing));
+    cluster::ClusterConfig config = cluster::readClusterConfigFile(
+        pathFrom(kFleetVariable), router_.name, longestAtMostOnceDeadline(router_.deployment.routing));
+    config.maxIncompleteBytes = server::maxIncompleteMessageBytes(router_);
+    return config;
   }
 #endif
 
--- a/src/protocol/grpc/server_calls.cpp
+++ b/src/protocol/grpc/server_calls.cpp
@@ -56,11 +56,12 @@
   return FrameStatus::complete;
 }
 
-ServerCalls::ServerCalls(std::string method, Bounds bounds, CallHandler& handler)
+ServerCalls::ServerCalls(std::string method, Bounds bounds, MemoryBudget& budget, CallHandler& handler)
     : method_(std::move(method)),
       bounds_(bounds),
+      budget_(budget),
       handler_(handler),
-      session_(http2::Session::Perspective::server, bounds.connection, *this) {}
+      session_(http2::Session::Perspective::server, bounds.connection, *this, &budget) {}
 
 ServerCalls::Call* ServerCalls::find(CallId id) {
   const auto at = calls_.find(id);
@@ -72,7 +73,7 @@
   if (valueOf(headers, ":method") != "POST" ||
       !valueOf(headers, "content-type").starts_with("application/grpc"))
     return session_.respondAndEnd(id, {{":status", "415"}});
-  calls_.try_emplace(id);
+  calls_.try_emplace(id, budget_);
   handler_.opened(id);
   if (valueOf(headers, ":path") != method_)
     return finish(id, Status::unimplemented, "this method is not served here");
@@ -93,8 +94,7 @@
     std::string_view message;
     switch (takeMessage(bytes, bounds_.maxMessageBytes, message)) {
       case FrameStatus::incomplete:
-        call->received = bytes;
-        return;
+        return keepIncomplete(id, *call, bytes);
       case FrameStatus::compressed:
         return finish(id, Status::unimplemented, "messages are taken as they are, not compressed");
       case FrameStatus::tooLong:
@@ -107,6 +107,14 @@
   }
 }
 
+// Prevents clients that send messages in part and stop from using up the memory of the process. Trade-off:
+// while many do, other messages that come in parts are rejected too.
+void ServerCalls::keepIncomplete(CallId id, Call& call, std::string_view bytes) {
+  if (!call.receivedShare.resize(bytes.size()))
+    return finish(id, Status::resourceExhausted, "too much is held here");
+  call.received = bytes;
+}
+
 void ServerCalls::halfClosed(http2::StreamId id) {
   Call* call = find(id);
   if (!call) return;
@@ -134,6 +142,8 @@
   Call* call = find(id);
   if (!call) return;
   call->isFinished = true;
+  std::exchange(call->received, {});
+  call->receivedShare.release();
   if (call->hasAnswer) return session_.end(id, statusFields(status, text));
   http2::Headers all{{":status", "200"}, {"content-type", "application/grpc"}};
   for (auto& field : statusFields(status, text)) all.push_back(std::move(field));
--- a/src/protocol/grpc/server_calls.h
+++ b/src/protocol/grpc/server_calls.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/memory_budget.h"
 #include "protocol/http2/session.h"
 
 namespace gulltrestle::grpc {
@@ -49,7 +50,9 @@
 // Status::unimplemented. Not thread-safe; the handler must outlive it.
 class ServerCalls final : private http2::Handler {
  public:
-  ServerCalls(std::string method, Bounds bounds, CallHandler& handler);
+  // `budget`: for the incomplete header blocks and messages, of this and other connections. A call that would
+  // exceed it is finished with Status::resourceExhausted, or reset if its headers are incomplete.
+  ServerCalls(std::string method, Bounds bounds, MemoryBudget& budget, CallHandler& handler);
 
   // These forward to http2::Session.
   bool received(Instant now, std::string_view bytes) { return session_.received(now, bytes); }
@@ -67,7 +70,9 @@
 
  private:
   struct Call {
-    std::string received;     // bytes of an incomplete message
+    explicit Call(MemoryBudget& budget) : receivedShare(budget) {}
+    std::string received;  // bytes of an incomplete message
+    MemoryShare receivedShare;
     bool hasAnswer = false;   // the response headers were sent
     bool isFinished = false;  // by the server
   };
@@ -76,9 +81,11 @@
   void halfClosed(http2::StreamId stream) override;
   void closed(http2::StreamId stream, http2::ErrorCode code) override;
   Call* find(CallId call);
+  void keepIncomplete(CallId id, Call& call, std::string_view bytes);
 
   std::string method_;
   Bounds bounds_;
+  MemoryBudget& budget_;
   CallHandler& handler_;
   std::map<CallId, Call> calls_;
   http2::Session session_;
--- a/src/protocol/http2/session.cpp
+++ b/src/protocol/http2/session.cpp
@@ -72,6 +72,7 @@
       Stream& stream = session.streams_[frame->hd.stream_id];
       stream.headers.clear();
       stream.headerBytes = 0;
+      if (session.budget_) stream.headerShare.emplace(*session.budget_);
       return 0;
     });
   }
@@ -84,7 +85,10 @@
       Stream* stream = session.find(frame->hd.stream_id);
       if (!stream) return 0;
       stream->headerBytes += nameSize + valueSize + kFieldOverheadBytes;
-      if (stream->headerBytes > session.bounds_.maxHeaderBytes) {
+      const std::size_t memoryBytes =
+          stream->headerBytes + (stream->headers.size() + 1) * sizeof(Headers::value_type);
+      if (stream->headerBytes > session.bounds_.maxHeaderBytes ||
+          (stream->headerShare && !stream->headerShare->resize(memoryBytes))) {
         session.reset(frame->hd.stream_id, ErrorCode::enhanceYourCalm);
         return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
       }
@@ -103,7 +107,10 @@
       if (!isHeaders && !(isData && frame->hd.length > 0) && !session.spendAllowance(cost))
         return NGHTTP2_ERR_CALLBACK_FAILURE;
       if (isHeaders)
-        if (Stream* stream = session.find(id)) session.handler_.headers(id, std::move(stream->headers));
+        if (Stream* stream = session.find(id)) {
+          stream->headerShare.reset();
+          session.handler_.headers(id, std::exchange(stream->headers, {}));
+        }
       if ((isHeaders || isData) && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) && session.find(id))
         session.handler_.halfClosed(id);
       return 0;
@@ -165,8 +172,12 @@
   }
 };
 
-Session::Session(Perspective perspective, Bounds bounds, Handler& handler)
-    : perspective_(perspective), bounds_(bounds), handler_(handler), allowance_(kMaxAllowance) {
+Session::Session(Perspective perspective, Bounds bounds, Handler& handler, MemoryBudget* budget)
+    : perspective_(perspective),
+      bounds_(bounds),
+      handler_(handler),
+      budget_(budget),
+      allowance_(kMaxAllowance) {
   createSession();
   submitSettings();
   nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, kConnectionWindowBytes);
--- a/src/protocol/http2/session.h
+++ b/src/protocol/http2/session.h
@@ -6,11 +6,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "base/memory_budget.h"
 #include "base/time.h"
 
 struct nghttp2_session;
@@ -56,7 +58,9 @@
 class Session {
  public:
   enum class Perspective { server, client };
-  Session(Perspective perspective, Bounds bounds, Handler& handler);
+  // `budget`: for header blocks that are being received, together with other owners; null: only `bounds`
+  // limit them.
+  Session(Perspective perspective, Bounds bounds, Handler& handler, MemoryBudget* budget = nullptr);
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
   ~Session();
@@ -94,6 +98,7 @@
   struct Stream {
     Headers headers;  // of the header block being received
     std::size_t headerBytes = 0;
+    std::optional<MemoryShare> headerShare;  // none: there is no budget
     std::string unsent;
     bool hasHeaders = false;    // this end has submitted its headers
     bool hasQueuedEnd = false;  // this end ends the stream after the unsent data
@@ -109,6 +114,7 @@
   Perspective perspective_;
   Bounds bounds_;
   Handler& handler_;
+  MemoryBudget* budget_;
   nghttp2_session* session_ = nullptr;
   std::map<StreamId, Stream> streams_;
   std::size_t unsentBytes_ = 0;  // over all streams
--- a/src/runtime/ext_proc_server/ext_proc_config.h
+++ b/src/runtime/ext_proc_server/ext_proc_config.h
@@ -22,6 +22,8 @@
   std::string healthCheckPath;
   std::size_t maxConnections = 16;
   std::size_t maxMessageBytes = 64 * 1024;
+  // Not in the file: bytes of incomplete messages that all connections together may buffer.
+  std::size_t maxIncompleteBytes = 8 * 1024 * 1024;
 };
 
 // Both throw config::ConfigError, which names the key, for invalid values and for unknown keys.
--- a/src/runtime/ext_proc_server/ext_proc_server.cpp
+++ b/src/runtime/ext_proc_server/ext_proc_server.cpp
@@ -26,6 +26,7 @@
   bounds.calls.connection.maxStreams = static_cast<std::uint32_t>(config.streams.maxStreams);
   bounds.calls.maxMessageBytes = config.maxMessageBytes;
   bounds.maxConnections = config.maxConnections;
+  bounds.maxIncompleteBytes = config.maxIncompleteBytes;
   return bounds;
 }
 
--- a/src/runtime/grpc_server/grpc_server.cpp
+++ b/src/runtime/grpc_server/grpc_server.cpp
@@ -18,6 +18,9 @@
 // Pause after a failed accept, to avoid a busy loop.
 constexpr Duration kAcceptRetryDelay = Duration::millis(10);
 constexpr int kMaxAcceptsPerTurn = 8;
+// One connection may use this fraction of what all may buffer of incomplete messages, so that a single client
+// doesn't keep others from sending theirs.
+constexpr std::size_t kIncompleteBytesDivisor = 4;
 
 // The high bits of a CallKey are the id of the connection, the low bits are the id of the call on it.
 constexpr int kCallIdBits = 32;
@@ -42,7 +45,8 @@
       : server(owner),
         id(connectionId),
         stream(owner.loop_, std::move(descriptor)),
-        calls(owner.method_, owner.bounds_.calls, *this) {}
+        incompleteBytes(owner.incompleteBytes_.maxBytes() / kIncompleteBytesDivisor, &owner.incompleteBytes_),
+        calls(owner.method_, owner.bounds_.calls, incompleteBytes, *this) {}
 
   CallKey keyOf(grpc::CallId call) const {
     return static_cast<CallKey>(id) << kCallIdBits | static_cast<std::uint32_t>(call);
@@ -65,6 +69,7 @@
   GrpcServer& server;
   ConnectionId id;
   event_loop::Stream stream;
+  MemoryBudget incompleteBytes;  // of this connection
   grpc::ServerCalls calls;
   std::string unsent;
   bool isBroken = false;   // a read or write has failed
@@ -96,6 +101,7 @@
     : loop_(loop),
       method_(std::move(method)),
       bounds_(bounds),
+      incompleteBytes_(bounds.maxIncompleteBytes),
       name_(std::move(name)),
       handler_(handler),
       listener_(std::make_unique<event_loop::Stream>(loop, listenAt(address))) {
--- a/src/runtime/grpc_server/grpc_server.h
+++ b/src/runtime/grpc_server/grpc_server.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/memory_budget.h"
 #include "config/address.h"
 #include "protocol/grpc/server_calls.h"
 #include "runtime/event_loop/event_loop.h"
@@ -38,6 +39,8 @@
 struct Bounds {
   grpc::Bounds calls;
   std::size_t maxConnections = 16;
+  // Bytes of incomplete header blocks and messages that all connections together may buffer.
+  std::size_t maxIncompleteBytes = 8 * 1024 * 1024;
 };
 
 // Accepts connections and serves one gRPC method on them. Runs on an event loop, which must outlive it.
@@ -79,6 +82,7 @@
   event_loop::EventLoop& loop_;
   std::string method_;
   Bounds bounds_;
+  MemoryBudget incompleteBytes_;  // must outlive the connections
   std::string name_;
   CallHandler& handler_;
   std::unique_ptr<event_loop::Stream> listener_;
--- a/src/runtime/server/resource_limits.cpp
+++ b/src/runtime/server/resource_limits.cpp
@@ -16,6 +16,8 @@
 // A quarter of the memory is for queued statements, and another quarter for the buffers of connections.
 // Buffers grow by doubling, which may need the same amount again, and responses of nodes need more memory.
 constexpr std::size_t kMemoryDivisor = 4;
+// An eighth is for the incomplete messages of each gRPC server: of proxies, and of other routers.
+constexpr std::size_t kIncompleteMessagesDivisor = 8;
 
 std::size_t maxNodeConnections(const config::RouterConfig& config) {
   return (config.descriptors - kReservedDescriptors) / kNodeConnectionDivisor;
@@ -35,6 +37,10 @@
   return config.memoryBytes / kMemoryDivisor;
 }
 
+std::size_t maxIncompleteMessageBytes(const config::RouterConfig& config) {
+  return config.memoryBytes / kIncompleteMessagesDivisor;
+}
+
 gateway::GatewayLimits gatewayLimitsOf(const config::RouterConfig& config) {
   return {.idleTimeout = config.deployment.idleTimeout,
           .connectTimeout = config.deployment.connectTimeout,
--- a/src/runtime/server/resource_limits.h
+++ b/src/runtime/server/resource_limits.h
@@ -28,6 +28,9 @@
 // Returns the upper bound on the received and unsent bytes of all connections.
 std::size_t maxBufferedBytes(const config::RouterConfig& config);
 
+// Returns the upper bound on the bytes of incomplete messages that a gRPC server of the process may buffer.
+std::size_t maxIncompleteMessageBytes(const config::RouterConfig& config);
+
 // Returns the upper bound on concurrently connected clients. Throws config::ConfigError if the reserved
 // descriptors leave none for clients.
 std::size_t maxClients(const config::RouterConfig& config, const ReservedResources& reserved);
--- a/tests/http2.cpp
+++ b/tests/http2.cpp
@@ -2,6 +2,7 @@
 // prints the trace of the case.
 #include <functional>
 #include <iostream>
+#include <limits>
 #include <map>
 
 #include "protocol/grpc/server_calls.h"
@@ -51,11 +52,18 @@
 // A server that prints the events of its calls and each frame that it writes.
 class Server final : private grpc::CallHandler {
  public:
-  explicit Server(grpc::Bounds bounds = {}, const std::string& settings = "") : calls("/a/b", bounds, *this) {
+  explicit Server(grpc::Bounds bounds = {}, const std::string& settings = "")
+      : Server(bounds, unlimited(), settings) {}
+  Server(grpc::Bounds bounds, MemoryBudget& budget, const std::string& settings = "")
+      : calls("/a/b", bounds, budget, *this) {
     quiet = true;
     receive(kPreface + frame(kSettings, 0, 0, settings));
     quiet = false;
   }
+  static MemoryBudget& unlimited() {
+    static MemoryBudget budget(std::numeric_limits<std::size_t>::max());
+    return budget;
+  }
   // Returns false once the connection must be closed.
   bool receive(const std::string& bytes) {
     const bool isOpen = calls.received(now, bytes);
@@ -188,6 +196,46 @@
   }
 }
 
+// DATA frames of the usual maximum size.
+std::string dataFrames(std::uint32_t stream, const std::string& bytes) {
+  constexpr std::size_t kFrameBytes = 16'384;
+  std::string frames;
+  for (std::size_t at = 0; at < bytes.size(); at += kFrameBytes)
+    frames += frame(kData, 0, stream, bytes.substr(at, kFrameBytes));
+  return frames;
+}
+
+// Guards against a process that is killed for its memory while clients of many connections stop half way
+// through large messages, or through heads of many short fields: each connection kept to its limits, their
+// sum had none.
+void incompleteMessages() {
+  MemoryBudget budget(100'000);
+  const auto printUsed = [&] { std::cout << "bytes held: " << budget.usedBytes() << "\n"; };
+  const std::string half = std::string(1, '\0') + number(60'000, 4) + std::string(39'995, 'x');
+  Server first({}, budget), second({}, budget);
+  title("two connections hold half a message each, the third one is rejected");
+  for (Server* server : {&first, &second})
+    server->receive(frame(kHeaders, kEndHeaders, 1, callHeaders()) + dataFrames(1, half));
+  second.receive(frame(kHeaders, kEndHeaders, 3, callHeaders()) + dataFrames(3, half));
+  printUsed();
+  title("a whole message is taken meanwhile; the rest of a half one makes room");
+  second.receive(frame(kHeaders, kEndHeaders, 5, callHeaders()) + frame(kData, 0, 5, grpc::framed("whole")));
+  first.receive(dataFrames(1, std::string(20'005, 'x')));
+  printUsed();
+  title("a head of many short fields that isn't complete, and one that exceeds what is left");
+  std::string shortFields;
+  for (int i = 0; i < 300; ++i) shortFields += field("a", "");
+  first.receive(frame(kHeaders, 0, 7, callHeaders(shortFields)));
+  printUsed();
+  Server third({}, budget);
+  third.receive(frame(kHeaders, kEndHeaders, 1, callHeaders()) + dataFrames(1, half.substr(0, 20'000)));
+  third.receive(frame(kHeaders, 0, 3, callHeaders(shortFields)));
+  printUsed();
+  title("the connections are lost");
+  for (Server* server : {&first, &second, &third}) server->calls.connectionEnded();
+  printUsed();
+}
+
 std::string openStream(std::uint32_t id) { return frame(kHeaders, kEndHeaders, id, callHeaders()); }
 std::string resetStream(std::uint32_t id) { return frame(kReset, 0, id, number(8, 4)); }
 // Streams opened by clients have odd ids.
@@ -267,8 +315,10 @@
 }  // namespace
 
 int main(int count, char** arguments) {
-  const std::map<std::string, void (*)()> cases{
-      {"frames", frames}, {"rejected-calls", rejectedCalls}, {"floods", floods}};
+  const std::map<std::string, void (*)()> cases{{"frames", frames},
+                                                {"rejected-calls", rejectedCalls},
+                                                {"incomplete-messages", incompleteMessages},
+                                                {"floods", floods}};
   const auto found = cases.find(count > 1 ? arguments[1] : "");
   if (found == cases.end()) return 2;
   found->second();
