gRPC: a message that arrives in small frames is appended to, not copied for each frame

Cause: ServerCalls::data copied all that had arrived of a message twice for each frame, up to 800 MB in a turn.

The bytes are appended in place; the message is parsed once it is complete.

--- a/src/protocol/grpc/server_calls.cpp
+++ b/src/protocol/grpc/server_calls.cpp
@@ -85,16 +85,20 @@
 void ServerCalls::data(http2::StreamId id, std::string_view bytes) {
   Call* call = find(id);
   if (!call) return;
-  std::string joined;
   if (!call->received.empty()) {
-    joined = std::exchange(call->received, {}).append(bytes);
-    bytes = joined;
+    // Appended in place: a message may arrive in tens of thousands of frames.
+    call->received.append(bytes);
+    if (isIncomplete(call->received)) return accountIncomplete(id, *call);
   }
+  // The call, and with it the bytes received before, may end while its messages are handled.
+  const std::string joined = std::exchange(call->received, {});
+  if (!joined.empty()) bytes = joined;
   for (;;) {
     std::string_view message;
     switch (takeMessage(bytes, bounds_.maxMessageBytes, message)) {
       case FrameStatus::incomplete:
-        return keepIncomplete(id, *call, bytes);
+        call->received = bytes;
+        return accountIncomplete(id, *call);
       case FrameStatus::compressed:
         return finish(id, Status::unimplemented, "messages are taken as they are, not compressed");
       case FrameStatus::tooLong:
@@ -107,12 +111,17 @@
   }
 }
 
+// Whether the first message is still incomplete, and may become complete within the limit on its size.
+bool ServerCalls::isIncomplete(std::string_view bytes) const {
+  std::string_view message;
+  return takeMessage(bytes, bounds_.maxMessageBytes, message) == FrameStatus::incomplete;
+}
+
 // Prevents clients that send messages in part and stop from using up the memory of the process. Trade-off:
 // while many do, other messages that come in parts are rejected too.
-void ServerCalls::keepIncomplete(CallId id, Call& call, std::string_view bytes) {
-  if (!call.receivedShare.resize(bytes.size()))
-    return finish(id, Status::resourceExhausted, "too much is held here");
-  call.received = bytes;
+void ServerCalls::accountIncomplete(CallId id, Call& call) {
+  if (!call.receivedShare.resize(call.received.size()))
+    finish(id, Status::resourceExhausted, "too much is held here");
 }
 
 void ServerCalls::halfClosed(http2::StreamId id) {
--- a/src/protocol/grpc/server_calls.h
+++ b/src/protocol/grpc/server_calls.h
@@ -81,7 +81,8 @@
   void halfClosed(http2::StreamId stream) override;
   void closed(http2::StreamId stream, http2::ErrorCode code) override;
   Call* find(CallId call);
-  void keepIncomplete(CallId id, Call& call, std::string_view bytes);
+  bool isIncomplete(std::string_view bytes) const;
+  void accountIncomplete(CallId id, Call& call);
 
   std::string method_;
   Bounds bounds_;
--- a/tests/http2.cpp
+++ b/tests/http2.cpp
@@ -1,14 +1,27 @@
 // Tests gRPC over HTTP/2 without a socket, with hand-built frames and floods of frames. Run as `http2 CASE`;
 // prints the trace of the case.
+#include <cstdlib>
 #include <functional>
 #include <iostream>
 #include <limits>
 #include <map>
+#include <new>
 
 #include "protocol/grpc/server_calls.h"
 
 using namespace gulltrestle;
 
+// Bytes allocated since the counter was last reset.
+static std::size_t allocatedBytes = 0;
+
+[[gnu::noinline]] void* operator new(std::size_t size) {
+  allocatedBytes += size;
+  if (void* memory = std::malloc(size)) return memory;
+  throw std::bad_alloc();
+}
+[[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
+[[gnu::noinline]] void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+
 namespace {
 
 constexpr std::uint8_t kData = 0, kHeaders = 1, kPriority = 2, kReset = 3, kSettings = 4, kPing = 6,
@@ -275,6 +288,24 @@
   server.flood([](auto n) { return openStream(streamId(n)); }, 20000);
 }
 
+// Guards against a client that keeps the process busy with a message in small frames: each frame copied all
+// that had arrived before it. Counts the copied bytes by the allocations, which don't depend on the machine.
+void messageInSmallFrames() {
+  title("messages of 64,000 bytes, one in frames of 16,000 bytes and one in frames of one byte");
+  for (const std::size_t frameBytes : {16'000u, 1u}) {
+    Server server;
+    server.quiet = true;
+    server.receive(openStream(1));
+    const std::string message = grpc::framed(std::string(64'000, 'x'));
+    allocatedBytes = 0;
+    for (std::size_t at = 0; at < message.size(); at += frameBytes)
+      server.calls.received(server.now, frame(kData, 0, 1, message.substr(at, frameBytes)));
+    constexpr std::size_t kMaxAllocatedPerByte = 100;
+    std::cout << "allocated more than " << kMaxAllocatedPerByte
+              << " times the message: " << (allocatedBytes > kMaxAllocatedPerByte * message.size()) << "\n";
+  }
+}
+
 void floodWithHeaders() {
   title("a header block without an end; repeated references to a field in the header table");
   const std::string block = callHeaders();
@@ -318,6 +349,7 @@
   const std::map<std::string, void (*)()> cases{{"frames", frames},
                                                 {"rejected-calls", rejectedCalls},
                                                 {"incomplete-messages", incompleteMessages},
+                                                {"message-in-small-frames", messageInSmallFrames},
                                                 {"floods", floods}};
   const auto found = cases.find(count > 1 ? arguments[1] : "");
   if (found == cases.end()) return 2;
