External processor: one connection can't use up the streams of all proxies

Cause: limits.streams counts the streams of all connections, and one connection could have them all.

Beside other connections one can use three quarters; alone it has all, as before.

--- a/src/cluster/cluster_server.h
+++ b/src/cluster/cluster_server.h
@@ -71,7 +71,7 @@
 
   // --- grpc_server::CallHandler
   void advanceTo(Instant now) override { transactions_.advanceTo(now); }
-  void opened(grpc_server::CallKey) override {}
+  void opened(grpc_server::CallKey, const grpc_server::ConnectionLoad&) override {}
   void message(grpc_server::CallKey call, std::string_view bytes) override {
     ++streamStatistics_.messagesReceived;
     dispatcher_->onMessage(call, bytes);
--- a/src/downstream/ext_proc/request_streams.cpp
+++ b/src/downstream/ext_proc/request_streams.cpp
@@ -14,6 +14,9 @@
 // Each event name is logged at most once in this interval: operators read a few lines a minute, not more.
 constexpr Duration kLogInterval = Duration::millis(10000);
 
+// Part of the streams that one connection can't use while there are others.
+constexpr std::size_t kReserveDivisor = 4;
+
 }  // namespace
 
 RequestStreams::RequestStreams(transactions::TransactionTable& transactions, HeaderMapping mapping,
@@ -28,10 +31,18 @@
 
 // --- Events
 
-// Closes a stream that exceeds the limit over all connections. Prevents unbounded memory use.
-void RequestStreams::onOpened(StreamKey key) {
+// Prevents unbounded memory use, and that one proxy uses up the streams of all. Trade-off: beside others a
+// proxy with a single connection has three quarters of the streams. Streams that it opened while it was the
+// only one stay.
+bool RequestStreams::hasCapacityFor(const ConnectionStreams& connection) const {
+  const std::size_t reserve = connection.isOnlyConnection ? 0 : limits_.maxStreams / kReserveDivisor;
+  return streams_.size() <= limits_.maxStreams && connection.open + reserve <= limits_.maxStreams;
+}
+
+// Closes a stream that exceeds the limits.
+void RequestStreams::onOpened(StreamKey key, const ConnectionStreams& connection) {
   Stream& stream = streams_[key];
-  const bool isFull = streams_.size() > limits_.maxStreams;
+  const bool isFull = !hasCapacityFor(connection);
   if (isStopped_ || isFull) {
     stream.stage = Stage::answered;
     return isStopped_ ? effects_.close(key, StreamCloseReason::unavailable, "shutting down")
--- a/src/downstream/ext_proc/request_streams.h
+++ b/src/downstream/ext_proc/request_streams.h
@@ -51,9 +51,16 @@
   virtual void log(std::string_view event, const std::string& fields) = 0;
 };
 
+// The streams of the connection on which a stream was opened.
+struct ConnectionStreams {
+  std::size_t open = 1;  // with the one that was opened
+  bool isOnlyConnection = true;
+};
+
 // Limits on streams of proxies.
 struct StreamLimits {
-  std::size_t maxStreams = 1000;                     // open at the same time
+  // Open at the same time. A quarter is kept from each connection for the others, if there are others.
+  std::size_t maxStreams = 1000;
   Duration requestTimeout = Duration::millis(2000);  // from the opening of a stream to its request headers
   endpoint_leases::MessageTimeout messageTimeout;
 };
@@ -69,7 +76,7 @@
 
   // --- Events. TransactionTable::advanceTo() must be called with the time of the event first.
 
-  void onOpened(StreamKey key);
+  void onOpened(StreamKey key, const ConnectionStreams& connection = {});
   void onMessage(StreamKey key, std::string_view bytes);
   // The proxy sends no more messages.
   void onHalfClosed(StreamKey key);
@@ -137,6 +144,7 @@
   bool onLeaseGranted(TxnId txn, const upstream::delegated::EndpointLease& lease) override;
 
   // Messages and requests
+  bool hasCapacityFor(const ConnectionStreams& connection) const;
   void onRequestHeaders(StreamKey key, Stream& stream, const wire::Headers& headers);
   void onResponseHeaders(StreamKey key, Stream& stream, const wire::Headers& headers);
   void onBodyOrTrailers(StreamKey key, Stream& stream, wire::Phase phase);
--- a/src/runtime/grpc_server/grpc_server.h
+++ b/src/runtime/grpc_server/grpc_server.h
@@ -21,13 +21,19 @@
 // Identifies a call among the calls of all connections. Never 0.
 using CallKey = std::uint64_t;
 
+// The load of the connection on which a call was opened.
+struct ConnectionLoad {
+  std::size_t openCalls = 1;  // on this connection, with the one that was opened
+  bool isOnlyConnection = true;
+};
+
 // Receives the events of all calls in order of occurrence. May call the server from any of these functions.
 class CallHandler {
  public:
   virtual ~CallHandler() = default;
   // Sets the time of the events that follow.
   virtual void advanceTo(Instant now) = 0;
-  virtual void opened(CallKey call) = 0;
+  virtual void opened(CallKey call, const ConnectionLoad& load) = 0;
   virtual void message(CallKey call, std::string_view bytes) = 0;
   // The client sends no more messages on the call.
   virtual void halfClosed(CallKey call) = 0;
--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -17,6 +17,7 @@
                                                 {"drains-limit-leases", drainsLimitLeases},
                                                 {"role-changes-limit-leases", roleChangesLimitLeases},
                                                 {"stream-and-memory-limits", streamAndMemoryLimits},
+                                                {"streams-of-one-connection", streamsOfOneConnection},
                                                 {"config-file", configFile},
                                                 {"same-decisions-as-postgres", sameDecisionsAsPostgres}};
   const auto found = cases.find(argc > 1 ? argv[1] : "");
--- a/tests/ext_proc/bench.cpp
+++ b/tests/ext_proc/bench.cpp
@@ -60,8 +60,8 @@
 
 // --- Events of proxies
 
-void ExtProcHarness::openStream(StreamKey stream) {
-  streams_.onOpened(stream);
+void ExtProcHarness::openStream(StreamKey stream, const downstream::ext_proc::ConnectionStreams& connection) {
+  streams_.onOpened(stream, connection);
   settle();
 }
 
--- a/tests/ext_proc/bench.h
+++ b/tests/ext_proc/bench.h
@@ -54,7 +54,7 @@
 
   // --- Events of proxies
 
-  void openStream(StreamKey stream);
+  void openStream(StreamKey stream, const downstream::ext_proc::ConnectionStreams& connection = {});
   // Opens a stream and requests a lease. `more` adds headers or replaces the default ones of the same name;
   // an empty value removes the header.
   void request(StreamKey stream, const std::string& id, const std::string& transactionClass,
--- a/tests/ext_proc/cases.h
+++ b/tests/ext_proc/cases.h
@@ -16,6 +16,7 @@
 void drainsLimitLeases();
 void roleChangesLimitLeases();
 void streamAndMemoryLimits();
+void streamsOfOneConnection();
 void configFile();
 
 // same_decisions.cpp
--- a/tests/ext_proc/limits.cpp
+++ b/tests/ext_proc/limits.cpp
@@ -184,6 +184,24 @@
   harness.printCounts();
 }
 
+// Guards against a proxy that opens streams at full speed and asks for nothing: it used up the streams of
+// all.
+void streamsOfOneConnection() {
+  ExtProcSetup setup;
+  setup.maxStreams = 8;
+  ExtProcHarness harness(setup);
+  harness.describe("one of two connections opens eight streams: the seventh and eighth are closed at once");
+  for (StreamKey stream = 1; stream <= 8; ++stream) harness.openStream(stream, {stream, false});
+  harness.resetStream(7);
+  harness.resetStream(8);
+  harness.describe("the other one opens two");
+  harness.openStream(21, {1, false});
+  harness.openStream(22, {2, false});
+  ExtProcHarness single(setup);
+  single.describe("the only connection uses all eight; the ninth stream is closed");
+  for (StreamKey stream = 1; stream <= 9; ++stream) single.openStream(stream, {stream, true});
+}
+
 void configFile() {
   const auto read = [](const std::string& text) {
     try {
