External processor: a message with too many headers is rejected before it is parsed

Cause: the limit of 1,000 headers was looked at in the parsed message. The headers are counted in the encoded message now.

--- a/src/protocol/ext_proc/messages.cpp
+++ b/src/protocol/ext_proc/messages.cpp
@@ -1,7 +1,12 @@
 #include "protocol/ext_proc/messages.h"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/wire_format_lite.h>
+
 #include <algorithm>
+#include <array>
 #include <cstdint>
+#include <span>
 
 #include "external_processor.pb.h"
 
@@ -9,6 +14,8 @@
 
 namespace {
 
+using google::protobuf::internal::WireFormatLite;
+using google::protobuf::io::CodedInputStream;
 using wire::ProcessingRequest;
 using wire::ProcessingResponse;
 
@@ -16,6 +23,43 @@
 // bytes.
 constexpr int kMaxHeaders = 1000;
 
+// Counts the fields that `path` leads to in an encoded message, without parsing it. `path`: the numbers of
+// the fields from the outermost message on. Stops at invalid bytes.
+int countFields(CodedInputStream& input, std::span<const int> path) {
+  int count = 0;
+  while (const std::uint32_t tag = input.ReadTag()) {
+    if (WireFormatLite::GetTagFieldNumber(tag) != path.front() ||
+        WireFormatLite::GetTagWireType(tag) != WireFormatLite::WIRETYPE_LENGTH_DELIMITED) {
+      if (!WireFormatLite::SkipField(&input, tag)) break;
+      continue;
+    }
+    std::uint32_t size = 0;
+    if (!input.ReadVarint32(&size)) break;
+    if (path.size() == 1) {
+      ++count;
+      if (!input.Skip(static_cast<int>(size))) break;
+    } else {
+      const auto limit = input.PushLimit(static_cast<int>(size));
+      count += countFields(input, path.subspan(1));
+      input.PopLimit(limit);
+    }
+  }
+  return count;
+}
+
+// Returns the number of headers in an encoded request, over all its phases.
+int countHeaders(std::string_view bytes) {
+  int count = 0;
+  for (const int phase :
+       {ProcessingRequest::kRequestHeadersFieldNumber, ProcessingRequest::kResponseHeadersFieldNumber}) {
+    CodedInputStream input(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                           static_cast<int>(bytes.size()));
+    count += countFields(input, std::array{phase, static_cast<int>(wire::HttpHeaders::kHeadersFieldNumber),
+                                           static_cast<int>(wire::HeaderMap::kHeadersFieldNumber)});
+  }
+  return count;
+}
+
 std::string toLower(std::string_view name) {
   std::string lower(name);
   for (char& c : lower)
@@ -24,7 +68,6 @@
 }
 
 Headers read(const wire::HeaderMap& map) {
-  if (map.headers_size() > kMaxHeaders) throw Malformed("too many headers");
   Headers headers;
   headers.reserve(static_cast<std::size_t>(map.headers_size()));
   for (const auto& header : map.headers())
@@ -90,7 +133,10 @@
 
 }  // namespace
 
+// Rejects a message with too many headers before it is parsed: parsing takes some hundred times as long as
+// counting, and one connection may send thousands of such messages a second.
 Request readRequest(std::string_view bytes) {
+  if (countHeaders(bytes) > kMaxHeaders) throw Malformed("too many headers");
   ProcessingRequest message;
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     throw Malformed("the message can't be read");
--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -18,6 +18,7 @@
                                                 {"role-changes-limit-leases", roleChangesLimitLeases},
                                                 {"stream-and-memory-limits", streamAndMemoryLimits},
                                                 {"streams-of-one-connection", streamsOfOneConnection},
+                                                {"message-with-too-many-headers", messageWithTooManyHeaders},
                                                 {"config-file", configFile},
                                                 {"same-decisions-as-postgres", sameDecisionsAsPostgres}};
   const auto found = cases.find(argc > 1 ? argv[1] : "");
--- a/tests/ext_proc/cases.h
+++ b/tests/ext_proc/cases.h
@@ -17,6 +17,7 @@
 void roleChangesLimitLeases();
 void streamAndMemoryLimits();
 void streamsOfOneConnection();
+void messageWithTooManyHeaders();
 void configFile();
 
 // same_decisions.cpp
--- a/tests/ext_proc/limits.cpp
+++ b/tests/ext_proc/limits.cpp
@@ -1,4 +1,5 @@
 // Malformed messages, unreported outcomes, limits on streams and memory, drains, and the configuration file.
+#include "allocations.h"
 #include "ext_proc/bench.h"
 #include "ext_proc/cases.h"
 #include "runtime/ext_proc_server/ext_proc_config.h"
@@ -202,6 +203,23 @@
   for (StreamKey stream = 1; stream <= 9; ++stream) single.openStream(stream, {stream, true});
 }
 
+// Guards against a proxy that keeps the process busy with messages of thousands of short headers: each was
+// parsed as a whole before it was rejected.
+void messageWithTooManyHeaders() {
+  for (const std::size_t count : {1000u, 1001u, 7000u}) {
+    const std::string message =
+        wire::encodeRequest({Phase::requestHeaders, wire::Headers(count, {"a", ""}), false});
+    testing::allocatedBytes = 0;
+    std::string result = "accepted";
+    try {
+      wire::readRequest(message);
+    } catch (const wire::Malformed& malformed) { result = malformed.what(); }
+    constexpr std::size_t kMaxAllocatedToReject = 1000;
+    std::cout << count << " headers: " << result << ", allocated " << kMaxAllocatedToReject
+              << " bytes at the most: " << (testing::allocatedBytes <= kMaxAllocatedToReject) << "\n";
+  }
+}
+
 void configFile() {
   const auto read = [](const std::string& text) {
     try {
--- a/tests/http2.cpp
+++ b/tests/http2.cpp
@@ -1,26 +1,15 @@
 // Tests gRPC over HTTP/2 without a socket, with hand-built frames and floods of frames. Run as `http2 CASE`;
 // prints the trace of the case.
-#include <cstdlib>
 #include <functional>
 #include <iostream>
 #include <limits>
 #include <map>
-#include <new>
 
+#include "allocations.h"
 #include "protocol/grpc/server_calls.h"
 
 using namespace gulltrestle;
-
-// Bytes allocated since the counter was last reset.
-static std::size_t allocatedBytes = 0;
-
-[[gnu::noinline]] void* operator new(std::size_t size) {
-  allocatedBytes += size;
-  if (void* memory = std::malloc(size)) return memory;
-  throw std::bad_alloc();
-}
-[[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
-[[gnu::noinline]] void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+using testing::allocatedBytes;
 
 namespace {
 
