gRPC: a turn receives from a connection for 1 ms at the most

Cause: a turn read 64 KiB and handled all of it, however long that took; an answer to another client takes four or five turns.

A turn reads 4 KiB at a time and stops after 1 ms.

--- a/src/runtime/grpc_server/grpc_server.cpp
+++ b/src/runtime/grpc_server/grpc_server.cpp
@@ -18,6 +18,10 @@
 // Pause after a failed accept, to avoid a busy loop.
 constexpr Duration kAcceptRetryDelay = Duration::millis(10);
 constexpr int kMaxAcceptsPerTurn = 8;
+// What is received from one connection in a turn: at most this much, and in reads of kReadBytes until this
+// time has passed.
+constexpr std::size_t kMaxReceiveBytes = 64 * 1024;
+constexpr Duration kMaxReceiveTime = Duration::millis(1);
 // One connection may use this fraction of what all may buffer of incomplete messages, so that a single client
 // doesn't keep others from sending theirs.
 constexpr std::size_t kIncompleteBytesDivisor = 4;
@@ -213,16 +217,22 @@
   handler_.advanceTo(loop_.now());
 }
 
-// Reads once per turn, so that other connections are served in between.
+// Reads for a limited time and size per turn, so that other connections are served in between. The work that
+// some bytes cause may differ by orders of magnitude.
 void GrpcServer::receive(Connection& connection) {
-  const auto result = connection.stream.read(readBuffer_);
-  if (result.status == IoStatus::failed) connection.isBroken = true;
-  if (result.status == IoStatus::endOfStream) connection.hasEnded = true;
-  if (result.status != IoStatus::ok) return;
-  const Instant now = loop_.now();
-  handler_.advanceTo(now);
-  connection.calls.received(now, {readBuffer_.data(), result.size});
-  if (!connection.isIdle()) connection.idleSince = now;
+  const Instant until = loop_.now() + kMaxReceiveTime;
+  for (std::size_t bytes = 0; bytes < kMaxReceiveBytes && connection.stream.canRead();) {
+    const auto result = connection.stream.read(readBuffer_);
+    if (result.status == IoStatus::failed) connection.isBroken = true;
+    if (result.status == IoStatus::endOfStream) connection.hasEnded = true;
+    if (result.status != IoStatus::ok) return;
+    const Instant now = loop_.now();
+    handler_.advanceTo(now);
+    connection.calls.received(now, {readBuffer_.data(), result.size});
+    if (!connection.isIdle()) connection.idleSince = now;
+    bytes += result.size;
+    if (loop_.now() >= until || !connection.isUsable()) break;
+  }
   if (connection.stream.canRead()) connection.stream.wake();
 }
 
--- a/src/runtime/grpc_server/grpc_server.h
+++ b/src/runtime/grpc_server/grpc_server.h
@@ -74,6 +74,7 @@
 
  private:
   using ConnectionId = std::uint32_t;
+  static constexpr std::size_t kReadBytes = 4096;
   struct Connection;
   class ConnectionRegistration;
 
@@ -96,7 +97,7 @@
   std::set<ConnectionId> unflushed_;  // connections that may have output to write
   ConnectionId lastConnectionId_ = 0;
   bool isStopped_ = false;
-  std::array<char, 64 * 1024> readBuffer_;  // shared by all connections, for one read at a time
+  std::array<char, kReadBytes> readBuffer_;  // shared by all connections, for one read at a time
 };
 
 }  // namespace gulltrestle::grpc_server
