Retries are inferred from the timeouts of many connections, not of one that floods

Cause: a request whose timeout isn't common among the last 64 is taken for a client's retry, whose time is over; one client filled the 64. The trace has them rejected at 0 ms without an attempt.

A connection has at most eight of the 64, fewer than make a timeout common.

--- a/src/downstream/ext_proc/request_streams.cpp
+++ b/src/downstream/ext_proc/request_streams.cpp
@@ -17,6 +17,9 @@
 // Part of the streams that one connection can't use while there are others.
 constexpr std::size_t kReserveDivisor = 4;
 
+// Distinguishes the connections of proxies from those of PostgreSQL clients, whose ids also count from 1.
+constexpr ConnectionId kProxyConnectionBit = ConnectionId{1} << 63;
+
 }  // namespace
 
 RequestStreams::RequestStreams(transactions::TransactionTable& transactions, HeaderMapping mapping,
@@ -42,6 +45,7 @@
 // Closes a stream that exceeds the limits.
 void RequestStreams::onOpened(StreamKey key, const ConnectionStreams& connection) {
   Stream& stream = streams_[key];
+  if (connection.connection != 0) stream.connection = connection.connection | kProxyConnectionBit;
   const bool isFull = !hasCapacityFor(connection);
   if (isStopped_ || isFull) {
     stream.stage = Stage::answered;
@@ -154,6 +158,7 @@
 
 void RequestStreams::openTransaction(StreamKey key, Stream& stream, PriorAttempts priorAttempts) {
   Transaction transaction = stream.request.transaction;
+  transaction.connection = stream.connection;
   transaction.priorAttempts = std::move(priorAttempts);
   transaction.maxLocalAttempts = 1;
   transaction.maxQueueTime = stream.decisionDeadlines.answerBy - transactions_.now();
--- a/src/downstream/ext_proc/request_streams.h
+++ b/src/downstream/ext_proc/request_streams.h
@@ -53,7 +53,8 @@
 
 // The streams of the connection on which a stream was opened.
 struct ConnectionStreams {
-  std::size_t open = 1;  // with the one that was opened
+  ConnectionId connection = 0;  // identifies the connection; 0: unknown
+  std::size_t open = 1;         // with the one that was opened
   bool isOnlyConnection = true;
 };
 
@@ -116,6 +117,7 @@
   };
   struct Stream {
     Stage stage = Stage::opened;
+    ConnectionId connection = 0;  // as in Transaction
     HeaderMapping::ParsedRequest request;
     TxnId txn = 0;                // 0: no transaction was opened
     bool ownsTransaction = true;  // false: another stream owns the transaction with this id
--- a/src/downstream/postgres/client_messages.cpp
+++ b/src/downstream/postgres/client_messages.cpp
@@ -177,8 +177,10 @@
   message.timeoutSize = statement.timeoutText.size();
   message.idOffset = offsetOf(statement.id);
   message.idSize = statement.id.size();
-  client.txn = transactions_.openTransaction(*this, id, transport_, transactionOf(statement, type, arrivedAt),
-                                             std::move(message));
+  Transaction transaction = transactionOf(statement, type, arrivedAt);
+  transaction.connection = id;
+  client.txn =
+      transactions_.openTransaction(*this, id, transport_, std::move(transaction), std::move(message));
 }
 
 // Returns the index of the statement's transaction class. Throws wire::InvalidStatement if the class is
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kMaxClientTimeouts = 64;
 constexpr std::size_t kMinClientTimeouts = 16;
 constexpr double kTimeoutTolerance = 0.01;
+constexpr std::size_t kMaxTimeoutsPerConnection = 8;
 constexpr int kCommonTimeoutOneIn = 6;
 constexpr int kRuleAppliesOneIn = 4;
 
@@ -28,6 +29,18 @@
 
 }  // namespace
 
+// One connection has fewer of the timeouts than make one common. Prevents a client that sends at full speed
+// from making its own timeout the only common one, by which all others look like retries.
+void RetryPolicy::recordClientTimeout(const ClientTimeout& timeout) {
+  const auto isOfSameConnection = [&](const ClientTimeout& other) {
+    return timeout.connection != 0 && other.connection == timeout.connection;
+  };
+  const auto recorded = std::count_if(clientTimeouts_.begin(), clientTimeouts_.end(), isOfSameConnection);
+  if (static_cast<std::size_t>(recorded) >= kMaxTimeoutsPerConnection)
+    clientTimeouts_.erase(std::find_if(clientTimeouts_.begin(), clientTimeouts_.end(), isOfSameConnection));
+  pushBounded(clientTimeouts_, timeout, kMaxClientTimeouts);
+}
+
 // A client's retry has the rest of the deadline as its remaining time, which tells when the first request was
 // sent. Trade-off: misjudges the few clients that have a timeout of their own.
 bool RetryPolicy::isClientRetry(const Transaction& transaction) {
@@ -38,7 +51,7 @@
         return std::abs(other.deadlineFraction - fraction) < kTimeoutTolerance;
       });
   const bool isCommon = same * kCommonTimeoutOneIn >= std::ssize(clientTimeouts_);
-  pushBounded(clientTimeouts_, {fraction, isCommon}, kMaxClientTimeouts);
+  recordClientTimeout({fraction, isCommon, transaction.connection});
   const auto common = std::count_if(clientTimeouts_.begin(), clientTimeouts_.end(),
                                     [](const ClientTimeout& other) { return other.isCommon; });
   return !isCommon && clientTimeouts_.size() >= kMinClientTimeouts &&
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -57,15 +57,17 @@
   struct ClientTimeout {
     double deadlineFraction;
     bool isCommon;  // among the timeouts before it
+    ConnectionId connection;
   };
 
   Instant resendBy(const PendingTransaction& transaction) const;
   bool isClientRetry(const Transaction& transaction);
+  void recordClientTimeout(const ClientTimeout& timeout);
 
   const RoutingState& state_;
   const LatencyStatistics& latencies_;
   std::deque<AbandonedTransaction> abandoned_;  // the last ones that have a session
-  std::deque<ClientTimeout> clientTimeouts_;    // of the last transactions
+  std::deque<ClientTimeout> clientTimeouts_;    // of the last transactions, some of each connection
 };
 
 }  // namespace gulltrestle::routing
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -21,6 +21,7 @@
 using KindId = std::string;
 using GroupId = std::uint64_t;
 using SessionId = std::uint64_t;
+using ConnectionId = std::uint64_t;
 
 // The consequence of executing a transaction twice: none, none within the deduplication window, or damage.
 enum class Effect { idempotent, deduplicated, atMostOnce };
@@ -97,6 +98,7 @@
   std::optional<Instant> lastWritePosition;
   // If no position is named: time since the last commit of a write of the session; zero: no write.
   std::optional<Duration> writeAge;
+  ConnectionId connection = 0;                  // of the client; 0: unknown
   Duration remainingTime;                       // until the client times out this request
   std::optional<Duration> expectedServiceTime;  // rough estimate of the service time
   PriorAttempts priorAttempts;
--- a/src/runtime/ext_proc_server/ext_proc_server.h
+++ b/src/runtime/ext_proc_server/ext_proc_server.h
@@ -45,7 +45,7 @@
   // --- grpc_server::CallHandler
   void advanceTo(Instant now) override { transactions_.advanceTo(now); }
   void opened(grpc_server::CallKey call, const grpc_server::ConnectionLoad& load) override {
-    streams_.onOpened(call, {load.openCalls, load.isOnlyConnection});
+    streams_.onOpened(call, {load.connection, load.openCalls, load.isOnlyConnection});
   }
   void message(grpc_server::CallKey call, std::string_view bytes) override {
     streams_.onMessage(call, bytes);
--- a/src/runtime/grpc_server/grpc_server.cpp
+++ b/src/runtime/grpc_server/grpc_server.cpp
@@ -57,7 +57,7 @@
   }
   void opened(grpc::CallId call) override {
     server.handler_.advanceTo(server.loop_.now());
-    server.handler_.opened(keyOf(call), {calls.open(), server.connections_.size() == 1});
+    server.handler_.opened(keyOf(call), {id, calls.open(), server.connections_.size() == 1});
   }
   void message(grpc::CallId call, std::string_view bytes) override {
     server.handler_.message(keyOf(call), bytes);
--- a/src/runtime/grpc_server/grpc_server.h
+++ b/src/runtime/grpc_server/grpc_server.h
@@ -23,7 +23,8 @@
 
 // The load of the connection on which a call was opened.
 struct ConnectionLoad {
-  std::size_t openCalls = 1;  // on this connection, with the one that was opened
+  std::uint32_t connection = 0;  // identifies it among those of the server; never reused
+  std::size_t openCalls = 1;     // on this connection, with the one that was opened
   bool isOnlyConnection = true;
 };
 
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -37,6 +37,7 @@
       {"no-health-checks", noHealthChecks},
       {"late-cancelled-reads", lateCancelledReads},
       {"inferred-client-retries", inferredClientRetries},
+      {"timeouts-of-one-connection", timeoutsOfOneConnection},
       {"outdated-positions", outdatedPositions},
       {"long-reads", longReads},
       {"session-read-retry", sessionReadRetry},
--- a/tests/decisions/cases.h
+++ b/tests/decisions/cases.h
@@ -28,6 +28,7 @@
 void unansweredWrites();
 void lateCancelledReads();
 void inferredClientRetries();
+void timeoutsOfOneConnection();
 void hedge();
 void errorAttribution();
 void hungNode();
--- a/tests/decisions/retries.cpp
+++ b/tests/decisions/retries.cpp
@@ -106,6 +106,32 @@
   });
 }
 
+// Guards against one client whose many requests have a timeout of their own: by it, the requests of all
+// others looked like retries of clients that had long waited, and were rejected.
+void timeoutsOfOneConnection() {
+  RouterHarness harness(defaultConfig({kAny}));
+  startGroup(harness);
+  harness.hidesHealthChecks = true;
+  harness.describe(
+      "eight connections send a read each 40 ms, with 1000 ms; one sends ten in that time, with 1900 ms");
+  constexpr ConnectionId kBusyConnection = 100;
+  constexpr int kReadsPerRound = 10;
+  TxnId id = 0;
+  const auto read = [&](std::int64_t at, ConnectionId connection, std::int64_t remainingTime) {
+    Transaction transaction = harness.txn(++id, 0, remainingTime);
+    transaction.connection = connection;
+    harness.at(at, [&](Router& r) { r.onTransaction(transaction); });
+    harness.at(at + 1, [&](Router& r) {
+      if (harness.nodeOf(id) != "none") endAttempt(harness, r, id, AttemptOutcome::committed);
+    });
+  };
+  for (int round = 0; round < 16; ++round) {
+    const std::int64_t from = 100 + 40 * round;
+    for (int i = 0; i < kReadsPerRound; ++i) read(from + 2 * i, kBusyConnection, 1900);
+    read(from + 30, 1 + static_cast<ConnectionId>(round % 8), 1000);
+  }
+}
+
 void hedge() {
   auto slow = kAny;
   slow.latencyTarget = ms(2000);
--- a/tests/ext_proc/limits.cpp
+++ b/tests/ext_proc/limits.cpp
@@ -192,15 +192,15 @@
   setup.maxStreams = 8;
   ExtProcHarness harness(setup);
   harness.describe("one of two connections opens eight streams: the seventh and eighth are closed at once");
-  for (StreamKey stream = 1; stream <= 8; ++stream) harness.openStream(stream, {stream, false});
+  for (StreamKey stream = 1; stream <= 8; ++stream) harness.openStream(stream, {1, stream, false});
   harness.resetStream(7);
   harness.resetStream(8);
   harness.describe("the other one opens two");
-  harness.openStream(21, {1, false});
-  harness.openStream(22, {2, false});
+  harness.openStream(21, {2, 1, false});
+  harness.openStream(22, {2, 2, false});
   ExtProcHarness single(setup);
   single.describe("the only connection uses all eight; the ninth stream is closed");
-  for (StreamKey stream = 1; stream <= 9; ++stream) single.openStream(stream, {stream, true});
+  for (StreamKey stream = 1; stream <= 9; ++stream) single.openStream(stream, {1, stream, true});
 }
 
 // Guards against a proxy that keeps the process busy with messages of thousands of short headers: each was
