Clients that wait with unread data are checked by notices: their end lies behind the data

Cause: while a client waits, at most 16 KiB ahead are read, and an end behind more than the kernel takes is reported by no event.

A client that waits with unread data gets a notice each 40 ms; the kernel of one that is gone answers with a reset.

--- a/src/runtime/server/client_connection.h
+++ b/src/runtime/server/client_connection.h
@@ -15,6 +15,7 @@
   bool mustCloseNow = false;           // the descriptor is needed: lingering ends immediately
   Instant unreadSince;    // the time since which received data may be unread; Instant() if none is
   Instant noticeSentAt;   // when a notice was sent to check the connection; Instant() if none was
+  Instant nextCheckAt;    // when to check next whether the client is connected; Instant() if it doesn't wait
   Instant stallDeadline;  // the connection is closed if data is still unsent then; Instant() if none is
 };
 
--- a/src/runtime/server/client_connections.cpp
+++ b/src/runtime/server/client_connections.cpp
@@ -17,6 +17,9 @@
 constexpr Duration kStallThreshold = Duration::millis(50);
 // If a client has closed its connection, a notice is answered with a reset within a network round trip.
 constexpr Duration kResetDelay = Duration::millis(25);
+// Interval of the checks whether a client with unread data is still connected: nothing may be sent for a
+// client 100 ms after it has closed its connection.
+constexpr Duration kConnectionCheckInterval = Duration::millis(40);
 // After the end of stream is sent, a client closes its end within a round trip unless it is idle. The server
 // waits for it for this multiple of the connect time limit.
 constexpr double kLingerFactor = 2;
@@ -112,7 +115,9 @@
     sendNotice(client);
     return TurnResult::wait;
   }
-  if (client.stream.canRead() && !client.hasEnded && mayRead(id, client)) return readClient(id, client);
+  const bool hasUnread = client.stream.canRead() && !client.hasEnded;
+  if (hasUnread && mayRead(id, client)) return readClient(id, client);
+  if (hasUnread && gateway_.isWaiting(id)) checkConnection(client);
   // The end of stream follows data that is not read yet: the client has sent much data ahead while it waits.
   if (client.stream.isPeerHalfClosed() && !client.hasEnded && gateway_.isWaiting(id))
     gateway_.clientHalfClosed(loop_.now(), id);
@@ -124,6 +129,7 @@
 }
 
 ClientConnections::TurnResult ClientConnections::redeliverReceived(ClientId id, Client& client) {
+  client.nextCheckAt = Instant();
   client.redeliverReceived([&](std::string_view bytes) { return deliver(id, client, bytes); });
   if (client.hasEnded && !client.isRedeliveryRequested) gateway_.clientHalfClosed(loop_.now(), id);
   if (!client.isRedeliveryRequested) return TurnResult::repeat;
@@ -178,6 +184,18 @@
   client.send({postgres::notice("still there?")});
 }
 
+// Sends a notice at intervals while the client waits for an answer and data is left unread. Its end of stream
+// may lie behind that data, even in the client's own send buffer, where it isn't reported: a client that has
+// closed its connection answers the notice with a reset. Trade-off: clients that send much ahead receive
+// notices.
+void ClientConnections::checkConnection(Client& client) const {
+  const Instant now = loop_.now();
+  if (now < client.nextCheckAt) return;
+  if (client.nextCheckAt != Instant()) client.send({postgres::notice("still there?")});
+  client.nextCheckAt = now + kConnectionCheckInterval;
+  client.stream.wakeAt(client.nextCheckAt);
+}
+
 // Returns whether more data may be read from the client. Enforces the memory limit: data that a client sends
 // ahead stays in the kernel while its response is pending, and a client that continues a long message while
 // the buffers are full is rejected here. Trade-off: clients with long values are rejected when many send them
--- a/src/runtime/server/client_connections.h
+++ b/src/runtime/server/client_connections.h
@@ -57,6 +57,7 @@
   bool hasStalled(Client& client) const;
   bool mayBeDisconnected(const Client& client) const;
   void sendNotice(Client& client) const;
+  void checkConnection(Client& client) const;
   bool mayRead(gateway::ClientId id, const Client& client);
   Instant startLingering(gateway::ClientId id, Client& client);
   bool isLingering(const Client& client, Instant until) const;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -17,6 +17,7 @@
       {"reset-while-connecting", resetWhileConnecting},
       {"disconnect-with-queued-statements", disconnectWithQueuedStatements},
       {"disconnect-with-unread-statements", disconnectWithUnreadStatements},
+      {"close-behind-unread-statements", closeBehindUnreadStatements},
       {"reset-with-greeting", resetWithGreeting},
       {"pipelined", pipelined},
       {"pipelined-unread", pipelinedUnread},
--- a/tests/crossings/cases.h
+++ b/tests/crossings/cases.h
@@ -7,6 +7,7 @@
 void resetWhileConnecting();
 void disconnectWithQueuedStatements();
 void disconnectWithUnreadStatements();
+void closeBehindUnreadStatements();
 void resetWithGreeting();
 void pipelined();
 void pipelinedUnread();
