An at-most-once write whose id comes again after its client left doesn't run twice

Cause: a transaction was known by its id only while it was open; once its client had left it was forgotten with its last attempt.

ExecutionHistory remembers ids that may have run until the deadline of their class, within a quarter of the limit on open statements; beyond it such writes are rejected. A repeat gets it as a prior attempt, so that the routing rules decide, also for deduplicated writes.

--- a/src/transactions/transaction_admission.cpp
+++ b/src/transactions/transaction_admission.cpp
@@ -19,14 +19,42 @@
     }
     open.isAdmitted = true;
   }
+  Transaction admitted = transaction;
+  if (!addPriorExecution(admitted, open.id())) {
+    admissionRejections_.push_back({txn, Duration()});
+    return;
+  }
   open.usesGate = executionGate_ && transactionClasses_.at(transaction.type).effect == Effect::atMostOnce;
-  if (const auto& age = transaction.priorAttempts.ambiguousAttemptAge)
-    open.ambiguousPriorSentAt = now_ - *age;
-  if (!open.usesGate) return enqueue([transaction](Router& router) { router.onTransaction(transaction); });
-  open.awaitingGate = transaction;
+  if (const auto& age = admitted.priorAttempts.ambiguousAttemptAge) open.ambiguousPriorSentAt = now_ - *age;
+  if (!open.usesGate) return enqueue([admitted](Router& router) { router.onTransaction(admitted); });
+  open.awaitingGate = admitted;
   executionGate_->requestExecution(txn, gateId, transaction.remainingTime);
 }
 
+// Prevents a transaction that may run once, or whose repeats nodes recognise for a limited time, from running
+// again if its client left and sends it once more: it counts as an earlier attempt of this one, by which the
+// router decides. Returns false if the transaction could not be remembered after its end and must not run.
+// Trade-off: while very many ids are remembered, such transactions are rejected.
+bool TransactionTable::addPriorExecution(Transaction& transaction, std::string_view id) const {
+  const bool isRemembered = transactionClasses_.at(transaction.type).effect != Effect::idempotent;
+  if (!isRemembered || id.empty() || executionGate_) return true;
+  if (const auto sentAt = executionHistory_.firstSentAt(id))
+    transaction.priorAttempts.ambiguousAttemptAge = now_ - *sentAt;
+  return executionHistory_.hasCapacity();
+}
+
+// Its client waits for the deadline of its class at the most, over all its requests: a request that was not
+// sent does not prolong the time.
+void TransactionTable::rememberExecution(const OpenTransaction& open) {
+  const TransactionClass& type = transactionClasses_.at(open.transactionClass);
+  if (type.effect == Effect::idempotent || open.id().empty() || open.attempts.empty() || executionGate_)
+    return;
+  const Instant sentAt = open.firstAmbiguousSentAt(static_cast<unsigned>(open.attempts.size()));
+  if (sentAt == Instant()) return;
+  const Duration retention = std::max(type.deadline, type.deduplicationWindow);
+  executionHistory_.record(open.id(), sentAt, now_ + retention);
+}
+
 void TransactionTable::admit(TxnId txn) {
   OpenTransaction* open = findAwaitingAnswer(txn);
   if (!open || !open->awaitingGate) return;
--- a/src/transactions/transaction_table.cpp
+++ b/src/transactions/transaction_table.cpp
@@ -7,6 +7,13 @@
 
 namespace gulltrestle::transactions {
 
+namespace {
+
+// The ids of transactions that have ended may use this part of the limit on the messages of open ones.
+constexpr std::size_t kExecutionHistoryDivisor = 4;
+
+}  // namespace
+
 TransactionTable::TransactionTable(const RoutingConfig& config, std::uint64_t seed,
                                    std::size_t maxMessageBytes, std::function<void()> pollEndpointList)
     : router_(config, seed),
@@ -14,12 +21,14 @@
       maxOpenTransactions_(config.maxOpenTransactions),
       pollEndpointList_(std::move(pollEndpointList)),
       transactionClasses_(config.transactionClasses),
-      endpoints_(!config.onlyDrainingExcludes) {}
+      endpoints_(!config.onlyDrainingExcludes),
+      executionHistory_(maxMessageBytes / kExecutionHistoryDivisor) {}
 
 // Starts due exclusions before any event is handled: after a stall, the process must not send attempts based
 // on outdated exclusions.
 void TransactionTable::advanceTo(Instant now) {
   now_ = std::max(now_, now);
+  executionHistory_.dropExpired(now_);
   applyChangedEndpoints(exclusions_.advanceTo(now_));
 }
 
@@ -101,6 +110,7 @@
   const OpenTransaction& open = found->second;
   if (open.handler || !open.haveAllAttemptsEnded()) return;
   if (open.usesGate && executionGate_) executionGate_->onTransactionEnded(txn, open.executionOutcome());
+  rememberExecution(open);
   messageBytes_ -= open.message.bytes.size();
   if (!open.id().empty()) openIds_.erase(open.id());
   openTransactions_.erase(found);
--- a/src/transactions/transaction_table.h
+++ b/src/transactions/transaction_table.h
@@ -29,6 +29,7 @@
 #include "transactions/endpoint_exclusions.h"
 #include "transactions/endpoint_registry.h"
 #include "transactions/execution_gate.h"
+#include "transactions/execution_history.h"
 #include "transactions/open_transaction.h"
 #include "transactions/trace.h"
 #include "transactions/upstream_transport.h"
@@ -87,7 +88,7 @@
   bool isOpen(std::string_view id) const { return openIds_.contains(id); }
   bool hasCapacityFor(std::size_t bytes) const { return messageBytes_ + bytes <= maxMessageBytes_; }
   // Returns the id assigned to the transaction. `id`: the id that the client gave to it, if the message does
-  // not contain one.
+  // not contain one: the handler then has to know of earlier transactions with the same id itself.
   TxnId openTransaction(DownstreamHandler& handler, OwnerId owner, UpstreamTransport& transport,
                         Transaction transaction, RequestMessage message, std::string_view id = {});
   // Its client has left: the transaction gets no answer, and no further attempt is started.
@@ -180,6 +181,8 @@
   // Also returns null for a transaction that does not await its final answer any more.
   OpenTransaction* findAwaitingAnswer(TxnId txn);
   void submit(TxnId txn, OpenTransaction& open, const Transaction& transaction, std::string_view gateId);
+  bool addPriorExecution(Transaction& transaction, std::string_view id) const;
+  void rememberExecution(const OpenTransaction& open);
   bool stopAwaitingGate(TxnId txn);
   void notifyAdmissionController(OpenTransaction& open, bool isCommitted);
   void traceAnswer(TxnId txn, std::string_view answer, unsigned level = 0);
@@ -217,6 +220,7 @@
   std::map<TxnId, OpenTransaction> openTransactions_;
   std::unordered_set<std::string_view> openIds_;  // views into the messages in openTransactions_
   std::size_t messageBytes_ = 0;                  // total size of the messages in openTransactions_
+  ExecutionHistory executionHistory_;             // unused if there is an execution gate, which has its own
   std::vector<RouterEvent> events_;
   struct AdmissionRejection {
     TxnId txn = 0;
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -18,6 +18,8 @@
       {"withdraws-unsent-attempts", withdrawsUnsentAttempts},
       {"retries-unexecuted-writes", retriesUnexecutedWrites},
       {"never-retries-ambiguous-writes", neverRetriesAmbiguousWrites},
+      {"id-repeated-after-client-left", idRepeatedAfterClientLeft},
+      {"repeated-ids-at-limit", repeatedIdsAtLimit},
       {"cancels-abandoned-attempts", cancelsAbandonedAttempts},
       {"read-outdated-before-connected", readOutdatedBeforeConnected},
       {"partially-written-statements", partiallyWrittenStatements},
--- a/tests/gateway/attempts.cpp
+++ b/tests/gateway/attempts.cpp
@@ -61,6 +61,72 @@
   bench.advance(5);
 }
 
+// Guards against an effect twice: a write whose client had left was forgotten with its last attempt, and ran
+// again when the same id came again.
+void idRepeatedAfterClientLeft() {
+  const std::string error = postgres::error("ERROR", "XX000", "no") + postgres::readyForQuery();
+  const std::string rejection = postgres::error("ERROR", "53300", "full") + postgres::readyForQuery();
+  struct Ending {
+    std::string description, answer;
+  };
+  for (const Ending& ending : {Ending{"committed", rowAnswer("v")}, Ending{"answered with an error", error},
+                               Ending{"rejected without a run", rejection}}) {
+    GatewayBench bench;
+    bench.describe("the client leaves, its write is " + ending.description + ", and the same id comes again");
+    bench.openClient(1, writeQuery("aa"));
+    bench.connectNode(1);
+    bench.disconnectClient(1);
+    bench.answer(1, ending.answer);
+    bench.advance(200);
+    bench.openClient(2, writeQuery("aa"));
+    bench.advance(100);  // a node that rejected a write receives none for 250 ms
+  }
+  GatewayBench lost;
+  lost.describe("the connection to the node is lost with the answer");
+  lost.openClient(1, writeQuery("aa"));
+  lost.connectNode(1);
+  lost.disconnectClient(1);
+  lost.closeConnection(1, ConnectionCloseReason::broken);
+  lost.openClient(2, writeQuery("aa"));
+  lost.advance(50);
+  GatewayBench expired;
+  expired.describe("another id, a read, and the same id after the deadline of its class, 2 s, are sent");
+  expired.openClient(1, writeQuery("aa"));
+  expired.connectNode(1);
+  expired.answer(1, rowAnswer("v"));
+  expired.sendFromClient(1, writeQuery("bb"));
+  expired.answer(1, rowAnswer("v"));
+  expired.sendFromClient(1, readQuery("rr", "latest"));
+  expired.answer(1, rowAnswer("v"));
+  expired.sendFromClient(1, readQuery("rr", "latest"));
+  expired.answer(1, rowAnswer("v"));
+  expired.advance(1990);
+  expired.sendFromClient(1, writeQuery("aa"));
+  expired.advance(20);
+  expired.sendFromClient(1, writeQuery("aa"));
+}
+
+// The ids that must be remembered are bounded: beyond that, writes are rejected without being sent.
+void repeatedIdsAtLimit() {
+  GatewaySetup setup;
+  setup.bounds.maxBufferedBytes = 4096;  // a quarter is for the ids of writes that have ended
+  GatewayBench bench(setup);
+  bench.openClient(1, writeQuery("w1"));
+  bench.connectNode(1);
+  bench.answer(1, rowAnswer("v"));
+  for (int number = 2; number <= 4; ++number) {
+    bench.sendFromClient(1, writeQuery("w" + std::to_string(number)));
+    bench.answer(1, rowAnswer("v"));
+  }
+  bench.describe("the fifth write is rejected");
+  bench.sendFromClient(1, writeQuery("w5"));
+  bench.describe("a read is sent, and writes again once the ids have expired");
+  bench.sendFromClient(1, readQuery("r1", "latest"));
+  bench.answer(1, rowAnswer("v"));
+  bench.advance(2005);
+  bench.sendFromClient(1, writeQuery("w6"));
+}
+
 void cancelsAbandonedAttempts() {
   GatewayBench bench;
   bench.updateEndpoints(EndpointUpdateKind::delta, {"b"});
--- a/tests/gateway/cases.h
+++ b/tests/gateway/cases.h
@@ -16,6 +16,8 @@
 // attempts.cpp
 void retriesUnexecutedWrites();
 void neverRetriesAmbiguousWrites();
+void idRepeatedAfterClientLeft();
+void repeatedIdsAtLimit();
 void cancelsAbandonedAttempts();
 void readOutdatedBeforeConnected();
 void partiallyWrittenStatements();
