--- a/src/transactions/execution_history.h
+++ b/src/transactions/execution_history.h
@@ -30,16 +30,16 @@
   void dropExpired(Instant now);
 
  private:
-  struct Entry {
+  struct Execution {
     Instant sentAt, expiresAt;
   };
-  using Entries = std::unordered_map<std::string, Entry>;
-  void erase(Entries::iterator entry);
+  using Executions = std::unordered_map<std::string, Execution>;
+  void erase(Executions::iterator execution);
 
   std::size_t maxBytes_;
   std::size_t usedBytes_ = 0;
-  Entries entries_;
-  std::multimap<Instant, std::string_view> expiries_;  // of entries_, whose keys they refer to
+  Executions executions_;
+  std::multimap<Instant, std::string_view> expiries_;  // of executions_, whose keys they refer to
 };
 
 }  // namespace gulltrestle::transactions
--- a/tests/gateway/attempts.cpp
+++ b/tests/gateway/attempts.cpp
@@ -66,17 +66,18 @@
 void idRepeatedAfterClientLeft() {
   const std::string error = postgres::error("ERROR", "XX000", "no") + postgres::readyForQuery();
   const std::string rejection = postgres::error("ERROR", "53300", "full") + postgres::readyForQuery();
-  struct Ending {
+  struct FirstResult {
     std::string description, answer;
   };
-  for (const Ending& ending : {Ending{"committed", rowAnswer("v")}, Ending{"answered with an error", error},
-                               Ending{"rejected without a run", rejection}}) {
+  for (const FirstResult& first :
+       {FirstResult{"committed", rowAnswer("v")}, FirstResult{"answered with an error", error},
+        FirstResult{"rejected without a run", rejection}}) {
     GatewayBench bench;
-    bench.describe("the client leaves, its write is " + ending.description + ", and the same id comes again");
+    bench.describe("the client leaves, its write is " + first.description + ", and the same id comes again");
     bench.openClient(1, writeQuery("aa"));
     bench.connectNode(1);
     bench.disconnectClient(1);
-    bench.answer(1, ending.answer);
+    bench.answer(1, first.answer);
     bench.advance(200);
     bench.openClient(2, writeQuery("aa"));
     bench.advance(100);  // a node that rejected a write receives none for 250 ms
