The clock of positions is corrected by commits also after a report that was handled late

What callers would see: a router that stands still after it has read its own clock handles a position by a time that is too early; the clock of positions seems up to a second ahead, and stayed so: bounded reads are held and go to the primary for good. Found by reading, not seen in service. Cause: only steps back of over 1 s were taken.

--- a/src/routing/position_clock.cpp
+++ b/src/routing/position_clock.cpp
@@ -22,16 +22,18 @@
   return true;
 }
 
+// A clock behind the router's is ignored: reads then require later data than necessary, where positions that
+// are merely late would make old data look fresh.
 bool PositionClock::recordCommit(Instant position, Instant sentAt) {
   const Duration maxOffset = std::max(position - sentAt, Duration());
-  // Smaller steps back, and those behind the router's clock, are ignored: reads then require later data than
-  // necessary, where positions that are merely late would make old data look fresh.
-  const bool isSetBack = maxOffset + kMaxUnconfirmedStep < offset_;
-  const bool isAsExpected = !isSetBack && maxOffset <= offset_ + kMaxUnconfirmedStep;
+  const bool isLargeStepBack = maxOffset + kMaxUnconfirmedStep < offset_;
+  if (isLargeStepBack && !isConfirmed(maxOffset)) return false;
+  const bool isAsExpected = !isLargeStepBack && maxOffset <= offset_ + kMaxUnconfirmedStep;
   if (isAsExpected) unconfirmedOffset_.reset();
-  if (!isSetBack || !isConfirmed(maxOffset)) return false;
-  offset_ = maxOffset;
-  return true;
+  // A smaller difference is due to a report that was handled late: the router stood still after it had read
+  // its own clock, so that the position looked like a later one.
+  offset_ = std::min(offset_, maxOffset);
+  return isLargeStepBack;
 }
 
 bool PositionClock::isConfirmed(Duration offset) {
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -29,6 +29,7 @@
           {"bounded-read-after-clock-step", boundedReadAfterClockStep},
           {"clock-step-while-bounded-read-waits", clockStepWhileBoundedReadWaits},
           {"session-age-after-clock-step", sessionAgeAfterClockStep},
+          {"position-read-after-stall", positionReadAfterStall},
           {"clock-step-of-an-hour", clockStepOfAnHour},
           {"state-expiry", stateExpiry},
           {"unanswered-writes", unansweredWrites},
--- a/tests/decisions/cases.h
+++ b/tests/decisions/cases.h
@@ -7,6 +7,7 @@
 void boundedReadAfterClockStep();
 void clockStepWhileBoundedReadWaits();
 void sessionAgeAfterClockStep();
+void positionReadAfterStall();
 void clockStepOfAnHour();
 
 // read_consistency.cpp
--- a/tests/decisions/position_clock.cpp
+++ b/tests/decisions/position_clock.cpp
@@ -87,6 +87,23 @@
   }
 }
 
+// Guards against bounded reads that go to the primary for good: a router that stands still after it has read
+// its own clock takes a position for one that is ahead of it.
+void positionReadAfterStall() {
+  RouterHarness harness = groupOf(kBounded);
+  harness.hidesHealthChecks = true;
+  startGroup(harness);
+  harness.describe("a report is handled by a clock that was read 700 ms before; b is 500 ms behind");
+  reportPosition(harness, 1000, "a", 1690);
+  reportPosition(harness, 1700, "b", 1200);
+  harness.at(1705, [&](Router& r) { r.onTransaction(harness.txn(2, kReadClass)); });
+  harness.describe("a write that is committed meanwhile shows that the clocks agree");
+  commitWrite(harness, 1, 1710, 0);
+  harness.describe("a doesn't answer reads any more: the next one goes to b");
+  harness.at(1750, [&](Router& r) { r.onNodeDisconnected("a"); });
+  harness.at(1755, [&](Router& r) { r.onTransaction(harness.txn(3, kReadClass)); });
+}
+
 // Steps of an hour count once a second report confirms them, so that one faulty report changes nothing.
 void clockStepOfAnHour() {
   RouterHarness harness = groupOf(kBounded);
