A repeated id that may have run is rolled back also while no further ids can be remembered

What callers would see: while the ids of at-most-once writes fill their part of the memory, one whose id is remembered was answered as refused, 'trying again is harmless', though it may have run. Cause: the capacity was asked before the id. A remembered id needs none.

Deduplicated writes are remembered beside an execution gate too, which only records at-most-once ones.

--- a/src/protocol/ext_proc/messages.cpp
+++ b/src/protocol/ext_proc/messages.cpp
@@ -133,8 +133,8 @@
 
 }  // namespace
 
-// Rejects a message with too many headers before it is parsed: parsing takes some hundred times as long as
-// counting, and one connection may send thousands of such messages a second.
+// Rejects a message with too many headers before it is parsed: parsing allocates memory for each of them, and
+// one connection may send thousands of such messages a second.
 Request readRequest(std::string_view bytes) {
   if (countHeaders(bytes) > kMaxHeaders) throw Malformed("too many headers");
   ProcessingRequest message;
--- a/src/transactions/transaction_admission.cpp
+++ b/src/transactions/transaction_admission.cpp
@@ -36,19 +36,22 @@
 // router decides. Returns false if the transaction could not be remembered after its end and must not run.
 // Trade-off: while very many ids are remembered, such transactions are rejected.
 bool TransactionTable::addPriorExecution(Transaction& transaction, std::string_view id) const {
-  const bool isRemembered = transactionClasses_.at(transaction.type).effect != Effect::idempotent;
-  if (!isRemembered || id.empty() || executionGate_) return true;
-  if (const auto sentAt = executionHistory_.firstSentAt(id))
-    transaction.priorAttempts.ambiguousAttemptAge = now_ - *sentAt;
-  return executionHistory_.hasCapacity();
+  if (id.empty() || !remembersExecutions(transactionClasses_.at(transaction.type).effect)) return true;
+  const std::optional<Instant> sentAt = executionHistory_.firstSentAt(id);
+  if (!sentAt) return executionHistory_.hasCapacity();
+  transaction.priorAttempts.ambiguousAttemptAge = now_ - *sentAt;
+  return true;
+}
+
+bool TransactionTable::remembersExecutions(Effect effect) const {
+  return effect == Effect::deduplicated || (effect == Effect::atMostOnce && !executionGate_);
 }
 
 // Its client waits for the deadline of its class at the most, over all its requests: a request that was not
 // sent does not prolong the time.
 void TransactionTable::rememberExecution(const OpenTransaction& open) {
   const TransactionClass& type = transactionClasses_.at(open.transactionClass);
-  if (type.effect == Effect::idempotent || open.id().empty() || open.attempts.empty() || executionGate_)
-    return;
+  if (open.id().empty() || open.attempts.empty() || !remembersExecutions(type.effect)) return;
   const Instant sentAt = open.firstAmbiguousSentAt(static_cast<unsigned>(open.attempts.size()));
   if (sentAt == Instant()) return;
   const Duration retention = std::max(type.deadline, type.deduplicationWindow);
--- a/src/transactions/transaction_table.h
+++ b/src/transactions/transaction_table.h
@@ -181,6 +181,7 @@
   // Also returns null for a transaction that does not await its final answer any more.
   OpenTransaction* findAwaitingAnswer(TxnId txn);
   void submit(TxnId txn, OpenTransaction& open, const Transaction& transaction, std::string_view gateId);
+  bool remembersExecutions(Effect effect) const;
   bool addPriorExecution(Transaction& transaction, std::string_view id) const;
   void rememberExecution(const OpenTransaction& open);
   bool stopAwaitingGate(TxnId txn);
@@ -220,7 +221,8 @@
   std::map<TxnId, OpenTransaction> openTransactions_;
   std::unordered_set<std::string_view> openIds_;  // views into the messages in openTransactions_
   std::size_t messageBytes_ = 0;                  // total size of the messages in openTransactions_
-  ExecutionHistory executionHistory_;             // unused if there is an execution gate, which has its own
+  // Of deduplicated transactions, and of at-most-once ones unless an execution gate records them.
+  ExecutionHistory executionHistory_;
   std::vector<RouterEvent> events_;
   struct AdmissionRejection {
     TxnId txn = 0;
--- a/tests/gateway/attempts.cpp
+++ b/tests/gateway/attempts.cpp
@@ -119,8 +119,9 @@
     bench.sendFromClient(1, writeQuery("w" + std::to_string(number)));
     bench.answer(1, rowAnswer("v"));
   }
-  bench.describe("the fifth write is rejected");
+  bench.describe("the fifth write is rejected, one that is remembered is rolled back");
   bench.sendFromClient(1, writeQuery("w5"));
+  bench.sendFromClient(1, writeQuery("w2"));
   bench.describe("a read is sent, and writes again once the ids have expired");
   bench.sendFromClient(1, readQuery("r1", "latest"));
   bench.answer(1, rowAnswer("v"));
