--- a/tests/allocations.h
+++ b/tests/allocations.h
@@ -18,5 +18,10 @@
   if (void* memory = std::malloc(size)) return memory;
   throw std::bad_alloc();
 }
+[[gnu::noinline]] void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
+  gulltrestle::testing::allocatedBytes += size;
+  return std::malloc(size);
+}
 [[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
 [[gnu::noinline]] void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+[[gnu::noinline]] void operator delete(void* memory, const std::nothrow_t&) noexcept { std::free(memory); }
