review: a router without a first list does not end after SIGTERM

closeIdleAtShutDown() picks a client whose empty query waits for the first list, the close is refused each turn, and the router waits for it.

--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -250,6 +250,7 @@
         self.nodes, self.roles, self.version = nodes, roles, 1
         self.changed = asyncio.Event()
         self.whole_lists_sent = 0
+        self.is_down = False  # it accepts connections, and says nothing
         self.server = None
 
     async def start(self):
@@ -271,6 +272,9 @@
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             path = head.split(" ")[1]
+            if self.is_down:
+                await reader.read()
+                return
             if "stream=1" not in path:
                 body = json.dumps(self.list()).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"
