--- a/src/downstream/postgres/client_messages.cpp
+++ b/src/downstream/postgres/client_messages.cpp
@@ -28,6 +28,7 @@
   Client& client = clients_[id];
   client.idleSince = transactions_.now();
   startMessageTimer(id, client);
+  transactions_.trace().write([&] { return "event=client.connected client=" + std::to_string(id); });
 }
 
 // Prevents clients that send nothing, or half of a message, from keeping a descriptor and their buffered
--- a/src/downstream/postgres/client_sessions.h
+++ b/src/downstream/postgres/client_sessions.h
@@ -76,6 +76,7 @@
   bool closeIdle(std::size_t max) { return closeIdle(max, IdleClients::all); }
 
   bool empty() const { return clients_.empty(); }
+  std::size_t count() const { return clients_.size(); }
   // Returns whether the client awaits an answer.
   bool isWaiting(ClientId id) const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -160,6 +160,8 @@
 void Gateway::stop() {
   if (!std::exchange(isStopped_, true)) {
     effects_.stopListening();
+    effects_.log("shutdown: accepts no more clients, clients=" + std::to_string(clientSessions_.count()) +
+                 " transactions=" + std::to_string(transactions_.openCount()));
     clientSessions_.stop();
     for (Component* component : components_) component->stop();
   }
