--- a/src/cluster/cluster_server.cpp
+++ b/src/cluster/cluster_server.cpp
@@ -51,12 +51,6 @@
   return bounds;
 }
 
-Duration longestDeadlineOf(const RoutingConfig& routing) {
-  Duration longest;
-  for (const auto& type : routing.transactionClasses) longest = std::max(longest, type.deadline);
-  return longest;
-}
-
 }  // namespace
 
 class ClusterServer::StreamRegistration {
@@ -87,7 +81,7 @@
       readConfig_(std::move(readConfig)) {
   const std::uint64_t draw = randomDraw();
   auto stored = openStore(name, draw);
-  config_.maintenance.fenceDuration = maintenance::fenceDurationFor(longestDeadlineOf(routing));
+  config_.maintenance.fenceDuration = maintenance::fenceDurationFor(routing.longestDeadline());
   if (!config_.requestFolder.empty()) requests_.emplace(config_.requestFolder);
   Effects& effects = *this;
   dispatcher_ = std::make_unique<ClaimDispatcher>(transactions_, routing, config_,
--- a/src/downstream/ext_proc/request_streams.cpp
+++ b/src/downstream/ext_proc/request_streams.cpp
@@ -82,8 +82,9 @@
     stream.request = mapping_.readRequest(headers);
   } catch (const InvalidHeader& error) { return rejectRequest(key, stream, error.what()); }
   ++counts_.requested;
-  stream.decisionDeadlines = endpoint_leases::decisionDeadlines(
-      transactions_.now(), stream.request.transaction.remainingTime, limits_.messageTimeout);
+  const Duration remainingTime = transactions_.limitedToShutdown(stream.request.transaction.remainingTime);
+  stream.decisionDeadlines =
+      endpoint_leases::decisionDeadlines(transactions_.now(), remainingTime, limits_.messageTimeout);
   requestLease(key, stream);
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,17 +5,10 @@
 
 namespace gulltrestle::gateway {
 
-namespace {
-
-// For this long after the signal to terminate, the router continues as before: the load balancer still sends
-// new clients for up to 0.4 s, and the rest is for data in transit.
-constexpr Duration kShutdownGracePeriod = Duration::millis(500);
-
-}  // namespace
-
 Gateway::Gateway(const RoutingConfig& config, const std::vector<std::string>& classNames, std::uint64_t seed,
                  GatewayLimits limits, Effects& effects)
-    : limits_(limits),
+    : config_(config),
+      limits_(limits),
       effects_(effects),
       transactions_(config, seed, limits.maxBufferedBytes, [&effects] { effects.requestEndpointList(); }),
       connectionPool_(transactions_,
@@ -127,10 +120,11 @@
 
 // --- Turns
 
-void Gateway::shutDown(Instant now) {
+void Gateway::shutDown(Instant now, Instant requestedSince) {
   transactions_.advanceTo(now);
-  if (std::exchange(isShuttingDown_, true)) return;
-  stopAt_ = transactions_.now() + kShutdownGracePeriod;
+  if (shutdown_) return;
+  shutdown_ = scheduleShutdown(transactions_.now(), requestedSince, config_);
+  transactions_.shutDown(shutdown_->answerBy);
   effects_.log("shutdown requested: serving for a grace period, then answering accepted transactions");
 }
 
@@ -149,7 +143,7 @@
   for (Component* component : components_) component->endTurn();
   // Stops one turn after the stop is due, so that events that arrived while the process was stalled are
   // handled first.
-  const bool stopsNow = std::exchange(isStopDue_, isShuttingDown_ && transactions_.now() >= stopAt_);
+  const bool stopsNow = std::exchange(isStopDue_, shutdown_ && transactions_.now() >= shutdown_->stopAt);
   if (stopsNow) stop();
   transactions_.endTurn();
   connectionPool_.sendWaiting();
@@ -177,13 +171,15 @@
   include(connectionPool_.nextDue());
   include(clientSessions_.nextDue());
   for (const Component* component : components_) include(component->nextDue());
-  if (isShuttingDown_) include(nextShutDownStep());
+  if (shutdown_) include(nextShutDownStep());
   return next;
 }
 
 Instant Gateway::nextShutDownStep() const {
-  if (isStopped_) return transactions_.now() + limits_.connectTimeout;
-  return isStopDue_ ? transactions_.now() : stopAt_;
+  const Instant now = transactions_.now();
+  if (!isStopped_) return isStopDue_ ? now : shutdown_->stopAt;
+  const Instant nextCheck = now + limits_.connectTimeout;
+  return now < shutdown_->answerBy ? std::min(nextCheck, shutdown_->answerBy) : nextCheck;
 }
 
 }  // namespace gulltrestle::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,11 +3,13 @@
 // handles the concerns of the whole router: endpoint list, configuration, shutdown. No socket I/O, no clock.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "gateway/effects.h"
+#include "gateway/shutdown_schedule.h"
 #include "transactions/transaction_table.h"
 
 namespace gulltrestle::gateway {
@@ -75,8 +77,9 @@
   // Makes the components reload their own configurations.
   void reloadConfig(Instant now);
   // Starts the graceful shutdown: new clients are still served for a grace period, then only accepted
-  // transactions are answered.
-  void shutDown(Instant now);
+  // transactions are answered, all of them before the process may be killed. `requestedSince`: the earliest
+  // time at which the request may have arrived.
+  void shutDown(Instant now, Instant requestedSince);
 
   // Ends a turn: handles everything that is due, and runs a round of the router if one is needed. Returns
   // when the next turn is needed at the latest; Instant() if none is.
@@ -96,6 +99,7 @@
   Instant nextDue() const;
   Instant nextShutDownStep() const;
 
+  RoutingConfig config_;
   GatewayLimits limits_;
   Effects& effects_;
   transactions::TransactionTable transactions_;
@@ -103,10 +107,9 @@
   downstream::postgres::ClientSessions clientSessions_;
   std::vector<Component*> components_;
   std::string discoveryAddress_;
-  // Shutting down: still serving until stopAt_. Stop due: stopAt_ had passed in the last turn. Stopped:
-  // nothing new is accepted.
-  bool isShuttingDown_ = false, isStopDue_ = false, isStopped_ = false;
-  Instant stopAt_;
+  std::optional<ShutdownSchedule> shutdown_;  // set once the shutdown was requested
+  // Stop due: stopAt had passed in the last turn. Stopped: nothing new is accepted.
+  bool isStopDue_ = false, isStopped_ = false;
 };
 
 }  // namespace gulltrestle::gateway
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -60,6 +60,13 @@
 
 }  // namespace
 
+Duration RoutingConfig::longestDeadline() const {
+  Duration longest;
+  for (const TransactionClass& transactionClass : transactionClasses)
+    longest = std::max(longest, transactionClass.deadline);
+  return longest;
+}
+
 // The modules, each of which depends only on those before it, and the functions that pass one event to
 // several of them.
 struct Router::State {
@@ -120,7 +127,7 @@
   PendingTransaction& transaction = shared.pending[request.id];
   transaction.request = request;
   transaction.receivedAt = shared.now;
-  transaction.answerBy = shared.now + request.remainingTime;
+  transaction.answerBy = shared.answerDue(shared.now + request.remainingTime);
   const Duration extraLatencyTarget = request.expectedServiceTime
                                           ? *request.expectedServiceTime * type.latencyTargetPerServiceTime
                                           : Duration();
@@ -222,6 +229,14 @@
   pending.erase(found);
 }
 
+// Prevents transactions that are still pending when the process is killed: their clients would get no answer,
+// and could not tell whether they have run. Trade-off: transactions with a longer timeout get less time.
+void Router::onShutdown(Instant answerBy) {
+  state_->shared.shutdownAnswerBy = answerBy;
+  for (auto& [id, transaction] : state_->shared.pending)
+    transaction.answerBy = state_->shared.answerDue(transaction.answerBy);
+}
+
 void Router::setDegradation(GroupId group, const DegradationRules& level, const DegradationRules& relaxed,
                             double relaxedFraction) {
   auto& groups = state_->shared.groups;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -77,6 +77,9 @@
   // Degradation levels define what is rejected in an overload (setDegradation()).
   bool degradationEnabled = false;
   bool operator==(const RoutingConfig&) const = default;
+
+  // Returns the longest deadline of a transaction class.
+  Duration longestDeadline() const;
 };
 
 // Earlier requests for a transaction that were received by another front end, or by another stream of this
@@ -218,6 +221,9 @@
   void onTransaction(const Transaction& transaction);
   // The client has closed its connection: no final answer is required.
   void onClientDisconnected(TxnId txn);
+  // The process shuts down and may be killed: no transaction, pending or received from now on, may get its
+  // final answer later than `answerBy`.
+  void onShutdown(Instant answerBy);
   // The answer of the transaction has started: no further decisions are made for it.
   void onStreamStarted(TxnId txn);
   // Sets the degradation rules of the group. The fraction `relaxedFraction` of its transactions is subject to
--- a/src/routing/routing_state.cpp
+++ b/src/routing/routing_state.cpp
@@ -62,6 +62,10 @@
   return config.transactionClasses[transaction.request.type];
 }
 
+Instant RoutingState::answerDue(Instant clientTimeoutAt) const {
+  return std::min(clientTimeoutAt, shutdownAnswerBy.value_or(clientTimeoutAt));
+}
+
 bool RoutingState::isDraining(const NodeState& node) const {
   return config.onlyDrainingExcludes ? node.wasListedDraining : node.endpoint.health != Health::live;
 }
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -123,7 +123,8 @@
   Instant receivedAt;
   Instant firstRequestAt;  // when the client's first request was received, as far as known
   Instant latencyTargetAt;
-  Instant answerBy;          // when the client times out this request
+  Instant
+      answerBy;  // when the client times out this request, or the process may be killed if that is earlier
   Instant requiredPosition;  // session reads: position that the answering node must have applied
   // Number sent by this router, and the number of the next one; RoutingConfig::maxAttempts: no more are
   // allowed.
@@ -146,9 +147,10 @@
 
   const RoutingConfig config;
   RandomSource random;
-  Instant now;                   // time of the present round
-  DecisionSink* sink = nullptr;  // set during a round
-  bool isRoundDelayed = false;   // the round started late: measured times include its delay
+  Instant now;                              // time of the present round
+  DecisionSink* sink = nullptr;             // set during a round
+  bool isRoundDelayed = false;              // the round started late: measured times include its delay
+  std::optional<Instant> shutdownAnswerBy;  // all final answers are due by then; none: no shutdown
   Duration shortestLatencyTarget;
   Duration shortestStalenessBound;  // of bounded reads
   std::map<NodeId, NodeState> nodes;
@@ -163,6 +165,9 @@
   const GroupState& groupOf(GroupId id) const;
   const TransactionClass& classOf(const PendingTransaction& transaction) const;
 
+  // Returns when the final answer of a transaction is due whose client waits until `clientTimeoutAt`.
+  Instant answerDue(Instant clientTimeoutAt) const;
+
   // Whether the node receives no new attempts because it is being removed.
   bool isDraining(const NodeState& node) const;
 
--- a/src/runtime/server/accept_loop.cpp
+++ b/src/runtime/server/accept_loop.cpp
@@ -31,13 +31,6 @@
   }
 }
 
-Duration longestDeadlineOf(const RoutingConfig& routing) {
-  Duration longest;
-  for (const TransactionClass& transactionClass : routing.transactionClasses)
-    longest = std::max(longest, transactionClass.deadline);
-  return longest;
-}
-
 }  // namespace
 
 ClientConnections::ClientConnections(event_loop::EventLoop& loop, gateway::Gateway& gateway,
@@ -47,7 +40,7 @@
       gateway_(gateway),
       buffers_(buffers),
       connectTimeout_(config.deployment.connectTimeout),
-      longestDeadline_(longestDeadlineOf(config.deployment.routing)),
+      longestDeadline_(config.deployment.routing.longestDeadline()),
       listener_(std::make_unique<event_loop::Stream>(loop, listenAt(config.listen))),
       maxClients_(maxClients(config, reserved)) {}
 
--- a/src/runtime/server/server.cpp
+++ b/src/runtime/server/server.cpp
@@ -89,7 +89,7 @@
   for (;;) {
     while (const auto signal = event_loop::readSignal(signals_->descriptor())) {
       if (*signal == event_loop::Signal::terminate)
-        gateway_.shutDown(loop_.now());
+        gateway_.shutDown(loop_.now(), loop_.arrivalLowerBound());
       else
         reloadConfig();
     }
--- a/src/transactions/transaction_admission.cpp
+++ b/src/transactions/transaction_admission.cpp
@@ -28,7 +28,7 @@
   if (const auto& age = admitted.priorAttempts.ambiguousAttemptAge) open.ambiguousPriorSentAt = now_ - *age;
   if (!open.usesGate) return enqueue([admitted](Router& router) { router.onTransaction(admitted); });
   open.awaitingGate = admitted;
-  executionGate_->requestExecution(txn, gateId, transaction.remainingTime);
+  executionGate_->requestExecution(txn, gateId, limitedToShutdown(transaction.remainingTime));
 }
 
 // Prevents a transaction that may run once, or whose repeats nodes recognise for a limited time, from running
@@ -111,6 +111,15 @@
   }
 }
 
+// The router doesn't know these transactions yet. Another attempt of them may have run.
+void TransactionTable::answerAwaitingGateAtShutdown() {
+  if (!shutdownAnswerBy_ || now_ < *shutdownAnswerBy_) return;
+  std::vector<TxnId> awaiting;
+  for (const auto& [txn, open] : openTransactions_)
+    if (open.awaitingGate) awaiting.push_back(txn);
+  for (const TxnId txn : awaiting) answerRolledBack(txn);
+}
+
 void TransactionTable::notifyAdmissionController(OpenTransaction& open, bool isCommitted) {
   if (!admissionController_ || !std::exchange(open.isAdmitted, false)) return;
   admissionController_->onTransactionEnded(open.group, open.transactionClass,
--- a/src/transactions/transaction_rounds.cpp
+++ b/src/transactions/transaction_rounds.cpp
@@ -55,6 +55,7 @@
 Instant TransactionTable::endTurn() {
   detectProcessStall();
   answerRejectedByAdmission();
+  answerAwaitingGateAtShutdown();
   if (degradation_.isDecisionDue(now_)) updateDegradation();
   if (!events_.empty() || isWakeUpDue()) {
     if (wakeUpAt_ <= now_) wakeUpAt_ = Instant();
@@ -65,9 +66,13 @@
 
 Instant TransactionTable::nextDue() const {
   if (!events_.empty()) return now_;
-  const Instant degradationDue = degradation_.nextDue();
-  if (wakeUpAt_ == Instant()) return degradationDue;
-  return degradationDue != Instant() && degradationDue < wakeUpAt_ ? degradationDue : wakeUpAt_;
+  Instant next = wakeUpAt_;
+  const auto include = [&](Instant due) {
+    if (due != Instant() && (next == Instant() || due < next)) next = due;
+  };
+  include(degradation_.nextDue());
+  if (shutdownAnswerBy_ && now_ < *shutdownAnswerBy_) include(*shutdownAnswerBy_);
+  return next;
 }
 
 void TransactionTable::detectProcessStall() {
--- a/src/transactions/transaction_table.cpp
+++ b/src/transactions/transaction_table.cpp
@@ -32,6 +32,15 @@
   applyChangedEndpoints(exclusions_.advanceTo(now_));
 }
 
+void TransactionTable::shutDown(Instant answerBy) {
+  shutdownAnswerBy_ = answerBy;
+  enqueue([answerBy](Router& router) { router.onShutdown(answerBy); });
+}
+
+Duration TransactionTable::limitedToShutdown(Duration remainingTime) const {
+  return shutdownAnswerBy_ ? std::min(remainingTime, *shutdownAnswerBy_ - now_) : remainingTime;
+}
+
 // --- Transactions
 
 OpenTransaction* TransactionTable::find(TxnId txn) {
--- a/src/transactions/transaction_table.h
+++ b/src/transactions/transaction_table.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <unordered_set>
@@ -54,6 +55,12 @@
 
   const EndpointRegistry& endpoints() const { return endpoints_; }
 
+  // The process shuts down and may be killed: all transactions, also those opened later, get their final
+  // answers by `answerBy`.
+  void shutDown(Instant answerBy);
+  // Returns the part of a client's remaining time within which its request is answered.
+  Duration limitedToShutdown(Duration remainingTime) const;
+
   // Makes `controller` observe the transactions and set the groups' degradation levels. `listener` is
   // notified of each change. Requires RoutingConfig::degradationEnabled.
   using DegradationListener = DegradationUpdates::Listener;
@@ -171,6 +178,7 @@
   bool isWakeUpDue() const { return wakeUpAt_ != Instant() && wakeUpAt_ <= now_; }
   void detectProcessStall();
   void answerRejectedByAdmission();
+  void answerAwaitingGateAtShutdown();
   void updateDegradation();
   double ownUtilization() const;
   void applyEndpointList(EndpointUpdateKind kind, const std::vector<ResolvedEndpoint>& list);
@@ -216,7 +224,8 @@
   UpstreamTransport* healthCheckTransport_ = nullptr;
 
   Instant now_;
-  Instant wakeUpAt_;  // when the router requested a round; Instant() if it did not
+  Instant wakeUpAt_;                         // when the router requested a round; Instant() if it did not
+  std::optional<Instant> shutdownAnswerBy_;  // all final answers are due by then; none: no shutdown
   TxnId lastTxn_ = 0;
   std::map<TxnId, OpenTransaction> openTransactions_;
   std::unordered_set<std::string_view> openIds_;  // views into the messages in openTransactions_
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -25,6 +25,7 @@
       {"shutdown", gracefulShutdown},
       {"shutdown-with-statement", shutdownWithStatement},
       {"shutdown-with-queued-statements", shutdownWithQueuedStatements},
+      {"shutdown-while-primary-hangs", shutdownWhilePrimaryHangs},
       {"answer-while-hedge-connects", answerWhileHedgeConnects},
       {"role-lost-while-connecting", roleLostWhileConnecting},
       {"role-lost-behind-many-events", roleLostBehindManyEvents},
--- a/tests/crossings/cases.h
+++ b/tests/crossings/cases.h
@@ -21,6 +21,7 @@
 void gracefulShutdown();
 void shutdownWithStatement();
 void shutdownWithQueuedStatements();
+void shutdownWhilePrimaryHangs();
 void signalAtStart();
 
 // attempts.cpp
--- a/tests/crossings/shutdown.cpp
+++ b/tests/crossings/shutdown.cpp
@@ -72,6 +72,32 @@
   hungNode.events.signal("greet");
 }
 
+// Guards against requests without an answer when SIGKILL comes (review/14): the primary hangs, and the
+// clients wait longer than that. One was there before, the other completes its startup after the listener has
+// closed.
+void shutdownWhilePrimaryHangs() {
+  constexpr auto kEarliestKill = std::chrono::milliseconds(3700);
+  const std::string startup = postgres::startup("worker", "catalog");
+  FakeNode hungNode({"before", "late"});
+  FakeServer discovery(silentDiscovery);
+  Program router(discovery.port(), singleNodeList(hungNode), 2000);
+  Peer before = router.client();
+  before.send(statement("before", "write"));
+  hungNode.events.waitFor("received before");
+  Peer late = Peer::to(router.port());
+  const auto killAt = Clock::now() + kEarliestKill;
+  router.signal(SIGTERM);
+  late.send(startup.substr(0, 8));
+  router.waitForLine("accepts no more clients");
+  late.send(startup.substr(8) + statement("late", "write"));
+  late.answer();
+  std::cout << "there before: " << before.answer() << before.answer() << "\n";
+  std::cout << "startup in pieces: " << late.answer() << late.answer() << "\n";
+  std::cout << "answered before SIGKILL can come: " << (Clock::now() < killAt) << "\n";
+  std::cout << "the node received " << hungNode.receivedKeys() << "\n";
+  for (const std::string key : {"before", "late"}) hungNode.releaseAnswer(key);
+}
+
 // A signal arrives while the program starts: after SIGHUP it serves, after SIGTERM it exits.
 void signalAtStart() {
   for (const int number : {SIGHUP, SIGTERM}) {
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -22,6 +22,7 @@
           {"new-primary", newPrimary},
           {"write-rejected-without-role", writeRejectedWithoutRole},
           {"hung-node", hungNode},
+          {"shutdown", shutdownOfProcess},
           {"slow-primary", slowPrimary},
           {"client-connection-limit", clientConnectionLimit},
           {"primary-clock-behind", primaryClockBehind},
--- a/tests/decisions/cases.h
+++ b/tests/decisions/cases.h
@@ -33,6 +33,7 @@
 void hedge();
 void errorAttribution();
 void hungNode();
+void shutdownOfProcess();
 
 // primary.cpp
 void newPrimary();
--- a/tests/decisions/retries.cpp
+++ b/tests/decisions/retries.cpp
@@ -192,4 +192,19 @@
   });
 }
 
+// Guards against transactions without an answer when the process is killed.
+void shutdownOfProcess() {
+  RouterHarness harness(defaultConfig({kAny, kWrite}));
+  startGroup(harness);
+  harness.hidesHealthChecks = true;
+  harness.describe("in flight with 2 s left: a read and a write; answers are due 300 ms after the shutdown");
+  harness.at(10, [&](Router& r) { r.onTransaction(harness.txn(1, 0)), r.onTransaction(harness.txn(2, 1)); });
+  harness.at(20, [&](Router& r) { r.onShutdown(harness.instant(320)); });
+  harness.describe("received later: one client waits longer than that, one does not, one comes too late");
+  harness.at(30,
+             [&](Router& r) { r.onTransaction(harness.txn(3, 1)), r.onTransaction(harness.txn(4, 1, 100)); });
+  harness.run(35, 315);
+  harness.at(321, [&](Router& r) { r.onTransaction(harness.txn(5, 1)); });
+}
+
 }  // namespace gulltrestle::decisions_test
--- a/tests/execution_gate.cpp
+++ b/tests/execution_gate.cpp
@@ -47,6 +47,12 @@
     transactions_.onAttemptEnded({txn, 0}, "p", outcome);
     turn();
   }
+  // All answers are due within this time.
+  void shutDown(std::int64_t answerWithinMillis) {
+    std::cout << "shutdown, all answers are due within " << answerWithinMillis << " ms\n";
+    transactions_.shutDown(now_ + ms(answerWithinMillis));
+    turn();
+  }
   TransactionTable& transactions() { return transactions_; }
   bool requiresValues = true;
   NodeId knownDraining;  // the node that the gate knows to be draining
@@ -183,6 +189,20 @@
   std::cout << "open: " << bench.transactions().openCount() << "\n";
 }
 
+// Guards against requests without an answer when SIGKILL comes: the gate may answer later than that.
+void shutdownWhileAwaitingGate() {
+  GateBench bench;
+  bench.openWrite("b1");
+  bench.turn(100);
+  bench.shutDown(500);
+  bench.turn(100);
+  const TxnId admitted = bench.openWrite("b2");
+  bench.transactions().admit(admitted);
+  bench.turn(390);
+  bench.turn(10);
+  std::cout << "open: " << bench.transactions().openCount() << "\n";
+}
+
 // The gate marks nodes as draining: in each endpoint list before it is applied, and between lists by
 // markDraining().
 void amendsEndpointLists() {
@@ -235,11 +255,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::map<std::string, void (*)()> cases{{"executes-admitted", executesAdmitted},
-                                                {"answers-without-executing", answersWithoutExecuting},
-                                                {"client-leaves", clientLeaves},
-                                                {"amends-endpoint-lists", amendsEndpointLists},
-                                                {"excludes-nodes", excludesNodes}};
+  const std::map<std::string, void (*)()> cases{
+      {"executes-admitted", executesAdmitted}, {"answers-without-executing", answersWithoutExecuting},
+      {"client-leaves", clientLeaves},         {"amends-endpoint-lists", amendsEndpointLists},
+      {"excludes-nodes", excludesNodes},       {"shutdown-while-awaiting", shutdownWhileAwaitingGate}};
   const auto found = cases.find(argc > 1 ? argv[1] : "");
   if (found == cases.end()) return 2;
   found->second();
--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -12,6 +12,7 @@
                                                 {"resets-crossing-decisions", resetsCrossingDecisions},
                                                 {"retries-of-transactions", retriesOfTransactions},
                                                 {"retries-after-restart", retriesAfterRestart},
+                                                {"shutdown-answers-before-kill", shutdownAnswersBeforeKill},
                                                 {"rejects-malformed-messages", rejectsMalformedMessages},
                                                 {"unreported-outcomes", unreportedOutcomes},
                                                 {"drains-limit-leases", drainsLimitLeases},
--- a/tests/ext_proc/bench.cpp
+++ b/tests/ext_proc/bench.cpp
@@ -66,7 +66,13 @@
 }
 
 void ExtProcHarness::request(StreamKey stream, const std::string& id, const std::string& transactionClass,
-                             wire::Headers more, ValueForm form) {
+                             const wire::Headers& more, ValueForm form) {
+  openStream(stream);
+  sendRequest(stream, id, transactionClass, more, form);
+}
+
+void ExtProcHarness::sendRequest(StreamKey stream, const std::string& id, const std::string& transactionClass,
+                                 const wire::Headers& more, ValueForm form) {
   wire::Headers headers{{":path", "/"},
                         {"x-txn-id", id},
                         {"x-txn-type", transactionClass},
@@ -77,7 +83,6 @@
     std::erase_if(headers, [&](const auto& defaultHeader) { return defaultHeader.name == header.name; });
     if (!header.value.empty()) headers.push_back(header);
   }
-  openStream(stream);
   sendMessage(stream, {Phase::requestHeaders, headers, false}, form);
 }
 
@@ -143,6 +148,11 @@
   settle();
 }
 
+void ExtProcHarness::shutDown(std::int64_t answerWithinMillis) {
+  transactions_.shutDown(now_ + ms(answerWithinMillis));
+  settle();
+}
+
 void ExtProcHarness::turn() {
   transactions_.advanceTo(now_);
   streams_.endTurn();
--- a/tests/ext_proc/bench.h
+++ b/tests/ext_proc/bench.h
@@ -58,7 +58,10 @@
   // Opens a stream and requests a lease. `more` adds headers or replaces the default ones of the same name;
   // an empty value removes the header.
   void request(StreamKey stream, const std::string& id, const std::string& transactionClass,
-               wire::Headers more = {}, ValueForm form = ValueForm::raw);
+               const wire::Headers& more = {}, ValueForm form = ValueForm::raw);
+  // The same on a stream that is open.
+  void sendRequest(StreamKey stream, const std::string& id, const std::string& transactionClass,
+                   const wire::Headers& more, ValueForm form = ValueForm::raw);
   void sendMessage(StreamKey stream, const wire::Request& request, ValueForm form = ValueForm::raw);
   void sendBytes(StreamKey stream, const std::string& bytes);
   void sendPhase(StreamKey stream, Phase phase);
@@ -78,6 +81,8 @@
   void onDiscoveryActivity() { streams_.onDiscoveryActivity(); }
   // Advances the clock and runs each turn that becomes due.
   void advance(std::int64_t millis);
+  // All answers are due within this time.
+  void shutDown(std::int64_t answerWithinMillis);
   void stop() { streams_.stop(); }
 
   void printCounts();
--- a/tests/ext_proc/cases.h
+++ b/tests/ext_proc/cases.h
@@ -9,6 +9,7 @@
 void resetsCrossingDecisions();
 void retriesOfTransactions();
 void retriesAfterRestart();
+void shutdownAnswersBeforeKill();
 
 // limits.cpp
 void rejectsMalformedMessages();
--- a/tests/ext_proc/requests.cpp
+++ b/tests/ext_proc/requests.cpp
@@ -214,4 +214,22 @@
   harness.printCounts();
 }
 
+// Guards against requests without an answer when SIGKILL comes: proxies wait longer than the process may
+// live.
+void shutdownAnswersBeforeKill() {
+  ExtProcSetup setup;
+  setup.messageTimeout = {.timeout = ms(200), .maxExtension = ms(5000)};
+  ExtProcHarness harness(setup);
+  const wire::Headers inUnknownGroup{{"x-txn-patience-ms", "5000"}, {"x-txn-group", "2"}};
+  harness.describe("before the shutdown: a request that no node can serve, and a stream without a request");
+  harness.request(1, "w1", "charge", inUnknownGroup);
+  harness.openStream(2);
+  harness.describe("answers are due within 1 s; the request of the other stream comes");
+  harness.shutDown(1000);
+  harness.stop();
+  harness.sendRequest(2, "w2", "charge", inUnknownGroup);
+  harness.advance(1000);
+  harness.printCounts();
+}
+
 }  // namespace gulltrestle::ext_proc_test
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -37,6 +37,8 @@
       {"forgets-removed-nodes", forgetsRemovedNodes},
       {"connection-and-memory-limits", connectionAndMemoryLimits},
       {"shutdown-sequence", shutdownSequence},
+      {"shutdown-answers-before-kill", shutdownAnswersBeforeKill},
+      {"shutdown-after-stall", shutdownAfterStall},
       {"config-reload", configReload},
       {"close-reason-outcomes", closeReasonOutcomes},
       {"transaction-trace", transactionTrace}};
--- a/tests/gateway/bench.cpp
+++ b/tests/gateway/bench.cpp
@@ -10,13 +10,16 @@
   return "10.0.0." + std::to_string(node[0] - 'A' + 1) + ":1";
 }
 
-RoutingConfig routingConfig(bool onlyDrainingExcludes) {
+RoutingConfig routingConfig(const GatewaySetup& setup) {
   RoutingConfig config = trace::defaultConfig({trace::transactionClass(ReadLevel::any),
                                                trace::transactionClass(ReadLevel::bounded),
                                                trace::transactionClass(ReadLevel::session),
                                                trace::transactionClass(ReadLevel::write, Effect::atMostOnce),
                                                trace::transactionClass(ReadLevel::linearizable)});
-  config.onlyDrainingExcludes = onlyDrainingExcludes;
+  config.onlyDrainingExcludes = setup.onlyDrainingExcludes;
+  config.healthChecksAllowed = setup.healthChecksAllowed;
+  for (TransactionClass& transactionClass : config.transactionClasses)
+    transactionClass.deadline = setup.deadline;
   return config;
 }
 
@@ -63,14 +66,14 @@
 std::string queryMessage(std::string_view text) { return postgres::message('Q', std::string(text) + '\0'); }
 
 std::string readQuery(const std::string& id, const std::string& transactionClass,
-                      const std::string& moreFields) {
+                      const std::string& moreFields, int timeoutMillis) {
   return queryMessage("SELECT body FROM objects WHERE oid = 'k1' /* id=" + id + ",c=" + transactionClass +
-                      ",t=acme,d=1000,cluster=1" + moreFields + " */");
+                      ",t=acme,d=" + std::to_string(timeoutMillis) + ",cluster=1" + moreFields + " */");
 }
 
-std::string writeQuery(const std::string& id) {
+std::string writeQuery(const std::string& id, int timeoutMillis) {
   return queryMessage("INSERT INTO objects (oid, body) VALUES ('k1', '\\x9f') RETURNING body /* id=" + id +
-                      ",c=charge,t=acme,d=1000,cluster=1 */");
+                      ",c=charge,t=acme,d=" + std::to_string(timeoutMillis) + ",cluster=1 */");
 }
 
 std::string parameterStatus(std::string_view name, std::string_view value) {
@@ -101,8 +104,8 @@
 // --- Events
 
 GatewayBench::GatewayBench(GatewaySetup setup)
-    : gateway_(routingConfig(setup.onlyDrainingExcludes), {"any", "bounded", "session", "charge", "latest"},
-               7, setup.bounds, *this) {
+    : gateway_(routingConfig(setup), {"any", "bounded", "session", "charge", "latest"}, 7, setup.bounds,
+               *this) {
   if (setup.hasEndpointList) updateEndpoints(EndpointUpdateKind::restored, {"p", "a"});
 }
 
@@ -176,8 +179,8 @@
   runUntilIdle();
 }
 
-void GatewayBench::shutDown() {
-  gateway_.shutDown(now_);
+void GatewayBench::shutDown(std::int64_t stalledMillis) {
+  gateway_.shutDown(now_, now_ - ms(stalledMillis));
   runUntilIdle();
 }
 
@@ -203,7 +206,7 @@
   const Instant until = now_ + ms(millis);
   while (next_ != Instant() && next_ <= until) {
     now_ = std::max(next_, now_ + Duration::micros(1));
-    turn();
+    runUntilIdle();
   }
   now_ = until;
   runUntilIdle();
--- a/tests/gateway/bench.h
+++ b/tests/gateway/bench.h
@@ -19,11 +19,11 @@
 using namespace gulltrestle::gateway;
 using trace::ms;
 
-// Messages of clients. Each statement has a time limit of 1000 ms.
+// Messages of clients. `timeoutMillis`: the time that the client waits.
 std::string queryMessage(std::string_view text);
 std::string readQuery(const std::string& id, const std::string& transactionClass = "any",
-                      const std::string& moreFields = "");
-std::string writeQuery(const std::string& id);
+                      const std::string& moreFields = "", int timeoutMillis = 1000);
+std::string writeQuery(const std::string& id, int timeoutMillis = 1000);
 
 // Messages of nodes.
 std::string parameterStatus(std::string_view name, std::string_view value);
@@ -47,6 +47,8 @@
   GatewayLimits bounds = kDefaultLimits;
   bool hasEndpointList = true;  // starts with a restored list of the primary p and the replica a
   bool onlyDrainingExcludes = false;
+  bool healthChecksAllowed = true;
+  Duration deadline = Duration::millis(2000);  // of each transaction class
 };
 
 // Runs one gateway. Node p is the primary, all others are replicas. "B" is node b at another address. The ids
@@ -93,7 +95,8 @@
                        Health health = Health::live);
   // An endpoint update that names this node as primary in place of p.
   void updatePrimary(const std::string& node);
-  void shutDown();
+  // `stalledMillis`: the time for which the process was stopped before it noticed the request.
+  void shutDown(std::int64_t stalledMillis = 0);
   void loadConfig(const std::string& discovery, const std::vector<std::string>& keysNeedingRestart = {});
   void rejectConfig(const std::string& fault);
   // Delivers the events of these calls in one turn.
--- a/tests/gateway/cases.h
+++ b/tests/gateway/cases.h
@@ -42,9 +42,13 @@
 void connectionAndMemoryLimits();
 
 // process.cpp
-void shutdownSequence();
 void configReload();
 void closeReasonOutcomes();
 void transactionTrace();
 
+// shutdown.cpp
+void shutdownSequence();
+void shutdownAnswersBeforeKill();
+void shutdownAfterStall();
+
 }  // namespace gulltrestle::gateway_test
--- a/tests/gateway/process.cpp
+++ b/tests/gateway/process.cpp
@@ -1,35 +1,9 @@
-// Cases for the whole process: shutdown, configuration, close reasons, trace lines.
+// Cases for the whole process: configuration, close reasons, trace lines.
 #include "gateway/bench.h"
 #include "gateway/cases.h"
 
 namespace gulltrestle::gateway_test {
 
-void shutdownSequence() {
-  GatewayBench bench;
-  bench.openClient(1, readQuery("aa"));
-  bench.openClient(2);
-  bench.connectNode(1);
-  bench.describe("shutdown: service continues for half a second");
-  bench.shutDown();
-  bench.advance(100);
-  bench.openClient(3, readQuery("bb"));
-  bench.connectNode(2);
-  bench.answer(2, rowAnswer("body"));
-  bench.advance(399);
-  bench.acceptClient(4, postgres::startup("worker", "catalog").substr(0, 9));
-  bench.acceptClient(5, "");
-  bench.advance(1);
-  bench.describe(
-      "then idle clients are closed, others once answered; of two that just connected one sends a query");
-  bench.sendFromClient(4, postgres::startup("worker", "catalog").substr(9) + readQuery("cc"));
-  bench.answer(2, rowAnswer("body"));
-  bench.advance(250);
-  std::cout << "finished: " << bench.isFinished() << "\n";
-  bench.answer(1, rowAnswer("body"));
-  bench.advance(0);
-  std::cout << "finished: " << bench.isFinished() << "\n";
-}
-
 void configReload() {
   GatewayBench bench;
   bench.describe("the first, a changed discovery address, no change, changed keys that require a restart");
--- /dev/null
+++ b/tests/gateway/shutdown.cpp
@@ -0,0 +1,73 @@
+// Cases for the graceful shutdown. The longest deadline is 2 s unless a case says otherwise, so the process
+// may be killed 2.7 s after the request to shut down.
+#include "gateway/bench.h"
+#include "gateway/cases.h"
+
+namespace gulltrestle::gateway_test {
+
+void shutdownSequence() {
+  GatewayBench bench;
+  bench.openClient(1, readQuery("aa"));
+  bench.openClient(2);
+  bench.connectNode(1);
+  bench.describe("shutdown: service continues for half a second");
+  bench.shutDown();
+  bench.advance(100);
+  bench.openClient(3, readQuery("bb"));
+  bench.connectNode(2);
+  bench.answer(2, rowAnswer("body"));
+  bench.advance(399);
+  bench.acceptClient(4, postgres::startup("worker", "catalog").substr(0, 9));
+  bench.acceptClient(5, "");
+  bench.advance(1);
+  bench.describe(
+      "then idle clients are closed, others once answered; of two that just connected one sends a query");
+  bench.sendFromClient(4, postgres::startup("worker", "catalog").substr(9) + readQuery("cc"));
+  bench.answer(2, rowAnswer("body"));
+  bench.advance(250);
+  std::cout << "finished: " << bench.isFinished() << "\n";
+  bench.answer(1, rowAnswer("body"));
+  bench.advance(0);
+  std::cout << "finished: " << bench.isFinished() << "\n";
+}
+
+// Guards against requests without an answer when SIGKILL comes: clients wait longer than the process may
+// live.
+void shutdownAnswersBeforeKill() {
+  GatewayBench bench({.healthChecksAllowed = false});
+  const std::string startup = postgres::startup("worker", "catalog");
+  bench.describe("there before, with 5 s each: a write and a read at nodes that hang");
+  bench.openClient(1, writeQuery("aa", 5000));
+  bench.connectNode(1);
+  bench.openClient(2, readQuery("bb", "any", "", 5000));
+  bench.connectNode(2);
+  bench.shutDown();
+  bench.advance(400);
+  bench.describe("within the grace period: a client with a read, and one whose startup comes in pieces");
+  bench.openClient(3, readQuery("cc", "any", "", 5000));
+  bench.connectNode(3);
+  bench.acceptClient(4, startup.substr(0, 8));
+  bench.advance(160);
+  bench.sendFromClient(4, startup.substr(8) + writeQuery("dd", 5000));
+  bench.describe("all are answered 0.2 s before the process may be killed");
+  bench.advance(2140);
+  std::cout << "finished: " << bench.isFinished() << "\n";
+}
+
+// Guards against the same where the longest deadline is above the 3 s that the platform waits, and where the
+// process was stopped when the request to shut down came.
+void shutdownAfterStall() {
+  for (const std::int64_t stalledMillis : {0, 300}) {
+    GatewayBench bench({.deadline = Duration::millis(8000)});
+    bench.describe("noticed after " + std::to_string(stalledMillis) +
+                   " ms; answered 3.5 s after the request");
+    bench.openClient(1, writeQuery("aa", 8000));
+    bench.connectNode(bench.lastConnection());
+    bench.advance(stalledMillis);
+    bench.shutDown(stalledMillis);
+    bench.advance(3600 - stalledMillis);
+    std::cout << "finished: " << bench.isFinished() << "\n";
+  }
+}
+
+}  // namespace gulltrestle::gateway_test
