A shutdown answers what clients are sending in pieces, in place of closing their connections

What callers saw: a client that connected within 0.4 s of SIGTERM and wrote its startup, a TLS request or its first statement in pieces had its connection closed without an answer when the grace period ended, though a part had been read. Cause: each client without an open transaction counted as idle, unless it was in its startup and its last bytes were under a connect timeout old.

Fix: ClientSessions::closeAtShutDown keeps clients that have sent a part of a message, or have yet to send their first one; what they complete is answered, within the time limit of a message, and what is cut off when all answers are due is rejected. Closed connections don't outlast the process.

--- a/src/downstream/postgres/arrival_times.h
+++ b/src/downstream/postgres/arrival_times.h
@@ -23,6 +23,8 @@
     else
       arrivals_.back().end = size;
   }
+  // Returns whether there are no unconsumed bytes.
+  bool empty() const { return arrivals_.empty(); }
   // Returns when the last of the first `size` unconsumed bytes arrived.
   Instant arrivalOf(std::size_t size) const {
     for (const Arrival& arrival : arrivals_)
--- a/src/downstream/postgres/client_messages.cpp
+++ b/src/downstream/postgres/client_messages.cpp
@@ -113,6 +113,7 @@
   const std::size_t sizeBefore = bytes.size();
   const auto message = wire::takeMessage(bytes, kMaxQueryBytes);
   if (!message) return false;
+  client.hasSentMessage = true;
   const Instant arrivedAt = client.arrivals.arrivalOf(consumedBefore + sizeBefore - bytes.size());
   const auto request = wire::requestOf(message->type);
   if (client.stage == Stage::skippingToSync && request != wire::Request::terminate &&
@@ -159,7 +160,7 @@
 // Throws wire::InvalidStatement if the statement is invalid or if this router rejects it.
 void ClientSessions::openTransaction(ClientId id, Client& client, std::string_view text, Instant arrivedAt) {
   if (stoppedAt_ != Instant() && arrivedAt >= stoppedAt_ && client.isActive)
-    throw wire::InvalidStatement(wire::kRejected, "refused: this router ends");
+    throw wire::InvalidStatement(wire::kRejected, std::string(kRejectedAtShutDown));
   const wire::Statement statement = wire::readStatement(text);
   const std::size_t type = classOf(statement);
   if (transactions_.isOpen(statement.id))
--- a/src/downstream/postgres/client_sessions.cpp
+++ b/src/downstream/postgres/client_sessions.cpp
@@ -187,12 +187,25 @@
     closeIdle(1 + bound / kActiveCloseDivisor, IdleClients::active);
 }
 
-void ClientSessions::closeIdleAtShutDown() {
-  std::vector<ClientId> idle;
-  for (const auto& [id, client] : clients_)
-    if (client.txn == 0 && !client.hasUnreadMessages && !hasJustConnected(client, limits_.connectTimeout))
-      idle.push_back(id);
+// Its first message, or the rest of a message, may be in transit: its bytes are received within the time
+// limit of a message (startMessageTimer).
+bool ClientSessions::mayBeSending(const Client& client) const {
+  const bool hasJustStarted =
+      !client.hasSentMessage && transactions_.now() - client.idleSince < limits_.connectTimeout;
+  return hasJustStarted || client.hasPartialMessage();
+}
+
+// Prevents that a client gets no answer to what it was sending when the router stopped. Trade-off: clients
+// that stop in the middle of a message delay the end of the process.
+void ClientSessions::closeAtShutDown(TimeToAnswer time) {
+  std::vector<ClientId> idle, cutOff;
+  for (const auto& [id, client] : clients_) {
+    if (client.isWaiting() || client.hasUnreadMessages) continue;
+    if (time == TimeToAnswer::left && mayBeSending(client)) continue;
+    (client.hasPartialMessage() ? cutOff : idle).push_back(id);
+  }
   for (const ClientId id : idle) close(id, ConnectionCloseReason::shuttingDown);
+  for (const ClientId id : cutOff) closeWithError(id, wire::kRejected, kRejectedAtShutDown);
 }
 
 }  // namespace gulltrestle::downstream::postgres
--- a/src/downstream/postgres/client_sessions.h
+++ b/src/downstream/postgres/client_sessions.h
@@ -18,6 +18,9 @@
 
 namespace gulltrestle::downstream::postgres {
 
+// Error text for requests that come too late.
+constexpr std::string_view kRejectedAtShutDown = "refused: this router ends";
+
 // Identifies a client's connection. Ids are never reused.
 using ClientId = std::uint64_t;
 
@@ -70,8 +73,11 @@
   // Rejects further statements of clients that had a transaction. A client that has just connected is served
   // once.
   void stop() { stoppedAt_ = transactions_.now(); }
-  // Closes the clients that are idle and have not just connected.
-  void closeIdleAtShutDown();
+  // Closes the clients that await no answer. While there is time, clients that have sent a part of a message,
+  // or have just connected, keep their connections: what they are sending is answered. Must be called in each
+  // turn after stop().
+  enum class TimeToAnswer { left, over };
+  void closeAtShutDown(TimeToAnswer time);
   // Closes the clients that have been idle longest, at most `max`. Returns false if none is idle.
   bool closeIdle(std::size_t max) { return closeIdle(max, IdleClients::all); }
 
@@ -91,12 +97,14 @@
     bool awaitsEndpointList = false;  // it sent an empty query before the first list
     bool hasHalfClosed = false;       // and a notice was sent
     bool isActive = false;            // it has had a transaction
+    bool hasSentMessage = false;      // after its startup
     bool hasUnreadMessages = false;   // bytes that were sent meanwhile are not read yet
     ArrivalTimes arrivals;            // of unconsumed bytes
     Instant idleSince;
     Instant deadline;  // of the startup or of a partial message; never: nothing is awaited
 
     bool isWaiting() const { return txn != 0 || awaitsEndpointList; }
+    bool hasPartialMessage() const { return !isWaiting() && !arrivals.empty(); }
   };
   struct Deadline {
     Instant at;
@@ -132,6 +140,7 @@
   bool closeIdle(std::size_t max, IdleClients which);
   void limitActiveClients();
   bool hasJustConnected(const Client& client, Duration limit) const;
+  bool mayBeSending(const Client& client) const;
 
   transactions::TransactionTable& transactions_;
   transactions::UpstreamTransport& transport_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,6 +128,12 @@
   effects_.log("shutdown requested: serving for a grace period, then answering accepted transactions");
 }
 
+// A process that outlives the limit is not about to be killed.
+Instant Gateway::lingerLimit(Instant until) const {
+  const bool applies = shutdown_ && transactions_.now() < shutdown_->lingerBy;
+  return applies ? std::min(until, shutdown_->lingerBy) : until;
+}
+
 bool Gateway::isFinished() const {
   return isStopped_ && clientSessions_.empty() &&
          std::all_of(components_.begin(), components_.end(),
@@ -159,8 +165,10 @@
     clientSessions_.stop();
     for (Component* component : components_) component->stop();
   }
-  // Runs in each turn, for clients that had just connected and have sent nothing since.
-  clientSessions_.closeIdleAtShutDown();
+  // Runs in each turn, for clients that were still sending or waiting.
+  using TimeToAnswer = downstream::postgres::ClientSessions::TimeToAnswer;
+  const bool isOver = transactions_.now() >= shutdown_->answerBy;
+  clientSessions_.closeAtShutDown(isOver ? TimeToAnswer::over : TimeToAnswer::left);
 }
 
 Instant Gateway::nextDue() const {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,6 +85,9 @@
   // when the next turn is needed at the latest; Instant() if none is.
   Instant endTurn(Instant now);
 
+  // Returns the time until which a closed connection may be kept, at most `until`, for a client that has not
+  // read everything: connections don't outlast the process.
+  Instant lingerLimit(Instant until) const;
   // Returns whether everything is answered after shutDown().
   bool isFinished() const;
   // Closes up to `max` of the clients that have been idle longest. Returns false if none is idle.
--- a/src/runtime/server/client_connections.cpp
+++ b/src/runtime/server/client_connections.cpp
@@ -212,7 +212,7 @@
 // Sends the end of stream. Returns the time until which the server waits for the client to close its end.
 Instant ClientConnections::startLingering(ClientId id, Client& client) {
   event_loop::shutDownWriting(client.stream.descriptor());
-  const Instant until = loop_.now() + connectTimeout_ * kLingerFactor;
+  const Instant until = gateway_.lingerLimit(loop_.now() + connectTimeout_ * kLingerFactor);
   client.stream.wakeAt(until);
   lingering_.push_back(id);
   return until;
--- a/tests/crossings/shutdown.cpp
+++ b/tests/crossings/shutdown.cpp
@@ -73,29 +73,39 @@
 }
 
 // Guards against requests without an answer when SIGKILL comes (review/14): the primary hangs, and the
-// clients wait longer than that. One was there before, the other completes its startup after the listener has
-// closed.
+// clients wait longer than that. One was there before; of the others the rest of the startup, of the TLS
+// request and of the first statement comes after the listener has closed.
 void shutdownWhilePrimaryHangs() {
   constexpr auto kEarliestKill = std::chrono::milliseconds(3700);
   const std::string startup = postgres::startup("worker", "catalog");
-  FakeNode hungNode({"before", "late"});
+  const std::string tlsRequest("\0\0\0\x08\x04\xd2\x16\x2f", 8);
+  const std::string first = statement("first", "write");
+  FakeNode hungNode({"before", "late", "tls", "first"});
   FakeServer discovery(silentDiscovery);
-  Program router(discovery.port(), singleNodeList(hungNode), 2000);
+  Program router(discovery.port(), singleNodeList(hungNode));
   Peer before = router.client();
   before.send(statement("before", "write"));
   hungNode.events.waitFor("received before");
-  Peer late = Peer::to(router.port());
+  Peer late = Peer::to(router.port()), tls = Peer::to(router.port()), firstInPieces = router.client();
   const auto killAt = Clock::now() + kEarliestKill;
   router.signal(SIGTERM);
   late.send(startup.substr(0, 8));
+  tls.send(tlsRequest.substr(0, 4));
+  firstInPieces.send(first.substr(0, 40));
   router.waitForLine("accepts no more clients");
   late.send(startup.substr(8) + statement("late", "write"));
+  firstInPieces.send(first.substr(40));
+  tls.send(tlsRequest.substr(4));
+  std::cout << "TLS request: " << tls.byte() << "\n";
+  tls.send(startup + statement("tls", "write"));
   late.answer();
+  tls.answer();
   std::cout << "there before: " << before.answer() << before.answer() << "\n";
   std::cout << "startup in pieces: " << late.answer() << late.answer() << "\n";
+  std::cout << "after the TLS request: " << tls.answer() << tls.answer() << "\n";
+  std::cout << "first statement in pieces: " << firstInPieces.answer() << firstInPieces.answer() << "\n";
   std::cout << "answered before SIGKILL can come: " << (Clock::now() < killAt) << "\n";
-  std::cout << "the node received " << hungNode.receivedKeys() << "\n";
-  for (const std::string key : {"before", "late"}) hungNode.releaseAnswer(key);
+  for (const std::string key : {"before", "late", "tls", "first"}) hungNode.releaseAnswer(key);
 }
 
 // A signal arrives while the program starts: after SIGHUP it serves, after SIGTERM it exits.
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -38,6 +38,7 @@
       {"connection-and-memory-limits", connectionAndMemoryLimits},
       {"shutdown-sequence", shutdownSequence},
       {"shutdown-answers-before-kill", shutdownAnswersBeforeKill},
+      {"shutdown-with-partial-messages", shutdownWithPartialMessages},
       {"shutdown-after-stall", shutdownAfterStall},
       {"config-reload", configReload},
       {"close-reason-outcomes", closeReasonOutcomes},
--- a/tests/gateway/cases.h
+++ b/tests/gateway/cases.h
@@ -49,6 +49,7 @@
 // shutdown.cpp
 void shutdownSequence();
 void shutdownAnswersBeforeKill();
+void shutdownWithPartialMessages();
 void shutdownAfterStall();
 
 }  // namespace gulltrestle::gateway_test
--- a/tests/gateway/shutdown.cpp
+++ b/tests/gateway/shutdown.cpp
@@ -54,6 +54,41 @@
   std::cout << "finished: " << bench.isFinished() << "\n";
 }
 
+// Guards against connections that the shutdown ends in the middle of a message: each is answered.
+void shutdownWithPartialMessages() {
+  GatewayBench bench;
+  const std::string startup = postgres::startup("worker", "catalog");
+  const std::string tlsRequest("\0\0\0\x08\x04\xd2\x16\x2f", 8);
+  bench.openClient(1, readQuery("aa"));
+  bench.connectNode(1);
+  bench.answer(1, rowAnswer("body"));
+  bench.shutDown();
+  bench.advance(100);
+  bench.describe("in pieces: a second statement, a startup, a TLS request, a startup that never ends");
+  bench.sendFromClient(1, readQuery("bb").substr(0, 30));
+  bench.acceptClient(2, startup.substr(0, 8));
+  bench.acceptClient(3, tlsRequest.substr(0, 4));
+  bench.acceptClient(4, startup.substr(0, 20));
+  bench.advance(350);
+  bench.openClient(5);
+  bench.describe("after the stop: the rest of the second statement, of the startup and of the TLS request");
+  bench.advance(200);
+  bench.sendFromClient(1, readQuery("bb").substr(30));
+  bench.sendFromClient(2, startup.substr(8) + readQuery("cc"));
+  bench.answer(1, rowAnswer("body"));
+  bench.sendFromClient(3, tlsRequest.substr(4));
+  bench.describe("a first statement, on a connection with a completed startup");
+  bench.sendFromClient(5, readQuery("dd"));
+  bench.answer(1, rowAnswer("body"));
+  bench.describe("the startup behind the TLS request, and then a first statement in pieces");
+  bench.advance(200);
+  bench.sendFromClient(3, startup + readQuery("ee").substr(0, 9));
+  bench.advance(1000);
+  bench.sendFromClient(3, readQuery("ee").substr(9, 9));
+  bench.advance(650);
+  std::cout << "finished: " << bench.isFinished() << "\n";
+}
+
 // Guards against the same where the longest deadline is above the 3 s that the platform waits, and where the
 // process was stopped when the request to shut down came.
 void shutdownAfterStall() {
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -157,6 +157,13 @@
       if (!readMore()) return {0, ""};
     }
   }
+  // The next byte; zero at the end of the stream.
+  char byte() {
+    if (buffer_.empty() && !readMore()) return 0;
+    const char first = buffer_.front();
+    buffer_.erase(0, 1);
+    return first;
+  }
   // Reads and discards the startup message.
   void startup() {
     while (buffer_.size() < 4 && readMore()) {}
