--- a/src/downstream/postgres/client_messages.cpp
+++ b/src/downstream/postgres/client_messages.cpp
@@ -148,7 +148,7 @@
 
 void ClientSessions::handleQuery(ClientId id, Client& client, std::string_view text, Instant arrivedAt) {
   if (wire::isBlank(text)) {
-    if (isEndpointListKnown_) return answerEmptyQuery(id, client);
+    if (isEndpointListKnown_ || isStopped()) return answerEmptyQuery(id, client);
     client.awaitsEndpointList = true;
     return;
   }
@@ -159,7 +159,7 @@
 
 // Throws wire::InvalidStatement if the statement is invalid or if this router rejects it.
 void ClientSessions::openTransaction(ClientId id, Client& client, std::string_view text, Instant arrivedAt) {
-  if (stoppedAt_ != Instant() && arrivedAt >= stoppedAt_ && client.isActive)
+  if (isStopped() && arrivedAt >= stoppedAt_ && client.isActive)
     throw wire::InvalidStatement(wire::kRejected, std::string(kRejectedAtShutDown));
   const wire::Statement statement = wire::readStatement(text);
   const std::size_t type = classOf(statement);
--- a/src/downstream/postgres/client_sessions.cpp
+++ b/src/downstream/postgres/client_sessions.cpp
@@ -74,8 +74,10 @@
 
 // --- Other answers
 
+// An empty query asks whether the router is ready.
 void ClientSessions::answerEmptyQuery(ClientId id, Client& client) {
   client.awaitsEndpointList = false;
+  if (!isEndpointListKnown_) return answerError(id, wire::kRejected, kRejectedAtShutDown);
   effects_.writeClient(id, {wire::emptyQueryResponse(), wire::readyForQuery()});
 }
 
@@ -85,6 +87,16 @@
 
 void ClientSessions::onEndpointListKnown() {
   isEndpointListKnown_ = true;
+  answerWaitingEmptyQueries();
+}
+
+// A router that stops may never receive its first list.
+void ClientSessions::stop() {
+  stoppedAt_ = transactions_.now();
+  answerWaitingEmptyQueries();
+}
+
+void ClientSessions::answerWaitingEmptyQueries() {
   std::vector<ClientId> waiting;
   for (const auto& [id, client] : clients_)
     if (client.awaitsEndpointList) waiting.push_back(id);
--- a/src/downstream/postgres/client_sessions.h
+++ b/src/downstream/postgres/client_sessions.h
@@ -70,9 +70,9 @@
   // Returns when endTurn() has to be called next; never: no timer is pending.
   Instant nextDue() const { return deadlines_.empty() ? Instant() : deadlines_.begin()->at; }
 
-  // Rejects further statements of clients that had a transaction. A client that has just connected is served
-  // once.
-  void stop() { stoppedAt_ = transactions_.now(); }
+  // Rejects further statements of clients that had a transaction, and empty queries that wait for the first
+  // endpoint list. A client that has just connected is served once.
+  void stop();
   // Closes the clients that await no answer. While there is time, clients that have sent a part of a message,
   // or have just connected, keep their connections: what they are sending is answered. Must be called in each
   // turn after stop().
@@ -131,6 +131,7 @@
 
   // Answering and closing
   void answerEmptyQuery(ClientId id, Client& client);
+  void answerWaitingEmptyQueries();
   void answerError(ClientId id, std::string_view code, std::string_view text);
   void onAnswered(ClientId id);
   void resumeReading(ClientId id);
@@ -139,6 +140,7 @@
   void traceClose(ClientId id, std::string_view reason) const;
   bool closeIdle(std::size_t max, IdleClients which);
   void limitActiveClients();
+  bool isStopped() const { return stoppedAt_ != Instant(); }
   bool hasJustConnected(const Client& client, Duration limit) const;
   bool mayBeSending(const Client& client) const;
 
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -39,6 +39,7 @@
       {"shutdown-sequence", shutdownSequence},
       {"shutdown-answers-before-kill", shutdownAnswersBeforeKill},
       {"shutdown-with-partial-messages", shutdownWithPartialMessages},
+      {"shutdown-before-first-list", shutdownBeforeFirstList},
       {"shutdown-after-stall", shutdownAfterStall},
       {"config-reload", configReload},
       {"close-reason-outcomes", closeReasonOutcomes},
--- a/tests/gateway/cases.h
+++ b/tests/gateway/cases.h
@@ -50,6 +50,7 @@
 void shutdownSequence();
 void shutdownAnswersBeforeKill();
 void shutdownWithPartialMessages();
+void shutdownBeforeFirstList();
 void shutdownAfterStall();
 
 }  // namespace gulltrestle::gateway_test
--- a/tests/gateway/shutdown.cpp
+++ b/tests/gateway/shutdown.cpp
@@ -54,6 +54,22 @@
   std::cout << "finished: " << bench.isFinished() << "\n";
 }
 
+// Guards against the same where the longest deadline is above the 3 s that the platform waits, and where the
+// process was stopped when the request to shut down came.
+void shutdownAfterStall() {
+  for (const std::int64_t stalledMillis : {0, 300}) {
+    GatewayBench bench({.deadline = Duration::millis(8000)});
+    bench.describe("noticed after " + std::to_string(stalledMillis) +
+                   " ms; answered 3.5 s after the request");
+    bench.openClient(1, writeQuery("aa", 8000));
+    bench.connectNode(bench.lastConnection());
+    bench.advance(stalledMillis);
+    bench.shutDown(stalledMillis);
+    bench.advance(3600 - stalledMillis);
+    std::cout << "finished: " << bench.isFinished() << "\n";
+  }
+}
+
 // Guards against connections that the shutdown ends in the middle of a message: each is answered.
 void shutdownWithPartialMessages() {
   GatewayBench bench;
@@ -89,20 +105,22 @@
   std::cout << "finished: " << bench.isFinished() << "\n";
 }
 
-// Guards against the same where the longest deadline is above the 3 s that the platform waits, and where the
-// process was stopped when the request to shut down came.
-void shutdownAfterStall() {
-  for (const std::int64_t stalledMillis : {0, 300}) {
-    GatewayBench bench({.deadline = Duration::millis(8000)});
-    bench.describe("noticed after " + std::to_string(stalledMillis) +
-                   " ms; answered 3.5 s after the request");
-    bench.openClient(1, writeQuery("aa", 8000));
-    bench.connectNode(bench.lastConnection());
-    bench.advance(stalledMillis);
-    bench.shutDown(stalledMillis);
-    bench.advance(3600 - stalledMillis);
-    std::cout << "finished: " << bench.isFinished() << "\n";
-  }
+// Guards against a process that never ends: empty queries wait for the first endpoint list, which never
+// comes.
+void shutdownBeforeFirstList() {
+  GatewayBench bench({.hasEndpointList = false});
+  bench.openClient(1, queryMessage("") + queryMessage(""));
+  bench.advance(2000);
+  bench.shutDown();
+  bench.advance(450);
+  bench.acceptClient(2, postgres::startup("worker", "catalog").substr(0, 8));
+  bench.describe("the grace period ends");
+  bench.advance(50);
+  bench.describe("an empty query that comes later");
+  bench.advance(100);
+  bench.sendFromClient(2, postgres::startup("worker", "catalog").substr(8) + queryMessage(""));
+  bench.advance(0);
+  std::cout << "finished: " << bench.isFinished() << "\n";
 }
 
 }  // namespace gulltrestle::gateway_test
