Streams of proxies are closed with a status before a router that shuts down may be killed

What callers saw: a router that shut down waited for open streams of proxies (2 s without a request, 5 s after a lease, no limit while a body passes), and SIGKILL ended them without a status. Cause: stop() concerned new streams only, and no part knew when the process may be killed.

Fix: gateway::Component::closeRemaining, called when all answers are due; RequestStreams closes what is open then. An attempt that waits for an earlier one is rolled back, as that one may have run.

ext_proc.shutdown-closes-streams failed with closeRemaining emptied (none of four streams closed or answered).

--- a/src/downstream/ext_proc/request_streams.cpp
+++ b/src/downstream/ext_proc/request_streams.cpp
@@ -14,6 +14,8 @@
 // Each event name is logged at most once in this interval: operators read a few lines a minute, not more.
 constexpr Duration kLogInterval = Duration::millis(10000);
 
+constexpr std::string_view kShuttingDown = "shutting down";
+
 // Part of the streams that one connection can't use while there are others.
 constexpr std::size_t kReserveDivisor = 4;
 
@@ -49,7 +51,7 @@
   const bool isFull = !hasCapacityFor(connection);
   if (isStopped_ || isFull) {
     stream.stage = Stage::answered;
-    return isStopped_ ? effects_.close(key, StreamCloseReason::unavailable, "shutting down")
+    return isStopped_ ? effects_.close(key, StreamCloseReason::unavailable, kShuttingDown)
                       : effects_.close(key, StreamCloseReason::tooManyStreams, "too many streams");
   }
   setDeadline(key, stream, transactions_.now() + limits_.requestTimeout);
@@ -247,6 +249,34 @@
   sendImmediate(key, stream, {.outcome = FinalOutcome::rejected, .reason = "no node was free in time"});
 }
 
+// Prevents that proxies lose their streams without a status when the process is killed.
+void RequestStreams::closeRemaining() {
+  std::vector<StreamKey> open;
+  for (const auto& [key, stream] : streams_) open.push_back(key);
+  for (const StreamKey key : open)
+    if (const auto found = streams_.find(key); found != streams_.end()) closeAtShutDown(key, found->second);
+}
+
+void RequestStreams::closeAtShutDown(StreamKey key, Stream& stream) {
+  setDeadline(key, stream, {});
+  switch (stream.stage) {
+    case Stage::opened:
+      stream.stage = Stage::answered;
+      return effects_.close(key, StreamCloseReason::unavailable, kShuttingDown);
+    case Stage::awaitingPrior:  // that attempt may have run
+      awaitingPrior_.erase(key);
+      return sendImmediate(key, stream, {.outcome = FinalOutcome::rolledBack, .reason = kShuttingDown});
+    case Stage::leased:
+      releaseTransaction(key, stream);
+      return effects_.close(key, StreamCloseReason::unavailable, kShuttingDown);
+    case Stage::answered:  // the rest of the request and of the answer passes through without this router
+      return effects_.close(key, StreamCloseReason::finished, "");
+    case Stage::awaitingDecision:
+    case Stage::reported:
+      return;  // answered by the router in this turn
+  }
+}
+
 Instant RequestStreams::nextDue() const {
   const Instant next = transport_.nextDue();
   if (deadlines_.empty()) return next;
--- a/src/downstream/ext_proc/request_streams.h
+++ b/src/downstream/ext_proc/request_streams.h
@@ -91,6 +91,8 @@
   Instant nextDue() const;
   // Closes every stream that is opened from now on.
   void stop() { isStopped_ = true; }
+  // Answers and closes all streams: the process may soon be killed. Called after stop().
+  void closeRemaining();
   bool empty() const { return streams_.empty(); }
   transactions::UpstreamTransport& transport() { return transport_; }
 
@@ -167,6 +169,7 @@
   // Deadlines
   void onDeadline(StreamKey key);
   void onDecisionDeadline(StreamKey key, Stream& stream, Instant deadline);
+  void closeAtShutDown(StreamKey key, Stream& stream);
   void setDeadline(StreamKey key, Stream& stream, Instant deadline);
   void logLimited(std::string_view event, const std::string& fields);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -153,6 +153,8 @@
   if (stopsNow) stop();
   transactions_.endTurn();
   connectionPool_.sendWaiting();
+  if (isStopped_ && isAnswerTimeOver())
+    for (Component* component : components_) component->closeRemaining();
   for (Component* component : components_) component->flush();
   return nextDue();
 }
@@ -167,8 +169,7 @@
   }
   // Runs in each turn, for clients that were still sending or waiting.
   using TimeToAnswer = downstream::postgres::ClientSessions::TimeToAnswer;
-  const bool isOver = transactions_.now() >= shutdown_->answerBy;
-  clientSessions_.closeAtShutDown(isOver ? TimeToAnswer::over : TimeToAnswer::left);
+  clientSessions_.closeAtShutDown(isAnswerTimeOver() ? TimeToAnswer::over : TimeToAnswer::left);
 }
 
 Instant Gateway::nextDue() const {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,7 +36,10 @@
   virtual Instant nextDue() const = 0;     // when the next turn is needed; Instant(): none
   virtual void stop() = 0;                 // nothing new may be accepted from now on
   virtual bool isDrained() const = 0;      // after stop(): whether everything is answered
-  virtual void reloadConfig() {}           // reloads its own configuration, after a signal
+  // The process may soon be killed: whatever is still open is answered and closed now. Called in each turn
+  // from then on, after the router's round.
+  virtual void closeRemaining() {}
+  virtual void reloadConfig() {}  // reloads its own configuration, after a signal
 };
 
 // One per process. `effects` must outlive it.
@@ -99,6 +102,7 @@
 
  private:
   void stop();
+  bool isAnswerTimeOver() const { return shutdown_ && transactions_.now() >= shutdown_->answerBy; }
   Instant nextDue() const;
   Instant nextShutDownStep() const;
 
--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -13,6 +13,7 @@
                                                 {"retries-of-transactions", retriesOfTransactions},
                                                 {"retries-after-restart", retriesAfterRestart},
                                                 {"shutdown-answers-before-kill", shutdownAnswersBeforeKill},
+                                                {"shutdown-closes-streams", shutdownClosesStreams},
                                                 {"rejects-malformed-messages", rejectsMalformedMessages},
                                                 {"unreported-outcomes", unreportedOutcomes},
                                                 {"drains-limit-leases", drainsLimitLeases},
--- a/tests/ext_proc/bench.cpp
+++ b/tests/ext_proc/bench.cpp
@@ -153,6 +153,11 @@
   settle();
 }
 
+void ExtProcHarness::closeRemaining() {
+  streams_.closeRemaining();
+  settle();
+}
+
 void ExtProcHarness::turn() {
   transactions_.advanceTo(now_);
   streams_.endTurn();
--- a/tests/ext_proc/bench.h
+++ b/tests/ext_proc/bench.h
@@ -84,6 +84,8 @@
   // All answers are due within this time.
   void shutDown(std::int64_t answerWithinMillis);
   void stop() { streams_.stop(); }
+  // The time of shutDown() is over.
+  void closeRemaining();
 
   void printCounts();
   // Returns the token of the last lease that the stream was granted.
--- a/tests/ext_proc/requests.cpp
+++ b/tests/ext_proc/requests.cpp
@@ -232,4 +232,27 @@
   harness.printCounts();
 }
 
+// Guards against streams that are open when SIGKILL comes, and end without a status.
+void shutdownClosesStreams() {
+  ExtProcSetup setup;
+  setup.messageTimeout = {.timeout = ms(200), .maxExtension = ms(5000)};
+  ExtProcHarness harness(setup);
+  const wire::Headers patient{{"x-txn-patience-ms", "5000"}};
+  harness.describe("nothing requested; a lease without a report; a request that waits for its end; answered");
+  harness.openStream(1);
+  harness.request(2, "r2", "any", patient);
+  harness.request(3, "w3", "charge", patient);
+  harness.request(4, "w3", "charge", attemptHeaders(2));
+  harness.request(5, "r5", "any");
+  harness.report(5, "committed", harness.loadReport("replica", 0));
+  harness.describe("all answers are due within 40 ms");
+  harness.shutDown(40);
+  harness.stop();
+  harness.advance(39);
+  harness.advance(1);
+  harness.closeRemaining();
+  harness.resetStream(2);
+  harness.printCounts();
+}
+
 }  // namespace gulltrestle::ext_proc_test
