Connections of proxies that wait to be accepted when the server stops are served

What callers saw: connections that the kernel had accepted, with a call in them, were reset when the gRPC server stopped before it accepted them. Cause: the loop that accepts ended at once, and a connection that was accepted afterwards was told to go away, and closed, before anything was read from it.

Fix: the loop ends when nothing waits, as the one for PostgreSQL clients does; a connection that is accepted after the stop is read first. empty() counts connections that are starting.

--- a/src/runtime/grpc_server/grpc_server.cpp
+++ b/src/runtime/grpc_server/grpc_server.cpp
@@ -150,7 +150,8 @@
 
 event_loop::Task GrpcServer::acceptConnections() {
   int acceptedThisTurn = 0;
-  while (!isStopped_) {
+  // Connections that the kernel has accepted by stop() are served too.
+  for (bool isAccepting = true; isAccepting;) {
     if (++acceptedThisTurn > kMaxAcceptsPerTurn) {
       acceptedThisTurn = 0;
       listener_->wake();
@@ -163,7 +164,8 @@
       handleAccepted(std::move(descriptor));
     } else if (result == IoStatus::wouldBlock) {
       acceptedThisTurn = 0;
-      co_await listener_->changed();
+      isAccepting = !isStopped_;
+      if (isAccepting) co_await listener_->changed();
     } else {
       logAcceptFailed(name_, result);
       co_await loop_.sleepUntil(loop_.now() + kAcceptRetryDelay);
@@ -176,6 +178,7 @@
 // that has been idle longest, so that the next one can be accepted.
 void GrpcServer::handleAccepted(event_loop::Descriptor descriptor) {
   if (connections_.size() < bounds_.maxConnections) {
+    ++startingConnections_;
     loop_.spawn(serve(++lastConnectionId_, std::move(descriptor)));
   } else {
     const bool closesIdle = closeIdleConnection();
@@ -199,11 +202,18 @@
 // --- Connections
 
 event_loop::Task GrpcServer::serve(ConnectionId id, event_loop::Descriptor descriptor) {
+  --startingConnections_;
   try {
     Connection connection(*this, id, std::move(descriptor));
     const ConnectionRegistration registration(connection);
     connection.idleSince = loop_.now();
-    if (isStopped_) connection.calls.goAway();
+    if (isStopped_) {
+      // A call that came with the connection gets an answer. A new connection is reported at once, as it can
+      // be written.
+      co_await connection.stream.changed();
+      if (connection.stream.canRead()) receive(connection);
+      connection.calls.goAway();
+    }
     write(connection);
     while (connection.isUsable() && !(connection.isClosing && connection.isIdle())) {
       if (connection.hasStalled()) break;
--- a/src/runtime/grpc_server/grpc_server.h
+++ b/src/runtime/grpc_server/grpc_server.h
@@ -68,10 +68,10 @@
   void finish(CallKey call, grpc::Status status, std::string_view text);
   // Writes the output that was queued since the last flush().
   void flush();
-  // Stops accepting connections and calls. Open calls continue.
+  // Stops accepting connections and calls, but for those that the kernel has accepted. Open calls continue.
   void stop();
-  // Returns whether no connection is open.
-  bool empty() const { return connections_.empty(); }
+  // Returns whether it has stopped and no connection is open.
+  bool empty() const { return !listener_ && startingConnections_ == 0 && connections_.empty(); }
 
  private:
   using ConnectionId = std::uint32_t;
@@ -97,6 +97,7 @@
   std::map<ConnectionId, Connection*> connections_;
   std::set<ConnectionId> unflushed_;  // connections that may have output to write
   ConnectionId lastConnectionId_ = 0;
+  std::size_t startingConnections_ = 0;  // accepted, and not in connections_ yet
   bool isStopped_ = false;
   std::array<char, kReadBytes> readBuffer_;  // shared by all connections, for one read at a time
 };
--- a/tests/grpc_server.cpp
+++ b/tests/grpc_server.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <iostream>
+#include <list>
 #include <map>
 
 #include "runtime/event_loop/sockets.h"
@@ -98,10 +99,49 @@
   loop.destroyTasks();
 }
 
+// Counts the calls that are opened.
+class CountingHandler final : public grpc_server::CallHandler {
+ public:
+  int openedCalls = 0;
+
+ private:
+  void advanceTo(Instant) override {}
+  void opened(grpc_server::CallKey, const grpc_server::ConnectionLoad&) override { ++openedCalls; }
+  void message(grpc_server::CallKey, std::string_view) override {}
+  void halfClosed(grpc_server::CallKey) override {}
+  void ended(grpc_server::CallKey) override {}
+};
+
+// Guards against connections that the kernel has accepted, with a call in them, and that are reset because
+// the server stops before it accepts them.
+void callsWaitingAtStop() {
+  constexpr int kClients = 30;  // more than a turn accepts
+  event_loop::EventLoop loop;
+  CountingHandler handler;
+  const unsigned short port = freePort();
+  grpc_server::Bounds bounds;
+  bounds.maxConnections = kClients;
+  grpc_server::GrpcServer server(loop, {kHost, port}, kMethod, bounds, "test", handler);
+  std::list<Client> clients;
+  for (int i = 0; i < kClients; ++i) clients.emplace_back(port).call(1, "request");
+  server.stop();
+  const auto endTurn = [&](Instant now) {
+    server.flush();
+    if (handler.openedCalls == kClients) clients.clear();  // closes their connections
+    if (server.empty()) loop.stop();
+    return now + Duration::millis(10);
+  };
+  loop.run(endTurn, [](std::exception_ptr) { std::cout << "a task failed\n"; });
+  std::cout << "calls that waited when the server stopped: " << handler.openedCalls << " of " << kClients
+            << " are opened\n";
+  loop.destroyTasks();
+}
+
 }  // namespace
 
 int main(int count, char** arguments) {
-  const std::map<std::string, void (*)()> cases{{"turn-of-busy-connection", turnOfBusyConnection}};
+  const std::map<std::string, void (*)()> cases{{"turn-of-busy-connection", turnOfBusyConnection},
+                                                {"calls-waiting-at-stop", callsWaitingAtStop}};
   const auto found = cases.find(count > 1 ? arguments[1] : "");
   if (found == cases.end()) return 2;
   found->second();
