--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -21,6 +21,9 @@
 // and the probability (1 in N) that a client pipelines, writes slowly, or closes before its last answer.
 constexpr std::uint64_t kMaxStatements = 12, kMaxPipelined = 3, kPipelinesOneIn = 5, kWritesSlowlyOneIn = 8,
                         kClosesEarlyOneIn = 6;
+// One in kPatientOneIn statements states a longer time limit than the deadline of its class.
+constexpr std::uint64_t kPatientOneIn = 5;
+constexpr double kPatientFactor = 5;
 
 }  // namespace
 
@@ -52,11 +55,11 @@
   for (std::size_t i = 0; i < clients; ++i) harness_.loop().spawn(runClient());
 }
 
-std::string Clients::makeStatement(std::size_t classIndex, std::string& id) {
+std::string Clients::makeStatement(std::size_t classIndex, Duration timeLimit, std::string& id) {
   static std::uint64_t last = 0;
   id = std::to_string(++last);
   const TransactionClass& transactionClass = harness_.transactionClass(classIndex);
-  const std::string timeLimitMillis = std::to_string(transactionClass.deadline.inMicros() / 1000);
+  const std::string timeLimitMillis = std::to_string(timeLimit.inMicros() / 1000);
   std::string after;
   if (transactionClass.level == ReadLevel::session && lastCommit_ != Instant())
     after = ",after=" + std::to_string(lastCommit_.inMicros() / 1000);
@@ -73,8 +76,9 @@
 
 void Clients::queueStatement(Connection& connection, std::size_t classIndex, bool slowly) {
   Connection::PendingStatement statement;
-  connection.unsent += makeStatement(classIndex, statement.id);
-  statement.timeLimit = harness_.transactionClass(classIndex).deadline;
+  const bool isPatient = harness_.randomBelow(kPatientOneIn) == 0;
+  statement.timeLimit = harness_.transactionClass(classIndex).deadline * (isPatient ? kPatientFactor : 1);
+  connection.unsent += makeStatement(classIndex, statement.timeLimit, statement.id);
   statement.classIndex = classIndex;
   connection.slow = slowly;
   // The request is recorded before any node can receive it; its deadline counts from its last byte.
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -25,7 +25,7 @@
  private:
   struct Connection;
   event_loop::Task runClient();
-  std::string makeStatement(std::size_t classIndex, std::string& id);
+  std::string makeStatement(std::size_t classIndex, Duration timeLimit, std::string& id);
   void queueStatement(Connection& connection, std::size_t classIndex, bool slowly);
   void startSession(Connection& connection);
   bool queueStatements(Connection& connection, Instant now);
