Requests that come when the answers of a shutdown are due are decided by the router

Cause: no time was left for the stream, whose deadline answers before the router's round.

Fix: the part of a client's time that a shutdown leaves is at least 10 ms; the router's own bound ends before that, so it decides in the same turn.

ext_proc.retry-after-shutdown-deadline failed before (s2 503 refused; now 500 rolled-back).

--- a/src/transactions/transaction_table.cpp
+++ b/src/transactions/transaction_table.cpp
@@ -12,6 +12,9 @@
 // The ids of transactions that have ended may use this part of the limit on the messages of open ones.
 constexpr std::size_t kExecutionHistoryDivisor = 4;
 
+// Time for the decision on a transaction that comes when its answer is due already: it is made in this turn.
+constexpr Duration kMinDecisionTime = Duration::millis(10);
+
 }  // namespace
 
 TransactionTable::TransactionTable(const RoutingConfig& config, std::uint64_t seed,
@@ -38,7 +41,8 @@
 }
 
 Duration TransactionTable::limitedToShutdown(Duration remainingTime) const {
-  return shutdownAnswerBy_ ? std::min(remainingTime, *shutdownAnswerBy_ - now_) : remainingTime;
+  if (!shutdownAnswerBy_) return remainingTime;
+  return std::min(remainingTime, std::max(*shutdownAnswerBy_ - now_, kMinDecisionTime));
 }
 
 // --- Transactions
--- a/src/transactions/transaction_table.h
+++ b/src/transactions/transaction_table.h
@@ -58,7 +58,8 @@
   // The process shuts down and may be killed: all transactions, also those opened later, get their final
   // answers by `answerBy`.
   void shutDown(Instant answerBy);
-  // Returns the part of a client's remaining time within which its request is answered.
+  // Returns the part of a client's remaining time within which its request is answered; not zero, as the
+  // router decides also on requests that come too late.
   Duration limitedToShutdown(Duration remainingTime) const;
 
   // Makes `controller` observe the transactions and set the groups' degradation levels. `listener` is
--- a/tests/ext_proc.cpp
+++ b/tests/ext_proc.cpp
@@ -14,6 +14,7 @@
                                                 {"retries-after-restart", retriesAfterRestart},
                                                 {"shutdown-answers-before-kill", shutdownAnswersBeforeKill},
                                                 {"shutdown-closes-streams", shutdownClosesStreams},
+                                                {"retry-after-shutdown-deadline", retryAfterShutdownDeadline},
                                                 {"rejects-malformed-messages", rejectsMalformedMessages},
                                                 {"unreported-outcomes", unreportedOutcomes},
                                                 {"drains-limit-leases", drainsLimitLeases},
--- a/tests/ext_proc/cases.h
+++ b/tests/ext_proc/cases.h
@@ -10,6 +10,7 @@
 void retriesOfTransactions();
 void retriesAfterRestart();
 void shutdownAnswersBeforeKill();
+void retryAfterShutdownDeadline();
 void shutdownClosesStreams();
 
 // limits.cpp
--- a/tests/ext_proc/requests.cpp
+++ b/tests/ext_proc/requests.cpp
@@ -232,6 +232,20 @@
   harness.printCounts();
 }
 
+// Guards against a retry that is rejected, and would be sent once more, although the earlier attempt may have
+// run: it comes when all answers are due.
+void retryAfterShutdownDeadline() {
+  ExtProcHarness harness;
+  harness.openStream(1);
+  harness.openStream(2);
+  harness.shutDown(40);
+  harness.advance(50);
+  harness.describe("a first attempt that nothing was written of, and one that may have run");
+  harness.sendRequest(1, "w1", "charge", {});
+  harness.sendRequest(2, "w2", "charge", attemptHeaders(2, "whole"));
+  harness.printCounts();
+}
+
 // Guards against streams that are open when SIGKILL comes, and end without a status.
 void shutdownClosesStreams() {
   ExtProcSetup setup;
