The due times of components are combined by one function, in base

Five places wrote out which of two due times is earlier, with Instant() for none; the coordination between routers had a function for it.

--- a/src/cluster/due_time.h
+++ b/src/base/due_time.h
@@ -1,11 +1,11 @@
-// Combines the due times of a router's components into the due time of its next turn.
+// Combines the due times of components into the due time of the next turn.
 #pragma once
 
 #include <algorithm>
 
 #include "base/time.h"
 
-namespace gulltrestle::cluster {
+namespace gulltrestle {
 
 // Returns the earlier of two due times. Instant() means that nothing is due.
 constexpr Instant earlierDue(Instant a, Instant b) {
@@ -13,4 +13,4 @@
   return b == Instant() ? a : std::min(a, b);
 }
 
-}  // namespace gulltrestle::cluster
+}  // namespace gulltrestle
--- a/src/cluster/claim_dispatcher.cpp
+++ b/src/cluster/claim_dispatcher.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "base/due_time.h"
 #include "cluster/chunks.h"
-#include "cluster/due_time.h"
 
 namespace gulltrestle::cluster {
 
--- a/src/cluster/maintenance_service.cpp
+++ b/src/cluster/maintenance_service.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "cluster/due_time.h"
+#include "base/due_time.h"
 #include "maintenance/scheduling.h"
 
 namespace gulltrestle::cluster {
--- a/src/cluster/membership_service.cpp
+++ b/src/cluster/membership_service.cpp
@@ -1,6 +1,6 @@
 #include "cluster/membership_service.h"
 
-#include "cluster/due_time.h"
+#include "base/due_time.h"
 
 namespace gulltrestle::cluster {
 
--- a/src/downstream/ext_proc/request_streams.cpp
+++ b/src/downstream/ext_proc/request_streams.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/due_time.h"
+
 namespace gulltrestle::downstream::ext_proc {
 
 using endpoint_leases::FinalOutcome;
@@ -278,10 +280,8 @@
 }
 
 Instant RequestStreams::nextDue() const {
-  const Instant next = transport_.nextDue();
-  if (deadlines_.empty()) return next;
-  const Instant deadline = deadlines_.begin()->at;
-  return next == Instant() || deadline < next ? deadline : next;
+  const Instant deadline = deadlines_.empty() ? Instant() : deadlines_.begin()->at;
+  return earlierDue(transport_.nextDue(), deadline);
 }
 
 void RequestStreams::logLimited(std::string_view event, const std::string& fields) {
--- a/src/endpoint_leases/lease_registry.cpp
+++ b/src/endpoint_leases/lease_registry.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/due_time.h"
+
 namespace gulltrestle::endpoint_leases {
 
 namespace {
@@ -237,7 +239,7 @@
         records_.erase(found);
       queue->pop_front();
     }
-    if (!queue->empty() && (next == Instant() || queue->front().at < next)) next = queue->front().at;
+    if (!queue->empty()) next = earlierDue(next, queue->front().at);
   }
   return next;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/due_time.h"
+
 namespace gulltrestle::gateway {
 
 Gateway::Gateway(const RoutingConfig& config, const std::vector<std::string>& classNames, std::uint64_t seed,
@@ -174,14 +176,10 @@
 
 Instant Gateway::nextDue() const {
   Instant next = transactions_.nextDue();
-  const auto include = [&](Instant due) {
-    if (due != Instant() && (next == Instant() || due < next)) next = due;
-  };
-  include(connectionPool_.nextDue());
-  include(clientSessions_.nextDue());
-  for (const Component* component : components_) include(component->nextDue());
-  if (shutdown_) include(nextShutDownStep());
-  return next;
+  next = earlierDue(next, connectionPool_.nextDue());
+  next = earlierDue(next, clientSessions_.nextDue());
+  for (const Component* component : components_) next = earlierDue(next, component->nextDue());
+  return shutdown_ ? earlierDue(next, nextShutDownStep()) : next;
 }
 
 Instant Gateway::nextShutDownStep() const {
--- a/src/runtime/ext_proc_server/ext_proc_server.cpp
+++ b/src/runtime/ext_proc_server/ext_proc_server.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include "base/due_time.h"
 #include "protocol/http1/response.h"
 #include "runtime/event_loop/sockets.h"
 #include "runtime/ext_proc_server/ext_proc_log.h"
@@ -84,11 +85,7 @@
 
 // --- Turns
 
-Instant ExtProcServer::nextDue() const {
-  const Instant streamsDue = streams_.nextDue(), healthCheckDue = healthChecker_.nextDue();
-  if (streamsDue == Instant()) return healthCheckDue;
-  return healthCheckDue != Instant() && healthCheckDue < streamsDue ? healthCheckDue : streamsDue;
-}
+Instant ExtProcServer::nextDue() const { return earlierDue(streams_.nextDue(), healthChecker_.nextDue()); }
 
 void ExtProcServer::endTurn() {
   streams_.endTurn();
--- a/src/transactions/transaction_rounds.cpp
+++ b/src/transactions/transaction_rounds.cpp
@@ -2,6 +2,7 @@
 // to the router and carries out its decisions.
 #include <algorithm>
 
+#include "base/due_time.h"
 #include "transactions/transaction_table.h"
 #include "transactions/transaction_trace.h"
 
@@ -66,13 +67,9 @@
 
 Instant TransactionTable::nextDue() const {
   if (!events_.empty()) return now_;
-  Instant next = wakeUpAt_;
-  const auto include = [&](Instant due) {
-    if (due != Instant() && (next == Instant() || due < next)) next = due;
-  };
-  include(degradation_.nextDue());
-  if (shutdownAnswerBy_ && now_ < *shutdownAnswerBy_) include(*shutdownAnswerBy_);
-  return next;
+  const Instant next = earlierDue(wakeUpAt_, degradation_.nextDue());
+  const bool isShutdownPending = shutdownAnswerBy_ && now_ < *shutdownAnswerBy_;
+  return isShutdownPending ? earlierDue(next, *shutdownAnswerBy_) : next;
 }
 
 void TransactionTable::detectProcessStall() {
