--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -26,6 +26,7 @@
       {"shutdown-with-statement", shutdownWithStatement},
       {"shutdown-with-queued-statements", shutdownWithQueuedStatements},
       {"shutdown-while-primary-hangs", shutdownWhilePrimaryHangs},
+      {"shutdown-of-stopped-process", shutdownOfStoppedProcess},
       {"answer-while-hedge-connects", answerWhileHedgeConnects},
       {"role-lost-while-connecting", roleLostWhileConnecting},
       {"role-lost-behind-many-events", roleLostBehindManyEvents},
--- a/tests/crossings/cases.h
+++ b/tests/crossings/cases.h
@@ -22,6 +22,7 @@
 void shutdownWithStatement();
 void shutdownWithQueuedStatements();
 void shutdownWhilePrimaryHangs();
+void shutdownOfStoppedProcess();
 void signalAtStart();
 
 // attempts.cpp
--- a/tests/crossings/shutdown.cpp
+++ b/tests/crossings/shutdown.cpp
@@ -4,6 +4,13 @@
 
 namespace gulltrestle::crossings_test {
 
+namespace {
+
+// SIGKILL comes no earlier than this after SIGTERM, as the deadlines of the classes are above 3 s.
+constexpr auto kEarliestKill = std::chrono::milliseconds(3700);
+
+}  // namespace
+
 // --- Shutdown of the program
 
 void gracefulShutdown() {
@@ -76,7 +83,6 @@
 // clients wait longer than that. One was there before; of the others the rest of the startup, of the TLS
 // request and of the first statement comes after the listener has closed.
 void shutdownWhilePrimaryHangs() {
-  constexpr auto kEarliestKill = std::chrono::milliseconds(3700);
   const std::string startup = postgres::startup("worker", "catalog");
   const std::string tlsRequest("\0\0\0\x08\x04\xd2\x16\x2f", 8);
   const std::string first = statement("first", "write");
@@ -108,6 +114,27 @@
   for (const std::string key : {"before", "late", "tls", "first"}) hungNode.releaseAnswer(key);
 }
 
+// Guards against the same at a process that is stopped when SIGTERM comes, and notices it a second later.
+void shutdownOfStoppedProcess() {
+  constexpr auto kStopTime = std::chrono::seconds(1);
+  FakeNode hungNode({"before", "meanwhile"});
+  FakeServer discovery(silentDiscovery);
+  Program router(discovery.port(), singleNodeList(hungNode));
+  Peer before = router.client(), idle = router.client();
+  before.send(statement("before", "write"));
+  hungNode.events.waitFor("received before");
+  router.suspend();
+  const auto terminatedAt = Clock::now();
+  router.signal(SIGTERM);
+  idle.send(statement("meanwhile", "write"));
+  sleepUntil(terminatedAt + kStopTime);
+  router.resume();
+  std::cout << "there before: " << before.answer() << before.answer() << "\n";
+  std::cout << "came meanwhile: " << idle.answer() << idle.answer() << "\n";
+  std::cout << "answered before SIGKILL can come: " << (Clock::now() < terminatedAt + kEarliestKill) << "\n";
+  for (const std::string key : {"before", "meanwhile"}) hungNode.releaseAnswer(key);
+}
+
 // A signal arrives while the program starts: after SIGHUP it serves, after SIGTERM it exits.
 void signalAtStart() {
   for (const int number : {SIGHUP, SIGTERM}) {
