Soak: the end waits for statements behind patient ones, and the verdict says how long

With the time in the verdict: sent 8.3 s before the end with a limit of 2.1 s, always at a router without a shutdown. Since a statement may state five times its class's deadline (10.4 s here); the run ended 7 s after its clients were told to stop, and judged a statement that waited behind such a one, whose own time had not begun. That a patient one was in front is inferred from the times.

The end now waits for as long as a full pipeline of patient statements may take, so that all are judged by their answers.

--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -49,6 +49,10 @@
 Clients::Clients(Harness& harness, RouterProcess& router, std::size_t routerIndex)
     : harness_(harness), router_(router), routerIndex_(routerIndex) {}
 
+Duration Clients::longestWait(Duration longestDeadline) {
+  return longestDeadline * (kPatientFactor * static_cast<double>(kMaxPipelined));
+}
+
 std::size_t Clients::classCount() const { return harness_.classCount(); }
 
 void Clients::start(std::size_t clients) {
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -17,6 +17,9 @@
   void start(std::size_t clients);
   void stop() { stopped_ = true; }
   bool idle() const { return running_ == 0; }
+  // The longest time until a client has all answers: it may wait behind statements that it sent before.
+  // `longestDeadline`: of the transaction classes.
+  static Duration longestWait(Duration longestDeadline);
   // After all faults: sends transactions, with retries as clients do, until one is committed; reports a
   // violation if none is by `until`.
   event_loop::Task expectService(Instant until);
