--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -123,8 +123,7 @@
   Instant receivedAt;
   Instant firstRequestAt;  // when the client's first request was received, as far as known
   Instant latencyTargetAt;
-  Instant
-      answerBy;  // when the client times out this request, or the process may be killed if that is earlier
+  Instant answerBy;          // when the client times out, or all answers of a shutdown are due
   Instant requiredPosition;  // session reads: position that the answering node must have applied
   // Number sent by this router, and the number of the next one; RoutingConfig::maxAttempts: no more are
   // allowed.
