Log: the end of a client's connection tells what was left unread and what was discarded

Nothing told what became of bytes that crossed the close of a connection. The trace has event=client.disconnected with unread, unhandled and discarded bytes and who closed the connection; the log has event=clients.closed with the counts when the process ends.

--- a/src/runtime/event_loop/sockets.cpp
+++ b/src/runtime/event_loop/sockets.cpp
@@ -1,8 +1,10 @@
 #include "runtime/event_loop/sockets.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/signalfd.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -137,6 +139,11 @@
   }
 }
 
+std::size_t unreadBytes(int descriptor) {
+  int size = 0;
+  return ::ioctl(descriptor, SIOCINQ, &size) == 0 && size > 0 ? static_cast<std::size_t>(size) : 0;
+}
+
 void shutDownWriting(int descriptor) { ::shutdown(descriptor, SHUT_WR); }
 
 IoStatus accept(int descriptor, Descriptor& accepted) {
--- a/src/runtime/event_loop/sockets.h
+++ b/src/runtime/event_loop/sockets.h
@@ -39,6 +39,8 @@
 IoResult readInto(int descriptor, std::span<char> buffer);
 // Writes the parts in order. May write less than all of them, even less than the first part.
 IoResult writeFrom(int descriptor, std::span<const std::string_view> parts);
+// Returns how many received bytes are in the kernel, not read yet; 0 if that is unknown.
+std::size_t unreadBytes(int descriptor);
 // Shuts down the sending direction: the peer reads an end of stream after the data that was written, and can
 // still send.
 void shutDownWriting(int descriptor);
--- a/src/runtime/server/client_connection.h
+++ b/src/runtime/server/client_connection.h
@@ -13,6 +13,7 @@
   bool isRedeliveryRequested = false;  // the gateway requests the received bytes that it has not consumed
   bool isClosing = false;              // the connection is closed once all data is sent
   bool mustCloseNow = false;           // the descriptor is needed: lingering ends immediately
+  std::size_t discardedBytes = 0;      // received after the end of stream was sent
   Instant unreadSince;    // the time since which received data may be unread; Instant() if none is
   Instant noticeSentAt;   // when a notice was sent to check the connection; Instant() if none was
   Instant nextCheckAt;    // when to check next whether the client is connected; Instant() if it doesn't wait
--- a/src/runtime/server/client_connections.cpp
+++ b/src/runtime/server/client_connections.cpp
@@ -81,12 +81,15 @@
         reason != ConnectionCloseReason::clientStalled) {
       const Instant until = startLingering(id, client);
       while (isLingering(client, until)) {
-        if (client.stream.canRead()) client.read([](std::string_view bytes) { return bytes.size(); });
+        if (client.stream.canRead())
+          client.read(
+              [&](std::string_view bytes) { return client.discardedBytes += bytes.size(), bytes.size(); });
         if (client.hasEnded || client.isBroken) break;
         if (client.stream.canRead()) client.stream.wake();
         co_await client.stream.changed();
       }
     }
+    recordDisconnect(id, client);
   } catch (const std::exception& error) { logClientFailed(error.what()); }
   clients_.erase(id);
   std::erase(lingering_, id);
@@ -209,6 +212,24 @@
 
 // --- Closing
 
+// Records what this server has received of the client without handling it, and what it never read. A client
+// repeats a request on another connection only if nothing of it was read.
+void ClientConnections::recordDisconnect(ClientId id, const Client& client) {
+  const std::size_t unreadBytes = event_loop::unreadBytes(client.stream.descriptor());
+  if (client.isClosing) {
+    ++closedClients_.clients;
+    if (unreadBytes > 0) ++closedClients_.withUnreadBytes;
+    if (client.discardedBytes > 0) ++closedClients_.withDiscardedBytes;
+  }
+  gateway_.transactions().trace().write([&] {
+    return "event=client.disconnected client=" + std::to_string(id) +
+           " closed_by=" + (client.isClosing ? "router" : "client") +
+           " unread_bytes=" + std::to_string(unreadBytes) +
+           " unhandled_bytes=" + std::to_string(client.receivedBytes()) +
+           " discarded_bytes=" + std::to_string(client.discardedBytes);
+  });
+}
+
 // Sends the end of stream. Returns the time until which the server waits for the client to close its end.
 Instant ClientConnections::startLingering(ClientId id, Client& client) {
   event_loop::shutDownWriting(client.stream.descriptor());
--- a/src/runtime/server/client_connections.h
+++ b/src/runtime/server/client_connections.h
@@ -14,6 +14,13 @@
 
 namespace gulltrestle::server {
 
+// The clients whose connections this server has closed.
+struct ClosedClients {
+  std::size_t clients = 0;
+  std::size_t withUnreadBytes = 0;     // they had sent bytes that were not read
+  std::size_t withDiscardedBytes = 0;  // they had sent bytes that were read after the close and not handled
+};
+
 // Accepts, serves and closes client connections. One per server.
 class ClientConnections {
  public:
@@ -35,6 +42,7 @@
 
   // Returns whether stopListening() was called and no client is left.
   bool areFinished() const { return !listener_ && clients_.empty(); }
+  const ClosedClients& closedClients() const { return closedClients_; }
 
  private:
   struct Client;
@@ -59,6 +67,7 @@
   void sendNotice(Client& client) const;
   void checkConnection(Client& client) const;
   bool mayRead(gateway::ClientId id, const Client& client);
+  void recordDisconnect(gateway::ClientId id, const Client& client);
   Instant startLingering(gateway::ClientId id, Client& client);
   bool isLingering(const Client& client, Instant until) const;
   bool closeOldestLingering();
@@ -74,6 +83,7 @@
   gateway::ClientId lastClientId_ = 0;
   std::map<gateway::ClientId, Client*> clients_;  // null if the client is accepted but not served yet
   std::vector<gateway::ClientId> lingering_;      // clients that were sent the end of stream, oldest first
+  ClosedClients closedClients_;
 };
 
 }  // namespace gulltrestle::server
--- a/src/runtime/server/server.cpp
+++ b/src/runtime/server/server.cpp
@@ -46,7 +46,7 @@
   discovery_.start(config_.initialEndpoints.version);
   clients_.start();
   loop_.run([this](Instant now) { return endTurn(now); }, logTaskFailed);
-  logEnded();
+  logEnded(clients_.closedClients());
 }
 
 Instant Server::endTurn(Instant now) {
--- a/src/runtime/server/server_log.cpp
+++ b/src/runtime/server/server_log.cpp
@@ -9,7 +9,11 @@
                config.initialEndpoints.nodes.size());
 }
 
-void logEnded() { spdlog::info("ended"); }
+void logEnded(const ClosedClients& closed) {
+  spdlog::info("event=clients.closed clients={} with_unread_bytes={} with_discarded_bytes={}", closed.clients,
+               closed.withUnreadBytes, closed.withDiscardedBytes);
+  spdlog::info("ended");
+}
 
 void logGatewayLine(std::string_view line) { spdlog::info("{}", line); }
 
--- a/src/runtime/server/server_log.h
+++ b/src/runtime/server/server_log.h
@@ -6,12 +6,14 @@
 
 #include "config/router_config.h"
 #include "runtime/event_loop/sockets.h"
+#include "runtime/server/client_connections.h"
 
 namespace gulltrestle::server {
 
 // --- Process
 void logListening(const config::RouterConfig& config);
-void logEnded();
+// `closed`: the clients whose connections this process has closed since its start.
+void logEnded(const ClosedClients& closed);
 // A line that the gateway has formatted.
 void logGatewayLine(std::string_view line);
 // A turn of the event loop was aborted by an exception. `error`: the text of that exception.
