Tests: requests that cross the close of their connection are read and discarded

The client sends after the end of the stream has arrived at its socket, which forces the order; whether the router has read the request is told by the reset that closing over unread bytes causes. Both fail: after a shutdown (SIGTERM twice, SIGHUP), an error, a time limit, and a close to make room. With the trace on, the router reported discarded_bytes=112 for a request of 112 bytes, and no txn.received.

--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -22,6 +22,8 @@
       {"pipelined", pipelined},
       {"pipelined-unread", pipelinedUnread},
       {"protocol-error", protocolError},
+      {"request-crosses-shutdown", requestCrossesShutdown},
+      {"request-crosses-close", requestCrossesClose},
       {"shutdown", gracefulShutdown},
       {"shutdown-with-statement", shutdownWithStatement},
       {"shutdown-with-queued-statements", shutdownWithQueuedStatements},
--- a/tests/crossings/cases.h
+++ b/tests/crossings/cases.h
@@ -17,6 +17,10 @@
 void closeTimeout();
 void closeAtClientLimit();
 
+// closes.cpp
+void requestCrossesShutdown();
+void requestCrossesClose();
+
 // shutdown.cpp
 void gracefulShutdown();
 void shutdownWithStatement();
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -125,6 +125,16 @@
     pollfd state{descriptor_.number(), POLLRDHUP, 0};
     return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
   }
+  void waitUntilRemoteClosed() const {
+    pollfd state{descriptor_.number(), POLLRDHUP, 0};
+    poll(&state, 1, 20000);
+  }
+  // Whether the remote end resets the connection within this time. It does so when it closes the connection
+  // without having read everything that was sent.
+  bool isResetWithin(std::chrono::milliseconds maxWait) const {
+    pollfd state{descriptor_.number(), 0, 0};
+    return poll(&state, 1, static_cast<int>(maxWait.count())) > 0 && (state.revents & POLLERR) != 0;
+  }
   // Reads at least one byte into the buffer. Returns false at the end of the stream, on an error or a
   // timeout.
   bool readMore() {
