Nothing is read of a client any more once the end of stream was sent to it

Callers saw their connection end without an answer to a request that the router had read. Cause: the lingering close read and discarded what came after the end of stream (ClientConnections::serve), whatever the reason of the close; a client may repeat a request only if it was not read. Evidence: discarded_bytes=112 in the trace for a request of 112 bytes, and no txn.received.

The lingering close leaves these bytes unread and watches for the client's end, which epoll reports also behind unread bytes. As closing over unread bytes resets the connection, it stays open until the client has acknowledged what it was sent, for the longest deadline and the time until SIGKILL at most; of too many lingering connections those go first that have received everything.

--- a/src/runtime/event_loop/sockets.cpp
+++ b/src/runtime/event_loop/sockets.cpp
@@ -73,6 +73,12 @@
   return set;
 }
 
+// Returns the size of one of the kernel's queues of a socket, SIOCINQ or SIOCOUTQ; 0 if it is unknown.
+std::size_t queueSize(int descriptor, unsigned long queue) {
+  int size = 0;
+  return ::ioctl(descriptor, queue, &size) == 0 && size > 0 ? static_cast<std::size_t>(size) : 0;
+}
+
 }  // namespace
 
 Descriptor listenOn(const std::string& host, unsigned short port) {
@@ -139,10 +145,9 @@
   }
 }
 
-std::size_t unreadBytes(int descriptor) {
-  int size = 0;
-  return ::ioctl(descriptor, SIOCINQ, &size) == 0 && size > 0 ? static_cast<std::size_t>(size) : 0;
-}
+std::size_t unreadBytes(int descriptor) { return queueSize(descriptor, SIOCINQ); }
+
+std::size_t undeliveredBytes(int descriptor) { return queueSize(descriptor, SIOCOUTQ); }
 
 void shutDownWriting(int descriptor) { ::shutdown(descriptor, SHUT_WR); }
 
--- a/src/runtime/event_loop/sockets.h
+++ b/src/runtime/event_loop/sockets.h
@@ -18,7 +18,8 @@
 // descriptor if this machine has no descriptor, port or memory for it now. Throws std::system_error if `host`
 // is not an IPv4 address.
 Descriptor startConnecting(const std::string& host, unsigned short port);
-// Returns whether the connection was established. To be called once the socket has become writable.
+// Returns whether the connection is established and was not reset; also while one end has sent the end of
+// stream. To be called once the socket has become writable.
 bool isConnected(int descriptor);
 
 // Status of one system call on a socket.
@@ -41,6 +42,9 @@
 IoResult writeFrom(int descriptor, std::span<const std::string_view> parts);
 // Returns how many received bytes are in the kernel, not read yet; 0 if that is unknown.
 std::size_t unreadBytes(int descriptor);
+// Returns how many written bytes the peer's system has not acknowledged; 0 if that is unknown. An end of
+// stream that was sent counts as one.
+std::size_t undeliveredBytes(int descriptor);
 // Shuts down the sending direction: the peer reads an end of stream after the data that was written, and can
 // still send.
 void shutDownWriting(int descriptor);
--- a/src/runtime/server/accept_loop.cpp
+++ b/src/runtime/server/accept_loop.cpp
@@ -92,10 +92,13 @@
   listener_.reset();
 }
 
-// Closes the oldest lingering client in the next turn if too many linger. Returns false otherwise.
+// Closes the oldest lingering client in the next turn if too many linger, but if possible none that has not
+// received everything. Returns false if not too many linger.
 bool ClientConnections::closeOldestLingering() {
   if (lingering_.size() <= kMaxLingeringClients) return false;
-  Client& oldest = *clients_.at(lingering_.front());
+  const auto delivered = std::find_if(lingering_.begin(), lingering_.end(),
+                                      [this](ClientId id) { return !clients_.at(id)->hasUndelivered; });
+  Client& oldest = *clients_.at(delivered == lingering_.end() ? lingering_.front() : *delivered);
   oldest.mustCloseNow = true;
   oldest.stream.wake();
   return true;
--- a/src/runtime/server/client_connections.cpp
+++ b/src/runtime/server/client_connections.cpp
@@ -23,6 +23,10 @@
 // After the end of stream is sent, a client closes its end within a round trip unless it is idle. The server
 // waits for it for this multiple of the connect time limit.
 constexpr double kLingerFactor = 2;
+// Interval of the checks whether a client has received everything, once nothing else keeps its connection.
+constexpr Duration kDeliveryCheckInterval = Duration::millis(10);
+// TCP counts the end of stream as a byte.
+constexpr std::size_t kEndOfStreamBytes = 1;
 // Bytes that a client may send ahead of a response: some short statements, or the start of a long one.
 constexpr std::size_t kMaxPipelinedBytes = 16 * 1024;
 
@@ -74,20 +78,10 @@
       co_await client.stream.changed();
       if (!client.stream.canRead()) client.unreadSince = Instant();
     }
-    // Lingering close: closing a socket with unread bytes, or with bytes that arrive during the close, resets
-    // the connection, and the client loses the response that is in transit. These bytes are read and
-    // discarded. Trade-off: the descriptor stays in use in the meantime.
     if (client.isClosing && !client.isBroken && !client.stream.hungUp() &&
         reason != ConnectionCloseReason::clientStalled) {
-      const Instant until = startLingering(id, client);
-      while (isLingering(client, until)) {
-        if (client.stream.canRead())
-          client.read(
-              [&](std::string_view bytes) { return client.discardedBytes += bytes.size(), bytes.size(); });
-        if (client.hasEnded || client.isBroken) break;
-        if (client.stream.canRead()) client.stream.wake();
-        co_await client.stream.changed();
-      }
+      startLingering(id, client);
+      while (isLingering(client)) co_await client.stream.changed();
     }
     recordDisconnect(id, client);
   } catch (const std::exception& error) { logClientFailed(error.what()); }
@@ -212,36 +206,49 @@
 
 // --- Closing
 
-// Records what this server has received of the client without handling it, and what it never read. A client
-// repeats a request on another connection only if nothing of it was read.
+// Records what this server has not read of the client, and what it has read in part only.
 void ClientConnections::recordDisconnect(ClientId id, const Client& client) {
   const std::size_t unreadBytes = event_loop::unreadBytes(client.stream.descriptor());
   if (client.isClosing) {
     ++closedClients_.clients;
     if (unreadBytes > 0) ++closedClients_.withUnreadBytes;
-    if (client.discardedBytes > 0) ++closedClients_.withDiscardedBytes;
+    if (client.receivedBytes() > 0) ++closedClients_.withPartialMessage;
   }
   gateway_.transactions().trace().write([&] {
     return "event=client.disconnected client=" + std::to_string(id) +
            " closed_by=" + (client.isClosing ? "router" : "client") +
            " unread_bytes=" + std::to_string(unreadBytes) +
-           " unhandled_bytes=" + std::to_string(client.receivedBytes()) +
-           " discarded_bytes=" + std::to_string(client.discardedBytes);
+           " unhandled_bytes=" + std::to_string(client.receivedBytes());
   });
 }
 
-// Sends the end of stream. Returns the time until which the server waits for the client to close its end.
-Instant ClientConnections::startLingering(ClientId id, Client& client) {
+// Starts the lingering close: sends the end of stream, and keeps the connection for a while. Prevents that
+// the client loses an answer in transit: closing a socket with unread bytes, or with bytes that arrive later,
+// resets the connection. Nothing is read from now on: a request that crosses the end of stream can't be
+// answered, and its client may repeat it only if it was not read. Trade-off: the descriptor stays in use.
+void ClientConnections::startLingering(ClientId id, Client& client) {
+  const Instant now = loop_.now();
+  client.hasUndelivered = event_loop::undeliveredBytes(client.stream.descriptor()) > 0;
   event_loop::shutDownWriting(client.stream.descriptor());
-  const Instant until = gateway_.lingerLimit(loop_.now() + connectTimeout_ * kLingerFactor);
-  client.stream.wakeAt(until);
+  client.lingerUntil = gateway_.lingerLimit(now + connectTimeout_ * kLingerFactor);
+  client.deliverUntil = now + longestDeadline_;
+  client.stream.wakeAt(client.lingerUntil);
   lingering_.push_back(id);
-  return until;
 }
 
-bool ClientConnections::isLingering(const Client& client, Instant until) const {
-  return !client.hasEnded && !client.isBroken && !client.stream.hungUp() && !client.mustCloseNow &&
-         loop_.now() < until;
+// Returns whether the connection has to stay open: until the client has closed its end or has not done so in
+// time, and has received everything that it was sent.
+bool ClientConnections::isLingering(Client& client) const {
+  const Instant now = loop_.now();
+  if (client.isBroken || client.mustCloseNow) return false;
+  // Both ends have sent the end of stream, or the connection was reset.
+  if (client.stream.hungUp() && !event_loop::isConnected(client.stream.descriptor())) return false;
+  if (!client.stream.isPeerHalfClosed() && now < client.lingerUntil) return true;
+  const std::size_t undelivered = event_loop::undeliveredBytes(client.stream.descriptor());
+  client.hasUndelivered = client.hasUndelivered && undelivered > kEndOfStreamBytes;
+  if (!client.hasUndelivered || now >= gateway_.lingerLimit(client.deliverUntil)) return false;
+  client.stream.wakeAt(now + kDeliveryCheckInterval);
+  return true;
 }
 
 }  // namespace gulltrestle::server
--- a/src/runtime/server/client_connections.h
+++ b/src/runtime/server/client_connections.h
@@ -18,7 +18,7 @@
 struct ClosedClients {
   std::size_t clients = 0;
   std::size_t withUnreadBytes = 0;     // they had sent bytes that were not read
-  std::size_t withDiscardedBytes = 0;  // they had sent bytes that were read after the close and not handled
+  std::size_t withPartialMessage = 0;  // a part of a message had been read; they were sent an error
 };
 
 // Accepts, serves and closes client connections. One per server.
@@ -68,8 +68,8 @@
   void checkConnection(Client& client) const;
   bool mayRead(gateway::ClientId id, const Client& client);
   void recordDisconnect(gateway::ClientId id, const Client& client);
-  Instant startLingering(gateway::ClientId id, Client& client);
-  bool isLingering(const Client& client, Instant until) const;
+  void startLingering(gateway::ClientId id, Client& client);
+  bool isLingering(Client& client) const;
   bool closeOldestLingering();
 
   event_loop::EventLoop& loop_;
--- a/src/runtime/server/server_log.cpp
+++ b/src/runtime/server/server_log.cpp
@@ -10,8 +10,8 @@
 }
 
 void logEnded(const ClosedClients& closed) {
-  spdlog::info("event=clients.closed clients={} with_unread_bytes={} with_discarded_bytes={}", closed.clients,
-               closed.withUnreadBytes, closed.withDiscardedBytes);
+  spdlog::info("event=clients.closed clients={} with_unread_bytes={} with_partial_message={}", closed.clients,
+               closed.withUnreadBytes, closed.withPartialMessage);
   spdlog::info("ended");
 }
 
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -24,6 +24,7 @@
       {"protocol-error", protocolError},
       {"request-crosses-shutdown", requestCrossesShutdown},
       {"request-crosses-close", requestCrossesClose},
+      {"answer-in-transit-at-close", answerInTransitAtClose},
       {"shutdown", gracefulShutdown},
       {"shutdown-with-statement", shutdownWithStatement},
       {"shutdown-with-queued-statements", shutdownWithQueuedStatements},
--- a/tests/crossings/cases.h
+++ b/tests/crossings/cases.h
@@ -20,6 +20,7 @@
 // closes.cpp
 void requestCrossesShutdown();
 void requestCrossesClose();
+void answerInTransitAtClose();
 
 // shutdown.cpp
 void gracefulShutdown();
--- a/tests/crossings/closes.cpp
+++ b/tests/crossings/closes.cpp
@@ -64,4 +64,35 @@
   std::cout << "the node received " << node.receivedKeys() << "\n";
 }
 
+// Guards against answers that are lost because their connection is reset, over a request that crosses its
+// close, while the network holds the answers up: here in the router's send buffer.
+void answerInTransitAtClose() {
+  constexpr std::size_t kValueBytes = 8000;
+  // The router waits half a second for clients that have received everything.
+  constexpr auto kHoldUp = std::chrono::milliseconds(1200);
+  for (const bool halfCloses : {false, true}) {
+    FakeNode node({"slow"});
+    node.padValues(kValueBytes);
+    FakeServer discovery(silentDiscovery);
+    LogSettings logging;
+    Program router(discovery.port(), singleNodeList(node), 250, 256, 0, "", R"("probes":true,"cancel":true)",
+                   {logging.variable()});
+    Peer client = Peer::withSmallBuffer(router.port());
+    client.send(postgres::startup("worker", "catalog"));
+    client.answer();
+    client.send(statement("slow", "write"));
+    node.events.waitFor("received slow");
+    router.signal(SIGTERM);
+    router.waitForLine("accepts no more clients");
+    node.releaseAnswer("slow");
+    router.waitForLine("event=client.closed");
+    client.send(statement("crossing", "write"));
+    client.waitUntilDelivered();
+    if (halfCloses) client.closeSending();
+    sleepUntil(Clock::now() + kHoldUp);
+    std::cout << (halfCloses ? "half closed: " : "open: ") << client.answer() << client.answer()
+              << "; the node received " << node.receivedKeys() << "\n";
+  }
+}
+
 }  // namespace gulltrestle::crossings_test
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -73,6 +74,22 @@
     return Peer(std::move(socket));
   }
 
+  // Connects to a loopback port, with a receive buffer so small that answers stay in the remote end's kernel
+  // until they are read.
+  static Peer withSmallBuffer(unsigned short port) {
+    constexpr int kBytes = 2048;
+    Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    setsockopt(socket.number(), SOL_SOCKET, SO_RCVBUF, &kBytes, sizeof kBytes);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (connect(socket.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+      throw std::system_error(errno, std::generic_category(), "connect");
+    fcntl(socket.number(), F_SETFL, O_NONBLOCK);
+    return Peer(std::move(socket));
+  }
+
   // Sends all bytes, at most `chunkSize` with each write.
   void send(std::string_view bytes, std::size_t chunkSize = 1 << 20) {
     while (!bytes.empty()) {
--- a/tests/program.h
+++ b/tests/program.h
@@ -138,6 +138,22 @@
   std::unique_ptr<Child> child_;
 };
 
+// A file that turns the log lines about transactions and connections on.
+class LogSettings {
+ public:
+  LogSettings() : file_("crossings-" + std::to_string(getpid()) + ".log.json") {
+    std::ofstream(file_) << R"({"txns":true})";
+  }
+  LogSettings(const LogSettings&) = delete;
+  LogSettings& operator=(const LogSettings&) = delete;
+  ~LogSettings() { unlink(file_.c_str()); }
+  // The setting for the program's environment, as NAME=value.
+  std::string variable() const { return "GULLTRESTLE_LOGGING=" + file_; }
+
+ private:
+  std::string file_;
+};
+
 // Named events that threads signal and wait for.
 class Events {
  public:
