A client in the middle of a message isn't closed to make room for another one

Callers saw an end of stream in place of the answer to a request of which the router had read a part. The run-time check of closes looked at open transactions only: it now covers bytes that were read and not handled, so that no other path can do the same silently; clients that ended their sending are excepted. Price: clients that stop in the middle of a message keep their connection for the time limit of a message.

crossings.half-request-at-client-limit, with the program, failed before ('half a request: end').

--- a/src/downstream/postgres/client_sessions.cpp
+++ b/src/downstream/postgres/client_sessions.cpp
@@ -119,7 +119,11 @@
 // Closes the connection of a client that awaits no answer, once all written bytes are sent.
 void ClientSessions::close(ClientId id, ConnectionCloseReason reason) {
   const auto subject = [id] { return "client " + std::to_string(id); };
-  if (!transactions_.invariants().mayClose(transactions_.now(), isWaiting(id), subject)) return;
+  const Client& client = clients_.at(id);
+  // A client that has ended its sending doesn't complete its message.
+  const bool mayComplete = reason != ConnectionCloseReason::clientFinished;
+  const bool isAnswerPending = client.isWaiting() || (mayComplete && client.hasUnhandledBytes());
+  if (!transactions_.invariants().mayClose(transactions_.now(), isAnswerPending, subject)) return;
   traceClose(id, nameOf(reason));
   effects_.closeClient(id);
   onClosed(id);
@@ -178,7 +182,7 @@
   std::vector<IdleClient> idle;
   for (const auto& [id, client] : clients_) {
     const bool isIncluded = client.isActive || which == IdleClients::all;
-    if (isIncluded && !client.isWaiting() && !client.hasUnreadMessages &&
+    if (isIncluded && !client.isWaiting() && !client.hasUnhandledBytes() &&
         !hasJustConnected(client, limits_.connectTimeout * kStartupFraction))
       idle.push_back({client.idleSince, id});
   }
--- a/src/downstream/postgres/client_sessions.h
+++ b/src/downstream/postgres/client_sessions.h
@@ -105,6 +105,8 @@
 
     bool isWaiting() const { return txn != 0 || awaitsEndpointList; }
     bool hasPartialMessage() const { return !isWaiting() && !arrivals.empty(); }
+    // Something of a request was read that has no answer yet.
+    bool hasUnhandledBytes() const { return hasUnreadMessages || hasPartialMessage(); }
   };
   struct Deadline {
     Instant at;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -25,6 +25,7 @@
       {"request-crosses-shutdown", requestCrossesShutdown},
       {"request-crosses-close", requestCrossesClose},
       {"answer-in-transit-at-close", answerInTransitAtClose},
+      {"half-request-at-client-limit", halfRequestAtClientLimit},
       {"shutdown", gracefulShutdown},
       {"shutdown-with-statement", shutdownWithStatement},
       {"shutdown-with-queued-statements", shutdownWithQueuedStatements},
--- a/tests/crossings/cases.h
+++ b/tests/crossings/cases.h
@@ -21,6 +21,7 @@
 void requestCrossesShutdown();
 void requestCrossesClose();
 void answerInTransitAtClose();
+void halfRequestAtClientLimit();
 
 // shutdown.cpp
 void gracefulShutdown();
--- a/tests/crossings/closes.cpp
+++ b/tests/crossings/closes.cpp
@@ -9,6 +9,8 @@
 
 // Far longer than the router waits for a client after the end of the stream.
 constexpr auto kResetTimeout = std::chrono::seconds(8);
+// Descriptors of a router that serves few clients, and more clients than that.
+constexpr int kDescriptors = 64, kManyClients = 48;
 
 // Sends a statement after the end of the stream has arrived, and prints what the client receives and whether
 // the router has read the statement: a client may only repeat one that was not read.
@@ -47,7 +49,6 @@
 // Guards against the same where the router closes connections at other times: the longest idle ones to make
 // room for new clients, after errors, and after a time limit.
 void requestCrossesClose() {
-  constexpr int kDescriptors = 64;
   FakeNode node;
   FakeServer discovery(silentDiscovery);
   Program router(discovery.port(), singleNodeList(node), 250, kDescriptors);
@@ -95,4 +96,21 @@
   }
 }
 
+// Guards against requests that are lost because their connection is closed to make room for a new client when
+// a part of them has been read.
+void halfRequestAtClientLimit() {
+  FakeNode node;
+  FakeServer discovery(silentDiscovery);
+  Program router(discovery.port(), singleNodeList(node), 60000, kDescriptors);
+  const std::string half = statement("half", "write");
+  Peer client = router.client();
+  client.send(half.substr(0, 40));
+  router.waitUntilIdle();
+  std::vector<Peer> others;
+  for (int i = 0; i < kManyClients; ++i) others.push_back(router.client());
+  std::cout << "an idle one is closed: " << others.front().remoteClosed() << "\n";
+  client.send(half.substr(40));
+  std::cout << "half a request: " << client.answer() << "\n";
+}
+
 }  // namespace gulltrestle::crossings_test
