An idle client whose request has arrived is answered, not closed

Callers saw a close where their request had arrived before it: the router decides by what the turn has read, and a request that comes later in that turn, or while the router stands still, lies in the socket. The client may repeat it, as nothing was read, but has to find another router first. Before it closes idle clients, in a shutdown or to make room, the client sessions now ask the owner of the sockets whether bytes have arrived; in a shutdown until all answers are due. Of the idle clients the next longest idle one is closed in their place.

crossings.request-in-socket-at-client-limit, with the program suspended while a new client and the request arrive, failed before ('in the socket: end'); gateway.shutdown-with-unread-bytes has an interface that is new.

--- a/src/downstream/postgres/client_sessions.cpp
+++ b/src/downstream/postgres/client_sessions.cpp
@@ -186,10 +186,14 @@
         !hasJustConnected(client, limits_.connectTimeout * kStartupFraction))
       idle.push_back({client.idleSince, id});
   }
-  const std::size_t count = std::min(max, idle.size());
-  std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count), idle.end());
-  for (std::size_t i = 0; i < count; ++i) close(idle[i].id, ConnectionCloseReason::retired);
-  return count > 0;
+  std::sort(idle.begin(), idle.end());
+  std::size_t closed = 0;
+  for (auto next = idle.begin(); next != idle.end() && closed < max; ++next) {
+    if (effects_.hasUnreadBytes(next->id)) continue;
+    close(next->id, ConnectionCloseReason::retired);
+    ++closed;
+  }
+  return closed > 0;
 }
 
 // Clients keep a bounded number of connections for transactions. If each sends one transaction and stays
@@ -211,13 +215,13 @@
   return hasJustStarted || client.hasPartialMessage();
 }
 
-// Prevents that a client gets no answer to what it was sending when the router stopped. Trade-off: clients
-// that stop in the middle of a message delay the end of the process.
+// Prevents that a client gets no answer to what it has sent, or was sending, when the router stopped.
+// Trade-off: clients that stop in the middle of a message delay the end of the process.
 void ClientSessions::closeAtShutDown(TimeToAnswer time) {
   std::vector<ClientId> idle, cutOff;
   for (const auto& [id, client] : clients_) {
     if (client.isWaiting() || client.hasUnreadMessages) continue;
-    if (time == TimeToAnswer::left && mayBeSending(client)) continue;
+    if (time == TimeToAnswer::left && (mayBeSending(client) || effects_.hasUnreadBytes(id))) continue;
     (client.hasPartialMessage() ? cutOff : idle).push_back(id);
   }
   for (const ClientId id : idle) close(id, ConnectionCloseReason::shuttingDown);
--- a/src/downstream/postgres/client_sessions.h
+++ b/src/downstream/postgres/client_sessions.h
@@ -34,6 +34,8 @@
   virtual void readClient(ClientId client) = 0;
   // Closes the connection once all written bytes are sent.
   virtual void closeClient(ClientId client) = 0;
+  // Returns whether bytes of the client have arrived that were not read yet.
+  virtual bool hasUnreadBytes(ClientId client) = 0;
 };
 
 // Limits for clients, derived from the settings and the process's resource limits.
--- a/src/runtime/server/client_connections.cpp
+++ b/src/runtime/server/client_connections.cpp
@@ -57,6 +57,11 @@
   client->stream.wake();
 }
 
+bool ClientConnections::hasUnreadBytes(ClientId id) {
+  const Client* client = find(id);
+  return client && event_loop::unreadBytes(client->stream.descriptor()) > 0;
+}
+
 // --- Serving
 
 event_loop::Task ClientConnections::serve(ClientId id, event_loop::Descriptor descriptor, bool isAccepted,
--- a/src/runtime/server/client_connections.h
+++ b/src/runtime/server/client_connections.h
@@ -37,6 +37,8 @@
   void read(gateway::ClientId id);
   // Closes the connection once all data is sent.
   void close(gateway::ClientId id);
+  // Returns whether bytes of the client have arrived that were not read yet.
+  bool hasUnreadBytes(gateway::ClientId id);
   // Stops listening. Connections that the kernel has accepted by then are still served.
   void stopListening();
 
--- a/src/runtime/server/server.cpp
+++ b/src/runtime/server/server.cpp
@@ -75,6 +75,8 @@
 
 void Server::closeClient(ClientId id) { clients_.close(id); }
 
+bool Server::hasUnreadBytes(ClientId id) { return clients_.hasUnreadBytes(id); }
+
 void Server::stopListening() { clients_.stopListening(); }
 
 void Server::requestEndpointList() {}  // nothing to do: the list is followed continuously
--- a/src/runtime/server/server.h
+++ b/src/runtime/server/server.h
@@ -40,6 +40,7 @@
   void writeClient(gateway::ClientId id, gateway::ByteSlices slices) override;
   void readClient(gateway::ClientId id) override;
   void closeClient(gateway::ClientId id) override;
+  bool hasUnreadBytes(gateway::ClientId id) override;
   void stopListening() override;
   void requestEndpointList() override;
   void setDiscoveryAddress(const std::string& address) override;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -26,6 +26,7 @@
       {"request-crosses-close", requestCrossesClose},
       {"answer-in-transit-at-close", answerInTransitAtClose},
       {"half-request-at-client-limit", halfRequestAtClientLimit},
+      {"request-in-socket-at-client-limit", requestInSocketAtClientLimit},
       {"shutdown", gracefulShutdown},
       {"shutdown-with-statement", shutdownWithStatement},
       {"shutdown-with-queued-statements", shutdownWithQueuedStatements},
--- a/tests/crossings/cases.h
+++ b/tests/crossings/cases.h
@@ -22,6 +22,7 @@
 void requestCrossesClose();
 void answerInTransitAtClose();
 void halfRequestAtClientLimit();
+void requestInSocketAtClientLimit();
 
 // shutdown.cpp
 void gracefulShutdown();
--- a/tests/crossings/closes.cpp
+++ b/tests/crossings/closes.cpp
@@ -113,4 +113,30 @@
   std::cout << "half a request: " << client.answer() << "\n";
 }
 
+// Guards against the same where the request lies in the socket, unread: a client that is connected gets its
+// answer, not a close. It comes while the router stands still, behind new clients.
+void requestInSocketAtClientLimit() {
+  FakeNode node;
+  FakeServer discovery(silentDiscovery);
+  Program router(discovery.port(), singleNodeList(node), 60000, kDescriptors);
+  Peer client = router.client();
+  std::vector<Peer> others;
+  for (int i = 0; i < kManyClients && !client.remoteClosed(); ++i) {
+    others.push_back(router.client());
+    client.send(query(""));  // it is the one that was idle last
+    client.answer();
+  }
+  for (Peer& other : others) {
+    other.send(query(""));
+    other.answer();
+  }
+  router.suspend();
+  std::vector<Peer> late;
+  for (int i = 0; i < 4; ++i) late.push_back(Peer::to(router.port()));
+  client.send(statement("in-socket", "write"));
+  client.waitUntilDelivered();
+  router.resume();
+  std::cout << "in the socket: " << client.answer() << "\n";
+}
+
 }  // namespace gulltrestle::crossings_test
--- a/tests/ext_proc/same_decisions.cpp
+++ b/tests/ext_proc/same_decisions.cpp
@@ -74,6 +74,7 @@
   }
   void readClient(downstream::postgres::ClientId) override {}
   void closeClient(downstream::postgres::ClientId) override {}
+  bool hasUnreadBytes(downstream::postgres::ClientId) override { return false; }
 
  private:
   void record(std::uint64_t txn, const std::string& decision) {
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -41,6 +41,7 @@
       {"shutdown-with-partial-messages", shutdownWithPartialMessages},
       {"shutdown-before-first-list", shutdownBeforeFirstList},
       {"shutdown-after-stall", shutdownAfterStall},
+      {"shutdown-with-unread-bytes", shutdownWithUnreadBytes},
       {"config-reload", configReload},
       {"close-reason-outcomes", closeReasonOutcomes},
       {"transaction-trace", transactionTrace}};
--- a/tests/gateway/bench.h
+++ b/tests/gateway/bench.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +62,7 @@
   void describe(const std::string& text) { std::cout << "-- " << text << "\n"; }
   bool writesCompletely = true;  // if false, the last byte remains unwritten until finishWrite()
   bool printsHealthChecks = false, printsReads = false;
+  std::set<ClientId> clientsWithUnreadBytes;  // bytes of these clients are in their sockets
   // Whether nodes answer the empty queries by which the gateway detects bytes after an answer. If they do,
   // empty queries are not printed.
   bool answersEmptyQueries = true;
@@ -130,6 +132,7 @@
   void writeClient(ClientId client, ByteSlices slices) override;
   void readClient(ClientId client) override;
   void closeClient(ClientId client) override;
+  bool hasUnreadBytes(ClientId client) override { return clientsWithUnreadBytes.contains(client); }
   void stopListening() override;
   void requestEndpointList() override;
   void setDiscoveryAddress(const std::string& address) override;
--- a/tests/gateway/cases.h
+++ b/tests/gateway/cases.h
@@ -52,5 +52,6 @@
 void shutdownWithPartialMessages();
 void shutdownBeforeFirstList();
 void shutdownAfterStall();
+void shutdownWithUnreadBytes();
 
 }  // namespace gulltrestle::gateway_test
--- a/tests/gateway/shutdown.cpp
+++ b/tests/gateway/shutdown.cpp
@@ -105,6 +105,27 @@
   std::cout << "finished: " << bench.isFinished() << "\n";
 }
 
+// Guards against connections that the shutdown ends while a request lies in their socket: the router stood
+// still after it had looked for events.
+void shutdownWithUnreadBytes() {
+  GatewayBench bench;
+  bench.openClient(1, queryMessage(""));
+  bench.openClient(2, queryMessage(""));
+  bench.shutDown();
+  bench.advance(499);
+  bench.clientsWithUnreadBytes = {1, 2};
+  bench.describe("the grace period ends");
+  bench.advance(1);
+  bench.describe("the request of the first is read");
+  bench.clientsWithUnreadBytes = {2};
+  bench.sendFromClient(1, readQuery("aa"));
+  bench.connectNode(1);
+  bench.answer(1, rowAnswer("body"));
+  bench.describe("that of the second still isn't when all answers are due: its client can repeat it");
+  bench.advance(2000);
+  std::cout << "finished: " << bench.isFinished() << "\n";
+}
+
 // Guards against a process that never ends: empty queries wait for the first endpoint list, which never
 // comes.
 void shutdownBeforeFirstList() {
--- a/tests/settings.cpp
+++ b/tests/settings.cpp
@@ -34,6 +34,7 @@
   void writeClient(gateway::ClientId, transactions::ByteSlices) override { ++answers; }
   void readClient(gateway::ClientId) override {}
   void closeClient(gateway::ClientId) override {}
+  bool hasUnreadBytes(gateway::ClientId) override { return false; }
   void stopListening() override {}
   void requestEndpointList() override {}
   void setDiscoveryAddress(const std::string&) override {}
