gRPC servers: calls that cross the GOAWAY of their connection are answered

Proxies saw calls ignored, or their connection reset, that they had sent before they learned that a router was stopping or needed the connection for another proxy. Cause: GOAWAY named the last call at once, what was in transit was opened and dropped, and an idle connection was closed before GOAWAY was even written, without waiting for its client's end.

http2::Session announces the end first (a GOAWAY that permits further calls, and a PING), serves what comes until the PING is acknowledged, and then names the last call; the gRPC server closes the connection after that, with a lingering close. A client that doesn't acknowledge is waited for for 1 s, and no longer than until all answers of a shutdown are due.

--- a/src/protocol/grpc/server_calls.h
+++ b/src/protocol/grpc/server_calls.h
@@ -60,6 +60,7 @@
   bool done() const { return session_.done(); }
   void connectionEnded() { session_.connectionEnded(); }
   void goAway() { session_.goAway(); }
+  void finishGoingAway() { session_.finishGoingAway(); }
   // The number of open calls.
   std::size_t open() const { return calls_.size(); }
 
--- a/src/protocol/http2/session.cpp
+++ b/src/protocol/http2/session.cpp
@@ -3,6 +3,7 @@
 #include <nghttp2/nghttp2.h>
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <stdexcept>
 
@@ -34,6 +35,8 @@
 constexpr std::int32_t kConnectionWindowBytes = kStreamWindowBytes * 8;
 // Overhead that each header field counts in addition to its name and value (RFC 9113, section 10.5.1).
 constexpr std::size_t kFieldOverheadBytes = 32;
+// The data of the PING that follows the announcement of the end of a connection.
+constexpr std::array<std::uint8_t, 8> kGoAwayPing{'g', 'o', ' ', 'a', 'w', 'a', 'y', '?'};
 // Disables nghttp2's own limit: the allowance bounds resets together with the other frames.
 constexpr std::uint64_t kUnlimitedResets = 1u << 30;
 
@@ -106,6 +109,7 @@
       const double cost = frame->hd.type == NGHTTP2_RST_STREAM ? kCostOfReset : kCostOfFrame;
       if (!isHeaders && !(isData && frame->hd.length > 0) && !session.spendAllowance(cost))
         return NGHTTP2_ERR_CALLBACK_FAILURE;
+      if (isAckOfGoAway(frame)) session.finishGoingAway();
       if (isHeaders)
         if (Stream* stream = session.find(id)) {
           stream->headerShare.reset();
@@ -117,6 +121,11 @@
     });
   }
 
+  static bool isAckOfGoAway(const nghttp2_frame* frame) {
+    return frame->hd.type == NGHTTP2_PING && (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0 &&
+           std::equal(kGoAwayPing.begin(), kGoAwayPing.end(), frame->ping.opaque_data);
+  }
+
   static int data(nghttp2_session*, std::uint8_t, StreamId id, const std::uint8_t* bytes, std::size_t size,
                   void* user) {
     return guarded(user, [&](Session& session) {
@@ -258,7 +267,7 @@
 
 bool Session::done() const {
   return hasFailed_ || (!nghttp2_session_want_read(session_) && !nghttp2_session_want_write(session_)) ||
-         (isGoingAway_ && streams_.empty());
+         (hasGoneAway_ && streams_.empty() && !nghttp2_session_want_write(session_));
 }
 
 void Session::connectionEnded() {
@@ -322,6 +331,12 @@
 
 void Session::goAway() {
   if (std::exchange(isGoingAway_, true) || hasFailed_) return;
+  nghttp2_submit_shutdown_notice(session_);
+  nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, kGoAwayPing.data());
+}
+
+void Session::finishGoingAway() {
+  if (!isGoingAway_ || hasFailed_ || std::exchange(hasGoneAway_, true)) return;
   nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, nghttp2_session_get_last_proc_stream_id(session_),
                         NGHTTP2_NO_ERROR, nullptr, 0);
 }
--- a/src/protocol/http2/session.h
+++ b/src/protocol/http2/session.h
@@ -87,8 +87,12 @@
   // Ends the stream after the queued data, with trailers if there are any.
   void end(StreamId stream, Headers trailers = {});
   void reset(StreamId stream, ErrorCode code);
-  // Sends GOAWAY: new streams are rejected, open streams continue.
+  // Starts the graceful end of the connection: announces it with a GOAWAY that still permits new streams, as
+  // the peer may have sent some before it arrives. Once the peer has acknowledged a PING behind it, none can
+  // be in transit, and finishGoingAway() is called. Open streams continue.
   void goAway();
+  // Sends the GOAWAY that tells the last stream that was received: the peer may repeat later ones elsewhere.
+  void finishGoingAway();
   void ping();
 
   std::size_t openStreams() const { return streams_.size(); }
@@ -120,7 +124,9 @@
   std::size_t unsentBytes_ = 0;  // over all streams
   Instant now_, allowanceAt_;    // allowanceAt_: when the allowance was last updated
   double allowance_;             // tokens left for frames that carry no work
-  bool hasFailed_ = false, isGoingAway_ = false;
+  bool hasFailed_ = false;
+  bool isGoingAway_ = false;  // goAway() was called
+  bool hasGoneAway_ = false;  // finishGoingAway() was called
 };
 
 }  // namespace gulltrestle::http2
--- a/src/runtime/ext_proc_server/ext_proc_server.cpp
+++ b/src/runtime/ext_proc_server/ext_proc_server.cpp
@@ -109,6 +109,11 @@
   grpcServer_.stop();
 }
 
+void ExtProcServer::closeRemaining() {
+  streams_.closeRemaining();
+  grpcServer_.closeRemaining();
+}
+
 // --- Health checks
 
 // One HTTP request on a separate connection: health checks are few, and a load report must be current.
--- a/src/runtime/ext_proc_server/ext_proc_server.h
+++ b/src/runtime/ext_proc_server/ext_proc_server.h
@@ -39,7 +39,7 @@
   void flush() override { grpcServer_.flush(); }
   Instant nextDue() const override;
   void stop() override;
-  void closeRemaining() override { streams_.closeRemaining(); }
+  void closeRemaining() override;
   bool isDrained() const override { return streams_.empty() && grpcServer_.empty(); }
 
  private:
--- a/src/runtime/grpc_server/grpc_server.cpp
+++ b/src/runtime/grpc_server/grpc_server.cpp
@@ -15,6 +15,11 @@
 
 // A connection whose client reads nothing of the unsent data for this long is closed.
 constexpr Duration kWriteTimeout = Duration::millis(10000);
+// A client that has not acknowledged the end of its connection by then is not waited for any longer.
+constexpr Duration kGoAwayTimeout = Duration::millis(1000);
+// After the end of stream is sent, the server waits for this long until the client closes its end; the second
+// one applies once the process may be killed soon.
+constexpr Duration kLingerTime = Duration::millis(500), kShortLingerTime = Duration::millis(50);
 // Pause after a failed accept, to avoid a busy loop.
 constexpr Duration kAcceptRetryDelay = Duration::millis(10);
 constexpr int kMaxAcceptsPerTurn = 8;
@@ -65,8 +70,10 @@
   void halfClosed(grpc::CallId call) override { server.handler_.halfClosed(keyOf(call)); }
   void ended(grpc::CallId call, bool) override { server.handler_.ended(keyOf(call)); }
 
+  // Everything is answered, and the client knows which of its calls were received.
   bool isFinished() const { return unsent.empty() && calls.done(); }
   bool isUsable() const { return !isBroken && !hasEnded && !isFinished(); }
+  bool isLingering() const { return !isBroken && !hasEnded && server.loop_.now() < lingerUntil; }
   bool isIdle() const { return calls.open() == 0; }
   bool hasStalled() const { return stallDeadline != Instant() && server.loop_.now() >= stallDeadline; }
 
@@ -78,7 +85,9 @@
   std::string unsent;
   bool isBroken = false;   // a read or write has failed
   bool hasEnded = false;   // the client has shut down its sending direction
-  bool isClosing = false;  // the connection is closed once it is idle
+  bool isClosing = false;  // the client was asked to open no further calls
+  Instant goAwayDeadline;  // when the connection is closed if the client has not acknowledged that
+  Instant lingerUntil;     // when it is closed if the client has not closed its end; Instant(): not lingering
   Instant idleSince;       // the time since which no call has been open
   Instant stallDeadline;   // the connection is closed if data is still unsent then; Instant() if none is
 };
@@ -139,11 +148,23 @@
 void GrpcServer::stop() {
   isStopped_ = true;
   if (listener_) listener_->wake();
-  for (auto& [id, connection] : connections_) {
-    connection->calls.goAway();
-    unflushed_.insert(id);
-    connection->stream.wake();
-  }
+  for (auto& [id, connection] : connections_) startGoingAway(*connection);
+}
+
+void GrpcServer::closeRemaining() {
+  if (std::exchange(isClosingRemaining_, true)) return;
+  for (auto& [id, connection] : connections_) connection->stream.wake();
+}
+
+// Prevents that calls in transit are lost when a connection is closed: its client learns of it first, and
+// what it has sent before is served. Trade-off: the connection stays open for a round trip.
+void GrpcServer::startGoingAway(Connection& connection) {
+  connection.isClosing = true;
+  connection.calls.goAway();
+  connection.goAwayDeadline = loop_.now() + kGoAwayTimeout;
+  connection.stream.wakeAt(connection.goAwayDeadline);
+  connection.stream.wake();
+  unflushed_.insert(connection.id);
 }
 
 // --- Accepting
@@ -194,8 +215,7 @@
         (!oldest || connection->idleSince < oldest->idleSince))
       oldest = connection;
   if (!oldest) return false;
-  oldest->isClosing = true;
-  oldest->stream.wake();
+  startGoingAway(*oldest);
   return true;
 }
 
@@ -207,22 +227,25 @@
     Connection connection(*this, id, std::move(descriptor));
     const ConnectionRegistration registration(connection);
     connection.idleSince = loop_.now();
-    if (isStopped_) {
-      // A call that came with the connection gets an answer. A new connection is reported at once, as it can
-      // be written.
-      co_await connection.stream.changed();
-      if (connection.stream.canRead()) receive(connection);
-      connection.calls.goAway();
-    }
+    if (isStopped_) startGoingAway(connection);
     write(connection);
-    while (connection.isUsable() && !(connection.isClosing && connection.isIdle())) {
+    while (connection.isUsable()) {
       if (connection.hasStalled()) break;
+      if (connection.isClosing && (isClosingRemaining_ || loop_.now() >= connection.goAwayDeadline))
+        connection.calls.finishGoingAway();
       // Nothing is read while data is unsent: a client that doesn't read replies can't send requests.
       if (connection.stream.canRead() && connection.unsent.empty()) receive(connection);
       if (connection.stream.canWrite()) write(connection);
       if (!connection.isUsable()) break;
       co_await connection.stream.changed();
     }
+    if (connection.isFinished() && !connection.isBroken && !connection.hasEnded) {
+      startLingering(connection);
+      while (connection.isLingering()) {
+        if (connection.stream.canRead()) discard(connection);
+        co_await connection.stream.changed();
+      }
+    }
   } catch (const std::exception& error) { logConnectionFailed(name_, error.what()); }
   handler_.advanceTo(loop_.now());
 }
@@ -246,6 +269,23 @@
   if (connection.stream.canRead()) connection.stream.wake();
 }
 
+// Starts the lingering close: sends the end of stream, and waits for the client to close its end, so that
+// bytes that it sends meanwhile don't reset the connection, with the last replies in transit. Calls among
+// them were not received: the GOAWAY has told the client so.
+void GrpcServer::startLingering(Connection& connection) {
+  connection.calls.connectionEnded();
+  event_loop::shutDownWriting(connection.stream.descriptor());
+  connection.lingerUntil = loop_.now() + (isClosingRemaining_ ? kShortLingerTime : kLingerTime);
+  connection.stream.wakeAt(connection.lingerUntil);
+}
+
+void GrpcServer::discard(Connection& connection) {
+  const auto result = connection.stream.read(readBuffer_);
+  if (result.status == IoStatus::failed) connection.isBroken = true;
+  if (result.status == IoStatus::endOfStream) connection.hasEnded = true;
+  if (connection.stream.canRead()) connection.stream.wake();
+}
+
 // Writes all output that was taken from the session before it takes more. Output that the client doesn't read
 // stays in the session, which limits its size.
 void GrpcServer::write(Connection& connection) {
--- a/src/runtime/grpc_server/grpc_server.h
+++ b/src/runtime/grpc_server/grpc_server.h
@@ -68,8 +68,11 @@
   void finish(CallKey call, grpc::Status status, std::string_view text);
   // Writes the output that was queued since the last flush().
   void flush();
-  // Stops accepting connections and calls, but for those that the kernel has accepted. Open calls continue.
+  // Stops accepting connections, but for those that the kernel has accepted, and asks the clients of all
+  // others to open no further calls. Calls that are open, or in transit, are still served.
   void stop();
+  // After stop(): closes the connections of clients that have not acknowledged that yet.
+  void closeRemaining();
   // Returns whether it has stopped and no connection is open.
   bool empty() const { return !listener_ && startingConnections_ == 0 && connections_.empty(); }
 
@@ -83,6 +86,9 @@
   void handleAccepted(event_loop::Descriptor descriptor);
   event_loop::Task serve(ConnectionId id, event_loop::Descriptor descriptor);
   void receive(Connection& connection);
+  void startGoingAway(Connection& connection);
+  void startLingering(Connection& connection);
+  void discard(Connection& connection);
   void write(Connection& connection);
   bool closeIdleConnection();
   Connection* find(CallKey call);
@@ -98,7 +104,7 @@
   std::set<ConnectionId> unflushed_;  // connections that may have output to write
   ConnectionId lastConnectionId_ = 0;
   std::size_t startingConnections_ = 0;  // accepted, and not in connections_ yet
-  bool isStopped_ = false;
+  bool isStopped_ = false, isClosingRemaining_ = false;
   std::array<char, kReadBytes> readBuffer_;  // shared by all connections, for one read at a time
 };
 
