Soak: closes that cross requests, series of signals, hangs through shutdowns, crowds

The soak excused every connection that ended before its request was forwarded, so it could not see a request that was read and discarded. The preloaded library now counts what the router has read of each client; a statement of which anything was read and that has no answer when its connection ends is a violation. Clients keep the connection 0.3 s after its end for that.

New in the draws: networks that delay what the router sends by up to 0.2 s, or 1.2 s, and the parts of slow writes by 0.15 s; up to four further signals after SIGTERM, one of them a stop; a node that hangs until the kill in one of three shutdowns; in one of three seeds 200 idle clients at each of two routers. verdicts.all has the new verdict.

--- a/tests/faults/machine.cpp
+++ b/tests/faults/machine.cpp
@@ -3,6 +3,7 @@
 // memory (machine.h). Disk faults affect only descriptors of regular files.
 #include "machine.h"
 
+#include <arpa/inet.h>
 #include <dlfcn.h>
 #include <linux/tcp.h>
 #include <sys/epoll.h>
@@ -99,6 +100,28 @@
   for (faultControls()->isWaitBlocked = 1; faultControls()->isWaitBlocked != 0;) nanosleep(&pause, nullptr);
 }
 
+// The ports of the clients whose connections the program has accepted, by descriptor; 0 for others.
+constexpr int kMaxDescriptors = 1 << 16;
+std::array<std::atomic<std::uint16_t>, kMaxDescriptors> clientPorts;
+
+void setClientPort(int descriptor, std::uint16_t port) {
+  if (descriptor >= 0 && descriptor < kMaxDescriptors)
+    clientPorts[static_cast<std::size_t>(descriptor)] = port;
+}
+
+std::uint16_t peerPort(int descriptor) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  const bool isKnown = getpeername(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+  return isKnown ? ntohs(address.sin_port) : 0;
+}
+
+void countRead(int descriptor, ssize_t size) {
+  if (size <= 0 || descriptor >= kMaxDescriptors || !faultControls()) return;
+  const std::uint16_t port = clientPorts[static_cast<std::size_t>(descriptor)];
+  if (port != 0) faultControls()->bytesReadFrom[port] += static_cast<std::uint64_t>(size);
+}
+
 bool isWallClock(clockid_t clock) { return clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE; }
 
 }  // namespace
@@ -114,7 +137,9 @@
     return failWith({ECONNRESET, ETIMEDOUT, EHOSTUNREACH});
   }
   if (size > kMaxShortBytes && injectFault(FaultKind::shortRead)) size = 1 + randomNumber() % kMaxShortBytes;
-  return real(descriptor, buffer, size, flags);
+  const ssize_t result = real(descriptor, buffer, size, flags);
+  countRead(descriptor, result);
+  return result;
 }
 
 ssize_t sendmsg(int descriptor, const msghdr* message, int flags) {
@@ -142,13 +167,17 @@
   if (injectFault(FaultKind::interrupted)) return failWith({EINTR});
   if (injectFault(FaultKind::acceptError))
     return failWith({ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EPERM, ENETDOWN, EHOSTUNREACH});
-  return real(descriptor, address, size, flags);
+  const int accepted = real(descriptor, address, size, flags);
+  if (accepted >= 0) setClientPort(accepted, peerPort(accepted));
+  return accepted;
 }
 
 int socket(int domain, int type, int protocol) {
   static const auto real = nextFunction<int (*)(int, int, int)>("socket");
   if (injectFault(FaultKind::socket)) return failWith({EMFILE, ENFILE, ENOBUFS, ENOMEM});
-  return real(domain, type, protocol);
+  const int descriptor = real(domain, type, protocol);
+  setClientPort(descriptor, 0);
+  return descriptor;
 }
 
 int bind(int descriptor, const sockaddr* address, socklen_t size) {
--- a/tests/faults/machine.h
+++ b/tests/faults/machine.h
@@ -39,6 +39,8 @@
     "short-read", "short-write", "interrupted", "memory",  "epoll-ctl", "accepting", "socket",
     "listening",  "connecting",  "lost",        "held-up", "disk-full", "disk-error"};
 
+constexpr std::size_t kPorts = 1 << 16;
+
 // The shared memory. All members are lock-free atomics, because two processes access them.
 struct FaultControls {
   std::array<std::atomic<std::uint32_t>, kFaultKindCount> perMille;   // share of the affected calls that fail
@@ -50,6 +52,8 @@
   std::atomic<std::uint32_t> isWaitBlocked;  // 1: that wait is blocked
   std::atomic<std::int64_t> wallOffsetSeconds;  // added to the wall clock; a change makes the clock step
   std::atomic<std::uint64_t> wallClockReads;    // reads of the wall clock with an offset
+  // Number of bytes that the program has read of the client with each port; reset by that client.
+  std::array<std::atomic<std::uint64_t>, kPorts> bytesReadFrom;
 };
 static_assert(std::atomic<std::uint64_t>::is_always_lock_free);
 
@@ -106,6 +110,10 @@
   std::uint64_t injectedCount(FaultKind kind) const { return controls_->injectedCount[index(kind)]; }
   // Number of the program's reads of the wall clock with an offset.
   std::uint64_t wallClockReads() const { return controls_->wallClockReads; }
+  // Number of bytes that the program has read of the client with this port. To be reset by the client before
+  // it sends anything.
+  std::uint64_t bytesReadFrom(unsigned short port) const { return controls_->bytesReadFrom[port]; }
+  void resetBytesReadFrom(unsigned short port) { controls_->bytesReadFrom[port] = 0; }
   // Returns the setting for the program's environment, as NAME=value.
   std::string variable() const { return std::string(kVariable) + "=" + path_; }
 
--- a/tests/soak/books.cpp
+++ b/tests/soak/books.cpp
@@ -49,17 +49,19 @@
   requestFor(id).clientClosedAt = now;
 }
 
-void RequestHistory::recordConnectionLoss(Instant now, const std::string& id, bool byFault) {
+void RequestHistory::recordConnectionLoss(Instant now, const std::string& id, bool byFault, bool wasRead) {
   Request& request = requestFor(id);
   if (request.answeredAt != Instant() || request.clientClosedAt != Instant()) return;
   request.connectionLost = true;
   // If the router closes an idle connection while a request is on its way, the client sends the request
-  // again. A request that reached a node was read by the router, which then owes an answer.
-  if (byFault || request.firstSeenAt == Instant())
+  // again, unless the router has read something of it, or a node has received it.
+  const bool wasForwarded = request.firstSeenAt != Instant();
+  if (byFault || (!wasRead && !wasForwarded))
     ++excused;
   else
     recordViolation(now, "lost",
-                    id + " was forwarded to a node, but its connection closed without an answer");
+                    id + (wasForwarded ? " was forwarded to a node" : " was read by the router") +
+                        ", but its connection closed without an answer");
 }
 
 void RequestHistory::recordArrival(Instant now, const StatementArrival& arrival) {
--- a/tests/soak/books.h
+++ b/tests/soak/books.h
@@ -57,7 +57,8 @@
   void recordAnswer(Instant now, const std::string& id);
   void recordClientClose(Instant now, const std::string& id);
   // The connection ended without an answer, and the client did not close it. `byFault`: a fault explains it.
-  void recordConnectionLoss(Instant now, const std::string& id, bool byFault);
+  // `wasRead`: the router has read something of the request.
+  void recordConnectionLoss(Instant now, const std::string& id, bool byFault, bool wasRead);
   void recordArrival(Instant now, const StatementArrival& arrival);
   void recordStaleRead(Instant now, const std::string& id, const std::string& node);
   void recordViolation(Instant now, const std::string& rule, const std::string& description);
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -1,5 +1,7 @@
 #include "soak/clients.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <deque>
 
@@ -16,6 +18,16 @@
 // How many bytes a slow client writes at a time, and how often.
 constexpr std::size_t kSlowWriteBytes = 40;
 constexpr Duration kSlowWriteInterval = Duration::millis(4);
+// A client that is slowed down by its network writes parts this far apart.
+constexpr Duration kStalledWriteInterval = Duration::millis(150);
+// One in so many connections has a network that delays what the router sends, up to one of these times.
+constexpr std::uint64_t kDelaysOneIn = 3, kStallsOneIn = 10;
+constexpr std::int64_t kMaxDelayMillis = 200, kMaxStallMillis = 1200;
+// How long a client keeps the connection that the router has closed, with its request unanswered: a router
+// that still reads it has done so by then.
+constexpr Duration kReadCheckDelay = Duration::millis(300);
+// An idle client connects again after at least this time.
+constexpr std::int64_t kReconnectMillis = 50;
 constexpr Duration kPollInterval = Duration::millis(20), kConnectTimeout = Duration::seconds(1);
 // Random behaviour of clients: the maximum number of statements per connection and of pipelined statements,
 // and the probability (1 in N) that a client pipelines, writes slowly, or closes before its last answer.
@@ -36,7 +48,8 @@
     std::string id;
     Duration timeLimit;
     std::size_t classIndex;
-    bool isSent = false;  // completely: its deadline is set in the history
+    std::uint64_t offset = 0;  // of its first byte among all that the client has sent
+    bool isSent = false;       // completely: its deadline is set in the history
   };
   std::deque<PendingStatement> pending;   // in the order of their answers; an empty id: an empty query
   unsigned routerStarts = 0;              // the router's number of starts when the connection was opened
@@ -44,6 +57,28 @@
   bool closesEarly = false;               // before its last answer
   Instant pausesUntil;                    // not set: the pause has not begun
   bool sessionStarted = false, slow = false;
+  std::uint64_t queuedBytes = 0;  // that were written or are in `unsent`
+  Duration writeInterval = kSlowWriteInterval;
+  Duration readDelay;     // the network delays what the router sends by this time
+  Instant readableSince;  // not set: nothing can be read
+
+  void queue(const std::string& bytes) {
+    unsent += bytes;
+    queuedBytes += bytes.size();
+  }
+  unsigned short localPort() const {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(stream.descriptor(), reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+  }
+  // Whether what the router has sent has arrived.
+  bool hasArrived(Instant now) {
+    if (!stream.canRead()) readableSince = Instant();
+    if (!stream.canRead() || readDelay == Duration()) return true;
+    if (readableSince == Instant()) readableSince = now;
+    return now >= readableSince + readDelay;
+  }
 };
 
 Clients::Clients(Harness& harness, RouterProcess& router, std::size_t routerIndex)
@@ -82,7 +117,8 @@
   Connection::PendingStatement statement;
   const bool isPatient = harness_.randomBelow(kPatientOneIn) == 0;
   statement.timeLimit = harness_.transactionClass(classIndex).deadline * (isPatient ? kPatientFactor : 1);
-  connection.unsent += makeStatement(classIndex, statement.timeLimit, statement.id);
+  statement.offset = connection.queuedBytes;
+  connection.queue(makeStatement(classIndex, statement.timeLimit, statement.id));
   statement.classIndex = classIndex;
   connection.slow = slowly;
   // The request is recorded before any node can receive it; its deadline counts from its last byte.
@@ -98,7 +134,7 @@
 // Processes the answers received so far. Returns false if the connection can't be used any more.
 bool Clients::processAnswers(Connection& connection) {
   std::string_view bytes = connection.received;
-  const Instant now = harness_.loop().now();
+  const Instant now = harness_.loop().now() - connection.readDelay;
   while (const auto message = postgres::takeMessage(bytes, kMaxMessageBytes)) {
     auto& pending = connection.pending;
     const std::string id = pending.empty() ? "" : pending.front().id;
@@ -135,28 +171,41 @@
   return true;
 }
 
+// Whether a fault explains that the connection ends now.
+bool Clients::isExcused(const Connection& connection) const {
+  return harness_.loop().now() - connection.readDelay < router_.resetsExpectedUntil ||
+         router_.wasKilled(connection.routerStarts);
+}
+
 // Records the loss of the connection for each statement that has no answer.
-void Clients::recordConnectionEnd(Connection& connection) {
+void Clients::recordConnectionEnd(Connection& connection, bool byFault) {
   const Instant now = harness_.loop().now();
-  const bool restarted = connection.routerStarts != router_.starts || router_.killed || !router_.running;
-  const bool byFault = now < router_.resetsExpectedUntil;
+  const std::uint64_t bytesRead = router_.machine().bytesReadFrom(connection.localPort());
   for (const auto& statement : connection.pending) {
     if (statement.id.empty()) continue;
-    if (!statement.isSent)
+    const bool wasRead = bytesRead > statement.offset;
+    if (!statement.isSent && !wasRead)
       harness_.history().recordClientClose(now, statement.id);
     else
-      harness_.history().recordConnectionLoss(now, statement.id, byFault || (restarted && router_.killed));
+      harness_.history().recordConnectionLoss(now, statement.id, byFault, wasRead);
   }
 }
 
 // Starts the session on a new connection, before any answer. Until the router is known to be ready, an empty
 // query checks whether it is.
 void Clients::startSession(Connection& connection) {
-  connection.unsent = postgres::startup("worker", "catalog");
+  router_.machine().resetBytesReadFrom(connection.localPort());
+  connection.queue(postgres::startup("worker", "catalog"));
+  if (harness_.randomBelow(kDelaysOneIn) == 0) {
+    const std::int64_t longest = harness_.randomBelow(kStallsOneIn) == 0 ? kMaxStallMillis : kMaxDelayMillis;
+    connection.readDelay = Duration::millis(
+        static_cast<std::int64_t>(harness_.randomBelow(static_cast<std::uint64_t>(longest))));
+    connection.writeInterval = kStalledWriteInterval;
+  }
   connection.remainingStatements = 1 + harness_.randomBelow(kMaxStatements);
   connection.closesEarly = harness_.randomBelow(kClosesEarlyOneIn) == 0;
   if (router_.readyAt != Instant()) return;
-  connection.unsent += postgres::message('Q', std::string(1, '\0'));
+  connection.queue(postgres::message('Q', std::string(1, '\0')));
   connection.pending.push_back({"", Duration(), 0, true});
 }
 
@@ -214,7 +263,15 @@
   if (connection.pending.empty()) return false;
   const auto& first = connection.pending.front();
   return first.isSent && !first.id.empty() &&
-         now > harness_.history().requestFor(first.id).deadline + kOverdueAfterDeadline;
+         now - connection.readDelay >
+             harness_.history().requestFor(first.id).deadline + kOverdueAfterDeadline;
+}
+
+// Reads the answers that have arrived. Returns false if the connection has ended or can't be used any more.
+bool Clients::readAnswers(Connection& connection, Instant now) {
+  if (!connection.hasArrived(now)) return true;
+  const bool isOpen = readAll(connection.stream, connection.received);
+  return processAnswers(connection) && isOpen;
 }
 
 event_loop::Task Clients::runClient() {
@@ -231,14 +288,21 @@
       if (open) startSession(connection);
       while (open) {
         const Instant now = harness_.loop().now();
-        if (!queueStatements(connection, now) || !writeSome(connection, now)) break;
-        open = readAll(connection.stream, connection.received);
-        if (!processAnswers(connection) || closesNow(connection, now) || isOverdue(connection, now)) break;
-        connection.stream.wakeAt(now + (connection.slow ? kSlowWriteInterval : kPollInterval));
+        if (!queueStatements(connection, now)) break;
+        const bool isWritable = writeSome(connection, now);
+        // The connection was reset: what has arrived before is read at once.
+        if (!isWritable) connection.readDelay = Duration();
+        open = readAnswers(connection, now) && isWritable;
+        if (!open || closesNow(connection, now) || isOverdue(connection, now)) break;
+        connection.stream.wakeAt(now + (connection.slow ? connection.writeInterval : kPollInterval));
         if (open) co_await connection.stream.changed();
       }
       // An overdue statement stays unanswered in the history, which reports it at the end.
-      if (!isOverdue(connection, harness_.loop().now())) recordConnectionEnd(connection);
+      if (!connection.pending.empty() && !isOverdue(connection, harness_.loop().now())) {
+        const bool byFault = isExcused(connection);
+        co_await harness_.loop().sleepUntil(harness_.loop().now() + kReadCheckDelay);
+        recordConnectionEnd(connection, byFault);
+      }
     }
     co_await harness_.loop().sleepUntil(
         harness_.loop().now() + Duration::millis(5 + static_cast<std::int64_t>(harness_.randomBelow(40))));
@@ -246,6 +310,31 @@
   --running_;
 }
 
+void Clients::startCrowd(std::size_t clients) {
+  for (std::size_t i = 0; i < clients; ++i) harness_.loop().spawn(runIdleClient());
+}
+
+// Connects, sends its startup, some also the begin of a message, and stays until the router closes the
+// connection.
+event_loop::Task Clients::runIdleClient() {
+  while (!isCrowdEnding_) {
+    if (event_loop::Descriptor descriptor = event_loop::startConnecting("127.0.0.1", router_.port())) {
+      event_loop::Stream stream(harness_.loop(), std::move(descriptor));
+      std::string unsent = postgres::startup("worker", "catalog"), received;
+      if (harness_.randomBelow(kWritesSlowlyOneIn) == 0) unsent += 'Q';
+      bool isOpen = true;
+      while (isOpen && !isCrowdEnding_) {
+        isOpen = !stream.canWrite() || write(stream, unsent);
+        isOpen = isOpen && readAll(stream, received);
+        stream.wakeAt(harness_.loop().now() + kMaxPause);
+        if (isOpen) co_await stream.changed();
+      }
+    }
+    const std::int64_t pauseMillis = kReconnectMillis + static_cast<std::int64_t>(harness_.randomBelow(500));
+    co_await harness_.loop().sleepUntil(harness_.loop().now() + Duration::millis(pauseMillis));
+  }
+}
+
 event_loop::Task Clients::expectService(Instant until) {
   ++pendingServiceChecks;
   // Sends a txn of the class with the longest deadline on a separate connection, until one is committed.
@@ -259,7 +348,8 @@
       Connection connection(harness_.loop(), std::move(descriptor));
       connection.routerStarts = router_.starts;
       const auto before = harness_.history().committed;
-      connection.unsent = postgres::startup("worker", "catalog");
+      router_.machine().resetBytesReadFrom(connection.localPort());
+      connection.queue(postgres::startup("worker", "catalog"));
       queueStatement(connection, classIndex, false);
       connection.pending.front().isSent = true;
       const std::string id = connection.pending.front().id;
@@ -272,7 +362,7 @@
         co_await connection.stream.changed();
       }
       served = connection.pending.empty() && harness_.history().committed > before;
-      if (!connection.pending.empty()) recordConnectionEnd(connection);
+      if (!connection.pending.empty()) recordConnectionEnd(connection, isExcused(connection));
     }
     co_await harness_.loop().sleepUntil(harness_.loop().now() + Duration::millis(100));
   }
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -15,6 +15,9 @@
   Clients(Harness& harness, RouterProcess& router, std::size_t routerIndex);
   // Starts this many concurrent clients, each of which runs until stop().
   void start(std::size_t clients);
+  // Starts this many clients that connect and stay idle, or in the middle of a message, until endCrowd().
+  void startCrowd(std::size_t clients);
+  void endCrowd() { isCrowdEnding_ = true; }
   void stop() { stopped_ = true; }
   bool idle() const { return running_ == 0; }
   // The longest time until a client has all answers: it may wait behind statements that it sent before.
@@ -36,13 +39,16 @@
   bool closesNow(Connection& connection, Instant now);
   bool isOverdue(const Connection& connection, Instant now);
   bool processAnswers(Connection& connection);
-  void recordConnectionEnd(Connection& connection);
+  event_loop::Task runIdleClient();
+  bool readAnswers(Connection& connection, Instant now);
+  bool isExcused(const Connection& connection) const;
+  void recordConnectionEnd(Connection& connection, bool byFault);
   std::size_t classCount() const;
 
   Harness& harness_;
   RouterProcess& router_;
   std::size_t routerIndex_;
-  bool stopped_ = false;
+  bool stopped_ = false, isCrowdEnding_ = false;
   std::size_t running_ = 0;
   Instant lastCommit_;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -23,6 +23,9 @@
 namespace {
 
 constexpr std::size_t kClientsPerRouter = 5;
+// In one of so many seeds, a crowd of idle clients fills the descriptors of some routers.
+constexpr std::uint64_t kCrowdOneIn = 3;
+constexpr std::size_t kCrowdedRouters = 2, kCrowdSize = 200;
 // A router has to serve again within this time after the end of the faults.
 constexpr Duration kRecoveryTimeout = Duration::seconds(12);
 constexpr Duration kStartupTimeout = Duration::seconds(10);
@@ -115,12 +118,16 @@
   event_loop::Task runScenario() {
     for (const auto& router : routers_) router->start(loop_.now());
     for (const auto& clients : clients_) clients->start(kClientsPerRouter);
+    if (hasCrowd())
+      for (std::size_t i = 0; i < std::min(kCrowdedRouters, clients_.size()); ++i)
+        clients_[i]->startCrowd(kCrowdSize);
     const Instant until = loop_.now() + Duration::seconds(options_.seconds);
     co_await loop_.sleepUntil(loop_.now() + Duration::millis(500));
     loop_.spawn(schedule_->run(until));
     while (!schedule_->finished()) co_await loop_.sleepUntil(loop_.now() + Duration::millis(20));
     for (const auto& router : routers_) router->machine().clearFaults();
     for (const auto& node : harness_.nodes()) clearFaults(*node);
+    for (const auto& clients : clients_) clients->endCrowd();
     const Instant serviceDeadline = loop_.now() + kRecoveryTimeout;
     for (const auto& clients : clients_) loop_.spawn(clients->expectService(serviceDeadline));
     co_await loop_.sleepUntil(loop_.now() + Duration::millis(200));
@@ -134,6 +141,7 @@
       co_await loop_.sleepUntil(loop_.now() + Duration::millis(20));
     loop_.stop();
   }
+  bool hasCrowd() const { return options_.seed % kCrowdOneIn == 0; }
   void clearFaults(Node& node) {
     node.hang(Instant());
     node.fail(Instant());
@@ -152,6 +160,7 @@
     report["seed"] = options_.seed;
     report["seconds"] = options_.seconds;
     report["routers"] = options_.routers;
+    report["crowd"] = hasCrowd();
     report["requests"] = history_.requests();
     report["committed"] = history_.committed;
     report["refused"] = history_.rejected;
--- a/tests/soak/routers.cpp
+++ b/tests/soak/routers.cpp
@@ -59,7 +59,10 @@
 
 void RouterProcess::signal(int signalNumber) {
   if (!running) return;
-  if (signalNumber == SIGKILL) killed = true;
+  if (signalNumber == SIGKILL) {
+    killed = true;
+    killedStarts_.insert(starts);
+  }
   ::kill(child_, signalNumber);
 }
 
--- a/tests/soak/routers.h
+++ b/tests/soak/routers.h
@@ -6,6 +6,7 @@
 
 #include <ios>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/time.h"
@@ -27,6 +28,8 @@
                  const std::string& initialEndpointList);
   void start(Instant now);
   void signal(int signalNumber);
+  // Whether SIGKILL was sent to the process of this start.
+  bool wasKilled(unsigned start) const { return killedStarts_.contains(start); }
   // Whether this start has logged `event=start`, which the router does after it has blocked its signals. A
   // signal that arrives before the program's first instruction ends any process, so only from then on does
   // the router handle SIGTERM and SIGHUP.
@@ -55,6 +58,7 @@
   testing::Port port_;
   std::unique_ptr<faults::FaultController> machine_;
   pid_t child_ = 0;
+  std::set<unsigned> killedStarts_;
   std::streamoff logSizeAtStart_ = 0;
   bool handlesSignals_ = false;
 };
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -1,12 +1,16 @@
 #include "soak/schedule.h"
 
 #include <csignal>
+#include <utility>
 
 namespace gulltrestle::soak {
 
 namespace {
 
 constexpr std::int64_t kSecondsPerHour = 3600;
+// In one of so many shutdowns a node hangs until the router may be killed.
+constexpr std::uint64_t kHangsOneIn = 3;
+constexpr std::uint64_t kMaxFurtherSignals = 5;
 
 }  // namespace
 
@@ -128,6 +132,8 @@
   router.terminatedAt = harness_.loop().now();
   router.signal(SIGTERM);
   const Instant until = harness_.loop().now() + killAfter_;
+  harness_.loop().spawn(signalSeries(router, start));
+  if (random_() % kHangsOneIn == 0) harness_.nodes()[random_() % harness_.nodes().size()]->hang(until);
   while (router.running && router.starts == start && harness_.loop().now() < until)
     co_await sleep(Duration::millis(5));
   if (router.running && router.starts == start) {
@@ -141,6 +147,23 @@
   --active_;
 }
 
+// Further signals while the router shuts down; one of them may suspend it.
+event_loop::Task Schedule::signalSeries(RouterProcess& router, unsigned start) {
+  ++active_;
+  bool mayStop = true;
+  for (auto remaining = random_() % kMaxFurtherSignals; remaining > 0; --remaining) {
+    co_await sleep(randomDuration(0, 300));
+    if (!router.running || router.starts != start) break;
+    const auto kind = random_() % 3;
+    if (kind == 2 && std::exchange(mayStop, false)) {
+      harness_.loop().spawn(suspend(router));
+    } else {
+      router.signal(kind == 0 ? SIGTERM : SIGHUP);
+    }
+  }
+  --active_;
+}
+
 event_loop::Task Schedule::kill(RouterProcess& router) {
   if (!router.running || router.terminating) co_return;
   ++active_;
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -51,6 +51,7 @@
   event_loop::Task failSystemCalls(RouterProcess& router);
   event_loop::Task stepWallClock(RouterProcess& router);
   event_loop::Task terminate(RouterProcess& router);
+  event_loop::Task signalSeries(RouterProcess& router, unsigned start);
   event_loop::Task kill(RouterProcess& router);
   event_loop::Task reload(RouterProcess& router);
   event_loop::Task suspend(RouterProcess& router);
--- a/tests/verdicts.cpp
+++ b/tests/verdicts.cpp
@@ -74,16 +74,20 @@
   {
     RecordedRequest request("forwarded, then connection closed");
     request.execute(100);
-    request.historyAt(200).recordConnectionLoss(at(200), "a", false);
+    request.historyAt(200).recordConnectionLoss(at(200), "a", false, false);
   }
   {
     RecordedRequest request("connection closed before the request was forwarded");
-    request.historyAt(200).recordConnectionLoss(at(200), "a", false);
+    request.historyAt(200).recordConnectionLoss(at(200), "a", false, false);
+  }
+  {
+    RecordedRequest request("connection closed after the request was read");
+    request.historyAt(200).recordConnectionLoss(at(200), "a", false, true);
   }
   {
     RecordedRequest request("forwarded, then its router was killed");
     request.execute(100);
-    request.historyAt(200).recordConnectionLoss(at(200), "a", true);
+    request.historyAt(200).recordConnectionLoss(at(200), "a", true, true);
   }
   {
     RecordedRequest request("forwarded 0.4 s after its client closed the connection");
